--- /dev/null
+++ b/gooseberryquay/contracts/fields.py
@@ -0,0 +1,44 @@
+"""Field types shared by the declared models."""
+
+from typing import Annotated, Any, NamedTuple
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, PlainSerializer
+
+__all__ = ["Address", "AddressField", "Model", "NameList"]
+
+MAX_PORT = 65535
+
+
+class Model(BaseModel):
+    """Base of all declared models: immutable, and unknown keys are errors."""
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+
+class Address(NamedTuple):
+    """Name a TCP endpoint by IP number and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def _parse_address(value: Any) -> Any:
+    if not isinstance(value, str):
+        return value
+    host, separator, port = value.rpartition(":")
+    if not separator or not port.isdigit() or int(port) > MAX_PORT:
+        raise ValueError("must be IP:PORT")
+    return Address(host, int(port))
+
+
+def _split_names(value: Any) -> Any:
+    if not isinstance(value, str):
+        return value
+    return tuple(name.strip() for name in value.split(",") if name.strip())
+
+
+AddressField = Annotated[Address, BeforeValidator(_parse_address), PlainSerializer(str)]
+NameList = Annotated[tuple[str, ...], BeforeValidator(_split_names)]
--- /dev/null
+++ b/gooseberryquay/contracts/service.py
@@ -0,0 +1,46 @@
+"""Services that workspaces call, and what each promises."""
+
+from enum import Enum
+from typing import Annotated
+
+from pydantic import Field
+
+from gooseberryquay.contracts.fields import Model, NameList
+from gooseberryquay.ids import OperationName, ServiceId
+
+__all__ = ["Repeat", "Service", "ServiceKind"]
+
+
+class ServiceKind(Enum):
+    """Tell a model engine's service from a plain one."""
+
+    MODEL = "model"
+    PLAIN = "plain"
+
+
+class Repeat(Enum):
+    """Say whether an operation may run again for the same request."""
+
+    ALLOWED = "allowed"
+    NEVER = "never"
+
+
+class Service(Model):
+    """Declare one service with its operations and its service level."""
+
+    id: ServiceId
+    kind: ServiceKind
+    operations: NameList = ()
+    never_repeat: NameList = ()
+    first_token_s: Annotated[float, Field(gt=0)] = 1.0
+    token_gap_s: Annotated[float, Field(gt=0)] = 0.071
+    deadline_s: Annotated[float, Field(gt=0)] = 300.0
+    objective: Annotated[float, Field(gt=0, lt=1)] = 0.95
+
+    def has_operation(self, name: OperationName) -> bool:
+        """Tell whether the service declares the operation."""
+        return name in self.operations
+
+    def repeat_of(self, name: OperationName) -> Repeat:
+        """Give the repeat rule of an operation."""
+        return Repeat.NEVER if name in self.never_repeat else Repeat.ALLOWED
--- /dev/null
+++ b/gooseberryquay/contracts/site.py
@@ -0,0 +1,13 @@
+"""Sites and the availability zones they hold."""
+
+from gooseberryquay.contracts.fields import Model, NameList
+from gooseberryquay.ids import SiteId
+
+__all__ = ["Site"]
+
+
+class Site(Model):
+    """Declare one site with its availability zones."""
+
+    id: SiteId
+    zones: NameList
--- /dev/null
+++ b/gooseberryquay/ids.py
@@ -0,0 +1,37 @@
+"""Typed identifiers shared by all subpackages."""
+
+from typing import NewType
+
+__all__ = [
+    "ClaimToken",
+    "EntryId",
+    "FencingNumber",
+    "GenerationId",
+    "IdempotencyKey",
+    "Incarnation",
+    "OperationName",
+    "RequestId",
+    "Revision",
+    "ServiceId",
+    "SiteId",
+    "UpstreamId",
+    "WorkKind",
+    "WorkspaceId",
+    "ZoneId",
+]
+
+ClaimToken = NewType("ClaimToken", str)
+EntryId = NewType("EntryId", str)
+FencingNumber = NewType("FencingNumber", int)
+GenerationId = NewType("GenerationId", str)
+IdempotencyKey = NewType("IdempotencyKey", str)
+Incarnation = NewType("Incarnation", int)
+OperationName = NewType("OperationName", str)
+RequestId = NewType("RequestId", str)
+Revision = NewType("Revision", int)
+ServiceId = NewType("ServiceId", str)
+SiteId = NewType("SiteId", str)
+UpstreamId = NewType("UpstreamId", str)
+WorkKind = NewType("WorkKind", str)
+WorkspaceId = NewType("WorkspaceId", str)
+ZoneId = NewType("ZoneId", str)
--- /dev/null
+++ b/gooseberryquay/links/http_server.py
@@ -0,0 +1,183 @@
+"""HTTP server on cheroot with typed requests, typed responses and path patterns."""
+
+import re
+import threading
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qs
+
+import cheroot.wsgi
+from pydantic import BaseModel
+
+from gooseberryquay.links.thread_pool import GrowingThreadPool
+
+__all__ = ["HttpServer", "Request", "Response", "Router"]
+
+MAX_HEADER_BYTES = 32 * 1024
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MIN_THREADS = 8
+LISTEN_BACKLOG = 1024
+KEEP_ALIVE_TIMEOUT_S = 60
+MAX_KEEP_ALIVE_CONNECTIONS = 4096
+STACK_BYTES = 256 * 1024
+SHUTDOWN_TIMEOUT_S = 5
+
+JSON_TYPE = "application/json"
+EVENT_STREAM_TYPE = "text/event-stream"
+
+
+@dataclass(frozen=True)
+class Request:
+    """Hold one HTTP request; header names are lower case."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    path_values: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Response:
+    """Hold one HTTP response; a body that is an iterator is sent in chunks as it comes."""
+
+    status: int = 200
+    body: bytes | Iterator[bytes] = b""
+    content_type: str = JSON_TYPE
+    headers: dict[str, str] = field(default_factory=dict)
+    is_closing: bool = False
+
+    @staticmethod
+    def of(message: BaseModel, status: int = 200) -> "Response":
+        """Encode a message as a JSON response."""
+        return Response(status=status, body=message.model_dump_json().encode())
+
+
+Handler = Callable[[Request], Response]
+
+
+@dataclass(frozen=True)
+class _Route:
+    method: str
+    pattern: re.Pattern[str]
+    handler: Handler
+
+
+class Router:
+    """Find the handler of a request by method and path; `{name}` matches one segment."""
+
+    def __init__(self) -> None:
+        self._routes: list[_Route] = []
+
+    def add(self, method: str, path: str, handler: Handler) -> None:
+        """Register a handler for a method and a path pattern."""
+        pattern = re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", path)
+        self._routes.append(_Route(method, re.compile(f"^{pattern}$"), handler))
+
+    def handle(self, request: Request) -> Response:
+        """Call the matching handler, or answer 404 or 405."""
+        is_path_known = False
+        for route in self._routes:
+            match = route.pattern.match(request.path)
+            if match is None:
+                continue
+            is_path_known = True
+            if route.method == request.method:
+                return route.handler(_with_path_values(request, match.groupdict()))
+        status = HTTPStatus.METHOD_NOT_ALLOWED if is_path_known else HTTPStatus.NOT_FOUND
+        return self._missing(request, status)
+
+    def _missing(self, request: Request, status: HTTPStatus) -> Response:
+        return Response(status=status, body=b"{}")
+
+
+def _with_path_values(request: Request, values: dict[str, str]) -> Request:
+    return Request(
+        request.method, request.path, request.query, request.headers, request.body, values
+    )
+
+
+class HttpServer:
+    """Serve a router on one TCP address, one thread for each open request."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        router: Router,
+        max_threads: int = 2048,
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ) -> None:
+        threading.stack_size(STACK_BYTES)
+        self._router = router
+        self._server = cheroot.wsgi.Server(
+            (host, port),
+            self._serve_wsgi,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=KEEP_ALIVE_TIMEOUT_S,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        self._server.requests = GrowingThreadPool(self._server, MIN_THREADS, max_threads)
+        self._server.max_request_header_size = MAX_HEADER_BYTES
+        self._server.max_request_body_size = max_body_bytes
+        self._server.keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTIONS
+        setattr(self._server, "error_log", _ignore_error)  # noqa: B010
+        self._is_closing_connections = threading.Event()
+        self._thread: threading.Thread | None = None
+
+    def start(self) -> None:
+        """Bind the address and serve in the background."""
+        self._server.prepare()
+        self._thread = threading.Thread(target=self._server.serve, daemon=True)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close the listening socket and end the worker threads."""
+        self._server.stop()
+
+    def close_connections_after_answers(self) -> None:
+        """Tell every client from now on to close its connection after the answer."""
+        self._is_closing_connections.set()
+
+    @property
+    def port(self) -> int:
+        """Give the bound TCP port."""
+        return int(self._server.bind_addr[1])
+
+    def _serve_wsgi(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        response = self._router.handle(_read_request(environ))
+        headers = [("Content-Type", response.content_type), *response.headers.items()]
+        if response.is_closing or self._is_closing_connections.is_set():
+            headers.append(("Connection", "close"))
+        body = response.body
+        if isinstance(body, bytes):
+            headers.append(("Content-Length", str(len(body))))
+        start_response(_status_line(response.status), headers)
+        return [body] if isinstance(body, bytes) else body
+
+
+def _ignore_error(*_args: Any, **_kwargs: Any) -> None:
+    """Drop cheroot's notes on connections that callers closed."""
+
+
+def _status_line(status: int) -> str:
+    return f"{status} {HTTPStatus(status).phrase}"
+
+
+def _read_request(environ: dict[str, Any]) -> Request:
+    headers = {
+        key[len("HTTP_") :].replace("_", "-").lower(): value
+        for key, value in environ.items()
+        if key.startswith("HTTP_")
+    }
+    if "CONTENT_TYPE" in environ:
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    query = {key: values[-1] for key, values in parse_qs(environ["QUERY_STRING"]).items()}
+    has_body = environ.get("CONTENT_LENGTH") or environ.get("wsgi.input_terminated")
+    body = environ["wsgi.input"].read() if has_body else b""
+    return Request(environ["REQUEST_METHOD"], environ["PATH_INFO"], query, headers, body)
--- /dev/null
+++ b/gooseberryquay/postings/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder."""
