--- /dev/null
+++ b/gooseberryquay/machines/peer.py
@@ -0,0 +1,36 @@
+"""Other entries, and the view of them that the rest of an entry uses."""
+
+from typing import Protocol
+
+from pydantic import BaseModel
+from result import Result
+
+from gooseberryquay.contracts.fields import AddressField, Model
+from gooseberryquay.ids import EntryId, Incarnation, ZoneId
+from gooseberryquay.links.http_client import LinkFailure, Reply
+
+__all__ = ["Peer", "Peers"]
+
+
+class Peer(Model):
+    """Identify one run of one entry and where its control API listens."""
+
+    id: EntryId
+    incarnation: Incarnation
+    zone: ZoneId
+    control_address: AddressField
+
+
+class Peers(Protocol):
+    """Give the live entries and send messages to them."""
+
+    def myself(self) -> Peer:
+        """Give this entry."""
+
+    def live(self) -> tuple[Peer, ...]:
+        """Give every entry believed alive and not leaving, this one included."""
+
+    def send(
+        self, to: Peer, path: str, message: BaseModel, timeout_s: float
+    ) -> Result[Reply, LinkFailure]:
+        """POST a message as JSON to a peer's control API."""
