Add command line, process runner and the platform stand-in's first form

Cause: integration tests need real processes that start, print a port and take signals. Found: path values stayed percent-encoded, so an object key with a slash was stored under its encoded name; the router decodes them now (test_conditional_write_has_one_winner).

--- /dev/null
+++ b/gooseberryquay/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line as `python -m gooseberryquay`."""
+
+from gooseberryquay.cli import main
+
+main()
--- /dev/null
+++ b/gooseberryquay/cli.py
@@ -0,0 +1,33 @@
+"""Command line of the daemon, the operators' commands and the stand-ins."""
+
+import sys
+
+import fire
+from result import Err, Ok
+
+from gooseberryquay.contracts import load_settings
+from gooseberryquay.standins.commands import StandInCommands
+
+__all__ = ["Commands", "main"]
+
+
+class Commands:
+    """Serve generations and plain services, and operate the entries that do."""
+
+    def __init__(self) -> None:
+        self.standin = StandInCommands()
+
+    def check(self, base: str, overlay: str | None = None) -> None:
+        """Check settings and print every problem; the exit status is 1 if there is one."""
+        match load_settings(base, overlay):
+            case Ok(_):
+                print("settings are valid")
+            case Err(problems):
+                for problem in problems:
+                    print(problem, file=sys.stderr)
+                sys.exit(1)
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(Commands(), name="gooseberryquay")
--- a/gooseberryquay/links/http_server.py
+++ b/gooseberryquay/links/http_server.py
@@ -3,10 +3,10 @@
 import re
 import threading
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from http import HTTPStatus
 from typing import Any
-from urllib.parse import parse_qs
+from urllib.parse import parse_qs, unquote
 
 import cheroot.wsgi
 from pydantic import BaseModel
@@ -95,9 +95,8 @@
 
 
 def _with_path_values(request: Request, values: dict[str, str]) -> Request:
-    return Request(
-        request.method, request.path, request.query, request.headers, request.body, values
-    )
+    decoded = {name: unquote(value) for name, value in values.items()}
+    return replace(request, path_values=decoded)
 
 
 class HttpServer:
--- /dev/null
+++ b/gooseberryquay/standins/process.py
@@ -0,0 +1,93 @@
+"""Real processes for tests and experiments; the product itself starts none."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from collections.abc import Sequence
+from types import TracebackType
+from typing import Self
+
+from gooseberryquay.standins.serving import READY_PREFIX
+
+__all__ = ["CommandProcess", "find_free_port"]
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+
+
+def find_free_port(host: str = "127.0.0.1") -> int:
+    """Give a TCP port that nothing listens on at the moment."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return int(probe.getsockname()[1])
+
+
+class CommandProcess:
+    """Run one `gooseberryquay` command and send it signals."""
+
+    def __init__(self, *arguments: str, log_path: str | None = None) -> None:
+        self._arguments: Sequence[str] = arguments
+        self._log_path = log_path or os.devnull
+        self._process: subprocess.Popen[str] | None = None
+        self.port = 0
+
+    def start(self) -> Self:
+        """Start the process and wait until it says that it is ready."""
+        with open(self._log_path, "a", encoding="utf-8") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "gooseberryquay", *self._arguments],
+                stdout=subprocess.PIPE,
+                stderr=log,
+                text=True,
+            )
+        self._wait_until_ready(self._process)
+        return self
+
+    def _wait_until_ready(self, process: subprocess.Popen[str]) -> None:
+        assert process.stdout is not None
+        watchdog = threading.Timer(START_TIMEOUT_S, process.kill)
+        watchdog.start()
+        for line in process.stdout:
+            if line.startswith(READY_PREFIX):
+                self.port = int(line.removeprefix(READY_PREFIX))
+                break
+        watchdog.cancel()
+        if not self.port:
+            raise RuntimeError(f"{' '.join(self._arguments)} did not start")
+        drain = threading.Thread(target=process.stdout.read, daemon=True)
+        drain.start()
+
+    @property
+    def pid(self) -> int:
+        """Give the process id."""
+        assert self._process is not None
+        return self._process.pid
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal, such as SIGSTOP, SIGCONT or SIGTERM."""
+        os.kill(self.pid, number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.kill()
+            self._process.wait(STOP_TIMEOUT_S)
+
+    def wait(self, timeout_s: float) -> int:
+        """Wait for the end and give the exit status."""
+        assert self._process is not None
+        return self._process.wait(timeout_s)
+
+    def __enter__(self) -> Self:
+        return self.start()
+
+    def __exit__(
+        self,
+        _type: type[BaseException] | None,
+        _error: BaseException | None,
+        _traceback: TracebackType | None,
+    ) -> None:
+        self.kill()
