Add the entry daemon's first form: caller API, checked event relay, drain

Cause: requests need a path from a caller to an engine and back. Events are checked for generation and index and passed on unparsed; a broken link is resumed at the next index. Not yet shown: real engines (the stand-in is being written).

--- a/gooseberryquay/cli.py
+++ b/gooseberryquay/cli.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from gooseberryquay.contracts import load_settings
+from gooseberryquay.daemons.commands import run_entry
 from gooseberryquay.standins.commands import StandInCommands
 
 __all__ = ["Commands", "main"]
@@ -17,6 +18,10 @@
     def __init__(self) -> None:
         self.standin = StandInCommands()
 
+    def entry(self, base: str, overlay: str, name: str | None = None) -> None:
+        """Run the entry NAME of the overlay until SIGTERM, then drain it."""
+        run_entry(base, overlay, name)
+
     def check(self, base: str, overlay: str | None = None) -> None:
         """Check settings and print every problem; the exit status is 1 if there is one."""
         match load_settings(base, overlay):
--- /dev/null
+++ b/gooseberryquay/daemons/entry_state.py
@@ -0,0 +1,36 @@
+"""Whether an entry may take new work."""
+
+import threading
+from collections.abc import Callable
+
+from gooseberryquay.errors import EntryLeaving, Failure, NotReady
+
+__all__ = ["DrainableState"]
+
+RETRY_ELSEWHERE_S = 1.0
+
+
+class DrainableState:
+    """Take new work while the configuration is confirmed and no drain has begun."""
+
+    def __init__(self, is_configured: Callable[[], bool]) -> None:
+        self._is_configured = is_configured
+        self._is_leaving = threading.Event()
+
+    def start_drain(self) -> None:
+        """Refuse new work from now on."""
+        self._is_leaving.set()
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether a drain has begun."""
+        return self._is_leaving.is_set()
+
+    def refusal(self) -> Failure | None:
+        """Give the reason not to take new work, if there is one."""
+        if self._is_leaving.is_set():
+            return EntryLeaving("this entry is leaving", retry_after_s=RETRY_ELSEWHERE_S)
+        if not self._is_configured():
+            message = "this entry has no confirmed configuration"
+            return NotReady(message, retry_after_s=RETRY_ELSEWHERE_S)
+        return None
--- /dev/null
+++ b/gooseberryquay/links/caller_request.py
@@ -0,0 +1,70 @@
+"""What every caller request must state: workspace, request id and deadline."""
+
+import re
+import secrets
+import time
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from gooseberryquay.errors import DeadlineUnreachable, Failure, InvalidRequest, UnknownWorkspace
+from gooseberryquay.ids import RequestId, WorkKind, WorkspaceId
+from gooseberryquay.links.http_server import Request
+from gooseberryquay.zones.configuration import Configuration
+
+__all__ = ["CallerContext", "read_context", "request_id_of"]
+
+REQUEST_ID_PATTERN = re.compile(r"[\x21-\x7e]{1,128}")
+KIND_PATTERN = re.compile(r"[A-Za-z0-9_.-]{1,64}")
+DEFAULT_KIND = WorkKind("default")
+MAX_DEADLINE_MS = 24 * 3600 * 1000
+RANDOM_BYTES = 12
+
+
+@dataclass(frozen=True)
+class CallerContext:
+    """Hold who calls and by when the answer is needed, on the monotonic clock."""
+
+    request_id: RequestId
+    workspace: WorkspaceId
+    kind: WorkKind
+    arrived_at_s: float
+    deadline_at_s: float | None
+
+
+def request_id_of(request: Request) -> RequestId:
+    """Give the caller's request id, or a new one."""
+    given = request.headers.get("x-request-id", "")
+    if REQUEST_ID_PATTERN.fullmatch(given):
+        return RequestId(given)
+    return RequestId(secrets.token_hex(RANDOM_BYTES))
+
+
+def read_context(
+    request: Request, request_id: RequestId, configuration: Configuration
+) -> Result[CallerContext, Failure]:
+    """Check the headers that every request carries."""
+    workspace = WorkspaceId(request.headers.get("x-workspace", ""))
+    if workspace not in configuration.declaration.workspaces:
+        return Err(UnknownWorkspace("X-Workspace must name a declared workspace"))
+    kind = request.headers.get("x-work-kind", DEFAULT_KIND)
+    if not KIND_PATTERN.fullmatch(kind):
+        return Err(InvalidRequest("X-Work-Kind must be 1 to 64 of A-Z a-z 0-9 _ . -"))
+    now_s = time.monotonic()
+    match _read_deadline_ms(request):
+        case Err(failure):
+            return Err(failure)
+        case Ok(deadline_ms):
+            deadline_at_s = None if deadline_ms is None else now_s + deadline_ms / 1000
+    return Ok(CallerContext(request_id, workspace, WorkKind(kind), now_s, deadline_at_s))
+
+
+def _read_deadline_ms(request: Request) -> Result[int | None, Failure]:
+    text = request.headers.get("x-deadline-ms")
+    if text is None:
+        return Ok(None)
+    if re.fullmatch(r"-?[0-9]{1,18}", text) is None:
+        return Err(InvalidRequest("X-Deadline-Ms must be a whole number of milliseconds"))
+    if int(text) <= 0:
+        return Err(DeadlineUnreachable("the deadline is already past"))
+    return Ok(min(int(text), MAX_DEADLINE_MS))
--- /dev/null
+++ b/gooseberryquay/links/engine_link.py
@@ -0,0 +1,93 @@
+"""Link to one model engine: start, resume and cancel generations."""
+
+from dataclasses import dataclass
+from urllib.parse import quote
+
+from result import Err, Ok, Result
+
+from gooseberryquay.contracts.upstream import UpstreamDeclaration
+from gooseberryquay.ids import GenerationId
+from gooseberryquay.links.http_client import HttpClient, LinkFailure, ReplyStream
+from gooseberryquay.machines.load_report import LoadReport, parse_load_report
+
+__all__ = ["EngineLink", "EngineRefusal", "GenerationUnknown", "OpenFailure"]
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+CANCEL_TIMEOUT_S = 1.0
+RESUME_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True)
+class EngineRefusal:
+    """Report that the engine answered with an error status instead of a stream."""
+
+    status: int
+    report: LoadReport | None
+
+
+@dataclass(frozen=True)
+class GenerationUnknown:
+    """Report that the engine does not hold the generation, or no longer."""
+
+
+OpenFailure = EngineRefusal | GenerationUnknown | LinkFailure
+
+
+class EngineLink:
+    """Open streams at one engine; safe for use by many threads."""
+
+    def __init__(self, declaration: UpstreamDeclaration) -> None:
+        self._client = HttpClient(*declaration.address)
+
+    def start(
+        self,
+        path: str,
+        generation: GenerationId,
+        priority: int,
+        body: bytes,
+        first_token_timeout_s: float,
+    ) -> Result[ReplyStream, OpenFailure]:
+        """Start a generation; the timeout bounds the wait for the first token."""
+        headers = {
+            "Content-Type": "application/json",
+            "X-Request-Id": generation,
+            "X-Priority": str(priority),
+        }
+        opened = self._client.open("POST", path, body, headers, first_token_timeout_s)
+        return _check_status(opened)
+
+    def resume(
+        self, generation: GenerationId, from_index: int, idle_timeout_s: float
+    ) -> Result[ReplyStream, OpenFailure]:
+        """Read the rest of a generation from an index on, over a new request."""
+        path = f"/generations/{quote(generation, safe='')}?from={from_index}"
+        return _check_status(self._client.open("GET", path, read_timeout_s=idle_timeout_s))
+
+    def cancel(self, generation: GenerationId) -> None:
+        """Ask the engine to end a generation; a failure is left to the engine's own timeout."""
+        path = f"/generations/{quote(generation, safe='')}"
+        self._client.send("DELETE", path, read_timeout_s=CANCEL_TIMEOUT_S)
+
+    def close(self) -> None:
+        """Close all kept connections."""
+        self._client.close()
+
+
+def report_of(stream: ReplyStream) -> LoadReport | None:
+    """Read the load report that came with an answer."""
+    text = stream.headers.get("x-engine-load")
+    return parse_load_report(text) if text else None
+
+
+def _check_status(opened: Result[ReplyStream, LinkFailure]) -> Result[ReplyStream, OpenFailure]:
+    match opened:
+        case Err(failure):
+            return Err(failure)
+        case Ok(stream) if stream.status == HTTP_OK:
+            return Ok(stream)
+        case Ok(stream):
+            refusal = EngineRefusal(stream.status, report_of(stream))
+            is_unknown = stream.status == HTTP_NOT_FOUND
+            stream.close()
+            return Err(GenerationUnknown() if is_unknown else refusal)
--- /dev/null
+++ b/gooseberryquay/links/event_check.py
@@ -0,0 +1,86 @@
+"""Check that the events of one generation arrive whole, once and in order."""
+
+from dataclasses import dataclass
+
+from gooseberryquay.ids import GenerationId
+
+__all__ = ["CheckedEvents", "EventCheck"]
+
+EVENT_END = b"\n\n"
+DONE_EVENT = b"data: [DONE]\n\n"
+ID_FIELD = b"id: "
+MAX_EVENT_BYTES = 1024 * 1024
+
+
+@dataclass(frozen=True)
+class CheckedEvents:
+    """Hold whole events that are safe to pass on, and what the last one meant."""
+
+    events: bytes
+    token_count: int
+    is_done: bool = False
+    is_broken: bool = False
+
+
+class EventCheck:
+    """Follow one generation's events from a given index, across resumed connections."""
+
+    def __init__(self, generation: GenerationId, next_index: int = 0) -> None:
+        self._prefix = ID_FIELD + generation.encode() + b"/"
+        self._pending = b""
+        self.next_index = next_index
+
+    def start_connection(self) -> None:
+        """Forget a partial event of a connection that was replaced."""
+        self._pending = b""
+
+    def take(self, buffer: bytes) -> CheckedEvents:
+        """Take in bytes as they came and give the whole events among them.
+
+        Events that the caller already has are dropped. An event of another generation, or one
+        that skips an index, marks the connection as broken; nothing after it is passed on.
+        """
+        data = self._pending + buffer if self._pending else buffer
+        passed: list[bytes] = []
+        first_index = self.next_index
+        start = run_start = 0
+        while (end := data.find(EVENT_END, start)) >= 0:
+            end += len(EVENT_END)
+            if data.startswith(self._expected_id(), start):
+                self.next_index += 1
+                start = end
+                continue
+            passed.append(data[run_start:start])
+            event = data[start:end]
+            start = run_start = end
+            if event == DONE_EVENT:
+                self._pending = b""
+                passed.append(event)
+                return self._checked(passed, first_index, is_done=True)
+            if not self._is_ignorable(event):
+                self._pending = b""
+                return self._checked(passed, first_index, is_broken=True)
+        passed.append(data[run_start:start])
+        self._pending = data[start:]
+        is_too_long = len(self._pending) > MAX_EVENT_BYTES
+        return self._checked(passed, first_index, is_broken=is_too_long)
+
+    def _checked(
+        self,
+        passed: list[bytes],
+        first_index: int,
+        is_done: bool = False,
+        is_broken: bool = False,
+    ) -> CheckedEvents:
+        return CheckedEvents(b"".join(passed), self.next_index - first_index, is_done, is_broken)
+
+    def _expected_id(self) -> bytes:
+        return b"%s%d\n" % (self._prefix, self.next_index)
+
+    def _is_ignorable(self, event: bytes) -> bool:
+        if event.startswith(b":"):
+            return True
+        if not event.startswith(self._prefix):
+            return False
+        index = event[len(self._prefix) : event.find(b"\n")]
+        return index.isdigit() and int(index) < self.next_index
--- a/gooseberryquay/standins/commands.py
+++ b/gooseberryquay/standins/commands.py
@@ -1,7 +1,7 @@
 """Commands that run the stand-ins, each as a process of its own."""
 
+from gooseberryquay.daemons.serving import serve_until_signal
 from gooseberryquay.standins.platform import PlatformStandIn
-from gooseberryquay.standins.serving import serve_until_signal
 
 __all__ = ["StandInCommands"]
 
--- a/gooseberryquay/standins/process.py
+++ b/gooseberryquay/standins/process.py
@@ -10,7 +10,7 @@
 from types import TracebackType
 from typing import Self
 
-from gooseberryquay.standins.serving import READY_PREFIX
+from gooseberryquay.daemons.serving import READY_PREFIX
 
 __all__ = ["CommandProcess", "find_free_port"]
 
