--- a/gooseberryquay/standins/commands.py
+++ b/gooseberryquay/standins/commands.py
@@ -2,11 +2,12 @@
 
 from gooseberryquay.daemons.serving import serve_until_signal
 from gooseberryquay.standins.platform import PlatformStandIn
+from gooseberryquay.standins.relay_cost.commands import RelayCostCommands
 
 __all__ = ["StandInCommands"]
 
 
-class StandInCommands:
+class StandInCommands(RelayCostCommands):
     """Run stand-ins of the outside systems."""
 
     def platform(self, host: str = "127.0.0.1", port: int = 0) -> None:
--- a/gooseberryquay/standins/process.py
+++ b/gooseberryquay/standins/process.py
@@ -7,6 +7,7 @@
 import sys
 import threading
 from collections.abc import Sequence
+from pathlib import Path
 from types import TracebackType
 from typing import Self
 
@@ -16,6 +17,8 @@
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
+USER_TIME_FIELD = 11
+SYSTEM_TIME_FIELD = 12
 
 
 def find_free_port(host: str = "127.0.0.1") -> int:
@@ -66,6 +69,17 @@
         assert self._process is not None
         return self._process.pid
 
+    def cpu_s(self) -> float:
+        """Give the processor time that the process has used so far."""
+        fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+        ticks = int(fields[USER_TIME_FIELD]) + int(fields[SYSTEM_TIME_FIELD])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
+    def resident_mb(self) -> float:
+        """Give the resident memory of the process."""
+        pages = int(Path(f"/proc/{self.pid}/statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal, such as SIGSTOP, SIGCONT or SIGTERM."""
         os.kill(self.pid, number)
