--- /dev/null
+++ b/gooseberryquay/standins/engine.py
@@ -0,0 +1,215 @@
+"""Stand-in for the supplier's model engine, served over HTTP."""
+
+import os
+import random
+import threading
+import time
+from collections.abc import Callable
+
+from pydantic import ValidationError
+
+from gooseberryquay.ids import GenerationId
+from gooseberryquay.links.http_server import (
+    EVENT_STREAM_TYPE,
+    HttpServer,
+    Request,
+    Response,
+    Router,
+)
+from gooseberryquay.standins.batch import DecodingBatch
+from gooseberryquay.standins.cache_events import CacheEventLog
+from gooseberryquay.standins.engine_faults import (
+    Die,
+    DropReports,
+    EngineFault,
+    Hang,
+    Reclaim,
+    ReportLag,
+    SlowDown,
+    TurnCold,
+    WrongGeneration,
+    parse_engine_fault,
+)
+from gooseberryquay.standins.engine_messages import EngineCounts, EngineOrder
+from gooseberryquay.standins.engine_orders import OrderBook
+from gooseberryquay.standins.engine_settings import EngineSettings
+from gooseberryquay.standins.generation import Generation
+from gooseberryquay.standins.generation_request import read_generation_request
+from gooseberryquay.standins.token_events import ApiKind
+
+__all__ = ["EngineStandIn"]
+
+CRASH_STATUS = 70
+REPORT_HEADER = "X-Engine-Load"
+
+
+class EngineStandIn:
+    """Serve generations from a simulated batch; dies as a whole process if told to."""
+
+    def __init__(
+        self,
+        settings: EngineSettings,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        is_own_process: bool = False,
+    ) -> None:
+        self._settings = settings
+        self._is_own_process = is_own_process
+        self._randomness = random.Random(settings.seed)
+        self._events = CacheEventLog(
+            settings.event_lag_s, settings.event_drop_ratio, random.Random(settings.seed + 1)
+        )
+        self._batch = DecodingBatch(settings, self._events, self.crash)
+        self._orders = OrderBook(settings, self._batch.counts)
+        self._has_reports = True
+        self.has_crashed = threading.Event()
+        self._server = HttpServer(host, port, self._build_router())
+
+    def start(self) -> None:
+        """Serve in the background."""
+        self._batch.start()
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._batch.stop()
+        self._server.stop()
+
+    def crash(self) -> None:
+        """Die at once: the process if it is the engine's own, else the server."""
+        if self._is_own_process:
+            os._exit(CRASH_STATUS)
+        if not self.has_crashed.is_set():
+            self.has_crashed.set()
+            threading.Thread(target=self.stop, daemon=True).start()
+
+    @property
+    def port(self) -> int:
+        """Give the bound TCP port."""
+        return self._server.port
+
+    def counts(self) -> EngineCounts:
+        """Give what was counted since the start."""
+        return self._batch.copy_counts()
+
+    def apply_fault(self, fault: EngineFault) -> None:
+        """Start to misbehave as told."""
+        match fault:
+            case TurnCold(cold_s=cold_s):
+                self._batch.turn_cold(cold_s)
+            case ReportLag(lag_s=lag_s):
+                self._batch.reports.lag_s = lag_s
+            case DropReports(is_on=is_on):
+                self._has_reports = not is_on
+            case SlowDown(factor=factor):
+                self._batch.slow_factor = factor
+            case Reclaim(after_s=after_s):
+                self._batch.is_leaving = True
+                _call_later(after_s, self.crash)
+            case Die():
+                self.crash()
+            case Hang(duration_s=duration_s):
+                self._batch.unpaused.clear()
+                _call_later(duration_s, self._batch.unpaused.set)
+            case WrongGeneration(tokens=tokens):
+                self._batch.wrong_tokens = tokens
+
+    def _build_router(self) -> Router:
+        router = Router()
+        router.add("POST", "/v1/completions", self._complete)
+        router.add("POST", "/v1/chat/completions", self._chat)
+        router.add("GET", "/generations/{id}", self._resume)
+        router.add("DELETE", "/generations/{id}", self._cancel)
+        router.add("GET", "/load", self._load)
+        router.add("POST", "/orders", self._order)
+        router.add("GET", "/events", self._list_events)
+        router.add("POST", "/standin/faults", self._fault)
+        router.add("GET", "/standin/counts", self._count)
+        return router
+
+    def _complete(self, request: Request) -> Response:
+        return self._generate(request, ApiKind.COMPLETION)
+
+    def _chat(self, request: Request) -> Response:
+        return self._generate(request, ApiKind.CHAT)
+
+    def _generate(self, request: Request, kind: ApiKind) -> Response:
+        self._batch.unpaused.wait()
+        try:
+            wanted = read_generation_request(request, kind, self._settings, self._randomness)
+        except ValueError:
+            return Response(status=400)
+        generation = self._batch.submit(wanted.generation)
+        if generation is None:
+            return Response(status=503, headers=self._report_headers())
+        if wanted.is_stream:
+            return self._stream(generation, 0)
+        return self._answer_whole(generation)
+
+    def _resume(self, request: Request) -> Response:
+        self._batch.unpaused.wait()
+        generation = self._batch.find(GenerationId(request.path_values["id"]))
+        if generation is None:
+            return Response(status=404, headers=self._report_headers())
+        self._batch.counts.resumed += 1
+        return self._stream(generation, int(request.query.get("from", "0")))
+
+    def _stream(self, generation: Generation, index: int) -> Response:
+        return Response(
+            body=generation.reader(index),
+            content_type=EVENT_STREAM_TYPE,
+            headers={**self._report_headers(), "X-Request-Id": generation.id},
+        )
+
+    def _answer_whole(self, generation: Generation) -> Response:
+        for _event in generation.reader(0):
+            pass
+        headers = {**self._report_headers(), "X-Request-Id": generation.id}
+        return Response(body=generation.encode_whole(), headers=headers)
+
+    def _cancel(self, request: Request) -> Response:
+        self._batch.unpaused.wait()
+        was_known = self._batch.cancel(GenerationId(request.path_values["id"]))
+        return Response(status=200 if was_known else 404, headers=self._report_headers())
+
+    def _load(self, _request: Request) -> Response:
+        self._batch.unpaused.wait()
+        if not self._has_reports:
+            return Response(status=503)
+        return Response.of(self._batch.report())
+
+    def _order(self, request: Request) -> Response:
+        self._batch.unpaused.wait()
+        try:
+            order = EngineOrder.model_validate_json(request.body)
+        except ValidationError:
+            return Response(status=400)
+        is_executed = self._orders.execute(order)
+        return Response(status=200 if is_executed else 409, body=b"{}")
+
+    def _list_events(self, request: Request) -> Response:
+        return Response.of(self._events.read(int(request.query.get("after", "0"))))
+
+    def _fault(self, request: Request) -> Response:
+        try:
+            fault = parse_engine_fault(request.body)
+        except ValidationError:
+            return Response(status=400)
+        self.apply_fault(fault)
+        return Response(body=b"{}")
+
+    def _count(self, _request: Request) -> Response:
+        return Response.of(self.counts())
+
+    def _report_headers(self) -> dict[str, str]:
+        if not self._has_reports:
+            return {}
+        return {REPORT_HEADER: self._batch.report().model_dump_json()}
+
+
+def _call_later(delay_s: float, action: Callable[[], None]) -> None:
+    def wait_and_act() -> None:
+        time.sleep(delay_s)
+        action()
+
+    threading.Thread(target=wait_and_act, daemon=True).start()
--- /dev/null
+++ b/gooseberryquay/standins/generation_request.py
@@ -0,0 +1,84 @@
+"""Read a completion request of the widespread APIs into a generation request."""
+
+import random
+from dataclasses import dataclass
+from math import log
+
+from pydantic import BaseModel, Field
+
+from gooseberryquay.ids import GenerationId
+from gooseberryquay.links.http_server import Request
+from gooseberryquay.standins.engine_settings import EngineSettings
+from gooseberryquay.standins.generation import GenerationRequest
+from gooseberryquay.standins.kv_memory import BLOCK_TOKENS
+from gooseberryquay.standins.prefix_cache import CHARACTERS_PER_TOKEN
+from gooseberryquay.standins.token_events import ApiKind, EventShape
+
+__all__ = ["WantedGeneration", "read_generation_request"]
+
+DEFAULT_PRIORITY = 5
+
+
+class _Message(BaseModel):
+    role: str
+    content: str
+
+
+class _CompletionBody(BaseModel):
+    model: str = ""
+    prompt: str = ""
+    messages: tuple[_Message, ...] = ()
+    stream: bool = False
+    max_tokens: int | None = Field(default=None, ge=1)
+    max_completion_tokens: int | None = Field(default=None, ge=1)
+    standin_output_tokens: int | None = Field(default=None, ge=1)
+
+    def whole_prompt(self) -> str:
+        """Give the prompt, or all messages joined."""
+        if self.messages:
+            return "\n".join(f"{each.role}: {each.content}" for each in self.messages)
+        return self.prompt
+
+
+@dataclass(frozen=True)
+class WantedGeneration:
+    """Pair a generation request with how its answer is wanted."""
+
+    generation: GenerationRequest
+    is_stream: bool
+
+
+def read_generation_request(
+    request: Request, kind: ApiKind, settings: EngineSettings, randomness: random.Random
+) -> WantedGeneration:
+    """Read a request; raises `ValueError` where it is invalid or too long for the memory."""
+    body = _CompletionBody.model_validate_json(request.body)
+    prompt = body.whole_prompt()
+    limit = min(settings.output_tokens_max, _tokens_that_fit(prompt, settings))
+    if limit < 1:
+        raise ValueError("the prompt does not fit into the memory")
+    limit = min(limit, body.max_completion_tokens or body.max_tokens or limit)
+    wanted = body.standin_output_tokens or _draw_length(settings, randomness)
+    generation_id = GenerationId(
+        request.headers.get("x-request-id") or f"{randomness.getrandbits(64):016x}"
+    )
+    reason = "stop" if wanted <= limit else "length"
+    generation = GenerationRequest(
+        id=generation_id,
+        prompt=prompt,
+        priority=int(request.headers.get("x-priority", DEFAULT_PRIORITY)),
+        output_tokens=min(wanted, limit),
+        shape=EventShape(kind, generation_id, body.model, reason),
+        is_poison=settings.poison_marker.encode() in request.body,
+    )
+    return WantedGeneration(generation, body.stream)
+
+
+def _tokens_that_fit(prompt: str, settings: EngineSettings) -> int:
+    total = settings.kv_blocks * BLOCK_TOKENS
+    return total - len(prompt) // CHARACTERS_PER_TOKEN - BLOCK_TOKENS
+
+
+def _draw_length(settings: EngineSettings, randomness: random.Random) -> int:
+    mean = log(settings.output_tokens_median)
+    return max(1, round(randomness.lognormvariate(mean, settings.output_tokens_sigma)))
--- /dev/null
+++ b/gooseberryquay/standins/kv_memory.py
@@ -0,0 +1,45 @@
+"""KV memory of the engine stand-in, counted in blocks of tokens."""
+
+from gooseberryquay.standins.prefix_cache import PrefixCache
+
+__all__ = ["BLOCK_TOKENS", "KvMemory", "blocks_for"]
+
+BLOCK_TOKENS = 16
+
+
+def blocks_for(tokens: int) -> int:
+    """Give the number of blocks that hold so many tokens."""
+    return -(-tokens // BLOCK_TOKENS)
+
+
+class KvMemory:
+    """Count blocks held by sequences and by the prefix cache; cached blocks give way."""
+
+    def __init__(self, total_blocks: int, cache: PrefixCache) -> None:
+        self.total_blocks = total_blocks
+        self._cache = cache
+        self._held_blocks = 0
+
+    @property
+    def used_tokens(self) -> int:
+        """Give the tokens' worth of blocks that cannot be reclaimed."""
+        return (self._held_blocks + self._cache.pinned_blocks) * BLOCK_TOKENS
+
+    @property
+    def total_tokens(self) -> int:
+        """Give the whole memory in tokens."""
+        return self.total_blocks * BLOCK_TOKENS
+
+    def allocate(self, blocks: int) -> bool:
+        """Take blocks, evicting unused cached ones, or take none and give False."""
+        missing = self._held_blocks + len(self._cache) + blocks - self.total_blocks
+        if missing > self._cache.evictable_blocks:
+            return False
+        for _ in range(missing):
+            self._cache.evict()
+        self._held_blocks += blocks
+        return True
+
+    def free(self, blocks: int) -> None:
+        """Give blocks back."""
+        self._held_blocks -= blocks
