Add the plain service stand-in and the TCP fault proxy

The service counts runs per idempotency key and can answer crossed, late, broken or truncated after the run, or refuse before it. The proxy delays, holds, swallows, cuts, resets and refuses, per direction, driven over a control port or in process.

--- a/gooseberryquay/standins/commands.py
+++ b/gooseberryquay/standins/commands.py
@@ -1,12 +1,18 @@
 """Commands that run the stand-ins, each as a process of its own."""
 
+import sys
 from typing import Any
 
+from pydantic import TypeAdapter, ValidationError
+
+from gooseberryquay.contracts.fields import Address, AddressField
 from gooseberryquay.daemons.serving import serve_until_signal
 from gooseberryquay.standins.engine import EngineStandIn
 from gooseberryquay.standins.engine_settings import EngineSettings
+from gooseberryquay.standins.fault_proxy import FaultProxy, FaultProxyServer
 from gooseberryquay.standins.platform import PlatformStandIn
 from gooseberryquay.standins.relay_cost.commands import RelayCostCommands
+from gooseberryquay.standins.service import ServiceSettings, ServiceStandIn
 
 __all__ = ["StandInCommands"]
 
@@ -22,3 +28,24 @@
         """Serve the engine stand-in; the other options are the fields of its settings."""
         engine = EngineStandIn(EngineSettings(**settings), host, port, is_own_process=True)
         serve_until_signal(engine)
+
+    def service(self, host: str = "127.0.0.1", port: int = 0, delay_s: float = 0.005) -> None:
+        """Serve the plain service stand-in until it gets SIGTERM."""
+        settings = ServiceSettings(delay_s)
+        serve_until_signal(ServiceStandIn(settings, host, port, is_own_process=True))
+
+    def faultproxy(
+        self, target: str, host: str = "127.0.0.1", port: int = 0, control_port: int = 0
+    ) -> None:
+        """Serve a TCP fault proxy; the control port is printed before the ready line."""
+        proxy = FaultProxy(_read_address(target), host, port)
+        serve_until_signal(FaultProxyServer(proxy, host, control_port))
+
+
+def _read_address(text: str) -> Address:
+    adapter: TypeAdapter[Address] = TypeAdapter(AddressField)
+    try:
+        return adapter.validate_python(text)
+    except ValidationError:
+        print(f"{text}: must be IP:PORT", file=sys.stderr)
+        sys.exit(1)
--- a/gooseberryquay/standins/engine.py
+++ b/gooseberryquay/standins/engine.py
@@ -3,8 +3,6 @@
 import os
 import random
 import threading
-import time
-from collections.abc import Callable
 
 from pydantic import ValidationError
 
@@ -35,6 +33,7 @@
 from gooseberryquay.standins.engine_settings import EngineSettings
 from gooseberryquay.standins.generation import Generation
 from gooseberryquay.standins.generation_request import read_generation_request
+from gooseberryquay.standins.later import call_later
 from gooseberryquay.standins.token_events import ApiKind
 
 __all__ = ["EngineStandIn"]
@@ -105,12 +104,12 @@
                 self._batch.slow_factor = factor
             case Reclaim(after_s=after_s):
                 self._batch.is_leaving = True
-                _call_later(after_s, self.crash)
+                call_later(after_s, self.crash)
             case Die():
                 self.crash()
             case Hang(duration_s=duration_s):
                 self._batch.unpaused.clear()
-                _call_later(duration_s, self._batch.unpaused.set)
+                call_later(duration_s, self._batch.unpaused.set)
             case WrongGeneration(tokens=tokens):
                 self._batch.wrong_tokens = tokens
 
@@ -205,11 +204,3 @@
         if not self._has_reports:
             return {}
         return {REPORT_HEADER: self._batch.report().model_dump_json()}
-
-
-def _call_later(delay_s: float, action: Callable[[], None]) -> None:
-    def wait_and_act() -> None:
-        time.sleep(delay_s)
-        action()
-
-    threading.Thread(target=wait_and_act, daemon=True).start()
--- /dev/null
+++ b/gooseberryquay/standins/fault_proxy.py
@@ -0,0 +1,185 @@
+"""TCP proxy that delays, holds, swallows, cuts and refuses as told."""
+
+import contextlib
+import socket
+import threading
+from collections.abc import Callable
+
+from pydantic import ValidationError
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.links.http_server import HttpServer, Request, Response, Router
+from gooseberryquay.standins.proxied_connection import LinkState, ProxiedConnection
+from gooseberryquay.standins.proxy_messages import (
+    CutConnections,
+    DelayBytes,
+    Direction,
+    HealLink,
+    LoseAnswers,
+    ProxyCounts,
+    ProxyFault,
+    RefuseConnections,
+    ResetConnections,
+    SilenceConnections,
+    StallBytes,
+    parse_proxy_fault,
+)
+
+__all__ = ["FaultProxy", "FaultProxyServer"]
+
+LISTEN_BACKLOG = 1024
+CONNECT_TIMEOUT_S = 5.0
+
+
+class FaultProxy:
+    """Stand between callers and one target."""
+
+    def __init__(self, target: Address, host: str = "127.0.0.1", port: int = 0) -> None:
+        self._target = target
+        self._address = (host, port)
+        self._state = LinkState()
+        self._lock = threading.Lock()
+        self._connections: set[ProxiedConnection] = set()
+        self._counts = ProxyCounts()
+        self._listener: socket.socket | None = None
+
+    def start(self) -> None:
+        """Bind the address and pass connections on in the background."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(self._address)
+        listener.listen(LISTEN_BACKLOG)
+        self._address = listener.getsockname()
+        self._listener = listener
+        threading.Thread(target=self._accept, args=(listener,), daemon=True).start()
+
+    def stop(self) -> None:
+        """Close the listening socket and every connection."""
+        self._refuse()
+        self._state.heal()
+        self.apply_fault(CutConnections())
+
+    @property
+    def port(self) -> int:
+        """Give the bound TCP port."""
+        return self._address[1]
+
+    def counts(self) -> ProxyCounts:
+        """Give what went through."""
+        with self._lock:
+            open_connections = len(self._connections)
+            return self._counts.model_copy(update={"open_connections": open_connections})
+
+    def apply_fault(self, fault: ProxyFault) -> None:
+        """Start to misbehave as told, or heal."""
+        match fault:
+            case DelayBytes(delay_s=delay_s, direction=direction):
+                self._state.delay(direction, delay_s)
+            case StallBytes(direction=direction):
+                self._state.stall(direction)
+            case SilenceConnections(direction=direction):
+                self._for_each_connection(lambda each: each.silence(direction))
+            case CutConnections():
+                self._for_each_connection(ProxiedConnection.close)
+            case ResetConnections():
+                self._for_each_connection(ProxiedConnection.reset)
+            case RefuseConnections():
+                self._refuse()
+            case LoseAnswers():
+                self._state.is_losing_answers = True
+            case HealLink():
+                self._heal()
+
+    def _heal(self) -> None:
+        self._state.heal()
+        if self._listener is None:
+            self.start()
+
+    def _for_each_connection(self, action: Callable[[ProxiedConnection], None]) -> None:
+        with self._lock:
+            connections = tuple(self._connections)
+        for connection in connections:
+            action(connection)
+
+    def _refuse(self) -> None:
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            # A blocked accept keeps the port open until it is woken.
+            with contextlib.suppress(OSError):
+                listener.shutdown(socket.SHUT_RDWR)
+            listener.close()
+
+    def _accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                caller, _ = listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._connect, args=(caller,), daemon=True).start()
+
+    def _connect(self, caller: socket.socket) -> None:
+        try:
+            target = socket.create_connection(self._target, CONNECT_TIMEOUT_S)
+        except OSError:
+            caller.close()
+            return
+        target.settimeout(None)
+        connection = ProxiedConnection(caller, target, self._state, self._count_bytes, self._forget)
+        with self._lock:
+            self._connections.add(connection)
+            self._counts.connections += 1
+        connection.start()
+
+    def _forget(self, connection: ProxiedConnection) -> None:
+        with self._lock:
+            self._connections.discard(connection)
+
+    def _count_bytes(self, direction: Direction, size_bytes: int) -> None:
+        with self._lock:
+            if direction is Direction.TO_TARGET:
+                self._counts.bytes_to_target += size_bytes
+            else:
+                self._counts.bytes_to_caller += size_bytes
+
+
+class FaultProxyServer:
+    """Serve a fault proxy together with its control port."""
+
+    def __init__(self, proxy: FaultProxy, host: str, control_port: int) -> None:
+        self._proxy = proxy
+        router = Router()
+        router.add("POST", "/standin/faults", self._fault)
+        router.add("GET", "/standin/counts", self._count)
+        self._control = HttpServer(host, control_port, router)
+
+    def start(self) -> None:
+        """Serve in the background and print the control port."""
+        self._control.start()
+        self._proxy.start()
+        print(f"control on port {self.control_port}", flush=True)
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._proxy.stop()
+        self._control.stop()
+
+    @property
+    def port(self) -> int:
+        """Give the proxy's bound TCP port."""
+        return self._proxy.port
+
+    @property
+    def control_port(self) -> int:
+        """Give the control API's bound TCP port."""
+        return self._control.port
+
+    def _fault(self, request: Request) -> Response:
+        try:
+            fault = parse_proxy_fault(request.body)
+        except ValidationError:
+            return Response(status=400)
+        self._proxy.apply_fault(fault)
+        return Response(body=b"{}")
+
+    def _count(self, _request: Request) -> Response:
+        return Response.of(self._proxy.counts())
--- a/gooseberryquay/standins/generation.py
+++ b/gooseberryquay/standins/generation.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from gooseberryquay.ids import GenerationId
+from gooseberryquay.standins.connection_break import ConnectionBreak
 from gooseberryquay.standins.prefix_cache import CHARACTERS_PER_TOKEN
 from gooseberryquay.standins.token_events import DONE_EVENT, EventShape
 
@@ -17,7 +18,6 @@
     "GenerationEnd",
     "GenerationReader",
     "GenerationRequest",
-    "StreamBroken",
     "token_text",
 ]
 
@@ -30,10 +30,6 @@
     BROKEN = "broken"
 
 
-class StreamBroken(Exception):
-    """End a stream without its last event, which closes the connection."""
-
-
 def token_text(generation: GenerationId, index: int) -> str:
     """Give the text of a token, which names its index and its generation."""
     return f"t{index}.{xxhash.xxh32_hexdigest(generation.encode())[:6]} "
@@ -142,7 +138,7 @@
             if ready:
                 return b"".join(ready)
             if end is not None:
-                raise StreamBroken
+                raise ConnectionBreak
             self._wait()
         raise StopIteration
 
--- /dev/null
+++ b/gooseberryquay/standins/service.py
@@ -0,0 +1,187 @@
+"""Stand-in for a plain service that counts how often each request ran."""
+
+import os
+import threading
+import time
+from dataclasses import dataclass
+
+from pydantic import BaseModel, ValidationError
+
+from gooseberryquay.links.http_server import HttpServer, Request, Response, Router
+from gooseberryquay.machines.load_report import LoadReport
+from gooseberryquay.standins.connection_break import broken_body
+from gooseberryquay.standins.later import call_later
+from gooseberryquay.standins.service_messages import (
+    BreakAfterRun,
+    CrossAnswers,
+    DelayAnswers,
+    OperationAnswer,
+    RefuseBeforeRun,
+    ServiceCounts,
+    ServiceDies,
+    ServiceFault,
+    ServiceHangs,
+    TruncateAnswers,
+    parse_service_fault,
+)
+
+__all__ = ["ServiceSettings", "ServiceStandIn"]
+
+CRASH_STATUS = 70
+
+
+@dataclass(frozen=True)
+class ServiceSettings:
+    """Set how long an operation takes."""
+
+    delay_s: float = 0.005
+
+
+class _Body(BaseModel):
+    reference: str = ""
+
+
+CountedFault = CrossAnswers | DelayAnswers | BreakAfterRun | TruncateAnswers | RefuseBeforeRun
+
+
+class ServiceStandIn:
+    """Run operations, count each key's runs, and misbehave as told."""
+
+    def __init__(
+        self,
+        settings: ServiceSettings,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        is_own_process: bool = False,
+    ) -> None:
+        self._settings = settings
+        self._is_own_process = is_own_process
+        self._lock = threading.Lock()
+        self._counts = ServiceCounts()
+        self._in_flight = 0
+        self._faults: list[CountedFault] = []
+        self._unpaused = threading.Event()
+        self._unpaused.set()
+        self._server = HttpServer(host, port, self._build_router())
+
+    def start(self) -> None:
+        """Serve in the background."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._unpaused.set()
+        self._server.stop()
+
+    @property
+    def port(self) -> int:
+        """Give the bound TCP port."""
+        return self._server.port
+
+    def counts(self) -> ServiceCounts:
+        """Give what was counted since the start."""
+        with self._lock:
+            return self._counts.model_copy(deep=True)
+
+    def apply_fault(self, fault: ServiceFault) -> None:
+        """Start to misbehave as told."""
+        match fault:
+            case ServiceHangs(duration_s=duration_s):
+                self._unpaused.clear()
+                call_later(duration_s, self._unpaused.set)
+            case ServiceDies():
+                self._die()
+            case _:
+                with self._lock:
+                    self._faults += [fault] * fault.count
+
+    def _build_router(self) -> Router:
+        router = Router()
+        router.add("POST", "/operations/{operation}", self._operate)
+        router.add("GET", "/load", self._load)
+        router.add("POST", "/standin/faults", self._fault)
+        router.add("GET", "/standin/counts", self._count)
+        return router
+
+    def _operate(self, request: Request) -> Response:
+        self._unpaused.wait()
+        fault = self._arrive()
+        try:
+            if isinstance(fault, RefuseBeforeRun):
+                return self._refuse()
+            answer = self._run(request)
+            time.sleep(self._settings.delay_s)
+            return _respond(answer, fault)
+        finally:
+            with self._lock:
+                self._in_flight -= 1
+
+    def _arrive(self) -> CountedFault | None:
+        with self._lock:
+            self._counts.arrivals += 1
+            self._in_flight += 1
+            self._counts.peak_in_flight = max(self._counts.peak_in_flight, self._in_flight)
+            return self._faults.pop(0) if self._faults else None
+
+    def _refuse(self) -> Response:
+        with self._lock:
+            self._counts.refused += 1
+        return Response(status=503)
+
+    def _run(self, request: Request) -> OperationAnswer:
+        request_id = request.headers.get("x-request-id", "")
+        key = request.headers.get("idempotency-key") or request_id
+        with self._lock:
+            run = self._counts.runs.get(key, 0) + 1
+            self._counts.runs[key] = run
+        return OperationAnswer(
+            request_id=request_id,
+            operation=request.path_values["operation"],
+            key=key,
+            run=run,
+            reference=_read_reference(request.body),
+        )
+
+    def _load(self, _request: Request) -> Response:
+        self._unpaused.wait()
+        return Response.of(LoadReport(in_flight=self._in_flight))
+
+    def _fault(self, request: Request) -> Response:
+        try:
+            fault = parse_service_fault(request.body)
+        except ValidationError:
+            return Response(status=400)
+        self.apply_fault(fault)
+        return Response(body=b"{}")
+
+    def _count(self, _request: Request) -> Response:
+        return Response.of(self.counts())
+
+    def _die(self) -> None:
+        if self._is_own_process:
+            os._exit(CRASH_STATUS)
+        call_later(0.0, self.stop)
+
+
+def _read_reference(body: bytes) -> str:
+    try:
+        return _Body.model_validate_json(body).reference
+    except ValidationError:
+        return ""
+
+
+def _respond(answer: OperationAnswer, fault: CountedFault | None) -> Response:
+    match fault:
+        case CrossAnswers():
+            crossed = {"request_id": f"{answer.request_id}x", "reference": f"{answer.reference}x"}
+            answer = answer.model_copy(update=crossed)
+        case DelayAnswers(delay_s=delay_s):
+            time.sleep(delay_s)
+        case BreakAfterRun():
+            return Response(body=broken_body(b""))
+    headers = {"X-Request-Id": answer.request_id}
+    body = answer.model_dump_json().encode()
+    if isinstance(fault, TruncateAnswers):
+        headers["Content-Length"] = str(len(body))
+        return Response(body=broken_body(body[: len(body) // 2]), headers=headers)
+    return Response(body=body, headers=headers)
