Serve a generation from caller to engine and back as separate processes

Streamed bodies are read from the socket and written to it without the layers of urllib3, http.client and cheroot's buffered writer, which cost several times the system call.

--- a/gooseberryquay/links/http_client.py
+++ b/gooseberryquay/links/http_client.py
@@ -1,7 +1,9 @@
 """HTTP client on urllib3 that reports every failure as a type."""
 
-from collections.abc import Iterator, Mapping
+import socket
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
+from io import BufferedReader
 
 import urllib3
 from result import Err, Ok, Result
@@ -11,6 +13,9 @@
     NewConnectionError,
 )
 
+from gooseberryquay.links.chunk_decoder import BrokenChunk, ChunkDecoder
+from gooseberryquay.links.socket_timeout import set_read_timeout
+
 __all__ = ["HttpClient", "LinkBroken", "LinkFailure", "LinkTimeout", "Reply", "ReplyStream"]
 
 DEFAULT_CONNECT_TIMEOUT_S = 0.5
@@ -50,15 +55,29 @@
 class ReplyStream:
     """Read the body of one HTTP answer as it comes."""
 
-    def __init__(self, response: urllib3.BaseHTTPResponse) -> None:
+    def __init__(self, response: urllib3.BaseHTTPResponse, read_timeout_s: float) -> None:
         self._response = response
+        self._read_timeout_s = read_timeout_s
         self.status = response.status
         self.headers: Mapping[str, str] = {
             name.lower(): value for name, value in response.headers.items()
         }
 
     def buffers(self) -> Iterator[Result[bytes, LinkFailure]]:
-        """Yield what has arrived, or one failure at the end."""
+        """Yield what has arrived, or one failure at the end.
+
+        The body of a chunked answer is read from the socket itself: through urllib3 and
+        http.client each token costs several times the system call.
+        """
+        connection = self._response.connection
+        sock: socket.socket | None = getattr(connection, "sock", None)
+        original = getattr(self._response, "_original_response", None)
+        if sock is None or original is None or not getattr(self._response, "chunked", False):
+            yield from self._plain_buffers()
+            return
+        yield from _chunked_buffers(sock, original.fp, self._read_timeout_s)
+
+    def _plain_buffers(self) -> Iterator[Result[bytes, LinkFailure]]:
         while True:
             try:
                 buffer = self._response.read1(READ_BYTES)
@@ -78,6 +97,35 @@
         self._response.release_conn()
 
 
+def _chunked_buffers(
+    sock: socket.socket, buffered: BufferedReader, read_timeout_s: float
+) -> Iterator[Result[bytes, LinkFailure]]:
+    decoder = ChunkDecoder()
+    sock_recv: Callable[[int], bytes] = sock.recv
+    # The bytes that came together with the headers are in the buffered reader.
+    read: Callable[[int], bytes] = buffered.read1
+    while True:
+        try:
+            raw = read(READ_BYTES)
+            content = decoder.decode(raw)
+        except (BlockingIOError, TimeoutError):
+            yield Err(LinkTimeout("no bytes in time", was_sent=True))
+            return
+        except (OSError, BrokenChunk) as error:
+            yield Err(LinkBroken(str(error), was_sent=True))
+            return
+        if not raw:
+            yield Err(LinkBroken("closed before the last chunk", was_sent=True))
+            return
+        if content:
+            yield Ok(content)
+        if decoder.is_ended:
+            return
+        if read is not sock_recv:
+            set_read_timeout(sock, read_timeout_s)
+            read = sock_recv
+
+
 class HttpClient:
     """Send requests to one address through a pool of kept connections."""
 
@@ -137,7 +185,7 @@
             )
         except (HTTPError, OSError) as error:
             return Err(_failure_of(error))
-        return Ok(ReplyStream(response))
+        return Ok(ReplyStream(response, read_timeout_s or self._read_timeout_s))
 
     def close(self) -> None:
         """Close all kept connections."""
--- a/gooseberryquay/links/http_server.py
+++ b/gooseberryquay/links/http_server.py
@@ -11,6 +11,7 @@
 import cheroot.wsgi
 from pydantic import BaseModel
 
+from gooseberryquay.links.streaming_gateway import StreamingGateway
 from gooseberryquay.links.thread_pool import GrowingThreadPool
 
 __all__ = ["HttpServer", "Request", "Response", "Router"]
@@ -119,6 +120,7 @@
             timeout=KEEP_ALIVE_TIMEOUT_S,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
+        self._server.gateway = StreamingGateway
         self._server.requests = GrowingThreadPool(self._server, MIN_THREADS, max_threads)
         self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.max_request_body_size = max_body_bytes
