--- a/gooseberryquay/links/caller_api.py
+++ b/gooseberryquay/links/caller_api.py
@@ -1,7 +1,7 @@
 """Caller API: checks common to all requests, and the paths of each kind of request."""
 
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Protocol
 
 from result import Err, Ok
@@ -20,6 +20,7 @@
 from gooseberryquay.links.http_server import Request, Response, Router
 from gooseberryquay.links.in_flight import InFlight
 from gooseberryquay.links.refusal import refuse
+from gooseberryquay.links.streaming_gateway import CallerGone
 from gooseberryquay.zones.configuration import Configuration
 
 __all__ = ["CallerApi", "EntryState", "Answer"]
@@ -59,17 +60,10 @@
 
     def _answer_counted(self, request: Request, answer: Answer) -> Response:
         self._in_flight.enter()
-        response: Response | None = None
         try:
-            response = self._answer(request, answer)
+            return self._answer(request, answer)
         finally:
-            is_streaming = response is not None and not isinstance(response.body, bytes)
-            if not is_streaming:
-                self._in_flight.leave()
-        if isinstance(response.body, bytes):
-            return response
-        body: Iterator[bytes] = self._in_flight.hold_until_sent(response.body)
-        return Response(response.status, body, response.content_type, response.headers)
+            self._in_flight.leave()
 
     def _answer(self, request: Request, answer: Answer) -> Response:
         request_id = request_id_of(request)
@@ -97,6 +91,8 @@
     def _call(self, answer: Answer, request: Request, context: CallerContext) -> Response:
         try:
             return answer(request, context)
+        except CallerGone:
+            raise
         except Exception:
             logger.exception("request failed", extra={"request_id": context.request_id})
             fault = InternalError("the entry failed", Ran.MAYBE, RETRY_ELSEWHERE_S)
--- a/gooseberryquay/links/completion_api.py
+++ b/gooseberryquay/links/completion_api.py
@@ -1,8 +1,7 @@
 """Caller API for completions: new generations and the rest of running ones."""
 
 import time
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from collections.abc import Callable
 
 from result import Err, Ok, Result
 
@@ -15,13 +14,12 @@
     CompletionRequest,
     parse_completion_request,
 )
-from gooseberryquay.links.event_check import CheckedEvents
+from gooseberryquay.links.event_sink import StreamSink, WholeSink
 from gooseberryquay.links.generation_name import EventPosition
-from gooseberryquay.links.generation_relay import GenerationRelay, Parts
-from gooseberryquay.links.http_server import EVENT_STREAM_TYPE, Request, Response
+from gooseberryquay.links.generation_relay import GenerationRelay
+from gooseberryquay.links.http_server import Request, Response
 from gooseberryquay.links.refusal import error_event, refuse
 from gooseberryquay.links.request_log import RequestLog, RequestRecord
-from gooseberryquay.links.whole_answer import WholeAnswer
 from gooseberryquay.machines.work import Work
 from gooseberryquay.zones.configuration import Configuration
 
@@ -32,16 +30,6 @@
 RESUMED_SERVICE = ServiceId("resumed")
 
 
-@dataclass(frozen=True)
-class _Answering:
-    """Hold what is needed to answer one request."""
-
-    context: CallerContext
-    record: RequestRecord
-    parts: Parts
-    first: CheckedEvents
-
-
 class CompletionApi:
     """Answer completion requests, streamed or whole."""
 
@@ -56,12 +44,12 @@
         """Answer one request to a completion path."""
         position = request.headers.get("last-event-id")
         if position is not None:
-            return self._resume(context, position)
+            return self._resume(request, context, position)
         match self._read(request, context):
             case Err(failure):
                 return refuse(failure, context.request_id)
             case Ok((service, wanted)):
-                return self._generate(request.path, context, service, wanted)
+                return self._generate(request, context, service, wanted)
 
     def _read(
         self, request: Request, context: CallerContext
@@ -77,16 +65,19 @@
         return Ok((service, wanted))
 
     def _generate(
-        self, path: str, context: CallerContext, service: Service, wanted: CompletionRequest
+        self, request: Request, context: CallerContext, service: Service, wanted: CompletionRequest
     ) -> Response:
         work = _describe_work(context, service, wanted)
         record = _start_record(context, service.id, service.token_gap_s)
-        parts = self._relay.generate(work, path, wanted.upstream_body(), not wanted.stream)
+        body = wanted.upstream_body()
         if wanted.stream:
-            return self._stream(context, record, parts)
-        return self._join(context, record, parts, path == CHAT_PATH)
+            sink = StreamSink(request.open_stream, _headers_of(context), record)
+            return self._stream(
+                context, sink, lambda: self._relay.generate(work, request.path, body, sink)
+            )
+        return self._join(request.path, context, record, work, body)
 
-    def _resume(self, context: CallerContext, event_id: str) -> Response:
+    def _resume(self, request: Request, context: CallerContext, event_id: str) -> Response:
         match EventPosition.parse(event_id):
             case Err(failure):
                 return refuse(failure, context.request_id)
@@ -96,56 +87,42 @@
             stranger = WrongWorkspace("the generation belongs to another workspace")
             return refuse(stranger, context.request_id)
         record = _start_record(context, RESUMED_SERVICE, float("inf"))
-        return self._stream(context, record, self._relay.resume(position))
-
-    def _stream(self, context: CallerContext, record: RequestRecord, parts: Parts) -> Response:
+        sink = StreamSink(request.open_stream, _headers_of(context), record)
+        return self._stream(context, sink, lambda: self._relay.resume(position, sink))
+
+    def _stream(
+        self,
+        context: CallerContext,
+        sink: StreamSink,
+        run: Callable[[], Result[None, Failure]],
+    ) -> Response:
         """Answer with events; before the first one a failure still gets its own status."""
-        match next(parts, None):
-            case None:
-                failure: Failure = InternalError("the relay gave no answer", Ran.MAYBE)
-                return self._refuse(context, record, failure)
-            case Err(failure):
-                return self._refuse(context, record, failure)
-            case Ok(first):
-                answering = _Answering(context, record, parts, first)
-        headers = {"X-Request-Id": context.request_id, "Cache-Control": "no-cache"}
-        return Response(200, self._events(answering), EVENT_STREAM_TYPE, headers)
-
-    def _events(self, answering: _Answering) -> Iterator[bytes]:
-        record = answering.record
-        failure: Failure | None = None
+        failure: Failure | None = InternalError("the answer broke off", Ran.MAYBE)
         try:
-            record.saw_tokens(answering.first.token_count)
-            yield answering.first.events
-            for part in answering.parts:
-                match part:
-                    case Ok(checked):
-                        record.saw_tokens(checked.token_count)
-                        yield checked.events
-                    case Err(failure):
-                        yield error_event(failure, record.request_id)
+            failure = run().err()
+            if failure is not None and sink.has_started:
+                sink.write(error_event(failure, context.request_id))
         finally:
-            self._log.end(record, failure)
+            self._log.end(sink.record, failure)
+        if failure is None or sink.has_started:
+            return Response.sent()
+        return refuse(failure, context.request_id)
 
     def _join(
-        self, context: CallerContext, record: RequestRecord, parts: Parts, is_chat: bool
+        self, path: str, context: CallerContext, record: RequestRecord, work: Work, body: bytes
     ) -> Response:
-        answer = WholeAnswer(is_chat)
-        for part in parts:
-            match part:
-                case Err(failure):
-                    return self._refuse(context, record, failure)
-                case Ok(CheckedEvents(is_broken=True)):
-                    answer.clear()
-                case Ok(checked):
-                    record.saw_tokens(checked.token_count)
-                    answer.add(checked.events)
-        self._log.end(record, None)
-        return Response(200, answer.encode(), headers={"X-Request-Id": context.request_id})
-
-    def _refuse(self, context: CallerContext, record: RequestRecord, failure: Failure) -> Response:
-        self._log.end(record, failure)
-        return refuse(failure, context.request_id)
+        sink = WholeSink(path == CHAT_PATH, record)
+        match self._relay.generate(work, path, body, sink):
+            case Err(failure):
+                self._log.end(record, failure)
+                return refuse(failure, context.request_id)
+            case Ok(_):
+                self._log.end(record, None)
+                return Response(200, sink.answer.encode(), headers=_headers_of(context))
+
+
+def _headers_of(context: CallerContext) -> dict[str, str]:
+    return {"X-Request-Id": context.request_id, "Cache-Control": "no-cache"}
 
 
 def _describe_work(context: CallerContext, service: Service, wanted: CompletionRequest) -> Work:
--- a/gooseberryquay/links/event_check.py
+++ b/gooseberryquay/links/event_check.py
@@ -1,19 +1,21 @@
 """Check that the events of one generation arrive whole, once and in order."""
 
-from dataclasses import dataclass
+from typing import NamedTuple
 
 from gooseberryquay.ids import GenerationId
 
 __all__ = ["CheckedEvents", "EventCheck"]
 
 EVENT_END = b"\n\n"
+LINE_END = b"\r\n"
+EVENT_END_BYTES = len(EVENT_END)
+CHUNK_END_BYTES = len(LINE_END)
 DONE_EVENT = b"data: [DONE]\n\n"
 ID_FIELD = b"id: "
 MAX_EVENT_BYTES = 1024 * 1024
 
 
-@dataclass(frozen=True)
-class CheckedEvents:
+class CheckedEvents(NamedTuple):
     """Hold whole events that are safe to pass on, and what the last one meant."""
 
     events: bytes
@@ -29,11 +31,35 @@
         self._prefix = ID_FIELD + generation.encode() + b"/"
         self._pending = b""
         self.next_index = next_index
+        self._next_id = b"%s%d\n" % (self._prefix, next_index)
 
     def start_connection(self) -> None:
         """Forget a partial event of a connection that was replaced."""
         self._pending = b""
 
+    @property
+    def is_at_boundary(self) -> bool:
+        """Tell whether the next byte starts an event."""
+        return not self._pending
+
+    def is_next_alone(self, raw: bytes) -> bool:
+        """Tell whether a raw chunk holds just the next event, and count it then.
+
+        Only for use at a boundary of events and of chunks.
+        """
+        start = raw.find(b"\n") + 1
+        end = len(raw) - CHUNK_END_BYTES
+        if (
+            raw.startswith(self._next_id, start)
+            and raw.find(EVENT_END, start) == end - EVENT_END_BYTES
+            and raw.endswith(LINE_END)
+            and _read_hex(raw[:start]) == end - start
+        ):
+            self.next_index = index = self.next_index + 1
+            self._next_id = b"%s%d\n" % (self._prefix, index)
+            return True
+        return False
+
     def take(self, buffer: bytes) -> CheckedEvents:
         """Take in bytes as they came and give the whole events among them.
 
@@ -46,8 +72,9 @@
         start = run_start = 0
         while (end := data.find(EVENT_END, start)) >= 0:
             end += len(EVENT_END)
-            if data.startswith(self._expected_id(), start):
+            if data.startswith(self._next_id, start):
                 self.next_index += 1
+                self._next_id = b"%s%d\n" % (self._prefix, self.next_index)
                 start = end
                 continue
             passed.append(data[run_start:start])
@@ -74,9 +101,6 @@
     ) -> CheckedEvents:
         return CheckedEvents(b"".join(passed), self.next_index - first_index, is_done, is_broken)
 
-    def _expected_id(self) -> bytes:
-        return b"%s%d\n" % (self._prefix, self.next_index)
-
     def _is_ignorable(self, event: bytes) -> bool:
         if event.startswith(b":"):
             return True
@@ -84,3 +108,10 @@
             return False
         index = event[len(self._prefix) : event.find(b"\n")]
         return index.isdigit() and int(index) < self.next_index
+
+
+def _read_hex(line: bytes) -> int:
+    try:
+        return int(line, 16)
+    except ValueError:
+        return -1
--- a/gooseberryquay/links/generation_relay.py
+++ b/gooseberryquay/links/generation_relay.py
@@ -1,7 +1,7 @@
 """Carry one generation from an engine to its caller, across broken links."""
 
 import time
-from collections.abc import Callable, Generator, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import Enum
 
@@ -17,20 +17,20 @@
     OpenFailure,
     report_of,
 )
-from gooseberryquay.links.event_check import CheckedEvents, EventCheck
+from gooseberryquay.links.event_check import EventCheck
+from gooseberryquay.links.event_pump import EventPump
+from gooseberryquay.links.event_sink import EventSink
 from gooseberryquay.links.generation_name import EventPosition, GenerationName
 from gooseberryquay.links.http_client import LinkBroken, LinkFailure, LinkTimeout, ReplyStream
 from gooseberryquay.machines.work import Dispatcher, Outcome, Placement, Work
 
-__all__ = ["GenerationRelay", "RelayHooks", "StreamPart"]
+__all__ = ["GenerationRelay", "RelayHooks"]
 
 RESUME_PAUSES_S = (0.0, 0.05, 0.2, 0.5, 1.0)
+QUIET_TIMEOUTS = 3
 MAX_ATTEMPTS = 4
 RETRY_AFTER_S = 1.0
 
-StreamPart = Result[CheckedEvents, Failure]
-Parts = Iterator[StreamPart]
-
 
 class _End(Enum):
     """Say how following a generation at one engine ended."""
@@ -49,6 +49,17 @@
     upstream_died: Callable[[UpstreamId, Work], None]
 
 
+@dataclass(frozen=True)
+class _Route:
+    """Hold what following one generation at one engine needs."""
+
+    link: EngineLink
+    generation: GenerationName
+    check: EventCheck
+    sink: EventSink
+    placement: Placement | None
+
+
 class GenerationRelay:
     """Place generations, follow them at their engine and resume them on new connections."""
 
@@ -61,149 +72,123 @@
     ) -> None:
         self._dispatcher = dispatcher
         self._link_to = link_to
-        self._limits = limits
+        self._idle_timeout_s = limits.stream_idle_timeout_s
         self._hooks = hooks
 
-    def generate(self, work: Work, path: str, body: bytes, is_whole: bool) -> Parts:
-        """Run a new generation and yield its events; a failure is the last part.
+    def generate(
+        self, work: Work, path: str, body: bytes, sink: EventSink
+    ) -> Result[None, Failure]:
+        """Run a new generation into a sink.
 
-        A generation that was lost is run again only while the caller has none of its tokens: with
-        `is_whole` the caller gets nothing before the end, and drops the parts of a lost run.
+        A generation that was lost is run again only while the sink can forget what it has.
         """
-        for attempt in range(MAX_ATTEMPTS):
+        for attempt in range(1, MAX_ATTEMPTS + 1):
             match self._dispatcher.place(work):
                 case Err(failure):
-                    yield Err(failure)
-                    return
+                    return Err(failure)
                 case Ok(placement):
-                    generation = GenerationName.create(placement.upstream.id, work.workspace)
-            end, passed = yield from self._run_placed(work, path, body, placement, generation)
+                    end = self._run_placed(work, path, body, placement, sink)
             if end is _End.DONE:
-                return
-            if passed and not is_whole:
-                yield Err(_lost(generation))
-                return
-            is_last = attempt + 1 == MAX_ATTEMPTS
-            if is_last or not self._hooks.may_retry(work.service):
-                yield Err(_failed(end))
-                return
+                return Ok(None)
+            if not sink.restart():
+                return Err(_lost())
+            if attempt == MAX_ATTEMPTS or not self._hooks.may_retry(work.service):
+                return Err(_failed(end))
             work = replace(work, excluded=work.excluded | {placement.upstream.id})
-            if passed:
-                yield Ok(CheckedEvents(b"", 0, is_broken=True))
+        raise AssertionError("the last attempt returns")
 
-    def resume(self, position: EventPosition) -> Parts:
-        """Yield the events behind a position; a failure is the last part."""
+    def resume(self, position: EventPosition, sink: EventSink) -> Result[None, Failure]:
+        """Pass on the events behind a position of a running or finished generation."""
         link = self._link_to(position.generation.upstream)
         if link is None:
-            yield Err(_lost(position.generation))
-            return
+            return Err(_lost())
         check = EventCheck(position.generation.id, position.index + 1)
-        opened = self._reopen(link, position.generation, check)
-        end, _ = yield from self._follow(link, position.generation, check, opened, None)
-        if end is not _End.DONE:
-            yield Err(_lost(position.generation))
+        route = _Route(link, position.generation, check, sink, None)
+        end = self._follow(route, self._reopen(route))
+        return Ok(None) if end is _End.DONE else Err(_lost())
 
     def _run_placed(
-        self,
-        work: Work,
-        path: str,
-        body: bytes,
-        placement: Placement,
-        generation: GenerationName,
-    ) -> Generator[StreamPart, None, tuple[_End, bool]]:
-        end = None
+        self, work: Work, path: str, body: bytes, placement: Placement, sink: EventSink
+    ) -> _End:
+        end: _End | None = None
         try:
-            link = self._link_to(placement.upstream.id)
-            if link is None:
-                end = _End.REFUSED
-                return end, False
-            idle_s = self._limits.stream_idle_timeout_s
-            opened = link.start(path, generation.id, placement.priority, body, idle_s)
-            check = EventCheck(generation.id)
-            end, passed = yield from self._follow(link, generation, check, opened, placement)
-            if end is _End.DIED:
-                self._hooks.upstream_died(placement.upstream.id, work)
-            elif end is _End.LOST:
-                link.cancel(generation.id)
-            return end, passed
+            end = self._run_at(work, path, body, placement, sink)
+            return end
         finally:
             placement.finish(_outcome_of(end))
 
-    def _follow(
-        self,
-        link: EngineLink,
-        generation: GenerationName,
-        check: EventCheck,
-        opened: Result[ReplyStream, OpenFailure],
-        placement: Placement | None,
-    ) -> Generator[StreamPart, None, tuple[_End, bool]]:
-        has_passed = False
+    def _run_at(
+        self, work: Work, path: str, body: bytes, placement: Placement, sink: EventSink
+    ) -> _End:
+        upstream = placement.upstream.id
+        link = self._link_to(upstream)
+        if link is None:
+            return _End.REFUSED
+        generation = GenerationName.create(upstream, work.workspace)
+        route = _Route(link, generation, EventCheck(generation.id), sink, placement)
+        priority = placement.priority
+        opened = link.start(path, generation.id, priority, body, self._idle_timeout_s)
+        end = self._follow(route, opened)
+        match end:
+            case _End.DIED:
+                self._hooks.upstream_died(upstream, work)
+            case _End.LOST:
+                link.cancel(generation.id)
+        return end
+
+    def _follow(self, route: _Route, opened: Result[ReplyStream, OpenFailure]) -> _End:
+        """Pass on events from connection after connection until the generation ends."""
         failed_opens = 0
         quiet_since_s = time.monotonic()
         while True:
             match opened:
-                case Err(EngineRefusal(report=report)):
-                    if placement and report:
-                        placement.saw_report(report)
-                    return _End.REFUSED, has_passed
+                case Err(EngineRefusal() as refusal):
+                    _note_report(route, refusal)
+                    return _End.REFUSED
                 case Err(GenerationUnknown()):
-                    return _End.LOST, has_passed
+                    return _End.LOST
                 case Err((LinkBroken() | LinkTimeout()) as failure):
                     failed_opens += 1
                     if failed_opens >= len(RESUME_PAUSES_S):
-                        return _end_of_link(failure), has_passed
+                        return _end_of_link(failure)
                 case Ok(stream):
                     failed_opens = 0
-                    before = check.next_index
-                    is_done = yield from self._pass_on(stream, check, placement)
-                    has_passed = has_passed or check.next_index > before
-                    if is_done:
-                        return _End.DONE, has_passed
-                    if check.next_index > before:
+                    before = route.check.next_index
+                    if self._pass_on(route, stream):
+                        return _End.DONE
+                    if route.check.next_index > before:
                         quiet_since_s = time.monotonic()
-            if time.monotonic() - quiet_since_s > self._quiet_limit_s():
-                return _End.LOST, has_passed
+            if time.monotonic() - quiet_since_s > QUIET_TIMEOUTS * self._idle_timeout_s:
+                return _End.LOST
             time.sleep(RESUME_PAUSES_S[failed_opens])
-            opened = self._reopen(link, generation, check)
+            opened = self._reopen(route)
 
-    def _quiet_limit_s(self) -> float:
-        return 3 * self._limits.stream_idle_timeout_s
+    def _reopen(self, route: _Route) -> Result[ReplyStream, OpenFailure]:
+        route.check.start_connection()
+        next_index = route.check.next_index
+        return route.link.resume(route.generation.id, next_index, self._idle_timeout_s)
 
-    def _reopen(
-        self, link: EngineLink, generation: GenerationName, check: EventCheck
-    ) -> Result[ReplyStream, OpenFailure]:
-        check.start_connection()
-        idle_s = self._limits.stream_idle_timeout_s
-        return link.resume(generation.id, check.next_index, idle_s)
-
-    def _pass_on(
-        self, stream: ReplyStream, check: EventCheck, placement: Placement | None
-    ) -> Generator[StreamPart, None, bool]:
+    def _pass_on(self, route: _Route, stream: ReplyStream) -> bool:
         """Pass on what one connection brings; True when the generation is complete."""
-        is_done = False
+        report = report_of(stream)
+        if report is not None and route.placement is not None:
+            route.placement.saw_report(report)
+        pump = EventPump(stream.body, route.check, route.sink, route.placement)
+        is_done = is_reusable = False
         try:
-            report = report_of(stream)
-            if placement and report:
-                placement.saw_report(report)
-            for buffer in stream.buffers():
-                match buffer:
-                    case Err(_):
-                        return False
-                    case Ok(data):
-                        checked = check.take(data)
-                if placement and checked.token_count:
-                    placement.saw_tokens(checked.token_count)
-                is_done = checked.is_done
-                if checked.events:
-                    yield Ok(replace(checked, is_broken=False) if checked.is_broken else checked)
-                if is_done or checked.is_broken:
-                    return is_done
-            return False
+            is_done = pump.run()
+            is_reusable = is_done and pump.read_to_end()
         finally:
-            if is_done:
+            if is_reusable:
                 stream.release()
             else:
                 stream.close()
+        return is_done
+
+
+def _note_report(route: _Route, refusal: EngineRefusal) -> None:
+    if refusal.report is not None and route.placement is not None:
+        route.placement.saw_report(refusal.report)
 
 
 def _end_of_link(failure: LinkFailure) -> _End:
@@ -222,8 +207,8 @@
             return Outcome.BROKEN
 
 
-def _lost(generation: GenerationName) -> Failure:
-    message = f"generation {generation.id} ended before its last token and cannot be resumed"
+def _lost() -> Failure:
+    message = "the generation ended before its last token and cannot be resumed"
     return GenerationLost(message, ran=Ran.MAYBE, retry_after_s=RETRY_AFTER_S)
 
 
--- a/gooseberryquay/links/http_server.py
+++ b/gooseberryquay/links/http_server.py
@@ -5,16 +5,16 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field, replace
 from http import HTTPStatus
-from typing import Any
+from typing import Any, Protocol
 from urllib.parse import parse_qs, unquote
 
 import cheroot.wsgi
 from pydantic import BaseModel
 
-from gooseberryquay.links.streaming_gateway import StreamingGateway
+from gooseberryquay.links.streaming_gateway import BodyWriter, StreamingGateway, writer_of
 from gooseberryquay.links.thread_pool import GrowingThreadPool
 
-__all__ = ["HttpServer", "Request", "Response", "Router"]
+__all__ = ["HttpServer", "Request", "Response", "Router", "StreamOpener"]
 
 MAX_HEADER_BYTES = 32 * 1024
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -29,6 +29,13 @@
 EVENT_STREAM_TYPE = "text/event-stream"
 
 
+class StreamOpener(Protocol):
+    """Start a streamed answer and give what its body is written with."""
+
+    def __call__(self, content_type: str, headers: dict[str, str]) -> BodyWriter:
+        """Send status 200 and the headers with the first bytes of the body."""
+
+
 @dataclass(frozen=True)
 class Request:
     """Hold one HTTP request; header names are lower case."""
@@ -38,6 +45,7 @@
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    open_stream: StreamOpener
     path_values: dict[str, str] = field(default_factory=dict)
 
 
@@ -50,6 +58,12 @@
     content_type: str = JSON_TYPE
     headers: dict[str, str] = field(default_factory=dict)
     is_closing: bool = False
+    is_sent: bool = False
+
+    @staticmethod
+    def sent() -> "Response":
+        """Say that the handler has written the whole answer through `open_stream`."""
+        return Response(is_sent=True)
 
     @staticmethod
     def of(message: BaseModel, status: int = 200) -> "Response":
@@ -151,16 +165,28 @@
     def _serve_wsgi(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        response = self._router.handle(_read_request(environ))
-        headers = [("Content-Type", response.content_type), *response.headers.items()]
-        if response.is_closing or self._is_closing_connections.is_set():
-            headers.append(("Connection", "close"))
+        def open_stream(content_type: str, headers: dict[str, str]) -> BodyWriter:
+            start_response(_status_line(HTTPStatus.OK), self._header_list(content_type, headers))
+            return writer_of(environ)
+
+        response = self._router.handle(_read_request(environ, open_stream))
+        if response.is_sent:
+            return []
+        headers = self._header_list(response.content_type, response.headers, response.is_closing)
         body = response.body
         if isinstance(body, bytes):
             headers.append(("Content-Length", str(len(body))))
         start_response(_status_line(response.status), headers)
         return [body] if isinstance(body, bytes) else body
 
+    def _header_list(
+        self, content_type: str, headers: dict[str, str], is_closing: bool = False
+    ) -> list[tuple[str, str]]:
+        pairs = [("Content-Type", content_type), *headers.items()]
+        if is_closing or self._is_closing_connections.is_set():
+            pairs.append(("Connection", "close"))
+        return pairs
+
 
 def _ignore_error(*_args: Any, **_kwargs: Any) -> None:
     """Drop cheroot's notes on connections that callers closed."""
@@ -170,7 +196,7 @@
     return f"{status} {HTTPStatus(status).phrase}"
 
 
-def _read_request(environ: dict[str, Any]) -> Request:
+def _read_request(environ: dict[str, Any], open_stream: StreamOpener) -> Request:
     headers = {
         key[len("HTTP_") :].replace("_", "-").lower(): value
         for key, value in environ.items()
@@ -181,4 +207,6 @@
     query = {key: values[-1] for key, values in parse_qs(environ["QUERY_STRING"]).items()}
     has_body = environ.get("CONTENT_LENGTH") or environ.get("wsgi.input_terminated")
     body = environ["wsgi.input"].read() if has_body else b""
-    return Request(environ["REQUEST_METHOD"], environ["PATH_INFO"], query, headers, body)
+    return Request(
+        environ["REQUEST_METHOD"], environ["PATH_INFO"], query, headers, body, open_stream
+    )
--- a/gooseberryquay/links/streaming_gateway.py
+++ b/gooseberryquay/links/streaming_gateway.py
@@ -1,14 +1,34 @@
 """Cheroot gateway that writes the chunks of a streamed answer straight to the socket."""
 
 import socket
+from typing import Any, Protocol, cast
 
 import cheroot.wsgi
 
 from gooseberryquay.links.socket_timeout import set_write_timeout
 
-__all__ = ["StreamingGateway"]
+__all__ = ["BodyWriter", "CallerGone", "StreamingGateway", "writer_of"]
 
 WRITE_TIMEOUT_S = 30.0
+WRITER_KEY = "gooseberryquay.writer"
+
+
+class CallerGone(ConnectionError):
+    """Report that the other side closed the connection or no longer reads."""
+
+
+class BodyWriter(Protocol):
+    """Write the body of a streamed answer; errors are `CallerGone`."""
+
+    @property
+    def is_chunked(self) -> bool:
+        """Tell whether the body goes out in the chunked transfer coding."""
+
+    def write(self, chunk: bytes) -> None:
+        """Write content at once."""
+
+    def write_raw_chunk(self, raw: bytes) -> None:
+        """Write one whole chunk with its framing, where the answer is chunked."""
 
 
 class StreamingGateway(cheroot.wsgi.Gateway_10):
@@ -16,6 +36,12 @@
 
     _socket: socket.socket | None = None
 
+    def get_environ(self) -> Any:
+        """Give the WSGI environment with the writer of this answer."""
+        environ: dict[str, Any] = cast(Any, super()).get_environ()
+        environ[WRITER_KEY] = self
+        return environ
+
     def respond(self) -> None:
         """Answer one request and leave the socket's timeout as it was."""
         try:
@@ -25,17 +51,41 @@
                 self._socket.settimeout(self.req.server.timeout)
 
     def write(self, chunk: bytes) -> None:
-        """Write one chunk at once."""
-        if self._socket is None:
-            if not self._is_streamed():
-                super().write(chunk)
-                return
-            self._socket = self.req.conn.socket
-            set_write_timeout(self._socket, WRITE_TIMEOUT_S)
-        self._socket.sendall(b"%x\r\n%b\r\n" % (len(chunk), chunk))
-
-    def _is_streamed(self) -> bool:
-        if self.remaining_bytes_out is not None:
-            return False
-        self.req.ensure_headers_sent()
+        """Write content at once."""
+        if self.remaining_bytes_out is None and self.is_chunked:
+            self.write_raw_chunk(b"%x\r\n%b\r\n" % (len(chunk), chunk))
+            return
+        try:
+            super().write(chunk)
+        except OSError as error:
+            raise CallerGone(str(error)) from error
+
+    def write_raw_chunk(self, raw: bytes) -> None:
+        """Write one whole chunk with its framing."""
+        try:
+            if self._socket is None:
+                self._open_socket().sendall(raw)
+            else:
+                self._socket.sendall(raw)
+        except OSError as error:
+            raise CallerGone(str(error)) from error
+
+    @property
+    def is_chunked(self) -> bool:
+        """Tell whether the body goes out in the chunked transfer coding."""
+        try:
+            self.req.ensure_headers_sent()
+        except OSError as error:
+            raise CallerGone(str(error)) from error
         return bool(self.req.chunked_write)
+
+    def _open_socket(self) -> socket.socket:
+        opened: socket.socket = self.req.conn.socket
+        set_write_timeout(opened, WRITE_TIMEOUT_S)
+        self._socket = opened
+        return opened
+
+
+def writer_of(environ: dict[str, Any]) -> BodyWriter:
+    """Give the writer of the answer that a WSGI environment belongs to."""
+    return cast(BodyWriter, environ[WRITER_KEY])
--- a/gooseberryquay/links/tests/test_event_check.py
+++ b/gooseberryquay/links/tests/test_event_check.py
@@ -46,3 +46,34 @@
     check.take(_event(0) + _event(1)[:5])
     check.start_connection()
     assert check.take(_event(1)).events == _event(1)
+
+
+def _chunk(content):
+    return b"%x\r\n%s\r\n" % (len(content), content)
+
+
+def test_chunk_with_just_the_next_event_is_recognized():
+    check = EventCheck(GENERATION)
+    assert check.is_next_alone(_chunk(_event(0)))
+    assert check.is_next_alone(_chunk(_event(1)))
+    assert check.next_index == 2
+
+
+def test_any_other_chunk_gets_a_closer_look():
+    whole = _chunk(_event(0))
+    others = [
+        b"",
+        whole[:-1],
+        whole + b"5",
+        _chunk(_event(0) + _event(1)),
+        _chunk(_event(1)),
+        _chunk(_event(0, "yield-1~ab~other")),
+        b"f" + whole,
+        _chunk(_event(0)[:-1]),
+        _chunk(DONE_EVENT),
+        b"zz\r\n" + _event(0) + b"\r\n",
+    ]
+    for raw in others:
+        check = EventCheck(GENERATION)
+        assert not check.is_next_alone(raw), raw
+        assert check.next_index == 0
