Add the load tool

Seeded open-loop callers make the same calls against several variants side by side; latencies are measured from the planned arrival and kept in HDR histograms, and each stream's tokens are checked for generation, order and repeats.

--- /dev/null
+++ b/gooseberryquay/standins/load/command.py
@@ -0,0 +1,97 @@
+"""The `load` command."""
+
+import json
+import sys
+from typing import Any, NoReturn
+
+from pydantic import TypeAdapter, ValidationError
+
+from gooseberryquay.contracts.fields import Address, AddressField
+from gooseberryquay.ids import ServiceId, WorkspaceId
+from gooseberryquay.standins.load.arrivals import LoadPlan
+from gooseberryquay.standins.load.run import LoadOptions, LoadRun, Variant
+
+__all__ = ["run_load"]
+
+DEFAULT_VARIANT = "run"
+_ADDRESSES: TypeAdapter[list[Address]] = TypeAdapter(list[AddressField])
+
+
+def run_load(
+    *variants: str,
+    target: Any = None,
+    engines: Any = (),
+    workspaces: Any = (),
+    service: str = "",
+    plain_service: str | None = None,
+    rate: float = 10.0,
+    duration: float = 30.0,
+    seed: int = 1,
+    drain_s: float = 60.0,
+    open_calls_max: int = 800,
+    json: bool = False,
+    seconds: bool = False,
+    **plan: Any,
+) -> None:
+    """Call entries open-loop and print what callers saw.
+
+    Give either --target IP:PORT[,IP:PORT...] with --engines for the upstreams' own counts, or one
+    NAME=IP:PORT[,IP:PORT...][/UPSTREAM[,UPSTREAM...]] for each variant. Other options are fields
+    of the plan: shares, lengths, bursts and deadlines. --seconds prints each second.
+    """
+    load_plan = LoadPlan(
+        workspaces=tuple(WorkspaceId(each) for each in _names(workspaces)),
+        model=ServiceId(service),
+        plain_service=ServiceId(plain_service) if plain_service else None,
+        rate_per_s=rate,
+        duration_s=duration,
+        seed=seed,
+        **plan,
+    )
+    chosen = [_parse_variant(text) for text in variants]
+    if target is not None:
+        chosen.append(Variant(DEFAULT_VARIANT, _addresses(target), _addresses(engines)))
+    if not chosen or not load_plan.workspaces or not service:
+        _fail("--workspaces, --service and --target or NAME=IP:PORT are needed")
+    options = LoadOptions(drain_s=drain_s, open_calls_max=open_calls_max, shows_progress=True)
+    run = LoadRun(load_plan, chosen, options)
+    summaries = run.run()
+    if json:
+        _print_json([summary.model_dump() for summary in summaries])
+        return
+    for summary in summaries:
+        for line in summary.lines():
+            print(line)
+        for second in summary.seconds if seconds else ():
+            print(f"  {second.model_dump_json()}")
+
+
+def _parse_variant(text: str) -> Variant:
+    name, separator, places = text.partition("=")
+    if not separator:
+        _fail(f"{text}: must be NAME=IP:PORT[,IP:PORT...][/UPSTREAM[,UPSTREAM...]]")
+    entries, _, upstreams = places.partition("/")
+    return Variant(name, _addresses(entries), _addresses(upstreams))
+
+
+def _addresses(value: Any) -> tuple[Address, ...]:
+    try:
+        return tuple(_ADDRESSES.validate_python(_names(value)))
+    except ValidationError:
+        _fail(f"{value}: must be IP:PORT[,IP:PORT...]")
+
+
+def _names(value: Any) -> list[str]:
+    """Split names; the command line may have split them already."""
+    if isinstance(value, str):
+        return [each.strip() for each in value.split(",") if each.strip()]
+    return [str(each) for each in value]
+
+
+def _print_json(value: Any) -> None:
+    print(json.dumps(value))
+
+
+def _fail(message: str) -> NoReturn:
+    print(message, file=sys.stderr)
+    sys.exit(1)
--- /dev/null
+++ b/gooseberryquay/standins/load/outcome.py
@@ -0,0 +1,48 @@
+"""What became of one call."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+
+from gooseberryquay.standins.load.arrivals import Arrival
+from gooseberryquay.standins.load.stream_check import StreamCounts
+
+__all__ = ["CallEnd", "CallOutcome"]
+
+
+class CallEnd(Enum):
+    """Say how a call ended."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    BROKEN = "broken"
+
+
+@dataclass
+class CallOutcome:
+    """Collect the times and counts of one call; times count from the start of the run.
+
+    `gaps_us` has the time between two reads that brought tokens; tokens that came with an earlier
+    one in the same read are counted in `joined_tokens`.
+    """
+
+    arrival: Arrival
+    finished_at_s: float = 0.0
+    first_token_at_s: float | None = None
+    last_token_at_s: float = 0.0
+    gaps_us: list[int] = field(default_factory=list)
+    joined_tokens: int = 0
+    tokens: int = 0
+    tokens_by_second: Counter[int] = field(default_factory=Counter)
+    late_gaps_by_second: Counter[int] = field(default_factory=Counter)
+    end: CallEnd = CallEnd.BROKEN
+    failure: str = ""
+    resumes: int = 0
+    retries: int = 0
+    is_wrong_answer: bool = False
+    counts: StreamCounts = field(default_factory=StreamCounts)
+
+    @property
+    def duration_s(self) -> float:
+        """Give the time from the planned arrival to the end."""
+        return self.finished_at_s - self.arrival.at_s
--- /dev/null
+++ b/gooseberryquay/standins/load/plain_call.py
@@ -0,0 +1,82 @@
+"""One call to a plain service, sent again under the same key where its answer is lost."""
+
+import http.client
+import json
+from collections.abc import Callable
+
+from gooseberryquay.standins.load.arrivals import Arrival, CallKind, LoadPlan
+from gooseberryquay.standins.load.outcome import CallEnd, CallOutcome
+from gooseberryquay.standins.load.refusal import read_refusal
+from gooseberryquay.standins.load.sender import CallFailure, Sender
+
+__all__ = ["PlainCall"]
+
+MAX_RETRIES = 2
+HTTP_OK = 200
+
+
+class PlainCall:
+    """Post or look up one record."""
+
+    def __init__(
+        self,
+        plan: LoadPlan,
+        arrival: Arrival,
+        sender: Sender,
+        clock_s: Callable[[], float],
+        key: str,
+    ) -> None:
+        self._plan = plan
+        self._arrival = arrival
+        self._sender = sender
+        self._clock_s = clock_s
+        self._key = key
+        self._outcome = CallOutcome(arrival)
+
+    def run(self) -> CallOutcome:
+        """Make the call; a broken one is repeated on another entry."""
+        outcome = self._outcome
+        for attempt in range(MAX_RETRIES + 1):
+            outcome.retries = attempt
+            try:
+                self._send(attempt)
+            except CallFailure as error:
+                outcome.failure = type(error).__name__
+            if outcome.end is not CallEnd.BROKEN:
+                break
+        outcome.finished_at_s = self._clock_s()
+        return outcome
+
+    def _send(self, attempt: int) -> None:
+        turn = self._arrival.number + attempt
+        with self._sender.send(self._path(), self._body(), self._headers(), turn) as response:
+            if response.status == HTTP_OK:
+                self._read(response)
+            else:
+                self._outcome.failure = read_refusal(response)
+                self._outcome.end = CallEnd.REFUSED
+
+    def _read(self, response: http.client.HTTPResponse) -> None:
+        answer = json.loads(response.read())
+        self._outcome.end = CallEnd.ANSWERED
+        self._outcome.failure = ""
+        self._outcome.is_wrong_answer = answer.get("reference") != self._key
+
+    def _path(self) -> str:
+        is_posting = self._arrival.kind is CallKind.POSTING
+        operation = self._plan.posting_operation if is_posting else self._plan.lookup_operation
+        return f"/services/{self._plan.plain_service}/{operation}"
+
+    def _body(self) -> bytes:
+        return json.dumps({"reference": self._key}).encode()
+
+    def _headers(self) -> dict[str, str]:
+        headers = {
+            "Content-Type": "application/json",
+            "X-Workspace": self._arrival.workspace,
+            "X-Work-Kind": self._arrival.kind.value,
+            "X-Deadline-Ms": str(int(self._plan.plain_deadline_s * 1000)),
+        }
+        if self._arrival.kind is CallKind.POSTING:
+            headers["Idempotency-Key"] = self._key
+        return headers
--- /dev/null
+++ b/gooseberryquay/standins/load/tally.py
@@ -0,0 +1,157 @@
+"""Collect the outcomes of one variant's calls."""
+
+import threading
+from collections import Counter, defaultdict
+
+from hdrh.histogram import HdrHistogram
+
+from gooseberryquay.standins.load.arrivals import Arrival, LoadPlan
+from gooseberryquay.standins.load.outcome import CallEnd, CallOutcome
+from gooseberryquay.standins.load.summary import (
+    KindSummary,
+    Percentiles,
+    SecondSummary,
+    VariantSummary,
+)
+
+__all__ = ["Tally"]
+
+US_PER_S = 1_000_000
+MAX_RECORDED_US = 3600 * US_PER_S
+SIGNIFICANT_DIGITS = 3
+
+
+class Tally:
+    """Sum outcomes into the figures of one variant; safe for use by many threads."""
+
+    def __init__(self, variant: str, plan: LoadPlan, stall_gap_s: float) -> None:
+        self._plan = plan
+        self._stall_gap_us = stall_gap_s * US_PER_S
+        self._lock = threading.Lock()
+        self._open: dict[int, Arrival] = {}
+        self._first_token = _histogram()
+        self._token_gap = _histogram()
+        self._plain_answer = _histogram()
+        self._stall_us = 0
+        self._kinds: defaultdict[str, KindSummary] = defaultdict(KindSummary)
+        self._refusals: Counter[str] = Counter()
+        self._failures: Counter[str] = Counter()
+        self._seconds: dict[int, SecondSummary] = {}
+        self._summary = VariantSummary(
+            variant=variant,
+            seed=plan.seed,
+            rate_per_s=plan.rate_per_s,
+            duration_s=plan.duration_s,
+            stall_gap_s=stall_gap_s,
+        )
+
+    @property
+    def open_calls(self) -> int:
+        """Give the number of calls under way."""
+        return len(self._open)
+
+    def arrived(self, arrival: Arrival, is_started: bool) -> None:
+        """Count a planned call, and whether the tool could start it."""
+        with self._lock:
+            self._kinds[arrival.kind.value].calls += 1
+            self._second(arrival.at_s).arrived += 1
+            if is_started:
+                self._open[arrival.number] = arrival
+            else:
+                self._summary.not_started += 1
+
+    def finished(self, outcome: CallOutcome) -> None:
+        """Count a call's outcome."""
+        with self._lock:
+            self._open.pop(outcome.arrival.number, None)
+            self._count_end(outcome)
+            self._count_tokens(outcome)
+            self._count_seconds(outcome)
+
+    def progress(self) -> str:
+        """Describe the present state in one line."""
+        with self._lock:
+            answered = sum(kind.answered for kind in self._kinds.values())
+            refused = sum(kind.refused for kind in self._kinds.values())
+            broken = sum(kind.broken for kind in self._kinds.values())
+            name = self._summary.variant
+            return (
+                f"{name}: open {len(self._open)} answered {answered} "
+                f"refused {refused} broken {broken}"
+            )
+
+    def summary(self) -> VariantSummary:
+        """Give the figures so far."""
+        with self._lock:
+            return self._summary.model_copy(
+                update={
+                    "first_token": Percentiles.of(self._first_token),
+                    "token_gap": Percentiles.of(self._token_gap),
+                    "plain_answer": Percentiles.of(self._plain_answer),
+                    "stall_s": self._stall_us / US_PER_S,
+                    "kinds": dict(self._kinds),
+                    "refusals": dict(self._refusals),
+                    "failures": dict(self._failures),
+                    "unfinished": len(self._open),
+                    "seconds": [self._seconds[second] for second in sorted(self._seconds)],
+                },
+                deep=True,
+            )
+
+    def _count_end(self, outcome: CallOutcome) -> None:
+        kind = self._kinds[outcome.arrival.kind.value]
+        is_late = outcome.duration_s > self._plan.deadline_s(outcome.arrival.kind)
+        second = self._second(outcome.finished_at_s)
+        kind.deadline_misses += is_late
+        self._summary.wrong_answers += outcome.is_wrong_answer
+        match outcome.end:
+            case CallEnd.ANSWERED:
+                kind.answered += 1
+                second.answered += 1
+            case CallEnd.REFUSED:
+                kind.refused += 1
+                second.refused += 1
+                self._refusals[outcome.failure] += 1
+            case CallEnd.BROKEN:
+                kind.broken += 1
+                second.broken += 1
+                self._failures[outcome.failure] += 1
+
+    def _count_tokens(self, outcome: CallOutcome) -> None:
+        summary = self._summary
+        summary.tokens += outcome.tokens
+        summary.resumes += outcome.resumes
+        summary.out_of_order_tokens += outcome.counts.out_of_order
+        summary.duplicate_tokens += outcome.counts.duplicate
+        summary.foreign_tokens += outcome.counts.foreign
+        if outcome.first_token_at_s is not None:
+            _record(self._first_token, (outcome.first_token_at_s - outcome.arrival.at_s) * US_PER_S)
+        elif not outcome.arrival.kind.is_generation() and outcome.end is CallEnd.ANSWERED:
+            _record(self._plain_answer, outcome.duration_s * US_PER_S)
+        for gap_us in outcome.gaps_us:
+            _record(self._token_gap, gap_us)
+            if gap_us > self._stall_gap_us:
+                self._stall_us += gap_us
+                summary.stalls += 1
+        if outcome.joined_tokens:
+            self._token_gap.record_value(1, outcome.joined_tokens)
+
+    def _count_seconds(self, outcome: CallOutcome) -> None:
+        for second, tokens in outcome.tokens_by_second.items():
+            self._second(second).tokens += tokens
+        for second, late_gaps in outcome.late_gaps_by_second.items():
+            self._second(second).late_gaps += late_gaps
+
+    def _second(self, at_s: float) -> SecondSummary:
+        second = int(at_s)
+        if second not in self._seconds:
+            self._seconds[second] = SecondSummary(second=second)
+        return self._seconds[second]
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(1, MAX_RECORDED_US, SIGNIFICANT_DIGITS)
+
+
+def _record(histogram: HdrHistogram, value_us: float) -> None:
+    histogram.record_value(min(MAX_RECORDED_US, max(1, int(value_us))))
--- /dev/null
+++ b/gooseberryquay/standins/load/tests/test_run.py
@@ -0,0 +1,47 @@
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.standins.engine import EngineStandIn
+from gooseberryquay.standins.engine_settings import EngineSettings
+from gooseberryquay.standins.load import LoadPlan, LoadRun, Variant, plan_arrivals
+from gooseberryquay.standins.process import find_free_port
+
+PLAN = LoadPlan(
+    workspaces=("clerks", "line", "plant"),
+    model="m",
+    rate_per_s=40.0,
+    duration_s=2.0,
+    seed=7,
+    summary_tokens_median=30.0,
+)
+FAST = EngineSettings(step_base_s=0.002, step_per_sequence_s=0.0)
+
+
+def test_plan_is_the_same_for_the_same_seed():
+    first, second = plan_arrivals(PLAN), plan_arrivals(PLAN)
+    assert first == second
+    assert first != plan_arrivals(LoadPlan(**{**PLAN.__dict__, "seed": 8}))
+    assert [each.at_s for each in first] == sorted(each.at_s for each in first)
+
+
+def test_variants_get_the_same_calls_and_engines_are_counted():
+    engines = [EngineStandIn(FAST), EngineStandIn(FAST)]
+    for engine in engines:
+        engine.start()
+    addresses = [Address("127.0.0.1", engine.port) for engine in engines]
+    variants = [Variant(str(each.port), (each,), (each,)) for each in addresses]
+    first, second = LoadRun(PLAN, variants).run()
+    expected = plan_arrivals(PLAN)
+    for summary in (first, second):
+        assert sum(kind.answered for kind in summary.kinds.values()) == len(expected)
+        assert summary.tokens == sum(each.output_tokens for each in expected)
+        assert summary.upstreams.runs == len(expected)
+        assert (summary.foreign_tokens, summary.duplicate_tokens) == (0, 0)
+        assert sum(second.tokens for second in summary.seconds) == summary.tokens
+    for engine in engines:
+        engine.stop()
+
+
+def test_calls_to_nobody_are_broken():
+    nobody = Variant("nobody", (Address("127.0.0.1", find_free_port()),))
+    plan = LoadPlan(**{**PLAN.__dict__, "duration_s": 0.5})
+    (summary,) = LoadRun(plan, [nobody]).run()
+    assert summary.failures == {"ConnectionRefusedError": len(plan_arrivals(plan))}
