Extend the platform stand-in with faults, counts, rates and a lagging list

Tests of postings and configuration need outages, lost answers and stale reads on order. The platform link now names the wait of a refusal and treats 500, 502 and 504 on writes as an unknown outcome.

--- a/gooseberryquay/links/platform_link.py
+++ b/gooseberryquay/links/platform_link.py
@@ -30,6 +30,7 @@
 HTTP_NO_CONTENT = 204
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
+STATUSES_OF_UNKNOWN_OUTCOME = (500, 502, 504)
 WATCH_MARGIN_S = 2.0
 NO_VERSION = 0
 
@@ -47,6 +48,7 @@
 
     status: int
     message: str
+    retry_after_s: float | None = None
 
 
 @dataclass(frozen=True)
@@ -111,6 +113,15 @@
         path = f"/objects/{quote(key, safe='')}?expected_version={expected_version}"
         return _read_write_answer(self._client.send("DELETE", path))
 
+    def put_instance(self, entry: InstanceEntry) -> Result[None, WriteFailure]:
+        """Add or replace an instance in the platform's list."""
+        body = entry.model_dump_json().encode()
+        return _read_instance_answer(self._client.send("PUT", _instance_path(entry.id), body))
+
+    def delete_instance(self, instance_id: str) -> Result[None, WriteFailure]:
+        """Remove an instance from the platform's list."""
+        return _read_instance_answer(self._client.send("DELETE", _instance_path(instance_id)))
+
     def _read(self, path: str, timeout_s: float | None) -> Result[Reply, ReadFailure]:
         match self._client.send("GET", path, read_timeout_s=timeout_s):
             case Err(failure):
@@ -118,7 +129,7 @@
             case Ok(Reply(status=status) as reply) if status in (HTTP_OK, HTTP_NO_CONTENT):
                 return Ok(reply)
             case Ok(reply):
-                return Err(PlatformRefused(reply.status, reply.body.decode(errors="replace")))
+                return Err(_refusal_of(reply))
 
     def _read_object(
         self, path: str, timeout_s: float | None
@@ -155,6 +166,22 @@
         return Err(PlatformUnreachable(f"unreadable answer: {error}"))
 
 
+def _instance_path(instance_id: str) -> str:
+    return f"/instances/{quote(instance_id, safe='')}"
+
+
+def _read_instance_answer(sent: Result[Reply, LinkFailure]) -> Result[None, WriteFailure]:
+    match sent:
+        case Ok(Reply(status=status)) if status == HTTP_OK:
+            return Ok(None)
+        case Ok(reply):
+            return Err(_refusal_of(reply))
+        case Err(failure) if failure.was_sent:
+            return Err(OutcomeUnknown(failure.message))
+        case Err(failure):
+            return Err(PlatformUnreachable(failure.message))
+
+
 def _read_write_answer(sent: Result[Reply, LinkFailure]) -> Result[int, WriteFailure]:
     match sent:
         case Err(failure) if failure.was_sent:
@@ -169,8 +196,16 @@
                 .map_err(lambda each: OutcomeUnknown(each.message))
                 .map(lambda stored: stored.version if stored else NO_VERSION)
             )
+        case Ok(Reply(status=status)) if status in STATUSES_OF_UNKNOWN_OUTCOME:
+            return Err(OutcomeUnknown(f"status {status}"))
         case Ok(reply):
-            return Err(PlatformRefused(reply.status, reply.body.decode(errors="replace")))
+            return Err(_refusal_of(reply))
+
+
+def _refusal_of(reply: Reply) -> PlatformRefused:
+    retry_after = reply.headers.get("retry-after", "")
+    retry_after_s = float(retry_after) if retry_after.isdigit() else None
+    return PlatformRefused(reply.status, reply.body.decode(errors="replace"), retry_after_s)
 
 
 def _read_conflict(reply: Reply) -> Result[int, WriteFailure]:
--- a/gooseberryquay/standins/platform.py
+++ b/gooseberryquay/standins/platform.py
@@ -1,11 +1,12 @@
-"""Stand-in for the platform: versioned objects with conditional writes and watches."""
+"""Stand-in for the platform: objects, instance list and weight store, with faults on order."""
 
 import threading
-import time
 
 from pydantic import ValidationError
+from result import Err, Ok, Result
 
-from gooseberryquay.links.http_server import HttpServer, Request, Response, Router
+from gooseberryquay.links.http_server import Handler, HttpServer, Request, Response, Router
+from gooseberryquay.links.platform_link import WriteConflict
 from gooseberryquay.links.platform_messages import (
     InstanceEntry,
     InstanceList,
@@ -13,20 +14,41 @@
     StoredObjectList,
     WriteRequest,
 )
+from gooseberryquay.standins.platform_faults import FaultInjector, Outage, PlatformFaults
+from gooseberryquay.standins.platform_gate import PlatformGate
+from gooseberryquay.standins.platform_instances import InstanceRegister
+from gooseberryquay.standins.platform_limits import (
+    CallCounter,
+    CallKind,
+    PlatformCounts,
+    PlatformLimits,
+    RateLimit,
+    retry_after_header,
+)
+from gooseberryquay.standins.platform_objects import ObjectStore
 
 __all__ = ["PlatformStandIn"]
 
 MAX_VALUE_BYTES = 1024 * 1024
 MAX_WATCH_S = 60.0
+MAX_WEIGHT_READ_BYTES = 1024 * 1024
 
 
 class PlatformStandIn:
-    """Keep objects in memory and serve them over HTTP."""
-
-    def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
-        self._objects: dict[str, StoredObject] = {}
-        self._instances: dict[str, InstanceEntry] = {}
-        self._changed = threading.Condition()
+    """Keep everything in memory and serve it over HTTP."""
+
+    def __init__(
+        self, host: str = "127.0.0.1", port: int = 0, limits: PlatformLimits | None = None
+    ) -> None:
+        limits = limits or PlatformLimits()
+        self._objects = ObjectStore()
+        self._instances = InstanceRegister(limits.list_lag_s)
+        self._weight_bytes = limits.weight_bytes
+        self._weight_rate = RateLimit(limits.weight_bytes_per_s)
+        self._faults = FaultInjector()
+        self._counter = CallCounter()
+        self._gate = PlatformGate(limits, self._faults, self._counter)
+        self._is_stopped = threading.Event()
         self._server = HttpServer(host, port, self._build_router())
 
     def start(self) -> None:
@@ -34,7 +56,10 @@
         self._server.start()
 
     def stop(self) -> None:
-        """Stop serving."""
+        """Stop serving; waiting watches and hanging calls end."""
+        self._is_stopped.set()
+        self._faults.set(PlatformFaults())
+        self._objects.wake_watches()
         self._server.stop()
 
     @property
@@ -42,88 +67,119 @@
         """Give the bound TCP port."""
         return self._server.port
 
+    def set_faults(self, faults: PlatformFaults) -> None:
+        """Replace all faults; waiting watches meet a new outage at once."""
+        self._faults.set(faults)
+        self._objects.wake_watches()
+
+    def counts(self) -> PlatformCounts:
+        """Give the calls counted since the start."""
+        return self._counter.counts()
+
     def _build_router(self) -> Router:
         router = Router()
-        router.add("GET", "/objects", self._list)
-        router.add("GET", "/objects/{key}", self._read)
-        router.add("PUT", "/objects/{key}", self._write)
-        router.add("DELETE", "/objects/{key}", self._delete)
-        router.add("GET", "/watch/{key}", self._watch)
-        router.add("GET", "/instances", self._list_instances)
-        router.add("PUT", "/instances/{id}", self._put_instance)
+        self._add(router, "GET", "/objects", CallKind.LIST, self._list)
+        self._add(router, "GET", "/objects/{key}", CallKind.READ, self._read)
+        self._add(router, "PUT", "/objects/{key}", CallKind.WRITE, self._write)
+        self._add(router, "DELETE", "/objects/{key}", CallKind.DELETE, self._delete)
+        self._add(router, "GET", "/watch/{key}", CallKind.WATCH, self._watch)
+        self._add(router, "GET", "/instances", CallKind.INSTANCE_READ, self._list_instances)
+        self._add(router, "PUT", "/instances/{id}", CallKind.INSTANCE_WRITE, self._put_instance)
+        self._add(
+            router, "DELETE", "/instances/{id}", CallKind.INSTANCE_WRITE, self._delete_instance
+        )
+        self._add(router, "GET", "/weights/{name}", CallKind.WEIGHT_READ, self._read_weights)
+        router.add("POST", "/standin/faults", self._post_faults)
+        router.add("GET", "/standin/counts", lambda _request: Response.of(self.counts()))
         return router
 
+    def _add(
+        self, router: Router, method: str, path: str, kind: CallKind, handler: Handler
+    ) -> None:
+        router.add(method, path, self._gate.wrap(kind, handler))
+
     def _list(self, request: Request) -> Response:
-        prefix = request.query.get("prefix", "")
-        with self._changed:
-            found = tuple(each for key, each in self._objects.items() if key.startswith(prefix))
+        found = self._objects.list(request.query.get("prefix", ""))
         return Response.of(StoredObjectList(objects=found))
 
     def _read(self, request: Request) -> Response:
-        with self._changed:
-            stored = self._objects.get(request.path_values["key"])
-        return _answer_object(stored)
+        key = request.path_values["key"]
+        is_stale = self._faults.is_stale(key)
+        return _answer_object(
+            self._objects.read_previous(key) if is_stale else self._objects.read(key)
+        )
 
     def _write(self, request: Request) -> Response:
         try:
             wanted = WriteRequest.model_validate_json(request.body)
         except ValidationError:
-            return Response(status=400)
+            return Response(status=400, body=b"{}")
         if len(wanted.value.encode()) > MAX_VALUE_BYTES:
-            return Response(status=413)
+            return Response(status=413, body=b"{}")
         key = request.path_values["key"]
-        with self._changed:
-            current = self._objects.get(key)
-            version = current.version if current else 0
-            if wanted.expected_version not in (None, version):
-                return _answer_conflict(current)
-            stored = StoredObject(key=key, version=version + 1, value=wanted.value)
-            self._objects[key] = stored
-            self._changed.notify_all()
-        return Response.of(StoredObject(key=key, version=stored.version, value=""))
+        return _answer_change(self._objects.write(key, wanted.value, wanted.expected_version))
 
     def _delete(self, request: Request) -> Response:
-        key = request.path_values["key"]
         expected = int(request.query.get("expected_version", "0"))
-        with self._changed:
-            current = self._objects.get(key)
-            if current is None or current.version != expected:
-                return _answer_conflict(current)
-            del self._objects[key]
-            self._changed.notify_all()
-        return Response.of(StoredObject(key=key, version=expected, value=""))
+        return _answer_change(self._objects.delete(request.path_values["key"], expected))
 
     def _watch(self, request: Request) -> Response:
         key = request.path_values["key"]
         after = int(request.query.get("after_version", "0"))
         timeout_s = min(float(request.query.get("timeout_s", "10")), MAX_WATCH_S)
-        deadline = time.monotonic() + timeout_s
-        with self._changed:
-            while True:
-                stored = self._objects.get(key)
-                if stored is not None and stored.version > after:
-                    return Response.of(stored)
-                remaining_s = deadline - time.monotonic()
-                if remaining_s <= 0:
-                    return Response(status=204)
-                self._changed.wait(remaining_s)
+        stored = self._objects.watch(key, after, timeout_s, self._is_interrupted)
+        if self._is_interrupted():
+            return self._faults.meet_call() or Response(status=503, body=b"{}")
+        return Response(status=204) if stored is None else Response.of(stored)
+
+    def _is_interrupted(self) -> bool:
+        return self._is_stopped.is_set() or self._faults.faults.outage is not Outage.NONE
 
     def _list_instances(self, _request: Request) -> Response:
-        with self._changed:
-            return Response.of(InstanceList(instances=tuple(self._instances.values())))
+        return Response.of(InstanceList(instances=self._instances.list()))
 
     def _put_instance(self, request: Request) -> Response:
-        entry = InstanceEntry.model_validate_json(request.body)
-        with self._changed:
-            self._instances[entry.id] = entry
+        try:
+            entry = InstanceEntry.model_validate_json(request.body)
+        except ValidationError:
+            return Response(status=400, body=b"{}")
+        self._instances.put(entry)
         return Response.of(entry)
 
+    def _delete_instance(self, request: Request) -> Response:
+        self._instances.remove(request.path_values["id"])
+        return Response(body=b"{}")
+
+    def _read_weights(self, request: Request) -> Response:
+        offset = int(request.query.get("offset", "0"))
+        wanted = int(request.query.get("length", str(MAX_WEIGHT_READ_BYTES)))
+        length = max(0, min(wanted, MAX_WEIGHT_READ_BYTES, self._weight_bytes - offset))
+        wait_s = self._weight_rate.take(length)
+        if wait_s > 0:
+            return Response(status=429, body=b"{}", headers=retry_after_header(wait_s))
+        headers = {"X-Weight-Bytes": str(self._weight_bytes)}
+        return Response(
+            body=bytes(length), content_type="application/octet-stream", headers=headers
+        )
+
+    def _post_faults(self, request: Request) -> Response:
+        try:
+            faults = PlatformFaults.model_validate_json(request.body)
+        except ValidationError as error:
+            return Response(status=400, body=error.json().encode())
+        self.set_faults(faults)
+        return Response.of(faults)
+
 
 def _answer_object(stored: StoredObject | None) -> Response:
-    return Response(status=404) if stored is None else Response.of(stored)
+    return Response(status=404, body=b"{}") if stored is None else Response.of(stored)
 
 
-def _answer_conflict(current: StoredObject | None) -> Response:
-    if current is None:
-        return Response(status=409, body=b"null")
-    return Response.of(current, status=409)
+def _answer_change(changed: Result[StoredObject, WriteConflict]) -> Response:
+    match changed:
+        case Ok(stored):
+            return Response.of(stored.model_copy(update={"value": ""}))
+        case Err(WriteConflict(current=StoredObject() as current)):
+            return Response.of(current, status=409)
+        case Err(WriteConflict()):
+            return Response(status=409, body=b"null")
--- /dev/null
+++ b/gooseberryquay/standins/platform_gate.py
@@ -0,0 +1,67 @@
+"""What every call to the platform stand-in goes through: counts, faults and rates."""
+
+from collections.abc import Callable
+
+from gooseberryquay.links.http_server import Handler, Request, Response
+from gooseberryquay.standins.platform_faults import FaultInjector, LostAnswers, drop_connection
+from gooseberryquay.standins.platform_limits import (
+    CallCounter,
+    CallKind,
+    PlatformLimits,
+    RateLimit,
+    retry_after_header,
+)
+
+__all__ = ["PlatformGate"]
+
+FIRST_REFUSAL_STATUS = 429
+
+
+class PlatformGate:
+    """Count each call, then apply faults and rates before it is carried out."""
+
+    def __init__(self, limits: PlatformLimits, faults: FaultInjector, counter: CallCounter) -> None:
+        self._faults = faults
+        self._counter = counter
+        self._reads = RateLimit(limits.reads_per_s)
+        self._writes = RateLimit(limits.writes_per_s)
+
+    def wrap(self, kind: CallKind, handler: Handler) -> Handler:
+        """Give a handler that goes through the gate first."""
+
+        def handle(request: Request) -> Response:
+            key = _key_of(request)
+            self._counter.begin(kind, key, len(request.body))
+            response = self._refuse(kind) or self._carry_out(kind, key, handler, request)
+            body_bytes = len(response.body) if isinstance(response.body, bytes) else 0
+            self._counter.end(kind, key, body_bytes, response.status >= FIRST_REFUSAL_STATUS)
+            return response
+
+        return handle
+
+    def _refuse(self, kind: CallKind) -> Response | None:
+        refusal = self._faults.meet_call()
+        if refusal is not None:
+            return refusal
+        limit = self._writes if kind.is_write() else self._reads
+        wait_s = limit.take()
+        if wait_s > 0:
+            return Response(status=429, body=b"{}", headers=retry_after_header(wait_s))
+        return None
+
+    def _carry_out(self, kind: CallKind, key: str, handler: Handler, request: Request) -> Response:
+        if not kind.is_write():
+            return handler(request)
+        return self._lose_answer(self._faults.take_lost_answer(key), lambda: handler(request))
+
+    def _lose_answer(self, lost: LostAnswers | None, write: Callable[[], Response]) -> Response:
+        if lost is None:
+            return write()
+        if lost.is_applied:
+            write()
+        drop_connection()
+        return Response(status=503)
+
+
+def _key_of(request: Request) -> str:
+    return request.path_values.get("key") or request.query.get("prefix", "")
