--- a/gooseberryquay/ids.py
+++ b/gooseberryquay/ids.py
@@ -3,6 +3,7 @@
 from typing import NewType
 
 __all__ = [
+    "ChangeId",
     "ClaimToken",
     "EntryId",
     "FencingNumber",
@@ -20,6 +21,7 @@
     "ZoneId",
 ]
 
+ChangeId = NewType("ChangeId", str)
 ClaimToken = NewType("ClaimToken", str)
 EntryId = NewType("EntryId", str)
 FencingNumber = NewType("FencingNumber", int)
--- a/gooseberryquay/links/platform_link.py
+++ b/gooseberryquay/links/platform_link.py
@@ -31,7 +31,6 @@
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
 STATUSES_OF_UNKNOWN_OUTCOME = (500, 502, 504)
-WATCH_MARGIN_S = 2.0
 NO_VERSION = 0
 
 
@@ -75,6 +74,7 @@
     def __init__(
         self, address: Address, connect_timeout_s: float = 0.5, read_timeout_s: float = 2.0
     ) -> None:
+        self._read_timeout_s = read_timeout_s
         self._client = HttpClient(address.host, address.port, connect_timeout_s, read_timeout_s)
 
     def read(self, key: str) -> Result[StoredObject | None, ReadFailure]:
@@ -86,7 +86,7 @@
     ) -> Result[StoredObject | None, ReadFailure]:
         """Wait until the object is newer than a version; None when the time is over."""
         path = f"/watch/{quote(key, safe='')}?after_version={after_version}&timeout_s={timeout_s}"
-        return self._read_object(path, timeout_s + WATCH_MARGIN_S)
+        return self._read_object(path, timeout_s + self._read_timeout_s)
 
     def list(self, prefix: str) -> Result[tuple[StoredObject, ...], ReadFailure]:
         """Read all objects under a key prefix."""
--- /dev/null
+++ b/gooseberryquay/standins/keeper_fleet.py
@@ -0,0 +1,82 @@
+"""Many configuration keepers as threads of one process, for tests and experiments."""
+
+import time
+from collections.abc import Callable
+
+from gooseberryquay.contracts.declaration import Declaration
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.ids import Revision
+from gooseberryquay.machines.peer import Peer
+from gooseberryquay.standins.keeper_node import KeeperNode
+from gooseberryquay.zones.keeper_timing import KeeperTiming
+
+__all__ = ["KeeperFleet"]
+
+POLL_INTERVAL_S = 0.02
+
+
+class KeeperFleet:
+    """Start, restart and stop keepers that know each other by one roster."""
+
+    def __init__(
+        self,
+        platform: Address,
+        base: Declaration,
+        timing: KeeperTiming | None = None,
+        heartbeat_interval_s: float = 0.5,
+        seed: int = 0,
+    ) -> None:
+        self._platform = platform
+        self._base = base
+        self._timing = timing
+        self._heartbeat_interval_s = heartbeat_interval_s
+        self._seed = seed
+        self._roster: dict[str, Peer] = {}
+        self.nodes: dict[str, KeeperNode] = {}
+
+    def add(self, *names: str) -> None:
+        """Bind all of the named keepers, then start them."""
+        nodes = {name: self._make(name) for name in names}
+        for name, node in nodes.items():
+            self._roster[name] = node.bind()
+        self.nodes |= nodes
+        for node in nodes.values():
+            node.begin()
+
+    def _make(self, name: str) -> KeeperNode:
+        return KeeperNode(
+            name,
+            self._platform,
+            self._base,
+            lambda: tuple(self._roster.values()),
+            timing=self._timing,
+            heartbeat_interval_s=self._heartbeat_interval_s,
+            seed=self._seed,
+        )
+
+    def remove(self, name: str) -> None:
+        """Stop a keeper; the roster forgets it."""
+        del self._roster[name]
+        self.nodes.pop(name).stop()
+
+    def revisions(self) -> tuple[Revision, ...]:
+        """Give the revision in force at each keeper."""
+        return tuple(node.keeper.revision() for node in self.nodes.values())
+
+    def wait_for_revision(self, revision: Revision, timeout_s: float) -> bool:
+        """Wait until every keeper has at least a revision in force."""
+        return self.wait_for(lambda: all(held >= revision for held in self.revisions()), timeout_s)
+
+    def wait_for(self, is_reached: Callable[[], bool], timeout_s: float) -> bool:
+        """Wait for a condition."""
+        deadline_s = time.monotonic() + timeout_s
+        while not is_reached():
+            if time.monotonic() > deadline_s:
+                return False
+            time.sleep(POLL_INTERVAL_S)
+        return True
+
+    def stop(self) -> None:
+        """Stop every keeper."""
+        for name in list(self.nodes):
+            self.remove(name)
--- /dev/null
+++ b/gooseberryquay/zones/configuration_change.py
@@ -0,0 +1,143 @@
+"""Changes of the configuration, as operators propose them and as they are kept."""
+
+from typing import Annotated, Literal, TypeVar
+
+from pydantic import Field
+
+from gooseberryquay.contracts.declaration import Declaration
+from gooseberryquay.contracts.fields import Model
+from gooseberryquay.ids import (
+    ChangeId,
+    Revision,
+    ServiceId,
+    SiteId,
+    UpstreamId,
+    WorkspaceId,
+    ZoneId,
+)
+from gooseberryquay.zones.zone_state import UpstreamOrder, ZoneState
+
+__all__ = [
+    "AcceptedChange",
+    "ConfigurationChange",
+    "DeclarationReplaced",
+    "PatchDeclaration",
+    "RemovedNames",
+    "ReplaceDeclaration",
+    "SetUpstreamOrder",
+    "SetZoneState",
+    "StoredChange",
+    "describe_change",
+    "patch_between",
+]
+
+K = TypeVar("K")
+V = TypeVar("V")
+
+
+class ReplaceDeclaration(Model):
+    """Propose a whole new declaration; orders on names that stay declared are kept."""
+
+    kind: Literal["replace_declaration"] = "replace_declaration"
+    declaration: Declaration
+
+
+class SetZoneState(Model):
+    """Take availability zones out or bring them back."""
+
+    kind: Literal["set_zone_state"] = "set_zone_state"
+    zones: Annotated[tuple[ZoneId, ...], Field(min_length=1)]
+    state: ZoneState
+
+
+class SetUpstreamOrder(Model):
+    """Drain upstreams or return them to service."""
+
+    kind: Literal["set_upstream_order"] = "set_upstream_order"
+    upstreams: Annotated[tuple[UpstreamId, ...], Field(min_length=1)]
+    order: UpstreamOrder
+
+
+class RemovedNames(Model):
+    """Name what a new declaration no longer has."""
+
+    services: tuple[ServiceId, ...] = ()
+    sites: tuple[SiteId, ...] = ()
+    workspaces: tuple[WorkspaceId, ...] = ()
+    upstreams: tuple[UpstreamId, ...] = ()
+
+
+class PatchDeclaration(Model):
+    """Keep a new declaration as its difference from the one before."""
+
+    kind: Literal["patch_declaration"] = "patch_declaration"
+    changed: Declaration
+    removed: RemovedNames = RemovedNames()
+
+
+class DeclarationReplaced(Model):
+    """Mark a new declaration that only the snapshot of its revision holds."""
+
+    kind: Literal["declaration_replaced"] = "declaration_replaced"
+
+
+ConfigurationChange = ReplaceDeclaration | SetZoneState | SetUpstreamOrder
+StoredChange = Annotated[
+    SetZoneState | SetUpstreamOrder | PatchDeclaration | DeclarationReplaced,
+    Field(discriminator="kind"),
+]
+
+
+class AcceptedChange(Model):
+    """Record one accepted change and the revision that it made."""
+
+    revision: Revision
+    author: str
+    change_id: ChangeId
+    change: StoredChange
+
+
+def patch_between(old: Declaration, new: Declaration) -> PatchDeclaration:
+    """Give the difference that turns one declaration into another."""
+    return PatchDeclaration(
+        changed=Declaration(
+            services=_changed(old.services, new.services),
+            sites=_changed(old.sites, new.sites),
+            workspaces=_changed(old.workspaces, new.workspaces),
+            upstreams=_changed(old.upstreams, new.upstreams),
+        ),
+        removed=RemovedNames(
+            services=_removed(old.services, new.services),
+            sites=_removed(old.sites, new.sites),
+            workspaces=_removed(old.workspaces, new.workspaces),
+            upstreams=_removed(old.upstreams, new.upstreams),
+        ),
+    )
+
+
+def describe_change(change: StoredChange) -> str:
+    """Say in one line what a change did."""
+    match change:
+        case SetZoneState(zones=zones, state=state):
+            return f"zones {', '.join(zones)} {state.value}"
+        case SetUpstreamOrder(upstreams=upstreams, order=order):
+            return f"upstreams {', '.join(upstreams)} {order.value}"
+        case PatchDeclaration(changed=changed, removed=removed):
+            return f"declaration changed: {_list_names(changed, removed)}"
+        case DeclarationReplaced():
+            return "declaration replaced"
+
+
+def _changed(old: dict[K, V], new: dict[K, V]) -> dict[K, V]:
+    return {name: value for name, value in new.items() if old.get(name) != value}
+
+
+def _removed(old: dict[K, V], new: dict[K, V]) -> tuple[K, ...]:
+    return tuple(name for name in old if name not in new)
+
+
+def _list_names(changed: Declaration, removed: RemovedNames) -> str:
+    set_names = [*changed.services, *changed.sites, *changed.workspaces, *changed.upstreams]
+    lost_names = [*removed.services, *removed.sites, *removed.workspaces, *removed.upstreams]
+    names = [str(name) for name in set_names] + [f"-{name}" for name in lost_names]
+    return ", ".join(names) or "nothing"
--- /dev/null
+++ b/gooseberryquay/zones/configuration_store.py
@@ -0,0 +1,209 @@
+"""The accepted configuration in the platform, and its conditional changes."""
+
+from dataclasses import dataclass
+from uuid import uuid4
+
+from pydantic import ValidationError
+from result import Err, Ok, Result
+
+from gooseberryquay.contracts.declaration import Declaration
+from gooseberryquay.ids import ChangeId, Revision
+from gooseberryquay.links.platform_link import PlatformLink
+from gooseberryquay.links.platform_messages import StoredObject
+from gooseberryquay.zones.configuration import Configuration
+from gooseberryquay.zones.configuration_change import (
+    AcceptedChange,
+    ConfigurationChange,
+    DeclarationReplaced,
+    PatchDeclaration,
+    ReplaceDeclaration,
+    StoredChange,
+    patch_between,
+)
+from gooseberryquay.zones.configuration_document import (
+    CURRENT_KEY,
+    MAX_TAIL_BYTES,
+    ConfigurationDocument,
+    SnapshotReference,
+    split_snapshot,
+)
+from gooseberryquay.zones.configuration_failure import (
+    ChangeRejected,
+    ConfigurationConflict,
+    ConfigurationFailure,
+    ConfigurationUnavailable,
+    NoConfiguration,
+)
+from gooseberryquay.zones.configuration_problem import check_change, check_declaration
+from gooseberryquay.zones.configuration_write import ConfigurationWrite, Draft
+from gooseberryquay.zones.snapshot_objects import SnapshotObjects
+
+__all__ = ["ConfigurationStore", "StoredConfiguration", "parse_document"]
+
+DEFAULT_DECIDE_TIMEOUT_S = 5.0
+READ_ATTEMPTS = 3
+FIRST_REVISION = Revision(1)
+NO_REVISION = Revision(0)
+MUST_NOT_EXIST = 0
+
+
+@dataclass(frozen=True)
+class StoredConfiguration:
+    """Hold the stored configuration and the version of the object it came from."""
+
+    configuration: Configuration
+    document: ConfigurationDocument
+    version: int
+
+
+class ConfigurationStore:
+    """Read the configuration and change it by conditional writes; safe for many threads."""
+
+    def __init__(
+        self, link: PlatformLink, decide_timeout_s: float = DEFAULT_DECIDE_TIMEOUT_S
+    ) -> None:
+        self._link = link
+        self._snapshots = SnapshotObjects(link)
+        self._write = ConfigurationWrite(link, self._snapshots, decide_timeout_s)
+
+    def read(self) -> Result[StoredConfiguration, ConfigurationFailure]:
+        """Read the newest accepted configuration."""
+        failure: ConfigurationFailure = NoConfiguration()
+        for _ in range(READ_ATTEMPTS):
+            match self._read_once():
+                case Ok(stored):
+                    return Ok(stored)
+                case Err(NoConfiguration()):
+                    return Err(NoConfiguration())
+                case Err(failure):
+                    continue
+        return Err(failure)
+
+    def _read_once(self) -> Result[StoredConfiguration, ConfigurationFailure]:
+        match self._link.read(CURRENT_KEY):
+            case Err(refusal):
+                return Err(ConfigurationUnavailable(str(refusal)))
+            case Ok(None):
+                return Err(NoConfiguration())
+            case Ok(StoredObject() as stored):
+                document = parse_document(stored)
+                if document is None:
+                    return Err(ConfigurationUnavailable(f"{CURRENT_KEY} is unreadable"))
+                return self.complete(document).map(
+                    lambda whole: StoredConfiguration(whole, document, stored.version)
+                )
+        return Err(NoConfiguration())
+
+    def complete(
+        self, document: ConfigurationDocument
+    ) -> Result[Configuration, ConfigurationFailure]:
+        """Read a document's snapshot and add the changes after it."""
+        match self._snapshots.read(document.snapshot):
+            case Err(failure):
+                return Err(failure)
+            case Ok(configuration):
+                for accepted in document.changes:
+                    if accepted.revision > document.snapshot.revision:
+                        configuration = configuration.after(accepted)
+                return Ok(configuration)
+
+    def create(
+        self, declaration: Declaration, author: str
+    ) -> Result[Configuration, ConfigurationFailure]:
+        """Make a declaration revision 1 if there is no configuration yet."""
+        problems = check_declaration(declaration)
+        if problems:
+            return Err(ChangeRejected(problems))
+        configuration = Configuration(revision=FIRST_REVISION, declaration=declaration)
+        accepted = _accept(FIRST_REVISION, author, DeclarationReplaced())
+        snapshot = _reference(configuration, accepted.change_id)
+        document = ConfigurationDocument(
+            revision=FIRST_REVISION, snapshot=snapshot, changes=(accepted,)
+        )
+        draft = Draft(accepted, configuration, document, MUST_NOT_EXIST)
+        return self._write.commit(draft)
+
+    def apply(
+        self,
+        change: ConfigurationChange,
+        author: str,
+        expected_revision: Revision | None = None,
+    ) -> Result[Configuration, ConfigurationFailure]:
+        """Make a change the next revision and give the configuration that it made.
+
+        Without an expected revision the one just read is expected.
+        """
+        match self.read():
+            case Err(failure):
+                return Err(failure)
+            case Ok(stored):
+                return self._apply_to(stored, change, author, expected_revision)
+
+    def _apply_to(
+        self,
+        stored: StoredConfiguration,
+        change: ConfigurationChange,
+        author: str,
+        expected_revision: Revision | None,
+    ) -> Result[Configuration, ConfigurationFailure]:
+        document = stored.document
+        if expected_revision not in (None, document.revision):
+            expected = expected_revision or NO_REVISION
+            winners = tuple(each for each in document.changes if each.revision > expected)
+            return Err(ConfigurationConflict(expected, document.revision, winners))
+        problems = check_change(stored.configuration, change)
+        if problems:
+            return Err(ChangeRejected(problems))
+        return self._write.commit(_draft(stored, change, author))
+
+
+def parse_document(stored: StoredObject) -> ConfigurationDocument | None:
+    """Read a stored object as a document, or None where it is not one."""
+    try:
+        return ConfigurationDocument.model_validate_json(stored.value)
+    except ValidationError:
+        return None
+
+
+def _draft(stored: StoredConfiguration, change: ConfigurationChange, author: str) -> Draft:
+    held, document = stored.configuration, stored.document
+    accepted = _accept(Revision(held.revision + 1), author, _stored_form(held, change))
+    configuration = _changed(held, accepted, change)
+    if document.needs_snapshot_for(accepted):
+        snapshot = _reference(configuration, accepted.change_id)
+        rotated = document.rotated(accepted, snapshot)
+        return Draft(accepted, configuration, rotated, stored.version, document.retired)
+    return Draft(accepted, configuration, document.extended(accepted), stored.version)
+
+
+def _stored_form(held: Configuration, change: ConfigurationChange) -> StoredChange:
+    if not isinstance(change, ReplaceDeclaration):
+        return change
+    patch = patch_between(held.declaration, change.declaration)
+    return patch if _size_bytes(patch) <= MAX_TAIL_BYTES else DeclarationReplaced()
+
+
+def _changed(
+    held: Configuration, accepted: AcceptedChange, change: ConfigurationChange
+) -> Configuration:
+    if isinstance(accepted.change, DeclarationReplaced) and isinstance(change, ReplaceDeclaration):
+        replaced = held.with_declaration(change.declaration)
+        return replaced.model_copy(update={"revision": accepted.revision})
+    return held.after(accepted)
+
+
+def _accept(revision: Revision, author: str, change: StoredChange) -> AcceptedChange:
+    change_id = ChangeId(uuid4().hex)
+    return AcceptedChange(revision=revision, author=author, change_id=change_id, change=change)
+
+
+def _reference(configuration: Configuration, change_id: ChangeId) -> SnapshotReference:
+    return SnapshotReference(
+        revision=configuration.revision,
+        change_id=change_id,
+        chunk_count=len(split_snapshot(configuration)),
+    )
+
+
+def _size_bytes(patch: PatchDeclaration) -> int:
+    return len(patch.model_dump_json().encode())
