--- a/gooseberryquay/cli.py
+++ b/gooseberryquay/cli.py
@@ -7,6 +7,7 @@
 
 from gooseberryquay.contracts import load_settings
 from gooseberryquay.standins.commands import StandInCommands
+from gooseberryquay.zones.commands import ConfigCommands, UpstreamCommands, ZoneCommands
 
 __all__ = ["Commands", "main"]
 
@@ -15,7 +16,10 @@
     """Serve generations and plain services, and operate the entries that do."""
 
     def __init__(self) -> None:
+        self.config = ConfigCommands()
         self.standin = StandInCommands()
+        self.upstream = UpstreamCommands()
+        self.zone = ZoneCommands()
 
     def check(self, base: str, overlay: str | None = None) -> None:
         """Check settings and print every problem; the exit status is 1 if there is one."""
--- a/gooseberryquay/standins/keeper_fleet.py
+++ b/gooseberryquay/standins/keeper_fleet.py
@@ -1,5 +1,6 @@
 """Many configuration keepers as threads of one process, for tests and experiments."""
 
+import threading
 import time
 from collections.abc import Callable
 
@@ -34,14 +35,14 @@
         self._roster: dict[str, Peer] = {}
         self.nodes: dict[str, KeeperNode] = {}
 
-    def add(self, *names: str) -> None:
-        """Bind all of the named keepers, then start them."""
+    def add(self, *names: str, cut_from: frozenset[str] = frozenset()) -> None:
+        """Bind all of the named keepers, then start them, if need be cut off from others."""
         nodes = {name: self._make(name) for name in names}
         for name, node in nodes.items():
             self._roster[name] = node.bind()
         self.nodes |= nodes
         for node in nodes.values():
-            node.begin()
+            node.begin(cut_from)
 
     def _make(self, name: str) -> KeeperNode:
         return KeeperNode(
@@ -59,10 +60,24 @@
         del self._roster[name]
         self.nodes.pop(name).stop()
 
+    def cut(self, names: frozenset[str]) -> None:
+        """Cut the named keepers off from the platform and from all others; none mends all."""
+        others = frozenset(self.nodes) - names
+        for name, node in self.nodes.items():
+            if name in names:
+                node.cut_off(others)
+            else:
+                node.peers.cut_from = names
+                node.link.is_cut = False
+
     def revisions(self) -> tuple[Revision, ...]:
         """Give the revision in force at each keeper."""
         return tuple(node.keeper.revision() for node in self.nodes.values())
 
+    def is_fresh(self) -> bool:
+        """Tell whether every keeper may act on its configuration."""
+        return all(node.keeper.is_fresh() for node in self.nodes.values())
+
     def wait_for_revision(self, revision: Revision, timeout_s: float) -> bool:
         """Wait until every keeper has at least a revision in force."""
         return self.wait_for(lambda: all(held >= revision for held in self.revisions()), timeout_s)
@@ -78,5 +93,10 @@
 
     def stop(self) -> None:
         """Stop every keeper."""
-        for name in list(self.nodes):
-            self.remove(name)
+        stops = [threading.Thread(target=node.stop) for node in self.nodes.values()]
+        for stop in stops:
+            stop.start()
+        for stop in stops:
+            stop.join()
+        self.nodes.clear()
+        self._roster.clear()
--- a/gooseberryquay/standins/keeper_node.py
+++ b/gooseberryquay/standins/keeper_node.py
@@ -12,7 +12,8 @@
 from gooseberryquay.ids import EntryId, Incarnation, Revision, ZoneId
 from gooseberryquay.links.http_client import HttpClient, LinkBroken, LinkFailure, Reply
 from gooseberryquay.links.http_server import HttpServer, Request, Response, Router
-from gooseberryquay.links.platform_link import PlatformLink
+from gooseberryquay.links.platform_link import PlatformLink, PlatformUnreachable, ReadFailure
+from gooseberryquay.links.platform_messages import StoredObject
 from gooseberryquay.machines.peer import Peer
 from gooseberryquay.zones.configuration import Configuration
 from gooseberryquay.zones.configuration_keeper import ConfigurationKeeper
@@ -48,15 +49,33 @@
     is_platform_unreachable: bool
 
 
+class SeverableLink(PlatformLink):
+    """Reach the platform unless it is cut off."""
+
+    is_cut = False
+
+    def read(self, key: str) -> Result[StoredObject | None, ReadFailure]:
+        """Read one object unless cut off."""
+        return Err(PlatformUnreachable("cut on purpose")) if self.is_cut else super().read(key)
+
+    def watch(
+        self, key: str, after_version: int, timeout_s: float
+    ) -> Result[StoredObject | None, ReadFailure]:
+        """Watch one object unless cut off."""
+        if self.is_cut:
+            return Err(PlatformUnreachable("cut on purpose"))
+        return super().watch(key, after_version, timeout_s)
+
+
 class FixedPeers:
-    """Take everybody on a roster for alive, and count what is sent."""
+    """Take everybody on a roster for alive, but for those cut off; count what is sent."""
 
     def __init__(self, myself: Peer, roster: Callable[[], Sequence[Peer]]) -> None:
         self._myself = myself
         self._roster = roster
         self._lock = threading.Lock()
         self._clients: dict[Address, HttpClient] = {}
-        self.is_cut = False
+        self.cut_from: frozenset[str] = frozenset()
         self.message_count = 0
         self.sent_bytes = 0
 
@@ -65,14 +84,14 @@
         return self._myself
 
     def live(self) -> tuple[Peer, ...]:
-        """Give everybody on the roster."""
-        return tuple(self._roster())
+        """Give everybody on the roster who is not cut off."""
+        return tuple(peer for peer in self._roster() if peer.id not in self.cut_from)
 
     def send(
         self, to: Peer, path: str, message: BaseModel, timeout_s: float
     ) -> Result[Reply, LinkFailure]:
-        """POST a message; while cut, nothing is sent."""
-        if self.is_cut:
+        """POST a message; nothing is sent to those cut off."""
+        if to.id in self.cut_from:
             return Err(LinkBroken("cut on purpose", was_sent=False))
         body = message.model_dump_json().encode()
         sent = self._client_of(to).send("POST", path, body, read_timeout_s=timeout_s)
@@ -134,11 +153,14 @@
         )
         return self._peer
 
-    def begin(self) -> None:
-        """Start the keeper and its heartbeat."""
+    def begin(self, cut_from: frozenset[str] = frozenset()) -> None:
+        """Start the keeper and its heartbeat; cut off from peers, it has no platform either."""
         self.peers = FixedPeers(self._peer, self._roster)
-        link = PlatformLink(self._platform, 0.3, PLATFORM_TIMEOUT_S)
-        self.keeper = ConfigurationKeeper(self.peers, link, self._base, self._timing, self._chooser)
+        self.link = SeverableLink(self._platform, 0.3, PLATFORM_TIMEOUT_S)
+        self.cut_off(cut_from)
+        self.keeper = ConfigurationKeeper(
+            self.peers, self.link, self._base, self._timing, self._chooser
+        )
         self.keeper.add_routes(self._router)
         self._router.add("POST", HEARTBEAT_PATH, self._answer_heartbeat)
         self._router.add("GET", "/standin/status", lambda _request: Response.of(self.status()))
@@ -150,6 +172,11 @@
         self.bind()
         self.begin()
 
+    def cut_off(self, names: frozenset[str]) -> None:
+        """Cut the links to the platform and to the named peers; no names mend all."""
+        self.peers.cut_from = names
+        self.link.is_cut = bool(names)
+
     def stop(self) -> None:
         """Stop everything."""
         self._is_stopped.set()
@@ -203,7 +230,5 @@
         self.keeper.heard_from_peer(heartbeat.sender, heartbeat.revision, heartbeat.confirmed_age_s)
 
     def _answer_heartbeat(self, request: Request) -> Response:
-        if self.peers.is_cut:
-            return Response(status=503, body=b"{}")
         self._hear(Heartbeat.model_validate_json(request.body))
         return Response.of(self._heartbeat())
--- /dev/null
+++ b/gooseberryquay/zones/commands.py
@@ -0,0 +1,202 @@
+"""Commands by which operators read and change the accepted configuration."""
+
+import getpass
+from typing import NoReturn
+
+from result import Err, Ok
+
+from gooseberryquay.contracts import load_settings
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.ids import Revision, UpstreamId, ZoneId
+from gooseberryquay.links.platform_link import PlatformLink
+from gooseberryquay.zones.command_outcome import CommandOutcome, OutcomeKind, finish, outcome_of
+from gooseberryquay.zones.configuration import Configuration
+from gooseberryquay.zones.configuration_change import (
+    AcceptedChange,
+    ConfigurationChange,
+    ReplaceDeclaration,
+    SetUpstreamOrder,
+    SetZoneState,
+    describe_change,
+)
+from gooseberryquay.zones.configuration_store import ConfigurationStore
+from gooseberryquay.zones.zone_state import UpstreamOrder, ZoneState
+
+__all__ = ["ConfigCommands", "UpstreamCommands", "ZoneCommands"]
+
+
+class ConfigCommands:
+    """Apply, show and list accepted configurations."""
+
+    def apply(
+        self,
+        base: str,
+        platform: str,
+        expected_revision: int | None = None,
+        author: str | None = None,
+        *,
+        json: bool = False,
+    ) -> None:
+        """Make a base file the accepted declaration, or the first one if there is none.
+
+        Exit status: 0 accepted, 1 checks failed, 2 conflict, 3 unavailable or undecided.
+        """
+        match load_settings(base):
+            case Err(problems):
+                texts = tuple(str(problem) for problem in problems)
+                message = "\n".join(texts)
+                kind = OutcomeKind.CHECKS_FAILED
+                finish(CommandOutcome(outcome=kind, message=message, problems=texts), json)
+            case Ok(settings):
+                change = ReplaceDeclaration(declaration=settings.declaration)
+                outcome = _change(platform, change, author, expected_revision)
+                if outcome.outcome is OutcomeKind.NO_CONFIGURATION:
+                    created = _store(platform).create(settings.declaration, _author(author))
+                    outcome = outcome_of(created)
+                finish(outcome, json)
+
+    def show(self, platform: str, *, json: bool = False) -> None:
+        """Show the accepted configuration."""
+        match _store(platform).read():
+            case Err(failure):
+                finish(outcome_of(Err(failure)), json)
+            case Ok(stored):
+                held = stored.configuration
+                outcome = CommandOutcome(
+                    outcome=OutcomeKind.SHOWN,
+                    message=_describe(held),
+                    revision=held.revision,
+                    configuration=held,
+                )
+                finish(outcome, json)
+
+    def history(self, platform: str, *, json: bool = False) -> None:
+        """List the newest accepted changes, the last one first."""
+        match _store(platform).read():
+            case Err(failure):
+                finish(outcome_of(Err(failure)), json)
+            case Ok(stored):
+                changes = tuple(reversed(stored.document.changes))
+                outcome = CommandOutcome(
+                    outcome=OutcomeKind.SHOWN,
+                    message="\n".join(_describe_accepted(each) for each in changes),
+                    revision=stored.configuration.revision,
+                    changes=changes,
+                )
+                finish(outcome, json)
+
+
+class ZoneCommands:
+    """Take availability zones out and bring them back."""
+
+    def out(
+        self,
+        *zones: str,
+        platform: str,
+        expected_revision: int | None = None,
+        author: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Give the upstreams of availability zones no new work."""
+        change = _zone_change(zones, ZoneState.OUT)
+        finish(_change(platform, change, author, expected_revision), json)
+
+    def back(
+        self,
+        *zones: str,
+        platform: str,
+        expected_revision: int | None = None,
+        author: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Let the upstreams of availability zones get new work again."""
+        change = _zone_change(zones, ZoneState.IN)
+        finish(_change(platform, change, author, expected_revision), json)
+
+
+class UpstreamCommands:
+    """Drain upstreams and return them to service."""
+
+    def __init__(self) -> None:
+        setattr(self, "return", self.put_back)
+
+    def drain(
+        self,
+        *upstreams: str,
+        platform: str,
+        expected_revision: int | None = None,
+        author: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Give upstreams no new work; what they run goes on."""
+        change = _upstream_change(upstreams, UpstreamOrder.DRAIN)
+        finish(_change(platform, change, author, expected_revision), json)
+
+    def put_back(
+        self,
+        *upstreams: str,
+        platform: str,
+        expected_revision: int | None = None,
+        author: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Let upstreams get new work again; also named `return`."""
+        change = _upstream_change(upstreams, UpstreamOrder.SERVE)
+        finish(_change(platform, change, author, expected_revision), json)
+
+
+def _zone_change(zones: tuple[str, ...], state: ZoneState) -> SetZoneState:
+    if not zones:
+        _reject("name at least one availability zone")
+    return SetZoneState(zones=tuple(ZoneId(str(zone)) for zone in zones), state=state)
+
+
+def _upstream_change(upstreams: tuple[str, ...], order: UpstreamOrder) -> SetUpstreamOrder:
+    if not upstreams:
+        _reject("name at least one upstream")
+    names = tuple(UpstreamId(str(upstream)) for upstream in upstreams)
+    return SetUpstreamOrder(upstreams=names, order=order)
+
+
+def _change(
+    platform: str, change: ConfigurationChange, author: str | None, expected_revision: int | None
+) -> CommandOutcome:
+    expected = None if expected_revision is None else Revision(expected_revision)
+    return outcome_of(_store(platform).apply(change, _author(author), expected))
+
+
+def _store(platform: str) -> ConfigurationStore:
+    host, _, port = str(platform).rpartition(":")
+    if not host or not port.isdigit():
+        _reject(f"--platform={platform} must be IP:PORT")
+    return ConfigurationStore(PlatformLink(Address(host, int(port))))
+
+
+def _reject(message: str) -> NoReturn:
+    kind = OutcomeKind.CHECKS_FAILED
+    outcome = CommandOutcome(outcome=kind, message=message, problems=(message,))
+    finish(outcome, is_json=False)
+
+
+def _author(author: str | None) -> str:
+    return author or getpass.getuser()
+
+
+def _describe(held: Configuration) -> str:
+    declaration = held.declaration
+    lines = [
+        f"revision {held.revision}",
+        f"services: {', '.join(declaration.services)}",
+        f"workspaces: {len(declaration.workspaces)}",
+        f"upstreams: {len(declaration.upstreams)}",
+    ]
+    for zone in sorted(declaration.zones()):
+        lines.append(f"zone {zone}: {held.zone_states.get(zone, ZoneState.IN).value}")
+    for upstream, order in held.upstream_orders.items():
+        lines.append(f"upstream {upstream}: {order.value}")
+    return "\n".join(lines)
+
+
+def _describe_accepted(accepted: AcceptedChange) -> str:
+    described = describe_change(accepted.change)
+    return f"{accepted.revision} {accepted.author} {accepted.change_id} {described}"
--- a/gooseberryquay/zones/configuration_spread.py
+++ b/gooseberryquay/zones/configuration_spread.py
@@ -86,10 +86,22 @@
             self._request_pull(peer)
 
     def ask_peers(self) -> bool:
-        """Pull from several peers one after another; tell whether one of them answered."""
+        """Pull from several peers; tell whether one of them answered."""
         others = self._others()
         asked = self._chooser.sample(others, min(len(others), self._timing.start_peers))
-        return any([self._pull(peer, wants_members=True) for peer in asked])
+        while asked:
+            # The first pull may bring a whole snapshot; the others then bring only what is newer.
+            if self._pull(asked.pop(), wants_members=True):
+                self._pull_from_all(asked)
+                return True
+        return False
+
+    def _pull_from_all(self, peers: list[Peer]) -> None:
+        pulls = [threading.Thread(target=self._pull, args=(peer, True)) for peer in peers]
+        for pull in pulls:
+            pull.start()
+        for pull in pulls:
+            pull.join()
 
     def _others(self) -> list[Peer]:
         myself = self._peers.myself().id
--- a/gooseberryquay/zones/configuration_watch.py
+++ b/gooseberryquay/zones/configuration_watch.py
@@ -81,6 +81,7 @@
         self._hurried.set()
 
     def _run(self) -> None:
+        self._spread.ask_peers()
         while not self._is_stopped.is_set():
             self._reachability.see_members(peer.id for peer in self._peers.live())
             if self._is_watcher():
--- /dev/null
+++ b/gooseberryquay/zones/tests/test_commands.py
@@ -0,0 +1,67 @@
+import json
+import subprocess
+import sys
+
+import pytest
+
+from gooseberryquay.standins.platform_faults import LostAnswers, Outage, PlatformFaults
+from gooseberryquay.zones.configuration_document import CURRENT_KEY
+from gooseberryquay.zones.tests.builders import BASE_INI, HOST, drain
+
+
+@pytest.fixture
+def run(platform):
+    def run_command(*arguments):
+        command = [sys.executable, "-m", "gooseberryquay", *arguments]
+        command += [f"--platform={HOST}:{platform.port}", "--author=ada"]
+        return subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
+
+    return run_command
+
+
+@pytest.fixture
+def base_path(tmp_path):
+    path = tmp_path / "base.ini"
+    path.write_text(BASE_INI)
+    return path
+
+
+def test_operator_takes_a_zone_out_and_sees_it(run, base_path, store):
+    assert run("config", "apply", str(base_path)).returncode == 0
+    done = run("zone", "out", "sask-a", "sask-b", "--json")
+    assert (done.returncode, json.loads(done.stdout)["revision"]) == (0, 2)
+    assert run("upstream", "drain", "yield-0").returncode == 0
+    assert run("upstream", "return", "yield-0").returncode == 0
+    held = store.read().unwrap().configuration
+    assert {zone: state.value for zone, state in held.zone_states.items()} == {
+        "sask-a": "out",
+        "sask-b": "out",
+    }
+    assert held.upstream_orders == {}
+
+
+def test_checks_conflict_and_outage_have_their_own_status(run, base_path, store, platform):
+    assert run("config", "apply", str(base_path)).returncode == 0
+    assert run("zone", "out").returncode == 1
+    unknown = run("zone", "out", "nowhere")
+    assert unknown.returncode == 1
+    assert "sask-a, sask-b, sask-c" in unknown.stderr
+    store.apply(drain("yield-0"), "grace")
+    conflict = run("zone", "out", "sask-a", "--expected_revision=1", "--json")
+    assert conflict.returncode == 2
+    assert json.loads(conflict.stdout)["winners"][0]["author"] == "grace"
+    platform.set_faults(PlatformFaults(outage=Outage.REFUSE))
+    assert run("zone", "out", "sask-a").returncode == 3
+    lost = LostAnswers(key_prefix=CURRENT_KEY, is_applied=False)
+    platform.set_faults(PlatformFaults(lost_answers=lost))
+    undecided = run("zone", "out", "sask-a", "--json")
+    assert undecided.returncode == 3
+    assert json.loads(undecided.stdout)["outcome"] == "undecided"
+
+
+def test_base_file_with_mistakes_is_not_applied(run, base_path, store):
+    base_path.write_text(BASE_INI.replace("zone = sask-a", "zone = nowhere"))
+    failed = run("config", "apply", str(base_path), "--json")
+    assert failed.returncode == 1
+    assert "nowhere" in json.loads(failed.stdout)["problems"][0]
+    assert store.read().is_err()
--- /dev/null
+++ b/gooseberryquay/zones/tests/test_configuration_keeper.py
@@ -0,0 +1,105 @@
+from result import Ok
+
+from gooseberryquay.contracts import Address
+from gooseberryquay.standins.keeper_fleet import KeeperFleet
+from gooseberryquay.standins.platform_faults import PlatformFaults
+from gooseberryquay.standins.platform_limits import CallKind
+from gooseberryquay.zones.configuration_change import ReplaceDeclaration
+from gooseberryquay.zones.configuration_document import CURRENT_KEY
+from gooseberryquay.zones.configuration_store import ConfigurationStore
+from gooseberryquay.zones.keeper_timing import KeeperTiming
+from gooseberryquay.zones.tests.builders import (
+    EIGHT,
+    HOST,
+    LONG_S,
+    make_declaration,
+    make_upstream,
+    zone_back,
+    zone_out,
+)
+from gooseberryquay.zones.watcher_choice import choose_watchers
+
+
+def test_first_configuration_is_created_once(fleet, store):
+    fleet.add(*EIGHT)
+    assert fleet.wait_for_revision(1, LONG_S)
+    stored = store.read().unwrap()
+    assert stored.configuration.revision == stored.version == 1
+    assert set(fleet.revisions()) == {1}
+
+
+def test_change_is_in_force_at_eight_entries_within_the_bound(fleet, store):
+    fleet.add(*EIGHT)
+    assert fleet.wait_for(fleet.is_fresh, LONG_S)
+    assert store.apply(zone_out(), "op").is_ok()
+    assert fleet.wait_for_revision(2, 5.0)
+    for node in fleet.nodes.values():
+        assert not node.keeper.configuration().may_get_work(make_upstream("yield-0"))
+
+
+def test_large_declaration_reaches_every_entry(fleet, store):
+    fleet.add(*EIGHT[:4])
+    assert fleet.wait_for_revision(1, LONG_S)
+    big = make_declaration(4800)
+    assert store.apply(ReplaceDeclaration(declaration=big), "op").is_ok()
+    assert fleet.wait_for_revision(2, LONG_S)
+    assert all(n.keeper.configuration().declaration == big for n in fleet.nodes.values())
+
+
+def test_only_watchers_ask_the_platform_while_all_is_well(platform, store):
+    timing = KeeperTiming(freshness_bound_s=60.0)
+    fleet = KeeperFleet(Address(HOST, platform.port), make_declaration(), timing, 0.1)
+    try:
+        fleet.add(*EIGHT)
+        assert fleet.wait_for_revision(1, LONG_S)
+        reads = platform.counts().calls(CallKind.READ, "config")
+        for revision in range(2, 8):
+            change = zone_out() if revision % 2 == 0 else zone_back()
+            assert store.apply(change, "op").is_ok()
+            assert fleet.wait_for_revision(revision, LONG_S)
+        # The operator reads the current object and the snapshot for each change.
+        assert platform.counts().calls(CallKind.READ, "config") - reads <= 12 + len(EIGHT)
+    finally:
+        fleet.stop()
+
+
+def test_older_object_of_the_platform_never_steps_back(fleet, store, platform):
+    fleet.add(*EIGHT[:3])
+    assert fleet.wait_for_revision(1, LONG_S)
+    assert store.apply(zone_out(), "op").is_ok()
+    assert fleet.wait_for_revision(2, LONG_S)
+    platform.set_faults(PlatformFaults(stale_prefix="config/"))
+    fleet.add("late")
+    assert fleet.wait_for(lambda: fleet.nodes["late"].keeper.revision() == 2, LONG_S)
+    assert set(fleet.revisions()) == {2}
+
+
+def test_object_rewritten_with_an_older_revision_is_ignored(fleet, store, link):
+    fleet.add(*EIGHT[:3])
+    assert fleet.wait_for_revision(1, LONG_S)
+    old = link.read(CURRENT_KEY).unwrap().value
+    store.apply(zone_out(), "op")
+    assert fleet.wait_for_revision(2, LONG_S)
+    link.write(CURRENT_KEY, old)
+    assert not fleet.wait_for(lambda: min(fleet.revisions()) < 2, 2.0)
+
+
+def test_watchers_are_few_and_the_same_in_every_view(fleet):
+    fleet.add(*EIGHT)
+    live = next(iter(fleet.nodes.values())).peers.live()
+    chosen = choose_watchers(live, 2)
+    assert len(chosen) == 2
+    assert chosen == choose_watchers(tuple(reversed(live)), 2)
+
+
+def test_entry_creates_nothing_while_its_peers_hold_a_configuration(fleet, store, link):
+    fleet.add(*EIGHT[:2])
+    assert fleet.wait_for_revision(1, LONG_S)
+    assert store.apply(zone_out(), "op").is_ok()
+    assert fleet.wait_for_revision(2, LONG_S)
+    stored = link.read(CURRENT_KEY).unwrap()
+    assert link.delete(CURRENT_KEY, stored.version).is_ok()
+    fleet.add("late")
+    assert fleet.wait_for(lambda: fleet.nodes["late"].keeper.revision() == 2, LONG_S)
+    assert ConfigurationStore(link).read().is_err()
+    assert link.read(CURRENT_KEY) == Ok(None)
--- /dev/null
+++ b/gooseberryquay/zones/tests/test_keeper_processes.py
@@ -0,0 +1,122 @@
+import signal
+import time
+
+import pytest
+
+from gooseberryquay.contracts import Address
+from gooseberryquay.ids import EntryId, Incarnation, ZoneId
+from gooseberryquay.links.http_client import HttpClient
+from gooseberryquay.links.platform_link import PlatformLink
+from gooseberryquay.machines.peer import Peer
+from gooseberryquay.standins.keeper_node import KeeperStatus
+from gooseberryquay.standins.platform_control import PlatformControl
+from gooseberryquay.standins.platform_faults import Outage, PlatformFaults
+from gooseberryquay.standins.process import CommandProcess, find_free_port
+from gooseberryquay.zones.configuration_store import ConfigurationStore
+from gooseberryquay.zones.tests.builders import (
+    BASE_INI,
+    EIGHT,
+    HOST,
+    LONG_S,
+    make_upstream,
+    zone_out,
+)
+from gooseberryquay.zones.watcher_choice import choose_watchers
+
+
+class Keepers:
+    def __init__(self, base_path):
+        self.platform = CommandProcess("standin", "platform").start()
+        self.address = Address(HOST, self.platform.port)
+        self.store = ConfigurationStore(PlatformLink(self.address))
+        self.control = PlatformControl(self.address)
+        self.ports = {name: find_free_port() for name in EIGHT}
+        self._base_path = base_path
+        self.processes = {}
+
+    def start(self, *names):
+        peers = ",".join(f"{name}={port}" for name, port in self.ports.items())
+        for name in names:
+            self.processes[name] = CommandProcess(
+                "standin",
+                "keeper",
+                name,
+                str(self._base_path),
+                str(self.address),
+                str(self.ports[name]),
+                f"'{peers}'",
+            ).start()
+
+    def status(self, name):
+        reply = HttpClient(HOST, self.ports[name]).send("GET", "/standin/status")
+        if reply.is_err() or reply.unwrap().status != 200:
+            return None
+        return KeeperStatus.model_validate_json(reply.unwrap().body)
+
+    def wait_for(self, names, is_reached, timeout_s):
+        deadline_s = time.monotonic() + timeout_s
+        waiting = set(names)
+        while waiting and time.monotonic() < deadline_s:
+            waiting = {name for name in waiting if not is_reached(self.status(name))}
+            time.sleep(0.05)
+        return not waiting
+
+    def watchers(self):
+        peers = [
+            Peer(
+                id=EntryId(name),
+                incarnation=Incarnation(1),
+                zone=ZoneId("a"),
+                control_address=Address(HOST, port),
+            )
+            for name, port in self.ports.items()
+        ]
+        return sorted(choose_watchers(peers, 2))
+
+    def stop(self):
+        for process in (*self.processes.values(), self.platform):
+            process.kill()
+
+
+@pytest.fixture
+def keepers(tmp_path):
+    base_path = tmp_path / "base.ini"
+    base_path.write_text(BASE_INI)
+    fleet = Keepers(base_path)
+    yield fleet
+    fleet.stop()
+
+
+def _is_zone_out(status):
+    return status is not None and not status.configuration.may_get_work(make_upstream("yield-0"))
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+def test_zone_is_out_everywhere_within_the_bound_though_a_watcher_is_gone(keepers, number):
+    keepers.start(*EIGHT)
+    assert keepers.wait_for(EIGHT, lambda status: status and status.is_fresh, LONG_S)
+    gone = keepers.watchers()[0]
+    keepers.processes[gone].send_signal(number)
+    others = [name for name in EIGHT if name != gone]
+    assert keepers.store.apply(zone_out(), "op").is_ok()
+    assert keepers.wait_for(others, _is_zone_out, 3.0)
+    if number == signal.SIGSTOP:
+        keepers.processes[gone].send_signal(signal.SIGCONT)
+        assert keepers.wait_for([gone], _is_zone_out, 3.0)
+
+
+def test_all_entries_learn_of_a_change_made_just_before_an_outage(keepers):
+    keepers.start(*EIGHT)
+    assert keepers.wait_for(EIGHT, lambda status: status and status.is_fresh, LONG_S)
+    assert keepers.store.apply(zone_out(), "op").is_ok()
+    watcher = keepers.watchers()
+    assert keepers.wait_for(watcher, _is_zone_out, LONG_S)
+    keepers.control.set_faults(PlatformFaults(outage=Outage.DROP))
+    assert keepers.wait_for(EIGHT, _is_zone_out, LONG_S)
+    restarted = EIGHT[:2]
+    for name in restarted:
+        keepers.processes[name].kill()
+    keepers.start(*restarted)
+    assert keepers.wait_for(
+        restarted, lambda status: status and status.is_fresh and _is_zone_out(status), LONG_S
+    )
