--- a/gooseberryquay/cli.py
+++ b/gooseberryquay/cli.py
@@ -9,6 +9,7 @@
 from gooseberryquay.daemons.commands import run_entry
 from gooseberryquay.standins.commands import StandInCommands
 from gooseberryquay.standins.load.command import run_load
+from gooseberryquay.zones.commands import ConfigCommands, UpstreamCommands, ZoneCommands
 
 __all__ = ["Commands", "main"]
 
@@ -17,7 +18,10 @@
     """Serve generations and plain services, and operate the entries that do."""
 
     def __init__(self) -> None:
+        self.config = ConfigCommands()
         self.standin = StandInCommands()
+        self.upstream = UpstreamCommands()
+        self.zone = ZoneCommands()
         self.load = run_load
 
     def entry(self, base: str, overlay: str, name: str | None = None) -> None:
