--- /dev/null
+++ b/gooseberryquay/machines/tests/test_rendezvous.py
@@ -0,0 +1,34 @@
+from collections import Counter
+
+from gooseberryquay.ids import EntryId
+from gooseberryquay.machines.rendezvous import first_owners, owner_of, subset_of
+from gooseberryquay.machines.tests.member_builders import a_peer, an_upstream
+
+KEYS = [f"key-{number}" for number in range(1000)]
+
+
+def test_losing_a_peer_moves_only_its_keys():
+    peers = [a_peer(f"entry-{number}") for number in range(8)]
+    lost = peers[3]
+    rest = [peer for peer in peers if peer is not lost]
+    for key in KEYS:
+        if owner_of(key, peers) != lost:
+            assert owner_of(key, rest) == owner_of(key, peers)
+        else:
+            assert owner_of(key, rest) == first_owners(key, peers, 2)[1]
+
+
+def test_restart_keeps_the_keys_of_an_entry():
+    before = [a_peer("entry-1"), a_peer("entry-2")]
+    after = [a_peer("entry-1", port=2, incarnation=9), a_peer("entry-2")]
+    assert all(owner_of(key, before).id == owner_of(key, after).id for key in KEYS)
+
+
+def test_subsets_cover_every_upstream():
+    upstreams = [an_upstream(f"engine-{number}") for number in range(200)]
+    readers = Counter()
+    for number in range(100):
+        subset = subset_of(EntryId(f"entry-{number}"), upstreams, 30)
+        assert len(subset) == 30
+        readers.update(each.id for each in subset)
+    assert len(readers) == 200
