--- a/gooseberryquay/cli.py
+++ b/gooseberryquay/cli.py
@@ -8,6 +8,7 @@
 from gooseberryquay.contracts import load_settings
 from gooseberryquay.daemons.commands import run_entry
 from gooseberryquay.standins.commands import StandInCommands
+from gooseberryquay.standins.member_commands import MemberCommands
 
 __all__ = ["Commands", "main"]
 
@@ -17,6 +18,7 @@
 
     def __init__(self) -> None:
         self.standin = StandInCommands()
+        self.members = MemberCommands()
 
     def entry(self, base: str, overlay: str, name: str | None = None) -> None:
         """Run the entry NAME of the overlay until SIGTERM, then drain it."""
--- /dev/null
+++ b/gooseberryquay/machines/membership.py
@@ -0,0 +1,195 @@
+"""Membership of entries: who runs, who leaves, and messages to them."""
+
+import logging
+import random
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from pydantic import BaseModel
+from result import Result
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.links.http_client import LinkFailure, Reply
+from gooseberryquay.links.http_server import Router
+from gooseberryquay.links.platform_messages import InstanceState
+from gooseberryquay.machines.member_changes import ChangeQueue
+from gooseberryquay.machines.member_directory import InstanceDirectory, MemberDirectory
+from gooseberryquay.machines.member_exchange import (
+    HEARTBEAT_PATH,
+    MEMBERS_PATH,
+    ExtrasHooks,
+    MemberExchange,
+)
+from gooseberryquay.machines.member_messages import HeartbeatExtras, MemberRecord
+from gooseberryquay.machines.member_pause import PauseGuard
+from gooseberryquay.machines.member_prober import RELAY_PATH, MemberProber
+from gooseberryquay.machines.member_seeds import MemberSeeds
+from gooseberryquay.machines.member_table import MemberTable
+from gooseberryquay.machines.member_timing import MembershipTiming
+from gooseberryquay.machines.peer import Peer
+from gooseberryquay.machines.peer_links import PeerLinks
+
+__all__ = ["Membership"]
+
+LEAVE_FANOUT = 8
+PROBE_THREADS = 4
+REMOVED_PROBE_STEPS = 5
+
+log = logging.getLogger(__name__)
+
+
+class Membership:
+    """Know the live entries and send messages to them.
+
+    `seeds` are control addresses of entries that may run. `on_extras` is called with what other
+    entries tell, on the threads of heartbeats.
+    """
+
+    def __init__(
+        self,
+        myself: Peer,
+        *,
+        seeds: tuple[Address, ...] = (),
+        platform: InstanceDirectory | None = None,
+        timing: MembershipTiming | None = None,
+        extras: Callable[[], HeartbeatExtras] = HeartbeatExtras,
+        on_extras: Callable[[Peer, HeartbeatExtras], None] = lambda _peer, _extras: None,
+        rng: random.Random | None = None,
+        links: PeerLinks | None = None,
+    ) -> None:
+        self._timing = timing or MembershipTiming()
+        self._rng = rng or random.Random()
+        self._changes = ChangeQueue()
+        self._links = links or PeerLinks()
+        self._guard = PauseGuard(self._timing.pause_s())
+        self._table = MemberTable(_record_of(myself), self._changes, self._timing)
+        hooks = ExtrasHooks(extras, on_extras)
+        self._exchange = MemberExchange(
+            self._table,
+            self._changes,
+            self._links,
+            timing=self._timing,
+            guard=self._guard,
+            hooks=hooks,
+        )
+        self._prober = MemberProber(
+            self._table, self._exchange, self._links, timing=self._timing, rng=self._rng
+        )
+        self._directory = MemberDirectory(platform)
+        self._seeds = MemberSeeds(seeds, self._directory, self._table, self._exchange, self._rng)
+        self._tasks = ThreadPoolExecutor(PROBE_THREADS, thread_name_prefix="membership")
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="membership", daemon=True)
+
+    def add_routes(self, router: Router) -> None:
+        """Serve heartbeats, relayed probes and the member list."""
+        router.add("POST", HEARTBEAT_PATH, self._exchange.answer_heartbeat)
+        router.add("POST", RELAY_PATH, self._prober.answer_relay)
+        router.add("GET", MEMBERS_PATH, self._exchange.answer_members)
+
+    def start(self) -> None:
+        """Join the other entries and keep up with them; the control API must be served."""
+        self._seeds.join()
+        self._table.begin()
+        self._directory.want(self._table.myself.peer(), InstanceState.LIVE)
+        self._guard.tick()
+        self._thread.start()
+
+    def announce_leave(self) -> None:
+        """Tell other entries and the platform that this entry takes no new work."""
+        self._table.leave()
+        self._directory.want(self._table.myself.peer(), InstanceState.LEAVING)
+        others = [each for each in self._table.present() if each.is_live()]
+        told = self._rng.sample(others, min(LEAVE_FANOUT, len(others)))
+        tellers = [
+            threading.Thread(target=self._exchange.probe, args=(each.control_address, each))
+            for each in told
+        ]
+        for teller in tellers:
+            teller.start()
+        for teller in tellers:
+            teller.join()
+
+    def stop(self) -> None:
+        """Stop heartbeats, take this entry off the platform's list and close all links."""
+        self._stopping.set()
+        if self._thread.is_alive():
+            self._thread.join()
+        self._tasks.shutdown(wait=True, cancel_futures=True)
+        self._prober.close()
+        self._directory.remove()
+        self._links.close()
+
+    def myself(self) -> Peer:
+        """Give this entry."""
+        return self._table.myself.peer()
+
+    def live(self) -> tuple[Peer, ...]:
+        """Give every entry believed alive and not leaving.
+
+        This one is included until it leaves, and after that where there is no other.
+        """
+        return self._table.live()
+
+    def is_superseded(self) -> bool:
+        """Tell whether a later run with this entry's id was heard of, so that this one must end."""
+        return self._table.is_superseded()
+
+    def send(
+        self, to: Peer, path: str, message: BaseModel, timeout_s: float
+    ) -> Result[Reply, LinkFailure]:
+        """POST a message as JSON to a peer's control API."""
+        body = message.model_dump_json(by_alias=True).encode()
+        return self._links.send(to.control_address, "POST", path, body, timeout_s)
+
+    def _run(self) -> None:
+        step = 0
+        while not self._stopping.wait(self._timing.period_s * self._rng.uniform(0.9, 1.1)):
+            if self._guard.tick():
+                self._recover_from_pause()
+            self._table.expire()
+            if self._table.is_superseded():
+                continue
+            self._submit(self._prober.probe_next)
+            self._submit(self._directory.register)
+            if step % REMOVED_PROBE_STEPS == 0:
+                self._submit(self._prober.probe_removed)
+            if self._is_time_for_seeds():
+                self._submit(self._seeds.contact_missing)
+            self._links.close_idle()
+            step += 1
+
+    def _is_time_for_seeds(self) -> bool:
+        members = len(self._table.live())
+        is_alone = members <= 1
+        interval_s = self._timing.seed_interval_s(members)
+        return is_alone or self._rng.random() < self._timing.period_s / interval_s
+
+    def _recover_from_pause(self) -> None:
+        """Drop what was believed to be news, and learn what changed before judging anyone."""
+        log.warning("this process was paused")
+        self._changes.clear()
+        self._table.restart_suspicions()
+        present = self._table.present()
+        if present:
+            self._submit(self._exchange.pull, self._rng.choice(present).control_address)
+
+    def _submit(self, task: Callable[..., None], *arguments: Address) -> None:
+        self._tasks.submit(_run_logged, task, *arguments)
+
+
+def _run_logged(task: Callable[..., None], *arguments: Address) -> None:
+    try:
+        task(*arguments)
+    except Exception:
+        log.exception("membership task failed")
+
+
+def _record_of(peer: Peer) -> MemberRecord:
+    return MemberRecord(
+        id=peer.id,
+        incarnation=peer.incarnation,
+        zone=peer.zone,
+        control_address=peer.control_address,
+    )
--- /dev/null
+++ b/gooseberryquay/machines/peer_links.py
@@ -0,0 +1,80 @@
+"""Kept connections to the control APIs of other entries."""
+
+import threading
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from result import Err, Result
+from urllib3.util import SKIP_HEADER
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.links.http_client import HttpClient, LinkFailure, LinkTimeout, Reply
+
+__all__ = ["PeerLinks"]
+
+MAX_IDLE_S = 20.0
+CONNECT_TIMEOUT_S = 0.5
+SHORT_HEADERS: Mapping[str, str] = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
+
+
+@dataclass
+class _Link:
+    client: HttpClient
+    used_at_s: float
+
+
+class PeerLinks:
+    """Send to each address through its own pool; replace a pool whose connection timed out."""
+
+    def __init__(self) -> None:
+        self._links: dict[Address, _Link] = {}
+        self._lock = threading.Lock()
+
+    def send(
+        self, to: Address, method: str, path: str, body: bytes, timeout_s: float
+    ) -> Result[Reply, LinkFailure]:
+        """Send one request; `timeout_s` bounds the connecting and each wait for bytes."""
+        client = self._client_for(to, timeout_s)
+        sent = client.send(method, path, body, SHORT_HEADERS, read_timeout_s=timeout_s)
+        match sent:
+            case Err(LinkTimeout()):
+                self._drop(to, client)
+            case _:
+                pass
+        return sent
+
+    def close_idle(self) -> None:
+        """Close the connections to addresses that were not used lately."""
+        oldest_s = time.monotonic() - MAX_IDLE_S
+        with self._lock:
+            idle = [to for to, link in self._links.items() if link.used_at_s < oldest_s]
+            links = [self._links.pop(to) for to in idle]
+        for link in links:
+            link.client.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        with self._lock:
+            links = list(self._links.values())
+            self._links.clear()
+        for link in links:
+            link.client.close()
+
+    def _client_for(self, to: Address, timeout_s: float) -> HttpClient:
+        now_s = time.monotonic()
+        with self._lock:
+            link = self._links.get(to)
+            if link is None:
+                connect_s = min(timeout_s, CONNECT_TIMEOUT_S)
+                link = _Link(HttpClient(to.host, to.port, connect_s), now_s)
+                self._links[to] = link
+            link.used_at_s = now_s
+            return link.client
+
+    def _drop(self, to: Address, client: HttpClient) -> None:
+        with self._lock:
+            link = self._links.get(to)
+            if link is not None and link.client is client:
+                del self._links[to]
+        client.close()
--- a/gooseberryquay/machines/tests/member_builders.py
+++ b/gooseberryquay/machines/tests/member_builders.py
@@ -1,9 +1,19 @@
 """Test data for entries and upstreams."""
 
+import random
+import time
+
+from result import Err
+
 from gooseberryquay.contracts import Address
 from gooseberryquay.contracts.upstream import UpstreamDeclaration
 from gooseberryquay.ids import EntryId, Incarnation, ServiceId, UpstreamId, ZoneId
+from gooseberryquay.links.http_client import LinkTimeout
+from gooseberryquay.links.http_server import HttpServer, Router
+from gooseberryquay.machines.member_timing import MembershipTiming
+from gooseberryquay.machines.membership import Membership
 from gooseberryquay.machines.peer import Peer
+from gooseberryquay.machines.peer_links import PeerLinks
 
 
 def a_peer(name, port=1, incarnation=1):
@@ -23,3 +33,66 @@
         address=Address("127.0.0.1", port),
         checks_fencing=checks_fencing,
     )
+
+
+FAST = MembershipTiming(
+    period_s=0.1,
+    probe_timeout_s=0.5,
+    relay_timeout_s=1.5,
+    suspicion_s=1.0,
+    seed_period_s=0.5,
+    pull_min_s=0.5,
+)
+PATIENCE_S = 20.0
+
+
+class CuttableLinks(PeerLinks):
+    """Peer links on which single addresses can be made silent."""
+
+    def __init__(self):
+        super().__init__()
+        self.cut = set()
+
+    def send(self, to, method, path, body, timeout_s):
+        if to in self.cut:
+            return Err(LinkTimeout("cut", was_sent=True))
+        return super().send(to, method, path, body, timeout_s)
+
+
+class Member:
+    """One entry's membership with its control API, on threads of the test."""
+
+    def __init__(self, name, seeds=(), incarnation=1, **options):
+        self.links = CuttableLinks()
+        router = Router()
+        self.server = HttpServer("127.0.0.1", 0, router)
+        self.server.start()
+        self.peer = a_peer(name, self.server.port, incarnation)
+        self.membership = Membership(
+            self.peer,
+            seeds=seeds,
+            timing=FAST,
+            rng=random.Random(name),
+            links=self.links,
+            **options,
+        )
+        self.membership.add_routes(router)
+        self.membership.start()
+
+    @property
+    def address(self):
+        return self.peer.control_address
+
+    def names(self):
+        return sorted(peer.id for peer in self.membership.live())
+
+    def stop(self):
+        self.membership.stop()
+        self.server.stop()
+
+
+def wait_until(condition):
+    deadline_s = time.monotonic() + PATIENCE_S
+    while not condition():
+        assert time.monotonic() < deadline_s, "not in time"
+        time.sleep(0.05)
--- /dev/null
+++ b/gooseberryquay/machines/tests/test_membership.py
@@ -0,0 +1,123 @@
+import time
+
+import pytest
+
+from gooseberryquay.contracts import Address
+from gooseberryquay.ids import Revision
+from gooseberryquay.links.platform_link import PlatformLink
+from gooseberryquay.links.platform_messages import InstanceState
+from gooseberryquay.machines.member_messages import HeartbeatExtras
+from gooseberryquay.machines.tests.member_builders import FAST, Member, wait_until
+from gooseberryquay.standins.platform import PlatformStandIn
+from gooseberryquay.standins.process import find_free_port
+
+
+@pytest.fixture
+def fleet():
+    members = []
+
+    def add(name, *seeds, **options):
+        members.append(Member(name, tuple(each.address for each in seeds), **options))
+        return members[-1]
+
+    yield add
+    for member in members:
+        member.stop()
+
+
+def _add_many(fleet, count):
+    first = fleet("entry-0")
+    members = [first, *(fleet(f"entry-{number}", first) for number in range(1, count))]
+    names = sorted(member.peer.id for member in members)
+    wait_until(lambda: all(member.names() == names for member in members))
+    return members
+
+
+def test_cut_between_two_members_removes_neither(fleet):
+    members = _add_many(fleet, 3)
+    members[0].links.cut.add(members[1].address)
+    members[1].links.cut.add(members[0].address)
+    end_s = time.monotonic() + 4 * FAST.suspicion_s
+    while time.monotonic() < end_s:
+        assert all(len(member.names()) == 3 for member in members)
+        time.sleep(0.05)
+
+
+def test_partition_heals(fleet):
+    members = _add_many(fleet, 5)
+    left, right = members[:2], members[2:]
+    for one in left:
+        one.links.cut.update(other.address for other in right)
+    for other in right:
+        other.links.cut.update(one.address for one in left)
+    wait_until(lambda: all(len(one.names()) == 2 for one in left))
+    wait_until(lambda: all(len(other.names()) == 3 for other in right))
+    for member in members:
+        member.links.cut.clear()
+    wait_until(lambda: all(len(member.names()) == 5 for member in members))
+
+
+def test_leave_reaches_members_that_the_leaver_cannot_reach(fleet):
+    members = _add_many(fleet, 5)
+    leaver = members[4]
+    leaver.links.cut.update(member.address for member in members[1:4])
+    leaver.membership.announce_leave()
+    wait_until(lambda: all("entry-4" not in member.names() for member in members))
+
+
+def test_restart_after_the_clock_went_back_replaces_the_former_run(fleet):
+    seed = fleet("entry-0")
+    former = fleet("entry-1", seed, incarnation=1000)
+    former.stop()
+    later = fleet("entry-1", seed, incarnation=10)
+    assert later.membership.myself().incarnation > 1000
+    wait_until(lambda: later.membership.myself() in seed.membership.live())
+    assert former.membership.myself() not in seed.membership.live()
+
+
+def test_run_that_was_replaced_learns_it(fleet):
+    seed = fleet("entry-0")
+    former = fleet("entry-1", seed, incarnation=1)
+    fleet("entry-1", seed, incarnation=2)
+    wait_until(former.membership.is_superseded)
+
+
+def test_entry_joins_through_a_seed_while_the_platform_is_out(fleet):
+    outage = PlatformLink(Address("127.0.0.1", find_free_port()))
+    seed = fleet("entry-0", platform=outage)
+    joining = fleet("entry-1", seed, platform=outage)
+    wait_until(lambda: seed.names() == joining.names() == ["entry-0", "entry-1"])
+
+
+def test_entries_find_each_other_in_the_platforms_list(fleet):
+    platform = PlatformStandIn()
+    platform.start()
+    link = PlatformLink(Address("127.0.0.1", platform.port))
+    members = [fleet("entry-0", platform=link), fleet("entry-1", platform=link)]
+    wait_until(lambda: all(len(member.names()) == 2 for member in members))
+    members[1].membership.announce_leave()
+    wait_until(
+        lambda: InstanceState.LEAVING
+        in [each.state for each in link.instances().unwrap() if each.id == "entry-1"]
+    )
+    platform.stop()
+
+
+def test_age_is_believed_from_answers_only(fleet):
+    heard = {"entry-0": [], "entry-1": []}
+    extras = HeartbeatExtras(revision=Revision(7), confirmed_age_s=3.0)
+
+    def options(name):
+        return {
+            "extras": lambda: extras,
+            "on_extras": lambda _peer, extras: heard[name].append(extras),
+        }
+
+    seed = fleet("entry-0", **options("entry-0"))
+    fleet("entry-1", seed, **options("entry-1"))
+    wait_until(lambda: all(len(each) > 10 for each in heard.values()))
+    for received in heard.values():
+        assert {each.revision for each in received} == {7}
+        ages_s = {each.confirmed_age_s for each in received}
+        assert None in ages_s
+        assert all(age_s > 3.0 for age_s in ages_s if age_s is not None)
--- /dev/null
+++ b/gooseberryquay/machines/tests/test_membership_processes.py
@@ -0,0 +1,62 @@
+import signal
+
+import pytest
+import urllib3
+
+from gooseberryquay.machines.tests.member_builders import wait_until
+from gooseberryquay.standins.member import MemberReport
+from gooseberryquay.standins.process import CommandProcess, find_free_port
+
+
+class MemberProcess:
+    """One member as a process that can be started again at its address."""
+
+    def __init__(self, name, port, seed_port):
+        self.name = name
+        self.port = port
+        arguments = ["--id", name, "--port", str(port), "--seed_ports", str(seed_port)]
+        self.arguments = ["members", "serve", *arguments, "--speed", "5"]
+        self.process = CommandProcess(*self.arguments).start()
+
+    def restart(self):
+        self.process.kill()
+        self.process = CommandProcess(*self.arguments).start()
+
+    def runs(self):
+        url = f"http://127.0.0.1:{self.port}/report"
+        answer = urllib3.request("GET", url, timeout=2.0)
+        live = MemberReport.model_validate_json(answer.data).live
+        return {peer.id: peer.incarnation for peer in live}
+
+
+@pytest.fixture
+def members():
+    ports = [find_free_port() for _ in range(4)]
+    started = [MemberProcess(f"entry-{n}", port, ports[0]) for n, port in enumerate(ports)]
+    wait_until(lambda: all(len(member.runs()) == 4 for member in started))
+    yield started
+    for member in started:
+        member.process.kill()
+
+
+def test_killed_member_is_removed_and_its_next_run_replaces_it(members):
+    *others, killed = members
+    former = killed.runs()[killed.name]
+    killed.process.kill()
+    wait_until(lambda: all(killed.name not in member.runs() for member in others))
+    killed.restart()
+    wait_until(lambda: all(member.runs().get(killed.name, 0) > former for member in members))
+
+
+def test_paused_member_returns_and_old_beliefs_do_not(members):
+    first, second, replaced, paused = members
+    run = first.runs()[paused.name]
+    paused.process.send_signal(signal.SIGSTOP)
+    wait_until(lambda: all(paused.name not in member.runs() for member in (first, second)))
+    former = replaced.runs()[replaced.name]
+    replaced.restart()
+    wait_until(lambda: first.runs().get(replaced.name, 0) > former)
+    paused.process.send_signal(signal.SIGCONT)
+    wait_until(lambda: all(member.runs().get(paused.name) == run for member in members))
+    assert all(member.runs()[replaced.name] > former for member in (first, second))
+    wait_until(lambda: paused.runs() == first.runs())
--- /dev/null
+++ b/gooseberryquay/standins/member.py
@@ -0,0 +1,90 @@
+"""Stand-in for an entry that does nothing but take part in membership."""
+
+import resource
+import time
+
+from pydantic import BaseModel
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.ids import EntryId, Incarnation, ZoneId
+from gooseberryquay.links.http_server import HttpServer, Request, Response, Router
+from gooseberryquay.links.platform_link import PlatformLink
+from gooseberryquay.machines.member_directory import InstanceDirectory
+from gooseberryquay.machines.member_timing import MembershipTiming
+from gooseberryquay.machines.membership import Membership
+from gooseberryquay.machines.peer import Peer
+from gooseberryquay.standins.byte_count import ByteCount
+
+__all__ = ["MemberReport", "MemberStandIn"]
+
+REPORT_PATH = "/report"
+
+
+class MemberReport(BaseModel):
+    """Tell whom a member holds live and what it has spent so far."""
+
+    live: tuple[Peer, ...]
+    sent_bytes: int
+    received_bytes: int
+    processor_s: float
+    resident_kib: int
+
+
+class MemberStandIn:
+    """Serve a control API with membership and a report on it."""
+
+    def __init__(
+        self,
+        entry: EntryId,
+        address: Address,
+        *,
+        seeds: tuple[Address, ...],
+        directory: InstanceDirectory | None,
+        timing: MembershipTiming,
+    ) -> None:
+        self._bytes = ByteCount()
+        self._bytes.install()
+        myself = Peer(
+            id=entry,
+            incarnation=Incarnation(time.time_ns() // 1_000_000),
+            zone=ZoneId("zone"),
+            control_address=address,
+        )
+        self._membership = Membership(myself, seeds=seeds, platform=directory, timing=timing)
+        router = Router()
+        self._membership.add_routes(router)
+        router.add("GET", REPORT_PATH, self._report)
+        self._server = HttpServer(address.host, address.port, router)
+
+    def start(self) -> None:
+        """Serve and join."""
+        self._server.start()
+        self._membership.start()
+
+    def stop(self) -> None:
+        """Announce the leave and end."""
+        self._membership.announce_leave()
+        self._membership.stop()
+        self._server.stop()
+
+    @property
+    def port(self) -> int:
+        """Give the bound TCP port."""
+        return self._server.port
+
+    def _report(self, _request: Request) -> Response:
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        return Response.of(
+            MemberReport(
+                live=self._membership.live(),
+                sent_bytes=self._bytes.sent_bytes,
+                received_bytes=self._bytes.received_bytes,
+                processor_s=used.ru_utime + used.ru_stime,
+                resident_kib=used.ru_maxrss,
+            )
+        )
+
+
+def platform_directory(address: Address | None) -> InstanceDirectory | None:
+    """Give the platform's list of instances where its address is known."""
+    return None if address is None else PlatformLink(address)
--- /dev/null
+++ b/gooseberryquay/standins/member_commands.py
@@ -0,0 +1,39 @@
+"""Commands that run and measure membership stand-ins."""
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.daemons.serving import serve_until_signal
+from gooseberryquay.ids import EntryId
+from gooseberryquay.machines.member_timing import MembershipTiming
+from gooseberryquay.standins.member import MemberStandIn, platform_directory
+
+__all__ = ["MemberCommands"]
+
+HOST = "127.0.0.1"
+
+
+class MemberCommands:
+    """Run stand-ins that do nothing but take part in membership, and measure them."""
+
+    def serve(
+        self,
+        id: str,
+        port: int,
+        seed_ports: str = "",
+        platform_port: int = 0,
+        speed: float = 1.0,
+    ) -> None:
+        """Serve one member until it gets SIGTERM; `speed` divides all periods.
+
+        `seed_ports` are separated by hyphens.
+        """
+        seeds = tuple(Address(HOST, int(each)) for each in str(seed_ports).split("-") if each)
+        platform = Address(HOST, platform_port) if platform_port else None
+        serve_until_signal(
+            MemberStandIn(
+                EntryId(id),
+                Address(HOST, port),
+                seeds=seeds,
+                directory=platform_directory(platform),
+                timing=MembershipTiming().scaled(1 / speed),
+            )
+        )
