--- /dev/null
+++ b/gooseberryquay/machines/suspect_spread.py
@@ -0,0 +1,92 @@
+"""Spreading of suspected requests from entry to entry."""
+
+import random
+import threading
+from collections.abc import Iterable
+
+from gooseberryquay.machines.peer import Peer, Peers
+from gooseberryquay.machines.rendezvous import first_owners
+from gooseberryquay.machines.suspect_messages import SuspectRecord, SuspectUpdate
+from gooseberryquay.machines.suspect_store import shard_of
+
+__all__ = ["UPDATE_PATH", "SuspectSpread", "shard_owners"]
+
+UPDATE_PATH = "/suspects"
+FANOUT = 5
+OWNERS = 2
+MAX_RECORDS_PER_MESSAGE = 64
+MAX_PENDING = 1024
+SEND_TIMEOUT_S = 0.5
+REST_S = 1.0
+
+
+def shard_owners(record: SuspectRecord, peers: Peers) -> tuple[Peer, ...]:
+    """Give the entries that write a record to the platform."""
+    return first_owners(f"suspects/{shard_of(record.fingerprint)}", peers.live(), OWNERS)
+
+
+class SuspectSpread:
+    """Send news to a few peers and to those that write them, at most once a second."""
+
+    def __init__(self, peers: Peers, rng: random.Random) -> None:
+        self._peers = peers
+        self._rng = rng
+        self._pending: dict[str, SuspectRecord] = {}
+        self._changed = threading.Condition()
+        self._is_stopping = False
+        self._thread = threading.Thread(target=self._run, name="suspect spread", daemon=True)
+
+    def start(self) -> None:
+        """Send in the background."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the background thread after what is pending was sent."""
+        with self._changed:
+            self._is_stopping = True
+            self._changed.notify_all()
+        self._thread.join()
+
+    def add(self, records: Iterable[SuspectRecord]) -> None:
+        """Note records that are to be sent."""
+        with self._changed:
+            for record in records:
+                if len(self._pending) < MAX_PENDING:
+                    self._pending[record.fingerprint] = record
+            self._changed.notify_all()
+
+    def _run(self) -> None:
+        while True:
+            with self._changed:
+                self._changed.wait_for(lambda: self._pending or self._is_stopping)
+                if not self._pending:
+                    return
+                batch = [
+                    self._pending.pop(each)
+                    for each in list(self._pending)[:MAX_RECORDS_PER_MESSAGE]
+                ]
+            self._send(batch)
+            with self._changed:
+                self._changed.wait_for(lambda: self._is_stopping, REST_S)
+
+    def _send(self, batch: list[SuspectRecord]) -> None:
+        update = SuspectUpdate(records=tuple(batch))
+        senders = [
+            threading.Thread(
+                target=self._peers.send, args=(peer, UPDATE_PATH, update, SEND_TIMEOUT_S)
+            )
+            for peer in self._receivers(batch)
+        ]
+        for sender in senders:
+            sender.start()
+        for sender in senders:
+            sender.join()
+
+    def _receivers(self, batch: list[SuspectRecord]) -> tuple[Peer, ...]:
+        myself = self._peers.myself()
+        others = [peer for peer in self._peers.live() if peer.id != myself.id]
+        chosen = {peer.id: peer for peer in self._rng.sample(others, min(FANOUT, len(others)))}
+        for record in batch:
+            owners = shard_owners(record, self._peers)
+            chosen.update({owner.id: owner for owner in owners if owner.id != myself.id})
+        return tuple(chosen.values())
--- /dev/null
+++ b/gooseberryquay/machines/suspect_store.py
@@ -0,0 +1,98 @@
+"""The platform's objects that hold suspected requests beyond the life of an entry."""
+
+import logging
+import threading
+from collections.abc import Iterable
+
+import xxhash
+from pydantic import ValidationError
+from result import Err, Ok
+
+from gooseberryquay.links.platform_link import NO_VERSION, PlatformLink
+from gooseberryquay.links.platform_messages import StoredObject
+from gooseberryquay.machines.suspect_messages import SuspectRecord, SuspectUpdate
+from gooseberryquay.machines.suspect_table import SuspectTable
+
+__all__ = ["SuspectStore", "shard_of"]
+
+PREFIX = "suspects/"
+SHARDS = 16
+MAX_STORED_RECORDS = 1000
+
+log = logging.getLogger(__name__)
+
+
+def shard_of(fingerprint: str) -> int:
+    """Give the shard that a request's record is in."""
+    return xxhash.xxh3_64_intdigest(fingerprint.encode()) % SHARDS
+
+
+class SuspectStore:
+    """Join pending records into the platform's shards by conditional writes."""
+
+    def __init__(self, platform: PlatformLink, table: SuspectTable) -> None:
+        self._platform = platform
+        self._table = table
+        self._pending: set[str] = set()
+        self._lock = threading.Lock()
+
+    def add(self, records: Iterable[SuspectRecord]) -> None:
+        """Note records that are to be written."""
+        with self._lock:
+            self._pending.update(record.fingerprint for record in records)
+
+    def load(self) -> bool:
+        """Read every shard into the table; False where the platform does not answer."""
+        match self._platform.list(PREFIX):
+            case Ok(objects):
+                for stored in objects:
+                    self._table.merge(_records_in(stored))
+                return True
+            case Err(failure):
+                log.info("suspects not read", extra={"failure": repr(failure)})
+                return False
+
+    def write_pending(self) -> None:
+        """Write each shard that has pending records; what fails stays pending."""
+        with self._lock:
+            pending = sorted(self._pending)
+        for shard in sorted({shard_of(fingerprint) for fingerprint in pending}):
+            fingerprints = [each for each in pending if shard_of(each) == shard]
+            if self._write_shard(f"{PREFIX}{shard}", fingerprints):
+                with self._lock:
+                    self._pending.difference_update(fingerprints)
+
+    def _write_shard(self, key: str, fingerprints: list[str]) -> bool:
+        """Read the shard, join it with the table, and write it back where that adds something.
+
+        A lost answer needs no care: the next try reads what was written and adds nothing.
+        """
+        match self._platform.read(key):
+            case Err(_):
+                return False
+            case Ok(stored):
+                pass
+        held = {each.fingerprint: each for each in _records_in(stored)}
+        self._table.merge(held.values())
+        wanted = {each: self._table.get(each) for each in fingerprints}
+        news = {each: record for each, record in wanted.items() if record is not None}
+        if all(held.get(each) == record for each, record in news.items()):
+            return True
+        value = SuspectUpdate(records=_newest({**held, **news}.values())).model_dump_json()
+        version = NO_VERSION if stored is None else stored.version
+        return self._platform.write(key, value, version).is_ok()
+
+
+def _newest(records: Iterable[SuspectRecord]) -> tuple[SuspectRecord, ...]:
+    ordered = sorted(records, key=SuspectRecord.last_death_s, reverse=True)
+    return tuple(ordered[:MAX_STORED_RECORDS])
+
+
+def _records_in(stored: StoredObject | None) -> tuple[SuspectRecord, ...]:
+    if stored is None:
+        return ()
+    try:
+        return SuspectUpdate.model_validate_json(stored.value).records
+    except ValidationError:
+        log.error("unreadable suspects", extra={"key": stored.key})
+        return ()
--- /dev/null
+++ b/gooseberryquay/machines/suspect_table.py
@@ -0,0 +1,57 @@
+"""Records of suspected requests, bounded in number and age."""
+
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+from gooseberryquay.machines.suspect_messages import SuspectRecord
+
+__all__ = ["SuspectTable"]
+
+MAX_RECORDS = 4096
+
+
+class SuspectTable:
+    """Hold one record for each fingerprint; safe for use by many threads."""
+
+    def __init__(
+        self, same_death_s: float, kept_s: float, clock: Callable[[], float] = time.time
+    ) -> None:
+        self._same_death_s = same_death_s
+        self._kept_s = kept_s
+        self._clock = clock
+        self._records: dict[str, SuspectRecord] = {}
+        self._lock = threading.Lock()
+
+    def get(self, fingerprint: str) -> SuspectRecord | None:
+        """Give the record of a request that is not too old."""
+        record = self._records.get(fingerprint)
+        return None if record is None or self._is_old(record) else record
+
+    def merge(self, records: Iterable[SuspectRecord]) -> tuple[SuspectRecord, ...]:
+        """Join records to those held, and give those that told something new."""
+        news = []
+        with self._lock:
+            for record in records:
+                held = self._records.get(record.fingerprint)
+                joined = record if held is None else held.merged(record, self._same_death_s)
+                if joined != held and not self._is_old(joined):
+                    self._records[record.fingerprint] = joined
+                    news.append(joined)
+            if len(self._records) > MAX_RECORDS:
+                self._drop_surplus()
+        return tuple(news)
+
+    def records(self) -> tuple[SuspectRecord, ...]:
+        """Give every record that is not too old."""
+        with self._lock:
+            return tuple(each for each in self._records.values() if not self._is_old(each))
+
+    def _drop_surplus(self) -> None:
+        """Drop old records, then cleared ones and those whose last death is longest ago."""
+        kept = [each for each in self._records.values() if not self._is_old(each)]
+        kept.sort(key=lambda each: (each.crash_count() > 0, each.last_death_s()), reverse=True)
+        self._records = {each.fingerprint: each for each in kept[:MAX_RECORDS]}
+
+    def _is_old(self, record: SuspectRecord) -> bool:
+        return record.last_death_s() < self._clock() - self._kept_s
--- a/gooseberryquay/machines/tests/member_builders.py
+++ b/gooseberryquay/machines/tests/member_builders.py
@@ -14,6 +14,7 @@
 from gooseberryquay.machines.membership import Membership
 from gooseberryquay.machines.peer import Peer
 from gooseberryquay.machines.peer_links import PeerLinks
+from gooseberryquay.machines.suspect_list import SuspectList
 
 
 def a_peer(name, port=1, incarnation=1):
@@ -63,9 +64,10 @@
     """One entry's membership with its control API, on threads of the test."""
 
     def __init__(self, name, seeds=(), incarnation=1, **options):
+        self.suspects = None
         self.links = CuttableLinks()
-        router = Router()
-        self.server = HttpServer("127.0.0.1", 0, router)
+        self.router = Router()
+        self.server = HttpServer("127.0.0.1", 0, self.router)
         self.server.start()
         self.peer = a_peer(name, self.server.port, incarnation)
         self.membership = Membership(
@@ -76,7 +78,7 @@
             links=self.links,
             **options,
         )
-        self.membership.add_routes(router)
+        self.membership.add_routes(self.router)
         self.membership.start()
 
     @property
@@ -86,7 +88,21 @@
     def names(self):
         return sorted(peer.id for peer in self.membership.live())
 
+    def add_suspects(self, platform, crash_count_max=2, **options):
+        self.suspects = SuspectList(
+            self.membership,
+            platform,
+            crash_count_max=crash_count_max,
+            rng=random.Random(self.peer.id),
+            **options,
+        )
+        self.suspects.add_routes(self.router)
+        self.suspects.start()
+        return self.suspects
+
     def stop(self):
+        if self.suspects is not None:
+            self.suspects.stop()
         self.membership.stop()
         self.server.stop()
 
--- a/gooseberryquay/machines/tests/test_membership.py
+++ b/gooseberryquay/machines/tests/test_membership.py
@@ -1,6 +1,5 @@
 import time
 
-import pytest
 import urllib3
 
 from gooseberryquay.contracts import Address
@@ -8,24 +7,10 @@
 from gooseberryquay.links.platform_link import PlatformLink
 from gooseberryquay.links.platform_messages import InstanceState
 from gooseberryquay.machines.member_messages import HeartbeatExtras, MemberList
-from gooseberryquay.machines.tests.member_builders import FAST, Member, wait_until
-from gooseberryquay.standins.platform import PlatformStandIn
+from gooseberryquay.machines.tests.member_builders import FAST, wait_until
 from gooseberryquay.standins.process import find_free_port
 
 
-@pytest.fixture
-def fleet():
-    members = []
-
-    def add(name, *seeds, **options):
-        members.append(Member(name, tuple(each.address for each in seeds), **options))
-        return members[-1]
-
-    yield add
-    for member in members:
-        member.stop()
-
-
 def _add_many(fleet, count):
     first = fleet("entry-0")
     members = [first, *(fleet(f"entry-{number}", first) for number in range(1, count))]
@@ -103,18 +88,14 @@
     wait_until(lambda: seed.names() == joining.names() == ["entry-0", "entry-1"])
 
 
-def test_entries_find_each_other_in_the_platforms_list(fleet):
-    platform = PlatformStandIn()
-    platform.start()
-    link = PlatformLink(Address("127.0.0.1", platform.port))
-    members = [fleet("entry-0", platform=link), fleet("entry-1", platform=link)]
+def test_entries_find_each_other_in_the_platforms_list(fleet, platform):
+    members = [fleet("entry-0", platform=platform), fleet("entry-1", platform=platform)]
     wait_until(lambda: all(len(member.names()) == 2 for member in members))
     members[1].membership.announce_leave()
     wait_until(
         lambda: InstanceState.LEAVING
-        in [each.state for each in link.instances().unwrap() if each.id == "entry-1"]
+        in [each.state for each in platform.instances().unwrap() if each.id == "entry-1"]
     )
-    platform.stop()
 
 
 def test_age_is_believed_from_answers_only(fleet):
