--- a/gooseberryquay/cli.py
+++ b/gooseberryquay/cli.py
@@ -9,6 +9,7 @@
 from gooseberryquay.daemons.commands import run_entry
 from gooseberryquay.standins.commands import StandInCommands
 from gooseberryquay.standins.load.command import run_load
+from gooseberryquay.standins.member_commands import MemberCommands
 from gooseberryquay.zones.commands import ConfigCommands, UpstreamCommands, ZoneCommands
 
 __all__ = ["Commands", "main"]
@@ -23,6 +24,7 @@
         self.upstream = UpstreamCommands()
         self.zone = ZoneCommands()
         self.load = run_load
+        self.members = MemberCommands()
 
     def entry(self, base: str, overlay: str, name: str | None = None) -> None:
         """Run the entry NAME of the overlay until SIGTERM, then drain it."""
