Add the dispatcher with four choice rules, queue, length estimates and load poller

Work is placed by WorkDispatcher over an UpstreamTable that follows the configuration at each decision. A cold or unknown upstream gets work only through slots; NoColdSlots gives none until the platform-backed slots land. LoadPoller keeps reports fresh within poll_bytes_per_s.

Settings: new section [choice].

--- a/gooseberryquay/contracts/settings.py
+++ b/gooseberryquay/contracts/settings.py
@@ -1,6 +1,7 @@
 """Checked settings of one process: the declaration plus what is its own."""
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import Annotated
 
 from pydantic import Field
@@ -11,6 +12,8 @@
 
 __all__ = [
     "Address",
+    "ChoiceRule",
+    "ChoiceSettings",
     "EntrySettings",
     "LimitSettings",
     "LogSettings",
@@ -69,6 +72,32 @@
     crash_count_max: Annotated[int, Field(ge=1, le=10)] = 2
 
 
+class ChoiceRule(Enum):
+    """Name a rule by which an upstream is chosen."""
+
+    ROUND_ROBIN = "round_robin"
+    LEAST_IN_FLIGHT = "least_in_flight"
+    POWER_OF_TWO = "power_of_two"
+    EXPECTED_MEMORY = "expected_memory"
+
+
+class ChoiceSettings(Model):
+    """Set how upstreams are chosen and how long requests may queue.
+
+    The queue patience is a multiple of the service's promised time to the first token.
+    """
+
+    rule: ChoiceRule = ChoiceRule.EXPECTED_MEMORY
+    sample_count: Annotated[int, Field(ge=1, le=64)] = 3
+    memory_share_max: Annotated[float, Field(gt=0, le=1)] = 0.9
+    quick_memory_share_max: Annotated[float, Field(gt=0, le=1)] = 0.97
+    quick_tokens_max: Annotated[int, Field(ge=1)] = 64
+    queue_patience: Annotated[float, Field(gt=0)] = 1.0
+    length_scale: Annotated[float, Field(gt=0, le=100)] = 1.0
+    subset_size: Annotated[int, Field(ge=1)] = 148
+    poll_bytes_per_s: Annotated[int, Field(ge=100)] = 2000
+
+
 @dataclass(frozen=True)
 class SettingsProblem:
     """Locate one mistake in a settings file and say what is allowed."""
@@ -93,3 +122,4 @@
     statsd: StatsdSettings = StatsdSettings()
     log: LogSettings = LogSettings()
     limits: LimitSettings = LimitSettings()
+    choice: ChoiceSettings = ChoiceSettings()
--- a/gooseberryquay/contracts/settings_file.py
+++ b/gooseberryquay/contracts/settings_file.py
@@ -13,6 +13,7 @@
 from gooseberryquay.contracts.fields import Model
 from gooseberryquay.contracts.service import Service, ServiceKind
 from gooseberryquay.contracts.settings import (
+    ChoiceSettings,
     EntrySettings,
     LimitSettings,
     LogSettings,
@@ -41,9 +42,10 @@
     "statsd": StatsdSettings,
     "log": LogSettings,
     "limits": LimitSettings,
+    "choice": ChoiceSettings,
 }
 _OVERLAY_MAY_ADD = frozenset({"entry", "site", "platform", "statsd", "log"})
-_OVERLAY_MAY_CHANGE = frozenset({"upstream", "platform", "statsd", "log", "limits"})
+_OVERLAY_MAY_CHANGE = frozenset({"upstream", "platform", "statsd", "log", "limits", "choice"})
 
 M = TypeVar("M", bound=Model)
 Sections = dict[str, dict[str, str]]
--- /dev/null
+++ b/gooseberryquay/machines/choice.py
@@ -0,0 +1,157 @@
+"""Rules that choose an upstream for one request."""
+
+import math
+import random
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass
+
+from gooseberryquay.contracts.settings import ChoiceRule, ChoiceSettings
+from gooseberryquay.machines.choice_affinity import PrefixMemory
+from gooseberryquay.machines.upstream import Upstream
+from gooseberryquay.machines.work import Work
+
+__all__ = ["Candidate", "Chooser"]
+
+AFFINITY_MEMORY_SHARE_MAX = 0.7
+GAP_ALLOWANCE = 0.95
+FIXED_STEP_SHARE = 0.5
+GAP_PENALTY = 0.5
+QUEUED_PENALTY = 0.5
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """Describe one request to the rules, with what is expected of its length."""
+
+    work: Work
+    expected_tokens: float
+    is_quick: bool
+    mix_remaining_tokens: float
+
+
+class Chooser:
+    """Choose among upstreams by one rule; the caller serialises the calls."""
+
+    def __init__(
+        self, settings: ChoiceSettings, entry_count: Callable[[], int], random_source: random.Random
+    ) -> None:
+        self._settings = settings
+        self._entry_count = entry_count
+        self._random = random_source
+        self._turn = 0
+        self.prefixes = PrefixMemory()
+
+    def choose(self, candidate: Candidate, upstreams: Sequence[Upstream]) -> Upstream | None:
+        """Give the upstream that takes the request, or None when none can."""
+        open_upstreams = [each for each in upstreams if _has_width(each)]
+        if not open_upstreams:
+            return None
+        match self._settings.rule:
+            case ChoiceRule.ROUND_ROBIN:
+                self._turn += 1
+                return open_upstreams[self._turn % len(open_upstreams)]
+            case ChoiceRule.LEAST_IN_FLIGHT:
+                return self._least_in_flight(open_upstreams)
+            case ChoiceRule.POWER_OF_TWO:
+                pair = self._random.sample(open_upstreams, min(2, len(open_upstreams)))
+                return self._least_in_flight(pair)
+            case ChoiceRule.EXPECTED_MEMORY:
+                return self._by_expected_memory(candidate, open_upstreams)
+
+    def _least_in_flight(self, upstreams: Sequence[Upstream]) -> Upstream:
+        return min(upstreams, key=lambda each: (each.own_in_flight, self._random.random()))
+
+    def _by_expected_memory(
+        self, candidate: Candidate, upstreams: Sequence[Upstream]
+    ) -> Upstream | None:
+        entry_count = self._entry_count()
+        best: Upstream | None = None
+        best_score = math.inf
+        admitted = 0
+        for upstream in self._in_asking_order(candidate, upstreams):
+            score = self._score(candidate, upstream, entry_count)
+            if score is None:
+                continue
+            if score < best_score:
+                best, best_score = upstream, score
+            admitted += 1
+            if admitted == self._settings.sample_count:
+                break
+        return best
+
+    def _in_asking_order(
+        self, candidate: Candidate, upstreams: Sequence[Upstream]
+    ) -> Iterator[Upstream]:
+        """Give upstreams that hold the prefix first, then all others at random."""
+        holders = self.prefixes.holders(candidate.work.prefix_hash)
+        shuffled = self._random.sample(upstreams, len(upstreams))
+        shuffled.sort(key=lambda each: each.declaration.id not in holders)
+        return iter(shuffled)
+
+    def _score(self, candidate: Candidate, upstream: Upstream, entry_count: int) -> float | None:
+        in_flight = upstream.expected_in_flight(entry_count)
+        gap_share = _gap_share(candidate, upstream, in_flight)
+        if gap_share > GAP_ALLOWANCE and in_flight >= 1:
+            return None
+        memory_share = _memory_share(candidate, upstream, in_flight, entry_count)
+        if memory_share > self._memory_share_max(candidate):
+            return None
+        score = memory_share + GAP_PENALTY * gap_share
+        if upstream.report is not None and upstream.report.queued > 0:
+            score += QUEUED_PENALTY
+        has_prefix = upstream.declaration.id in self.prefixes.holders(candidate.work.prefix_hash)
+        if has_prefix and memory_share < AFFINITY_MEMORY_SHARE_MAX:
+            score -= _prefix_gain(candidate, upstream)
+        return score
+
+    def _memory_share_max(self, candidate: Candidate) -> float:
+        if candidate.is_quick:
+            return self._settings.quick_memory_share_max
+        return self._settings.memory_share_max
+
+
+def _has_width(upstream: Upstream) -> bool:
+    return upstream.own_in_flight < upstream.declaration.in_flight_max
+
+
+def _gap_share(candidate: Candidate, upstream: Upstream, in_flight: float) -> float:
+    """Give the time between tokens expected with one more request, as a share of the promise."""
+    report = upstream.report
+    gap_s = upstream.token_gap_s
+    if report is not None and report.in_flight > 0:
+        growth = (in_flight + 1.0) / (report.in_flight + 1.0)
+        gap_s = report.step_s * (FIXED_STEP_SHARE + (1.0 - FIXED_STEP_SHARE) * growth)
+    return gap_s / candidate.work.token_gap_s
+
+
+def _memory_share(
+    candidate: Candidate, upstream: Upstream, in_flight: float, entry_count: int
+) -> float:
+    report = upstream.report
+    if report is None or report.kv_total_tokens == 0:
+        return in_flight / upstream.declaration.in_flight_max
+    held_tokens = upstream.expected_held_tokens(entry_count)
+    remaining_tokens = upstream.expected_remaining_tokens(candidate.mix_remaining_tokens, in_flight)
+    count = in_flight + 1.0
+    total_remaining = in_flight * remaining_tokens + candidate.expected_tokens
+    total_held = held_tokens + candidate.work.prompt_tokens
+    peak_tokens = _expected_peak_tokens(count, total_held / count, total_remaining / count)
+    return peak_tokens / report.kv_total_tokens
+
+
+def _expected_peak_tokens(count: float, held_tokens: float, remaining_tokens: float) -> float:
+    """Give the highest expected memory use from now on.
+
+    With exponential remaining lengths of mean m, `count * (held + h) * exp(-h / m)` tokens are
+    expected after h more steps, which is highest at h = m - held.
+    """
+    if remaining_tokens <= held_tokens:
+        return count * held_tokens
+    return count * remaining_tokens * math.exp(held_tokens / remaining_tokens - 1.0)
+
+
+def _prefix_gain(candidate: Candidate, upstream: Upstream) -> float:
+    report = upstream.report
+    if report is None or report.kv_total_tokens == 0:
+        return 0.0
+    return 0.1 + candidate.work.prompt_tokens / report.kv_total_tokens
--- /dev/null
+++ b/gooseberryquay/machines/cold_slots.py
@@ -0,0 +1,35 @@
+"""Slots through which a cold upstream gets its work."""
+
+from typing import Protocol
+
+from gooseberryquay.contracts.upstream import UpstreamDeclaration
+
+__all__ = ["ColdSlots", "NoColdSlots"]
+
+
+class ColdSlots(Protocol):
+    """Hand out slots of cold upstreams without waiting."""
+
+    def has_free(self, upstream: UpstreamDeclaration) -> bool:
+        """Tell whether a slot is free; ask for one in the background if none is."""
+
+    def try_take(self, upstream: UpstreamDeclaration) -> bool:
+        """Take a free slot that this entry holds."""
+
+    def give_back(self, upstream: UpstreamDeclaration) -> None:
+        """Free a slot that was taken."""
+
+
+class NoColdSlots:
+    """Give no slots, so that a cold upstream gets no work."""
+
+    def has_free(self, upstream: UpstreamDeclaration) -> bool:
+        """Give no slot."""
+        return False
+
+    def try_take(self, upstream: UpstreamDeclaration) -> bool:
+        """Give no slot."""
+        return False
+
+    def give_back(self, upstream: UpstreamDeclaration) -> None:
+        """Do nothing."""
--- /dev/null
+++ b/gooseberryquay/machines/queue_waiter.py
@@ -0,0 +1,32 @@
+"""One request that waits for a place."""
+
+import threading
+from dataclasses import dataclass, field
+
+from result import Result
+
+from gooseberryquay.errors import Failure
+from gooseberryquay.machines.choice import Candidate
+from gooseberryquay.machines.work import Placement
+
+__all__ = ["Waiter"]
+
+
+@dataclass(eq=False)
+class Waiter:
+    """Hold a waiting request, when it is given up, and its answer once there is one."""
+
+    candidate: Candidate
+    entered_at_s: float
+    give_up_at_s: float
+    answer: Result[Placement, Failure] | None = None
+    answered: threading.Event = field(default_factory=threading.Event)
+
+    def resolve(self, answer: Result[Placement, Failure]) -> None:
+        """Give the answer and wake the waiting thread."""
+        self.answer = answer
+        self.answered.set()
+
+    def is_urgent(self, now_s: float) -> bool:
+        """Tell whether half of the patience is used up."""
+        return now_s - self.entered_at_s > 0.5 * (self.give_up_at_s - self.entered_at_s)
--- /dev/null
+++ b/gooseberryquay/machines/tests/test_dispatcher.py
@@ -0,0 +1,124 @@
+import threading
+import time
+
+import pytest
+from result import Err, Ok
+
+from gooseberryquay.contracts.settings import ChoiceRule, ChoiceSettings
+from gooseberryquay.errors import DeadlineUnreachable, Overloaded, Ran
+from gooseberryquay.machines.load_report import LoadReport, UpstreamCondition
+from gooseberryquay.machines.tests.choice_builders import (
+    WARM,
+    HeldConfiguration,
+    build_configuration,
+    build_dispatcher,
+    build_upstream,
+    build_work,
+    build_workspace,
+)
+from gooseberryquay.machines.work import Outcome
+from gooseberryquay.zones.zone_state import ZoneState
+
+
+def _held(count=3, **fields):
+    return HeldConfiguration(
+        build_configuration([build_upstream(number, **fields) for number in range(count)])
+    )
+
+
+def _learn_length(dispatcher, length_tokens):
+    for _ in range(20):
+        placed = dispatcher.place(build_work()).unwrap()
+        placed.saw_tokens(length_tokens)
+        placed.finish(Outcome.FINISHED)
+
+
+@pytest.mark.parametrize("rule", list(ChoiceRule))
+def test_every_rule_spreads_work_and_gives_places_back(rule):
+    dispatcher = build_dispatcher(_held(), ChoiceSettings(rule=rule))
+    placed = [dispatcher.place(build_work()).unwrap() for _ in range(12)]
+    assert len({each.upstream.id for each in placed}) == 3
+    for each in placed:
+        each.finish(Outcome.FINISHED)
+        each.finish(Outcome.FINISHED)
+    assert dispatcher.in_flight() == 0
+
+
+def test_zone_out_takes_effect_on_the_next_decision():
+    held = _held()
+    dispatcher = build_dispatcher(held)
+    zone = held.value.declaration.upstreams["engine-0"].zone
+    held.value = held.value.model_copy(update={"revision": 2, "zone_states": {zone: ZoneState.OUT}})
+    chosen = {dispatcher.place(build_work()).unwrap().upstream.zone for _ in range(20)}
+    assert zone not in chosen
+
+
+def test_zone_out_takes_effect_on_what_is_queued():
+    held = _held(count=2, in_flight_max=1)
+    dispatcher = build_dispatcher(held, ChoiceSettings(queue_patience=20.0))
+    first, second = (dispatcher.place(build_work()).unwrap() for _ in range(2))
+    answers = []
+    waiting = threading.Thread(target=lambda: answers.append(dispatcher.place(build_work())))
+    waiting.start()
+    while dispatcher.queued() == 0:
+        time.sleep(0.01)
+    held.value = held.value.model_copy(
+        update={"revision": 2, "zone_states": {first.upstream.zone: ZoneState.OUT}}
+    )
+    first.finish(Outcome.FINISHED)
+    assert answers == []
+    second.finish(Outcome.FINISHED)
+    waiting.join(20.0)
+    assert answers[0].unwrap().upstream.id == second.upstream.id
+
+
+def test_expected_memory_bounds_what_an_engine_gets():
+    dispatcher = build_dispatcher(_held(count=1), ChoiceSettings(queue_patience=0.05))
+    results = [dispatcher.place(build_work(prompt_tokens=2000)) for _ in range(6)]
+    assert [each.is_ok() for each in results].count(True) == 4
+    failure = results[-1].unwrap_err()
+    assert isinstance(failure, Overloaded)
+    assert failure.ran is Ran.NO
+    assert failure.retry_after_s >= 1.0
+
+
+def test_work_that_cannot_make_its_deadline_is_refused_at_once():
+    dispatcher = build_dispatcher(_held())
+    _learn_length(dispatcher, 500)
+    assert dispatcher.place(build_work()).is_ok()
+    match dispatcher.place(build_work(deadline_at_s=time.monotonic() + 2.0)):
+        case Err(DeadlineUnreachable()):
+            pass
+        case other:
+            raise AssertionError(other)
+
+
+def test_unknown_leaving_and_silent_upstreams_get_nothing():
+    dispatcher = build_dispatcher(_held(), ChoiceSettings(queue_patience=0.05), reports=None)
+    assert dispatcher.place(build_work()).is_err()
+    dispatcher.saw_report("engine-0", LoadReport(condition=UpstreamCondition.LEAVING))
+    dispatcher.saw_report("engine-1", LoadReport(condition=UpstreamCondition.COLD))
+    dispatcher.saw_report("engine-2", WARM)
+    assert dispatcher.place(build_work()).unwrap().upstream.id == "engine-2"
+    dispatcher.saw_silence("engine-2", True)
+    assert dispatcher.place(build_work()).is_err()
+
+
+def test_excluded_upstreams_are_left_out_and_all_excluded_is_refused_at_once():
+    dispatcher = build_dispatcher(_held(count=2))
+    work = build_work(excluded=frozenset({"engine-0"}))
+    assert dispatcher.place(work).unwrap().upstream.id == "engine-1"
+    all_excluded = build_work(excluded=frozenset({"engine-0", "engine-1"}))
+    assert dispatcher.place(all_excluded).is_err()
+
+
+def test_workspace_is_held_to_its_share_of_in_flight():
+    upstreams = [build_upstream(number) for number in range(3)]
+    held = HeldConfiguration(
+        build_configuration(upstreams, workspaces=[build_workspace(max_in_flight=16)])
+    )
+    dispatcher = build_dispatcher(
+        held, ChoiceSettings(queue_patience=0.05), entry_count=lambda: 8, reports=WARM
+    )
+    assert [dispatcher.place(build_work()).is_ok() for _ in range(3)] == [True, True, False]
+    assert isinstance(dispatcher.place(build_work(workspace="other")), Ok)
--- /dev/null
+++ b/gooseberryquay/machines/upstream.py
@@ -0,0 +1,122 @@
+"""One upstream as this entry sees it: its reports, own work there and observed speed."""
+
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum
+
+from gooseberryquay.contracts.upstream import UpstreamDeclaration
+from gooseberryquay.machines.load_report import LoadReport, UpstreamCondition
+from gooseberryquay.machines.upstream_ramp import WidthRamp
+from gooseberryquay.machines.upstream_work import UpstreamWork
+
+__all__ = ["Upstream", "UpstreamView"]
+
+GAP_WEIGHT = 0.1
+MAX_LOGGED_CHANGES = 512
+REPORT_AGE_MAX_S = 30.0
+
+
+class UpstreamView(Enum):
+    """Tell what this entry believes of an upstream's condition."""
+
+    UNKNOWN = "unknown"
+    COLD = "cold"
+    WARM = "warm"
+    LEAVING = "leaving"
+
+
+_VIEW_OF_CONDITION = {
+    UpstreamCondition.COLD: UpstreamView.COLD,
+    UpstreamCondition.WARM: UpstreamView.WARM,
+    UpstreamCondition.LEAVING: UpstreamView.LEAVING,
+}
+
+
+@dataclass(frozen=True)
+class _Change:
+    """Log one own start (+1) or end (-1) with the tokens that it put on the upstream."""
+
+    at_s: float
+    count: int
+    held_tokens: float
+
+
+class Upstream:
+    """Hold one upstream's declaration, report, own work and observed speed.
+
+    The caller serialises all calls but `saw_gap`.
+    """
+
+    def __init__(self, declaration: UpstreamDeclaration) -> None:
+        self.declaration = declaration
+        self.view = UpstreamView.UNKNOWN
+        self.report: LoadReport | None = None
+        self.reported_at_s = 0.0
+        self.received_at_s = 0.0
+        self.work: set[UpstreamWork] = set()
+        self.token_gap_s = 0.0
+        self.is_silent = False
+        self.ramp = WidthRamp()
+        self._changes: deque[_Change] = deque(maxlen=MAX_LOGGED_CHANGES)
+
+    @property
+    def own_in_flight(self) -> int:
+        """Give the number of own requests in flight."""
+        return len(self.work)
+
+    def start(self, work: UpstreamWork, now_s: float) -> None:
+        """Count a request that is sent now."""
+        self.work.add(work)
+        self._changes.append(_Change(now_s, 1, work.prompt_tokens))
+
+    def end(self, work: UpstreamWork, now_s: float) -> None:
+        """Count a request that has ended."""
+        self.work.discard(work)
+        self._changes.append(_Change(now_s, -1, -work.held_tokens))
+
+    def take_report(self, report: LoadReport, now_s: float, is_cold_ramp: bool = True) -> None:
+        """Take in a report unless a newer one is known."""
+        self.is_silent = False
+        measured_at_s = now_s - report.age_s
+        if measured_at_s < self.reported_at_s:
+            return
+        self.report = report
+        self.reported_at_s = measured_at_s
+        self.received_at_s = now_s
+        while self._changes and self._changes[0].at_s <= measured_at_s:
+            self._changes.popleft()
+        before, self.view = self.view, _VIEW_OF_CONDITION[report.condition]
+        if is_cold_ramp and before is UpstreamView.COLD and self.view is UpstreamView.WARM:
+            self.ramp.begin(self.declaration.cold_in_flight_max, now_s)
+
+    def forget(self) -> None:
+        """Drop what was reported, so that the condition is unknown again."""
+        self.view = UpstreamView.UNKNOWN
+        self.report = None
+
+    def saw_gap(self, gap_s: float) -> None:
+        """Take in one observed time between tokens."""
+        self.token_gap_s += GAP_WEIGHT * (gap_s - self.token_gap_s)
+
+    def expected_in_flight(self, entry_count: int) -> float:
+        """Give the expected number of requests there now, other entries' included."""
+        if self.report is None:
+            return float(self.own_in_flight * entry_count)
+        own_change = sum(change.count for change in self._changes)
+        reported = self.report.in_flight + self.report.queued
+        return max(float(self.own_in_flight), reported + own_change * entry_count)
+
+    def expected_held_tokens(self, entry_count: int) -> float:
+        """Give the expected memory in use now, in tokens."""
+        own_tokens = sum(work.held_tokens for work in self.work)
+        if self.report is None:
+            return own_tokens * entry_count
+        own_change = sum(change.held_tokens for change in self._changes)
+        return max(own_tokens, self.report.kv_used_tokens + own_change * entry_count)
+
+    def expected_remaining_tokens(self, mix_remaining_tokens: float, in_flight: float) -> float:
+        """Give the mean of the tokens that a request there still needs."""
+        own_tokens = sum(work.remaining_tokens for work in self.work)
+        other_count = max(0.0, in_flight - self.own_in_flight)
+        total_tokens = own_tokens + other_count * mix_remaining_tokens
+        return total_tokens / max(1.0, in_flight)
--- /dev/null
+++ b/gooseberryquay/machines/upstream_table.py
@@ -0,0 +1,62 @@
+"""Upstream states of one entry, kept in step with the configuration."""
+
+import threading
+from collections.abc import Callable
+
+from gooseberryquay.contracts.upstream import UpstreamDeclaration
+from gooseberryquay.ids import ServiceId, UpstreamId
+from gooseberryquay.machines.subset import SubsetRule
+from gooseberryquay.machines.upstream import Upstream
+from gooseberryquay.zones.configuration import Configuration
+
+__all__ = ["UpstreamTable"]
+
+
+class UpstreamTable:
+    """Give the upstreams that the configuration in force allows; safe for use by many threads."""
+
+    def __init__(self, configuration: Callable[[], Configuration], subset: SubsetRule) -> None:
+        self.configuration = configuration
+        self._subset = subset
+        self._upstreams: dict[UpstreamId, Upstream] = {}
+        self._usable: dict[ServiceId, tuple[Upstream, ...]] = {}
+        self._in_force: Configuration | None = None
+        self._lock = threading.Lock()
+
+    def usable(self, service: ServiceId) -> tuple[Upstream, ...]:
+        """Give this entry's upstreams of a service that may get new work."""
+        configuration = self.configuration()
+        with self._lock:
+            self._follow(configuration)
+            found = self._usable.get(service)
+            if found is None:
+                allowed = self._subset.choose(configuration.usable_upstreams(service))
+                found = tuple(self._state_of(each) for each in allowed)
+                self._usable[service] = found
+            return found
+
+    def all_usable(self) -> tuple[Upstream, ...]:
+        """Give this entry's upstreams of every service that may get new work."""
+        services = tuple(self.configuration().declaration.services)
+        return tuple(upstream for service in services for upstream in self.usable(service))
+
+    def find(self, upstream_id: UpstreamId) -> Upstream | None:
+        """Give the state of one upstream, or None where it is not known."""
+        with self._lock:
+            return self._upstreams.get(upstream_id)
+
+    def _follow(self, configuration: Configuration) -> None:
+        if configuration is self._in_force:
+            return
+        self._in_force = configuration
+        self._usable.clear()
+        declared = configuration.declaration.upstreams
+        for gone in [each for each in self._upstreams if each not in declared]:
+            del self._upstreams[gone]
+
+    def _state_of(self, declaration: UpstreamDeclaration) -> Upstream:
+        state = self._upstreams.get(declaration.id)
+        if state is None or state.declaration.address != declaration.address:
+            state = self._upstreams[declaration.id] = Upstream(declaration)
+        state.declaration = declaration
+        return state
