Add cold admission by slots recorded in the platform

A cold upstream gets work only through slots in admission/<upstream>, taken by conditional write. Records are never deleted: a key written anew starts at version 1 again, and a late write could then match. Work that is in flight outside of slots is bounded by the upstream's own report, counted once every entry has had time to see the cold start. A lost answer is resolved by reading back, and by one more write where the version has not moved. Slots of runs that the platform no longer lists are turned into uncounted work, which only a report can clear.

--- a/gooseberryquay/machines/choice.py
+++ b/gooseberryquay/machines/choice.py
@@ -7,7 +7,7 @@
 
 from gooseberryquay.contracts.settings import ChoiceRule, ChoiceSettings
 from gooseberryquay.machines.choice_affinity import PrefixMemory
-from gooseberryquay.machines.upstream import Upstream
+from gooseberryquay.machines.upstream import Upstream, UpstreamView
 from gooseberryquay.machines.work import Work
 
 __all__ = ["Candidate", "Chooser"]
@@ -16,6 +16,7 @@
 GAP_ALLOWANCE = 0.95
 FIXED_STEP_SHARE = 0.5
 GAP_PENALTY = 0.5
+COLD_PENALTY = 0.5
 QUEUED_PENALTY = 0.5
 
 
@@ -90,6 +91,8 @@
 
     def _score(self, candidate: Candidate, upstream: Upstream, entry_count: int) -> float | None:
         in_flight = upstream.expected_in_flight(entry_count)
+        if upstream.view is UpstreamView.COLD:
+            return COLD_PENALTY + in_flight / upstream.declaration.cold_in_flight_max
         gap_share = _gap_share(candidate, upstream, in_flight)
         if gap_share > GAP_ALLOWANCE and in_flight >= 1:
             return None
--- a/gooseberryquay/machines/cold_slots.py
+++ b/gooseberryquay/machines/cold_slots.py
@@ -3,6 +3,8 @@
 from typing import Protocol
 
 from gooseberryquay.contracts.upstream import UpstreamDeclaration
+from gooseberryquay.ids import UpstreamId
+from gooseberryquay.machines.load_report import LoadReport
 
 __all__ = ["ColdSlots", "NoColdSlots"]
 
@@ -16,8 +18,11 @@
     def try_take(self, upstream: UpstreamDeclaration) -> bool:
         """Take a free slot that this entry holds."""
 
-    def give_back(self, upstream: UpstreamDeclaration) -> None:
-        """Free a slot that was taken."""
+    def give_back(self, upstream: UpstreamDeclaration, is_certain: bool) -> None:
+        """Free a slot that was taken; `is_certain` if the upstream is done with the request."""
+
+    def saw_report(self, upstream: UpstreamId, report: LoadReport) -> None:
+        """Take in a report, which may show that a request in doubt has ended."""
 
 
 class NoColdSlots:
@@ -31,5 +36,8 @@
         """Give no slot."""
         return False
 
-    def give_back(self, upstream: UpstreamDeclaration) -> None:
+    def give_back(self, upstream: UpstreamDeclaration, is_certain: bool) -> None:
+        """Do nothing."""
+
+    def saw_report(self, upstream: UpstreamId, report: LoadReport) -> None:
         """Do nothing."""
--- a/gooseberryquay/machines/dispatcher.py
+++ b/gooseberryquay/machines/dispatcher.py
@@ -30,6 +30,7 @@
 SURE_GAP_SHARE = 0.25
 RETRY_AFTER_MIN_S = 1.0
 RETRY_AFTER_MAX_S = 60.0
+CERTAIN_ENDS = frozenset({Outcome.FINISHED, Outcome.REFUSED})
 QUICK_PRIORITY = 0
 LONG_PRIORITY = 1
 
@@ -87,7 +88,14 @@
         with self._lock:
             upstream.is_silent = True
             if is_gone:
-                upstream.forget()
+                upstream.forget(time.monotonic())
+
+    def saw_cold(self, upstream_id: UpstreamId) -> None:
+        """Take an upstream as cold, as another entry has seen."""
+        upstream = self._table.find(upstream_id)
+        if upstream is not None:
+            with self._lock:
+                upstream.saw_cold(time.monotonic())
 
     def capacity_changed(self, service: ServiceId) -> None:
         """Place what can be placed after something outside the dispatcher changed."""
@@ -242,12 +250,13 @@
                 generated_tokens = placed.in_flight.generated_tokens
                 self._lengths.record(work.workspace, work.service, work.kind, generated_tokens)
             if placed.is_cold:
-                self._slots.give_back(placed.upstream)
+                self._slots.give_back(placed.upstream, outcome in CERTAIN_ENDS)
             self._place_waiters(self._lane(work.service))
 
     def _take_report(self, upstream: Upstream, report: LoadReport) -> None:
         with self._lock:
             upstream.take_report(report, time.monotonic())
+            self._slots.saw_report(upstream.declaration.id, report)
             self._place_waiters(self._lane(upstream.declaration.service))
 
     def _lane(self, service: ServiceId) -> ServiceLane:
--- a/gooseberryquay/machines/load_poller.py
+++ b/gooseberryquay/machines/load_poller.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from gooseberryquay.contracts.fields import Address
+from gooseberryquay.contracts.upstream import UpstreamDeclaration
 from gooseberryquay.ids import UpstreamId
 from gooseberryquay.links.http_client import HttpClient, LinkFailure, Reply
 from gooseberryquay.machines.load_budget import ByteBudget
@@ -73,6 +74,20 @@
         """Stop polling."""
         self._stopped.set()
 
+    def ask_now(self, upstream: UpstreamDeclaration) -> LoadReport | None:
+        """Ask one upstream at once, or give None where it doesn't report."""
+        state = self._table.find(upstream.id)
+        if state is None:
+            return None
+        with self._lock:
+            link = self._link_to(state)
+        match link.client.send("GET", "/load"):
+            case Ok(reply):
+                return self._take_reply(upstream.id, link, reply)
+            case Err(failure):
+                self._take_failure(upstream.id, link, failure)
+                return None
+
     def _run(self) -> None:
         while not self._stopped.is_set():
             wait_s = self._budget.wait_s(time.monotonic())
@@ -121,13 +136,13 @@
         finally:
             link.is_busy = False
 
-    def _take_reply(self, upstream_id: UpstreamId, link: _Link, reply: Reply) -> None:
+    def _take_reply(self, upstream_id: UpstreamId, link: _Link, reply: Reply) -> LoadReport | None:
         self._budget.spend(REQUEST_BYTES + _reply_bytes(reply), time.monotonic())
         report = parse_load_report(reply.body) if reply.status == HTTP_OK else None
-        if report is None:
-            return
-        link.failures = 0
-        self._sink.saw_report(upstream_id, report)
+        if report is not None:
+            link.failures = 0
+            self._sink.saw_report(upstream_id, report)
+        return report
 
     def _take_failure(self, upstream_id: UpstreamId, link: _Link, failure: LinkFailure) -> None:
         self._budget.spend(REQUEST_BYTES, time.monotonic())
--- /dev/null
+++ b/gooseberryquay/machines/tests/cold_builders.py
@@ -0,0 +1,192 @@
+"""Builders of a platform in memory, an engine that counts, and entries that share it."""
+
+import random
+import threading
+import time
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from gooseberryquay.contracts.settings import ChoiceSettings
+from gooseberryquay.links.platform_link import OutcomeUnknown, PlatformUnreachable, WriteConflict
+from gooseberryquay.links.platform_messages import InstanceEntry, StoredObject
+from gooseberryquay.machines.cold_admission import ColdAdmission, ColdAdmissionLinks
+from gooseberryquay.machines.cold_record import SlotHolder
+from gooseberryquay.machines.cold_store import SlotStore
+from gooseberryquay.machines.load_report import LoadReport, UpstreamCondition
+from gooseberryquay.machines.tests.choice_builders import (
+    SERVICE,
+    HeldConfiguration,
+    build_configuration,
+    build_dispatcher,
+    build_table,
+    build_upstream,
+    build_work,
+)
+from gooseberryquay.machines.work import Outcome
+
+SETTLE_S = 0.3
+ABSENT_S = 0.3
+
+
+class MemoryPlatform:
+    """Keep objects in memory; writes can lose their answers, land late or fail."""
+
+    def __init__(self):
+        self.objects = {}
+        self.instance_ids = set()
+        self.is_down = False
+        self.lose_answers = 0
+        self.land_late = 0
+        self.late_writes = []
+        self._lock = threading.Lock()
+
+    def read(self, key):
+        if self.is_down:
+            return Err(PlatformUnreachable("down"))
+        with self._lock:
+            return Ok(self.objects.get(key))
+
+    def write(self, key, value, expected_version=None):
+        if self.is_down:
+            return Err(PlatformUnreachable("down"))
+        with self._lock:
+            if self.land_late > 0:
+                self.land_late -= 1
+                self.late_writes.append((key, value, expected_version))
+                return Err(OutcomeUnknown("not landed yet"))
+            written = self._write(key, value, expected_version)
+            if self.lose_answers > 0:
+                self.lose_answers -= 1
+                return Err(OutcomeUnknown("answer lost"))
+            return written
+
+    def land(self):
+        """Carry out the late writes."""
+        with self._lock:
+            for each in self.late_writes:
+                self._write(*each)
+            self.late_writes.clear()
+
+    def _write(self, key, value, expected_version):
+        current = self.objects.get(key)
+        version = current.version if current else 0
+        if expected_version not in (None, version):
+            return Err(WriteConflict(current))
+        self.objects[key] = StoredObject(key=key, version=version + 1, value=value)
+        return Ok(version + 1)
+
+    def instances(self):
+        if self.is_down:
+            return Err(PlatformUnreachable("down"))
+        return Ok(
+            tuple(
+                InstanceEntry(
+                    id=name, kind="entry", zone="sask-a", address="127.0.0.1:1", incarnation=run
+                )
+                for name, run in self.instance_ids
+            )
+        )
+
+
+@dataclass
+class CountingEngine:
+    """Count what is in flight and how often a cold engine got more than it can bear."""
+
+    cap: int
+    is_cold: bool = True
+    in_flight: int = 0
+    peak: int = 0
+    served: int = 0
+    exceeded: int = 0
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def report(self):
+        condition = UpstreamCondition.COLD if self.is_cold else UpstreamCondition.WARM
+        return LoadReport(
+            condition=condition, in_flight=self.in_flight, kv_total_tokens=100_000, step_s=0.02
+        )
+
+    def begin(self):
+        with self.lock:
+            self.in_flight += 1
+            self.peak = max(self.peak, self.in_flight)
+            if self.is_cold and self.in_flight > self.cap:
+                self.exceeded += 1
+
+    def end(self):
+        with self.lock:
+            self.in_flight -= 1
+            self.served += 1
+
+
+class TestEntry:
+    """Wire one entry's dispatcher and cold admission to the shared engine."""
+
+    __test__ = False
+
+    def __init__(self, name, run, platform, engine, entry_count=8):
+        self.engine = engine
+        self.platform = platform
+        self.holder = SlotHolder(entry=name, incarnation=run)
+        self.upstream = build_upstream(0, cold_in_flight_max=engine.cap)
+        held = HeldConfiguration(build_configuration([self.upstream]))
+        table = build_table(held)
+        self.admission = ColdAdmission(
+            SlotStore(platform, ABSENT_S),
+            self.holder,
+            table,
+            settle_s=SETTLE_S,
+            random_source=random.Random(name),
+        )
+        self.dispatcher = build_dispatcher(
+            held,
+            ChoiceSettings(queue_patience=0.3),
+            slots=self.admission,
+            table=table,
+            reports=None,
+            entry_count=lambda: entry_count,
+        )
+        platform.instance_ids.add((name, run))
+        self.links = ColdAdmissionLinks(
+            lambda _upstream: self.poll(), lambda: entry_count, self.dispatcher.capacity_changed
+        )
+
+    def poll(self):
+        report = self.engine.report()
+        self.dispatcher.saw_report(self.upstream.id, report)
+        return report
+
+    def start(self):
+        self.poll()
+        self.admission.start(self.links)
+        return self
+
+    def place(self):
+        return self.dispatcher.place(build_work(service=SERVICE))
+
+    def serve_one(self, hold_s):
+        """Run one request if it gets a place."""
+        match self.place():
+            case Ok(placed):
+                self.engine.begin()
+                time.sleep(hold_s)
+                self.engine.end()
+                placed.saw_report(self.engine.report())
+                placed.finish(Outcome.FINISHED)
+
+    def wait_for_place(self, timeout_s=20.0):
+        end_s = time.monotonic() + timeout_s
+        while time.monotonic() < end_s:
+            match self.place():
+                case Ok(placed):
+                    return placed
+        raise AssertionError("no place in time")
+
+
+def wait_until(condition, timeout_s=20.0):
+    """Wait until a condition holds."""
+    end_s = time.monotonic() + timeout_s
+    while not condition():
+        assert time.monotonic() < end_s, "not in time"
+        time.sleep(0.02)
--- a/gooseberryquay/machines/upstream.py
+++ b/gooseberryquay/machines/upstream.py
@@ -53,6 +53,7 @@
         self.report: LoadReport | None = None
         self.reported_at_s = 0.0
         self.received_at_s = 0.0
+        self.view_since_s = 0.0
         self.work: set[UpstreamWork] = set()
         self.token_gap_s = 0.0
         self.is_silent = False
@@ -74,7 +75,7 @@
         self.work.discard(work)
         self._changes.append(_Change(now_s, -1, -work.held_tokens))
 
-    def take_report(self, report: LoadReport, now_s: float, is_cold_ramp: bool = True) -> None:
+    def take_report(self, report: LoadReport, now_s: float) -> None:
         """Take in a report unless a newer one is known."""
         self.is_silent = False
         measured_at_s = now_s - report.age_s
@@ -85,15 +86,26 @@
         self.received_at_s = now_s
         while self._changes and self._changes[0].at_s <= measured_at_s:
             self._changes.popleft()
-        before, self.view = self.view, _VIEW_OF_CONDITION[report.condition]
-        if is_cold_ramp and before is UpstreamView.COLD and self.view is UpstreamView.WARM:
+        before = self.view
+        self._turn(_VIEW_OF_CONDITION[report.condition], now_s)
+        if before is UpstreamView.COLD and self.view is UpstreamView.WARM:
             self.ramp.begin(self.declaration.cold_in_flight_max, now_s)
 
-    def forget(self) -> None:
+    def saw_cold(self, now_s: float) -> None:
+        """Take the upstream as cold until a report of a later moment says otherwise."""
+        self.reported_at_s = now_s
+        self._turn(UpstreamView.COLD, now_s)
+
+    def forget(self, now_s: float) -> None:
         """Drop what was reported, so that the condition is unknown again."""
-        self.view = UpstreamView.UNKNOWN
+        self._turn(UpstreamView.UNKNOWN, now_s)
         self.report = None
 
+    def _turn(self, view: UpstreamView, now_s: float) -> None:
+        if view is not self.view:
+            self.view = view
+            self.view_since_s = now_s
+
     def saw_gap(self, gap_s: float) -> None:
         """Take in one observed time between tokens."""
         self.token_gap_s += GAP_WEIGHT * (gap_s - self.token_gap_s)
