--- a/gooseberryquay/machines/length_estimate.py
+++ b/gooseberryquay/machines/length_estimate.py
@@ -2,13 +2,14 @@
 
 from bisect import bisect_right
 from collections import OrderedDict
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from hdrh.histogram import HdrHistogram
 
 from gooseberryquay.ids import ServiceId, WorkKind, WorkspaceId
 
-__all__ = ["LengthCurve", "LengthEstimator"]
+__all__ = ["LengthCount", "LengthCurve", "LengthEstimator"]
 
 MAX_LENGTH_TOKENS = 131_072
 SIGNIFICANT_DIGITS = 1
@@ -16,7 +17,6 @@
 MIN_RECORDS = 12
 RECORDS_PER_GENERATION = 256
 RECORDS_PER_REFRESH = 16
-CURVE_POINTS = 32
 DEFAULT_LENGTHS_TOKENS = (8.0, 64.0, 256.0, 700.0)
 TAIL_GROWTH = 0.25
 MIN_REMAINING_TOKENS = 4.0
@@ -29,35 +29,47 @@
     kind: WorkKind | None
 
 
+@dataclass(frozen=True)
+class LengthCount:
+    """Count outputs of one length."""
+
+    length_tokens: float
+    count: int
+
+
 class LengthCurve:
-    """Hold equally likely output lengths in rising order."""
+    """Hold the distribution of output lengths, given in rising order."""
 
-    def __init__(self, lengths_tokens: tuple[float, ...]) -> None:
-        self._lengths = lengths_tokens
-        self._sums_above = _sum_from_end(lengths_tokens)
-        self.mean_tokens = self._sums_above[0] / len(lengths_tokens)
-        squares = sum(length * length for length in lengths_tokens)
-        self.residual_tokens = squares / max(1.0, 2.0 * self._sums_above[0])
+    def __init__(self, counts: Sequence[LengthCount]) -> None:
+        self._lengths = [each.length_tokens for each in counts]
+        self._counts_from = _sum_from_end([float(each.count) for each in counts])
+        self._tokens_from = _sum_from_end([each.length_tokens * each.count for each in counts])
+        self.mean_tokens = self._tokens_from[0] / self._counts_from[0]
+        squares = sum(each.length_tokens**2 * each.count for each in counts)
+        self.residual_tokens = squares / max(1.0, 2.0 * self._tokens_from[0])
 
     def remaining_tokens(self, generated_tokens: int) -> float:
         """Give the expected further tokens of an output that has come this far."""
         first = bisect_right(self._lengths, generated_tokens)
-        count = len(self._lengths) - first
+        count = self._counts_from[first]
         if count == 0:
             return max(MIN_REMAINING_TOKENS, generated_tokens * TAIL_GROWTH)
-        return max(MIN_REMAINING_TOKENS, self._sums_above[first] / count - generated_tokens)
+        return max(MIN_REMAINING_TOKENS, self._tokens_from[first] / count - generated_tokens)
 
     def quantile_tokens(self, share: float) -> float:
         """Give the length that a share of outputs doesn't exceed."""
-        position = min(len(self._lengths) - 1, int(share * len(self._lengths)))
-        return self._lengths[position]
+        count_above = self._counts_from[0] * (1.0 - share)
+        for length_tokens, count_from in zip(self._lengths, self._counts_from[1:], strict=True):
+            if count_from <= count_above:
+                return length_tokens
+        return self._lengths[-1]
 
 
-def _sum_from_end(values: tuple[float, ...]) -> tuple[float, ...]:
+def _sum_from_end(values: Sequence[float]) -> list[float]:
     sums = [0.0]
     for value in reversed(values):
         sums.append(sums[-1] + value)
-    return tuple(reversed(sums))
+    return sums[::-1]
 
 
 class _RecentLengths:
@@ -90,8 +102,13 @@
         merged.add(self._newer)
         if self._older is not None:
             merged.add(self._older)
-        shares = ((index + 0.5) * 100.0 / CURVE_POINTS for index in range(CURVE_POINTS))
-        return LengthCurve(tuple(float(merged.get_value_at_percentile(each)) for each in shares))
+        recorded = merged.get_recorded_iterator()
+        return LengthCurve(
+            [
+                LengthCount(float(each.value_iterated_to), each.count_at_value_iterated_to)
+                for each in recorded
+            ]
+        )
 
 
 def _new_histogram() -> HdrHistogram:
@@ -106,6 +123,11 @@
         self._max_keys = max_keys
         self._recent: OrderedDict[_Key, _RecentLengths] = OrderedDict()
 
+    @property
+    def key_count(self) -> int:
+        """Give the number of keys that are kept."""
+        return len(self._recent)
+
     def record(
         self, workspace: WorkspaceId, service: ServiceId, kind: WorkKind, length_tokens: int
     ) -> None:
@@ -127,16 +149,22 @@
             if recent is not None and recent.count >= MIN_RECORDS:
                 return recent.curve()
         longest_tokens = float(max(1, max_tokens))
-        return LengthCurve(tuple(min(each, longest_tokens) for each in DEFAULT_LENGTHS_TOKENS))
+        return _default_curve(longest_tokens)
 
     def service_curve(self, service: ServiceId) -> LengthCurve:
         """Give the curve of all work of a service."""
         recent = self._recent.get(_Key(None, service, None))
         if recent is None or recent.count < MIN_RECORDS:
-            return LengthCurve(DEFAULT_LENGTHS_TOKENS)
+            return _default_curve(DEFAULT_LENGTHS_TOKENS[-1])
         return recent.curve()
 
 
+def _default_curve(longest_tokens: float) -> LengthCurve:
+    return LengthCurve(
+        [LengthCount(min(each, longest_tokens), 1) for each in DEFAULT_LENGTHS_TOKENS]
+    )
+
+
 def _keys_of(workspace: WorkspaceId, service: ServiceId, kind: WorkKind) -> tuple[_Key, _Key, _Key]:
     return (
         _Key(workspace, service, kind),
--- /dev/null
+++ b/gooseberryquay/machines/tests/test_length_estimate.py
@@ -0,0 +1,56 @@
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gooseberryquay.machines.length_estimate import LengthCount, LengthCurve, LengthEstimator
+
+
+def _record(estimator, workspace, kind, lengths):
+    for length in lengths:
+        estimator.record(workspace, "model", kind, length)
+
+
+def test_learns_each_kind_and_falls_back_to_wider_keys():
+    estimator = LengthEstimator()
+    _record(estimator, "a", "quick", [10] * 50)
+    _record(estimator, "a", "long", [500] * 50)
+    assert estimator.curve("a", "model", "quick", 1000).mean_tokens < 20
+    assert estimator.curve("a", "model", "long", 1000).mean_tokens > 400
+    assert estimator.curve("new", "model", "quick", 1000).mean_tokens < 20
+    assert 100 < estimator.curve("new", "model", "other", 1000).mean_tokens < 400
+
+
+def test_forgets_old_lengths():
+    estimator = LengthEstimator()
+    _record(estimator, "a", "k", [10] * 1000)
+    _record(estimator, "a", "k", [800] * 600)
+    assert estimator.curve("a", "model", "k", 1000).mean_tokens > 600
+
+
+def test_keys_are_bounded():
+    estimator = LengthEstimator(max_keys=50)
+    for number in range(500):
+        _record(estimator, f"w{number}", "k", [10])
+    assert estimator.key_count == 50
+    assert estimator.curve("w1", "model", "k", 1000).mean_tokens < 20
+
+
+def test_remaining_length_is_corrected_while_it_runs():
+    randomness = random.Random(3)
+    lengths = [int(randomness.lognormvariate(5, 1.2)) + 1 for _ in range(2000)]
+    estimator = LengthEstimator()
+    _record(estimator, "a", "k", lengths)
+    curve = estimator.curve("a", "model", "k", 100_000)
+    for generated in (0, 50, 200, 800):
+        longer = [each - generated for each in lengths[-464:] if each > generated]
+        truth = sum(longer) / len(longer)
+        assert 0.8 * truth <= curve.remaining_tokens(generated) <= 1.25 * truth
+
+
+@settings(max_examples=50, deadline=None)
+@given(st.lists(st.floats(1, 100_000), min_size=1, max_size=40), st.integers(0, 200_000))
+def test_remaining_length_is_positive_and_bounded(lengths, generated):
+    curve = LengthCurve([LengthCount(each, 1) for each in sorted(lengths)])
+    remaining = curve.remaining_tokens(generated)
+    assert 0 < remaining <= max(*lengths, generated) + 4
--- /dev/null
+++ b/gooseberryquay/machines/tests/test_load_poller.py
@@ -0,0 +1,110 @@
+import threading
+import time
+
+import pytest
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.links.http_server import HttpServer, Response, Router
+from gooseberryquay.machines.load_poller import LoadPoller, ReportSink
+from gooseberryquay.machines.load_report import LoadReport
+from gooseberryquay.machines.tests.choice_builders import (
+    SERVICE,
+    HeldConfiguration,
+    build_configuration,
+    build_table,
+    build_upstream,
+)
+from gooseberryquay.machines.tests.cold_builders import wait_until
+from gooseberryquay.standins.process import find_free_port
+
+
+class ReportingUpstream:
+    """Serve /load, or hang while `is_hung` is set."""
+
+    def __init__(self):
+        self.asked = 0
+        self.is_hung = False
+        self.released = threading.Event()
+        router = Router()
+        router.add("GET", "/load", self._load)
+        self.server = HttpServer("127.0.0.1", 0, router)
+        self.server.start()
+
+    def _load(self, _request):
+        self.asked += 1
+        if self.is_hung:
+            self.released.wait(30.0)
+        return Response.of(LoadReport(in_flight=3))
+
+
+class Listener:
+    """Collect what the poller learns and feed the table's states."""
+
+    def __init__(self, table):
+        self.table = table
+        self.reports = []
+        self.silences = []
+
+    def saw_report(self, upstream_id, report):
+        self.reports.append(upstream_id)
+        self.table.find(upstream_id).take_report(report, time.monotonic())
+
+    def saw_silence(self, upstream_id, is_gone):
+        self.silences.append((upstream_id, is_gone))
+
+
+@pytest.fixture
+def upstream():
+    reporting = ReportingUpstream()
+    yield reporting
+    reporting.released.set()
+    reporting.server.stop()
+
+
+def _start_poller(ports, bytes_per_s=2000):
+    declared = [
+        build_upstream(number, address=Address("127.0.0.1", port))
+        for number, port in enumerate(ports)
+    ]
+    table = build_table(HeldConfiguration(build_configuration(declared)))
+    table.usable(SERVICE)
+    listener = Listener(table)
+    sink = ReportSink(listener.saw_report, listener.saw_silence)
+    poller = LoadPoller(table, sink, bytes_per_s)
+    poller.start()
+    return poller, listener
+
+
+def test_refused_connection_is_reported_as_gone(upstream):
+    poller, listener = _start_poller([upstream.server.port, find_free_port()])
+    wait_until(lambda: ("engine-1", True) in listener.silences and "engine-0" in listener.reports)
+    poller.stop()
+
+
+def test_hung_upstream_is_silent_does_not_hold_up_others_and_comes_back(upstream):
+    other = ReportingUpstream()
+    upstream.is_hung = True
+    poller, listener = _start_poller([upstream.server.port, other.server.port])
+    wait_until(lambda: ("engine-0", False) in listener.silences)
+    assert "engine-1" in listener.reports
+    upstream.is_hung = False
+    wait_until(lambda: "engine-0" in listener.reports)
+    poller.stop()
+    other.server.stop()
+
+
+def test_polls_stay_within_the_byte_budget(upstream):
+    poller, listener = _start_poller([upstream.server.port] * 12, bytes_per_s=200)
+    started_s = time.monotonic()
+    time.sleep(4.0)
+    poller.stop()
+    elapsed_s = time.monotonic() - started_s
+    smallest_poll_bytes = 300
+    assert 0 < upstream.asked <= (200 * (elapsed_s + 10.0)) / smallest_poll_bytes + 4
+
+
+def test_upstream_whose_report_is_oldest_is_asked_first(upstream):
+    poller, listener = _start_poller([upstream.server.port] * 6)
+    wait_until(lambda: len(listener.reports) >= 18)
+    poller.stop()
+    assert set(listener.reports[:6]) == {f"engine-{number}" for number in range(6)}
