Run postings at most once through sharded claim logs

Cause: a repeat at another entry, after a lost answer or a dead entry, must not run an operation that is declared never to repeat. - Each key is claimed in its shard's log on the platform before it is sent; logs are split by the key's creation time so that a writer's index is small. - The shard's owner joins appends into one conditional write; any entry may write itself, the head's version decides. - Service links check the echoed request id and the length of each answer. Ruled out: taking over a claim after a time (a paused holder may still send).

--- a/gooseberryquay/errors.py
+++ b/gooseberryquay/errors.py
@@ -5,11 +5,13 @@
 from typing import ClassVar
 
 __all__ = [
+    "AnswerNotKept",
     "DeadlineUnreachable",
     "EntryLeaving",
     "Failure",
     "GenerationLost",
     "IdempotencyKeyRequired",
+    "IdempotencyKeyReused",
     "InternalError",
     "InvalidRequest",
     "NotFound",
@@ -23,6 +25,7 @@
     "UnknownModel",
     "UnknownOutcome",
     "UnknownWorkspace",
+    "UntimedKeysFull",
     "UpstreamFailed",
     "WrongWorkspace",
 ]
@@ -65,6 +68,20 @@
     status = 400
 
 
+class IdempotencyKeyReused(Failure):
+    """Report an idempotency key that was used before with a different request."""
+
+    type = "idempotency_key_reused"
+    status = 422
+
+
+class UntimedKeysFull(Failure):
+    """Report that no more idempotency keys without a creation time can be kept."""
+
+    type = "untimed_keys_full"
+    status = 503
+
+
 class RequestTooLarge(Failure):
     """Report a body over the configured size."""
 
@@ -149,6 +166,13 @@
     status = 409
 
 
+class AnswerNotKept(Failure):
+    """Report a request that ran and whose answer was too large to be recorded."""
+
+    type = "answer_not_kept"
+    status = 409
+
+
 class SuspectedCrash(Failure):
     """Report a request that crashed too many upstreams."""
 
--- /dev/null
+++ b/gooseberryquay/links/service_link.py
@@ -0,0 +1,174 @@
+"""Send operations to one plain service and check that each answer is whole and its own."""
+
+import threading
+import time
+from dataclasses import dataclass
+
+from result import Err, Ok
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.contracts.service import Repeat
+from gooseberryquay.errors import Ran, UpstreamFailed
+from gooseberryquay.ids import IdempotencyKey, OperationName, RequestId
+from gooseberryquay.links.dispatch_outcome import (
+    AnsweredByUpstream,
+    DispatchOutcome,
+    NotSent,
+    RefusedByUpstream,
+    Undecided,
+)
+from gooseberryquay.links.http_client import HttpClient, LinkFailure, ReplyStream
+
+__all__ = ["ServiceCall", "ServiceLink"]
+
+HTTP_UNAVAILABLE = 503
+DEFAULT_CONNECT_TIMEOUT_S = 0.5
+DEFAULT_IDLE_TIMEOUT_S = 5.0
+
+
+@dataclass(frozen=True)
+class ServiceCall:
+    """Describe one operation to be sent; the whole answer is due within `timeout_s`."""
+
+    operation: OperationName
+    request_id: RequestId
+    body: bytes
+    repeat: Repeat
+    timeout_s: float
+    idempotency_key: IdempotencyKey | None = None
+    content_type: str = "application/json"
+
+
+class ServiceLink:
+    """Send operations to one upstream; safe for use by many threads.
+
+    An operation that may not be repeated gets a connection of its own: a kept one may have gone
+    silent, which would leave the outcome unknown where a failed connect proves that nothing was
+    sent. Repeatable operations share kept connections, all of which are closed after a failure.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
+        idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S,
+    ) -> None:
+        self._address = address
+        self._connect_timeout_s = connect_timeout_s
+        self._idle_timeout_s = idle_timeout_s
+        self._lock = threading.Lock()
+        self._shared = self._new_client()
+
+    def send(self, call: ServiceCall) -> DispatchOutcome:
+        """Send an operation, twice where it may be repeated and the first link failed."""
+        deadline_at_s = time.monotonic() + call.timeout_s
+        match call.repeat:
+            case Repeat.NEVER:
+                return self._send_alone(call, deadline_at_s)
+            case Repeat.ALLOWED:
+                return self._send_repeatable(call, deadline_at_s)
+
+    def close(self) -> None:
+        """Close all kept connections."""
+        self._shared.close()
+
+    def _send_alone(self, call: ServiceCall, deadline_at_s: float) -> DispatchOutcome:
+        client = self._new_client()
+        try:
+            return self._exchange(client, call, deadline_at_s)
+        finally:
+            client.close()
+
+    def _send_repeatable(self, call: ServiceCall, deadline_at_s: float) -> DispatchOutcome:
+        client = self._shared
+        outcome = self._exchange(client, call, deadline_at_s)
+        if not isinstance(outcome, Undecided):
+            return outcome
+        self._replace_shared(client)
+        if time.monotonic() >= deadline_at_s:
+            return outcome
+        return self._send_alone(call, deadline_at_s)
+
+    def _replace_shared(self, failed: HttpClient) -> None:
+        with self._lock:
+            if self._shared is failed:
+                self._shared = self._new_client()
+        failed.close()
+
+    def _new_client(self) -> HttpClient:
+        return HttpClient(
+            self._address.host, self._address.port, self._connect_timeout_s, self._idle_timeout_s
+        )
+
+    def _exchange(
+        self, client: HttpClient, call: ServiceCall, deadline_at_s: float
+    ) -> DispatchOutcome:
+        remaining_s = deadline_at_s - time.monotonic()
+        if remaining_s <= 0:
+            return NotSent(UpstreamFailed("no time was left to send the operation", Ran.NO))
+        opened = client.open(
+            "POST",
+            f"/operations/{call.operation}",
+            call.body,
+            _headers_of(call),
+            min(remaining_s, self._idle_timeout_s),
+        )
+        match opened:
+            case Err(failure):
+                return _outcome_of(failure)
+            case Ok(stream):
+                return _read_answer(stream, call, deadline_at_s)
+
+
+def _headers_of(call: ServiceCall) -> dict[str, str]:
+    headers = {"X-Request-Id": call.request_id, "Content-Type": call.content_type}
+    if call.idempotency_key is not None:
+        headers["Idempotency-Key"] = call.idempotency_key
+    return headers
+
+
+def _outcome_of(failure: LinkFailure) -> DispatchOutcome:
+    if failure.was_sent:
+        return Undecided(failure.message)
+    return NotSent(UpstreamFailed(failure.message, Ran.NO))
+
+
+def _read_answer(stream: ReplyStream, call: ServiceCall, deadline_at_s: float) -> DispatchOutcome:
+    if stream.headers.get("x-request-id") != call.request_id:
+        stream.close()
+        return Undecided("the upstream answered a different request")
+    parts = []
+    for buffer in stream.buffers():
+        match buffer:
+            case Err(failure):
+                stream.close()
+                return Undecided(failure.message)
+            case Ok(part):
+                parts.append(part)
+        if time.monotonic() >= deadline_at_s:
+            stream.close()
+            return Undecided("the answer was not whole in time")
+    body = b"".join(parts)
+    if not _is_whole(stream, body):
+        stream.close()
+        return Undecided("the answer is not whole")
+    stream.release()
+    return _judge(stream, body)
+
+
+def _is_whole(stream: ReplyStream, body: bytes) -> bool:
+    if "chunked" in stream.headers.get("transfer-encoding", ""):
+        return True
+    return stream.headers.get("content-length") == str(len(body))
+
+
+def _judge(stream: ReplyStream, body: bytes) -> DispatchOutcome:
+    if stream.status == HTTP_UNAVAILABLE:
+        return RefusedByUpstream("the upstream did not run the operation", _retry_after_s(stream))
+    content_type = stream.headers.get("content-type", "application/json")
+    return AnsweredByUpstream(stream.status, content_type, body)
+
+
+def _retry_after_s(stream: ReplyStream) -> float | None:
+    text = stream.headers.get("retry-after", "")
+    return float(text) if text.isdigit() else None
--- /dev/null
+++ b/gooseberryquay/links/tests/test_service_link.py
@@ -0,0 +1,113 @@
+import socket
+import threading
+import time
+from contextlib import contextmanager, suppress
+
+import pytest
+
+from gooseberryquay.contracts import Address
+from gooseberryquay.contracts.service import Repeat
+from gooseberryquay.links.dispatch_outcome import (
+    AnsweredByUpstream,
+    NotSent,
+    RefusedByUpstream,
+    Undecided,
+)
+from gooseberryquay.links.service_link import ServiceCall, ServiceLink
+from gooseberryquay.standins.process import find_free_port
+
+HEAD = "HTTP/1.1 {} OK\r\nX-Request-Id: {}\r\nContent-Length: {}\r\n\r\n"
+
+
+def build_call(repeat=Repeat.NEVER, timeout_s=10.0):
+    return ServiceCall("post-weight", "request-1", b"{}", repeat, timeout_s, "key-1")
+
+
+@contextmanager
+def serving(*answers):
+    """Serve one scripted answer a connection; None keeps the connection silent."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    opened = []
+
+    def serve():
+        for answer in answers:
+            connection, _ = listener.accept()
+            opened.append(connection)
+            connection.recv(65536)
+            if answer is None:
+                continue
+            with suppress(OSError):
+                connection.sendall(answer.encode())
+                connection.shutdown(socket.SHUT_WR)
+
+    thread = threading.Thread(target=serve, daemon=True)
+    thread.start()
+    yield ServiceLink(Address(*listener.getsockname()), idle_timeout_s=0.3), opened
+    listener.close()
+    for each in opened:
+        each.close()
+
+
+def test_whole_answer_to_the_own_request():
+    with serving(HEAD.format(200, "request-1", 2) + "ok") as (link, _):
+        assert link.send(build_call()) == AnsweredByUpstream(200, "application/json", b"ok")
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        HEAD.format(200, "request-2", 2) + "ok",
+        HEAD.format(503, "request-2", 2) + "no",
+        HEAD.format(200, "request-1", 5) + "ok",
+        HEAD.format(200, "request-1", 2).replace("Content-Length: 2\r\n", "") + "ok",
+        "HTTP/1.1 200 OK\r\nContent-Le",
+        "",
+        None,
+    ],
+    ids=["crossed", "crossed refusal", "cut", "no length", "broken head", "closed", "silent"],
+)
+def test_wrong_answer_to_an_operation_that_may_not_repeat_is_undecided_after_one_send(answer):
+    with serving(answer, HEAD.format(200, "request-1", 2) + "ok") as (link, opened):
+        assert isinstance(link.send(build_call()), Undecided)
+        assert len(opened) == 1
+
+
+@pytest.mark.parametrize("answer", [HEAD.format(200, "request-2", 2) + "ok", "", None])
+def test_repeatable_operation_goes_out_again_on_a_new_connection(answer):
+    with serving(answer, HEAD.format(200, "request-1", 2) + "ok") as (link, opened):
+        assert isinstance(link.send(build_call(Repeat.ALLOWED)), AnsweredByUpstream)
+        assert len(opened) == 2
+
+
+def test_refusal_by_the_upstream_is_told_apart():
+    refusal = HEAD.format(503, "request-1", 0).replace("\r\n\r\n", "\r\nRetry-After: 3\r\n\r\n")
+    with serving(refusal) as (link, _):
+        assert link.send(build_call()) == RefusedByUpstream(
+            "the upstream did not run the operation", 3.0
+        )
+
+
+def test_refused_connection_is_proof_that_nothing_was_sent():
+    link = ServiceLink(Address("127.0.0.1", find_free_port()))
+    assert isinstance(link.send(build_call()), NotSent)
+
+
+def test_answer_that_trickles_past_the_deadline_is_given_up():
+    with serving(None) as (link, opened):
+        outcomes = []
+        call = build_call(timeout_s=0.5)
+        sender = threading.Thread(target=lambda: outcomes.append(link.send(call)))
+        sender.start()
+        while not opened:
+            time.sleep(0.01)
+        opened[0].sendall(HEAD.format(200, "request-1", 1000).encode())
+        for _ in range(1000):
+            if not sender.is_alive():
+                break
+            time.sleep(0.05)
+            try:
+                opened[0].sendall(b"x")
+            except OSError:
+                break
+        sender.join(20)
+    assert isinstance(outcomes[0], Undecided)
--- /dev/null
+++ b/gooseberryquay/postings/claim_index.py
@@ -0,0 +1,103 @@
+"""State of each key, computed from a log's records in their order."""
+
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from gooseberryquay.ids import ClaimToken
+from gooseberryquay.postings.records import (
+    Answered,
+    Claimed,
+    ClaimRecord,
+    OutcomeLost,
+    RecordKey,
+    Released,
+)
+
+__all__ = ["FREE", "ClaimIndex", "KeyPhase", "KeyState", "next_state"]
+
+VOID_TOKENS_MAX = 8
+
+
+class KeyPhase(Enum):
+    """Say how far the run of a key has come."""
+
+    FREE = "free"
+    CLAIMED = "claimed"
+    OUTCOME_LOST = "outcome_lost"
+    ANSWERED = "answered"
+
+
+@dataclass(frozen=True, slots=True)
+class KeyState:
+    """Hold what the log says of one key; `claimed_at_s` is wall clock time."""
+
+    phase: KeyPhase = KeyPhase.FREE
+    token: ClaimToken | None = None
+    fingerprint: str = ""
+    claimed_at_s: int = 0
+    answer: Answered | None = None
+    void_tokens: tuple[ClaimToken, ...] = ()
+
+    def is_held_by(self, token: ClaimToken) -> bool:
+        """Tell whether a claim has the right to run the key."""
+        return self.phase is KeyPhase.CLAIMED and self.token == token
+
+
+FREE = KeyState()
+
+
+def next_state(state: KeyState, record: ClaimRecord) -> KeyState:
+    """Apply one record; the same object comes back where the record changes nothing."""
+    match record:
+        case Claimed(token=token) if state.phase is KeyPhase.FREE:
+            if token in state.void_tokens:
+                return state
+            return replace(
+                state,
+                phase=KeyPhase.CLAIMED,
+                token=token,
+                fingerprint=record.fingerprint,
+                claimed_at_s=record.at_s,
+            )
+        case Released(token=token):
+            return _release(state, token)
+        case Answered(token=token) if token == state.token and state.phase in _OPEN_PHASES:
+            return replace(state, phase=KeyPhase.ANSWERED, answer=record)
+        case OutcomeLost(token=token) if state.is_held_by(token):
+            return replace(state, phase=KeyPhase.OUTCOME_LOST)
+        case _:
+            return state
+
+
+_OPEN_PHASES = (KeyPhase.CLAIMED, KeyPhase.OUTCOME_LOST)
+
+
+def _release(state: KeyState, token: ClaimToken) -> KeyState:
+    void_tokens = (*state.void_tokens, token)[-VOID_TOKENS_MAX:]
+    if state.is_held_by(token):
+        return KeyState(void_tokens=void_tokens)
+    if token == state.token or token in state.void_tokens:
+        return state
+    return replace(state, void_tokens=void_tokens)
+
+
+class ClaimIndex:
+    """Hold the state of every key in one log."""
+
+    def __init__(self) -> None:
+        self._states: dict[RecordKey, KeyState] = {}
+
+    def __len__(self) -> int:
+        return len(self._states)
+
+    def state(self, key: RecordKey) -> KeyState:
+        """Give the state of a key."""
+        return self._states.get(key, FREE)
+
+    def has(self, key: RecordKey) -> bool:
+        """Tell whether any record names the key."""
+        return key in self._states
+
+    def apply(self, record: ClaimRecord) -> None:
+        """Apply the next record of the log."""
+        self._states[record.key] = next_state(self.state(record.key), record)
--- /dev/null
+++ b/gooseberryquay/postings/claim_logs.py
@@ -0,0 +1,56 @@
+"""The claim logs that one entry holds copies of, within a memory bound."""
+
+import threading
+from collections import OrderedDict
+
+from gooseberryquay.links.platform_link import PlatformLink
+from gooseberryquay.postings.claim_log import ClaimLog
+from gooseberryquay.postings.claim_log_copy import ClaimLogCopy
+from gooseberryquay.postings.posting import KeyLocation, LogName
+from gooseberryquay.postings.settings import PostingSettings
+
+__all__ = ["ClaimLogs"]
+
+
+class ClaimLogs:
+    """Open logs as they are needed and drop the least recently used idle ones."""
+
+    def __init__(self, platform: PlatformLink, settings: PostingSettings) -> None:
+        self._platform = platform
+        self._settings = settings
+        self._lock = threading.Lock()
+        self._logs: OrderedDict[LogName, ClaimLog] = OrderedDict()
+
+    def open(self, at: KeyLocation) -> ClaimLog:
+        """Give the log of a key."""
+        with self._lock:
+            log = self._logs.pop(at.log, None)
+            if log is None:
+                log = self._new_log(at)
+                self._drop_unused()
+            self._logs[at.log] = log
+            return log
+
+    def find(self, name: LogName) -> ClaimLog | None:
+        """Give a log if a copy of it is held."""
+        with self._lock:
+            return self._logs.get(name)
+
+    def has_unfinished(self) -> bool:
+        """Tell whether any append is under way."""
+        with self._lock:
+            return any(log.has_pending() for log in self._logs.values())
+
+    def _new_log(self, at: KeyLocation) -> ClaimLog:
+        copy = ClaimLogCopy(self._platform, at.log, self._settings.head_bytes_max)
+        keys_max = self._settings.untimed_keys_max // self._settings.shard_count
+        return ClaimLog(copy, self._settings.write_interval_s, None if at.is_timed() else keys_max)
+
+    def _drop_unused(self) -> None:
+        memory_bytes = sum(log.memory_bytes for log in self._logs.values())
+        for name, log in list(self._logs.items()):
+            if memory_bytes <= self._settings.index_bytes_max:
+                return
+            if log.is_idle():
+                memory_bytes -= log.memory_bytes
+                del self._logs[name]
--- /dev/null
+++ b/gooseberryquay/postings/claims.py
@@ -0,0 +1,48 @@
+"""What a store of claims offers, whichever way it keeps them."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from result import Result
+
+from gooseberryquay.postings.claim_index import KeyState
+from gooseberryquay.postings.posting import KeyLocation
+from gooseberryquay.postings.records import ClaimRecord
+
+__all__ = ["AppendFailure", "AppendUncertain", "Claims", "KeysFull", "NotAppended"]
+
+
+@dataclass(frozen=True)
+class NotAppended:
+    """Report a record that is not in the log and will not get there later."""
+
+    message: str
+
+
+@dataclass(frozen=True)
+class AppendUncertain:
+    """Report a record that may be in the log or may get there later."""
+
+    message: str
+
+
+@dataclass(frozen=True)
+class KeysFull:
+    """Report a claim that was turned down because too many untimed keys are kept."""
+
+    message: str
+
+
+AppendFailure = NotAppended | AppendUncertain | KeysFull
+
+
+class Claims(Protocol):
+    """Keep the records of keys in the platform."""
+
+    def append(
+        self, at: KeyLocation, record: ClaimRecord, deadline_at_s: float
+    ) -> Result[KeyState, AppendFailure]:
+        """Append a record and give the state of its key once that is certain."""
+
+    def known_state(self, at: KeyLocation) -> KeyState:
+        """Give the last state seen of a key, without asking anyone; it may be old."""
--- /dev/null
+++ b/gooseberryquay/postings/posting_desk.py
@@ -0,0 +1,220 @@
+"""Run operations at most once, whatever callers and entries repeat."""
+
+import secrets
+import threading
+import time
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from gooseberryquay.errors import (
+    AnswerNotKept,
+    DeadlineUnreachable,
+    Failure,
+    IdempotencyKeyReused,
+    Overloaded,
+    PlatformUnavailable,
+    Ran,
+    RequestTooOld,
+    UnknownOutcome,
+    UntimedKeysFull,
+)
+from gooseberryquay.ids import ClaimToken
+from gooseberryquay.links.dispatch_outcome import (
+    AnsweredByUpstream,
+    DispatchOutcome,
+    NotSent,
+    RefusedByUpstream,
+    Undecided,
+)
+from gooseberryquay.links.http_server import Router
+from gooseberryquay.links.platform_link import PlatformLink
+from gooseberryquay.machines.peer import Peers
+from gooseberryquay.postings.backlog import Backlog
+from gooseberryquay.postings.claim_index import KeyPhase, KeyState
+from gooseberryquay.postings.claims import AppendFailure, AppendUncertain, KeysFull
+from gooseberryquay.postings.owned_claims import OwnedClaims
+from gooseberryquay.postings.posting import KeyLocation, Posting, locate
+from gooseberryquay.postings.records import Answered, Claimed, ClaimRecord, OutcomeLost, Released
+from gooseberryquay.postings.settings import PostingSettings
+
+__all__ = ["Dispatch", "PostingDesk"]
+
+Dispatch = Callable[[ClaimToken], DispatchOutcome]
+
+TOKEN_BYTES = 12
+RETRY_AFTER_S = 1.0
+CONTENT_TYPE_LENGTH_MAX = 100
+
+
+class PostingDesk:
+    """Claim each key before its operation is sent, and keep the answer for repeats."""
+
+    def __init__(
+        self, platform: PlatformLink, peers: Peers, settings: PostingSettings | None = None
+    ) -> None:
+        self._settings = settings or PostingSettings()
+        self._claims = OwnedClaims(platform, peers, self._settings)
+        self._backlog = Backlog(self._claims, self._settings.backlog_max)
+        self._lock = threading.Lock()
+        self._running_count = 0
+
+    def add_routes(self, router: Router) -> None:
+        """Serve other entries' questions about claims."""
+        self._claims.add_routes(router)
+
+    def has_unfinished(self) -> bool:
+        """Tell whether a posting, an append or a late record is under way."""
+        with self._lock:
+            is_running = self._running_count > 0
+        return is_running or self._claims.has_unfinished() or len(self._backlog) > 0
+
+    def close(self, timeout_s: float) -> bool:
+        """Wait for late records and for appends; False where the time is over first."""
+        deadline_at_s = time.monotonic() + timeout_s
+        self._backlog.wait_until_empty(timeout_s)
+        while self.has_unfinished() and time.monotonic() < deadline_at_s:
+            time.sleep(0.01)
+        return not self.has_unfinished()
+
+    def run_once(self, posting: Posting, dispatch: Dispatch) -> Result[Answered, Failure]:
+        """Give the recorded answer of a key, and run its operation first if none ever may have.
+
+        `dispatch` is called at most once, by the holder of the key's only claim.
+        """
+        with self._lock:
+            self._running_count += 1
+        try:
+            return self._run_once(posting, dispatch)
+        finally:
+            with self._lock:
+                self._running_count -= 1
+
+    def _run_once(self, posting: Posting, dispatch: Dispatch) -> Result[Answered, Failure]:
+        if failure := self._check_age(posting):
+            return Err(failure)
+        at = locate(posting, self._settings)
+        known = self._claims.known_state(at)
+        if known.phase is KeyPhase.ANSWERED:
+            return self._answer_repeat(posting, known)
+        token = ClaimToken(secrets.token_hex(TOKEN_BYTES))
+        match self._claim(posting, at, token):
+            case Err(append_failure):
+                return Err(self._refuse_unclaimed(posting, at, token, append_failure))
+            case Ok(state) if state.is_held_by(token):
+                return self._run_claimed(posting, at, token, dispatch)
+            case Ok(state) if state.phase is KeyPhase.FREE:
+                return Err(PlatformUnavailable("the claim was made void", Ran.NO, RETRY_AFTER_S))
+            case Ok(state):
+                return self._answer_repeat(posting, state)
+
+    def _check_age(self, posting: Posting) -> Failure | None:
+        created_at_s = posting.created_at_s()
+        if created_at_s is None:
+            return None
+        age_s = time.time() - created_at_s
+        if age_s > self._settings.horizon_s - self._settings.clock_skew_s:
+            return RequestTooOld("records of keys as old as this are not kept", Ran.MAYBE)
+        if age_s < -self._settings.clock_skew_s:
+            return RequestTooOld("the key's creation time lies in the future", Ran.MAYBE)
+        return None
+
+    def _claim(
+        self, posting: Posting, at: KeyLocation, token: ClaimToken
+    ) -> Result[KeyState, AppendFailure]:
+        claimed = Claimed(
+            key=at.key, token=token, fingerprint=posting.fingerprint(), at_s=int(time.time())
+        )
+        latest_s = time.monotonic() + self._settings.claim_timeout_s
+        return self._claims.append(at, claimed, min(latest_s, posting.deadline_at_s))
+
+    def _refuse_unclaimed(
+        self, posting: Posting, at: KeyLocation, token: ClaimToken, failure: AppendFailure
+    ) -> Failure:
+        """Refuse without having sent anything, and make a claim that may still land void."""
+        match failure:
+            case KeysFull():
+                message = "too many keys without a creation time are kept; send UUIDv7 keys"
+                return UntimedKeysFull(message, Ran.NO, RETRY_AFTER_S)
+            case AppendUncertain():
+                self._backlog.add(at, Released(key=at.key, token=token))
+        message = f"the claim cannot be recorded now: {failure.message}"
+        return PlatformUnavailable(message, self._ran_before(posting, at), RETRY_AFTER_S)
+
+    def _ran_before(self, posting: Posting, at: KeyLocation) -> Ran:
+        """Tell whether an earlier request with the key may have run."""
+        if posting.is_first_attempt:
+            return Ran.NO
+        return Ran.NO if self._claims.known_state(at).phase is KeyPhase.FREE else Ran.MAYBE
+
+    def _answer_repeat(self, posting: Posting, state: KeyState) -> Result[Answered, Failure]:
+        if state.fingerprint != posting.fingerprint():
+            return Err(IdempotencyKeyReused("the key was used with a different body", Ran.NO))
+        match state:
+            case KeyState(phase=KeyPhase.ANSWERED, answer=Answered(is_kept=True) as answer):
+                return Ok(answer)
+            case KeyState(phase=KeyPhase.ANSWERED):
+                return Err(AnswerNotKept("it ran and its answer was not kept", Ran.YES))
+            case KeyState(phase=KeyPhase.CLAIMED) if self._may_be_running(state):
+                message = "an earlier request with this key is under way"
+                return Err(UnknownOutcome(message, Ran.MAYBE, RETRY_AFTER_S))
+            case _:
+                message = "an earlier request with this key may have run; its answer is lost"
+                return Err(UnknownOutcome(message, Ran.MAYBE))
+
+    def _may_be_running(self, state: KeyState) -> bool:
+        return time.time() - state.claimed_at_s < self._settings.running_s
+
+    def _run_claimed(
+        self, posting: Posting, at: KeyLocation, token: ClaimToken, dispatch: Dispatch
+    ) -> Result[Answered, Failure]:
+        if failure := self._check_after_claim(posting):
+            self._record(at, Released(key=at.key, token=token))
+            return Err(failure)
+        match self._dispatch(token, dispatch):
+            case AnsweredByUpstream() as answer:
+                answered = _answered(at, token, answer)
+                self._record(at, self._bounded(answered))
+                return Ok(answered)
+            case NotSent(failure):
+                self._record(at, Released(key=at.key, token=token))
+                return Err(failure)
+            case RefusedByUpstream(message, retry_after_s):
+                self._record(at, Released(key=at.key, token=token))
+                return Err(Overloaded(message, Ran.NO, retry_after_s))
+            case Undecided(message):
+                self._record(at, OutcomeLost(key=at.key, token=token))
+                return Err(UnknownOutcome(message, Ran.MAYBE))
+
+    def _check_after_claim(self, posting: Posting) -> Failure | None:
+        """Check again what may have changed while this thread waited or was paused."""
+        if time.monotonic() >= posting.deadline_at_s:
+            return DeadlineUnreachable("the deadline passed before it could be sent", Ran.NO)
+        return self._check_age(posting)
+
+    def _dispatch(self, token: ClaimToken, dispatch: Dispatch) -> DispatchOutcome:
+        try:
+            return dispatch(token)
+        except Exception as error:
+            return Undecided(f"sending it failed: {error!r}")
+
+    def _record(self, at: KeyLocation, record: ClaimRecord) -> None:
+        """Record how a run ended, later where the platform does not take it in time."""
+        deadline_at_s = time.monotonic() + self._settings.record_timeout_s
+        if self._claims.append(at, record, deadline_at_s).is_err():
+            self._backlog.add(at, record)
+
+    def _bounded(self, answered: Answered) -> Answered:
+        if len(answered.body) <= self._settings.answer_bytes_max:
+            return answered
+        return answered.model_copy(update={"body": b"", "is_kept": False})
+
+
+def _answered(at: KeyLocation, token: ClaimToken, answer: AnsweredByUpstream) -> Answered:
+    return Answered(
+        key=at.key,
+        token=token,
+        status=answer.status,
+        content_type=answer.content_type[:CONTENT_TYPE_LENGTH_MAX],
+        body=answer.body,
+    )
--- /dev/null
+++ b/gooseberryquay/postings/tests/builders.py
@@ -0,0 +1,163 @@
+"""Builders of desks, keys, peers and a counting service for the tests of postings."""
+
+import threading
+import time
+import uuid
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+
+from result import Err, Ok
+
+from gooseberryquay.contracts import Address
+from gooseberryquay.ids import EntryId, Incarnation, ZoneId
+from gooseberryquay.links.dispatch_outcome import AnsweredByUpstream
+from gooseberryquay.links.http_client import HttpClient, LinkBroken
+from gooseberryquay.links.http_server import HttpServer, Router
+from gooseberryquay.links.platform_link import OutcomeUnknown, PlatformLink, PlatformUnreachable
+from gooseberryquay.machines.peer import Peer
+from gooseberryquay.postings import Posting, PostingDesk, PostingSettings
+from gooseberryquay.standins.platform import PlatformStandIn
+
+TIMEOUT_S = 20.0
+
+
+def build_key(age_s=0.0, random=None):
+    """Make a UUIDv7 key of an age."""
+    bits = random.getrandbits(74) if random else uuid.uuid4().int >> 54
+    time_ms = int((time.time() - age_s) * 1000)
+    high, low = bits >> 62, bits & ((1 << 62) - 1)
+    return str(uuid.UUID(int=time_ms << 80 | 7 << 76 | (high & 0xFFF) << 64 | 2 << 62 | low))
+
+
+def build_posting(key=None, body=b"{}", timeout_s=TIMEOUT_S, **fields):
+    return Posting(
+        workspace="plant-1",
+        service="ledger-app",
+        operation="post-weight",
+        key=key or build_key(),
+        body=body,
+        deadline_at_s=time.monotonic() + timeout_s,
+        **fields,
+    )
+
+
+def build_settings(**fields):
+    defaults = {"write_interval_s": 0.0, "claim_timeout_s": 5.0, "record_timeout_s": 5.0}
+    return PostingSettings(**(defaults | fields))
+
+
+class FixedPeers:
+    """Peers from a list, without any membership protocol."""
+
+    def __init__(self, myself, live):
+        self._myself, self.all_live = myself, live
+        self._clients = {}
+
+    def myself(self):
+        return self._myself
+
+    def live(self):
+        return tuple(self.all_live)
+
+    def send(self, to, path, message, timeout_s):
+        if to.control_address.port == 0:
+            return Err(LinkBroken("no such peer", was_sent=False))
+        client = self._clients.setdefault(to.id, HttpClient(*to.control_address))
+        return client.send("POST", path, message.model_dump_json().encode(), None, timeout_s)
+
+
+def build_peer(name, port=0):
+    return Peer(
+        id=EntryId(name),
+        incarnation=Incarnation(1),
+        zone=ZoneId("sask-a"),
+        control_address=Address("127.0.0.1", port),
+    )
+
+
+class FaultyPlatform(PlatformLink):
+    """Platform link whose faults a test switches on."""
+
+    def __init__(self, port):
+        super().__init__(Address("127.0.0.1", port))
+        self.is_out = False
+        self.lost_answers = 0
+        self.held_write = None
+        self.is_holding_next_write = False
+        self.write_count = 0
+
+    def read(self, key):
+        if self.is_out:
+            return Err(PlatformUnreachable("outage"))
+        return super().read(key)
+
+    def write(self, key, value, expected_version=None):
+        if self.is_out:
+            return Err(PlatformUnreachable("outage"))
+        if self.is_holding_next_write:
+            self.is_holding_next_write = False
+            self.is_out = True
+            self.held_write = (key, value, expected_version)
+            return Err(OutcomeUnknown("held back"))
+        self.write_count += 1
+        written = super().write(key, value, expected_version)
+        if self.lost_answers and isinstance(written, Ok):
+            self.lost_answers -= 1
+            return Err(OutcomeUnknown("answer lost"))
+        return written
+
+    def land_held_write(self):
+        return super().write(*self.held_write)
+
+
+class Fleet:
+    """A platform stand-in and desks in this process, each with its own link and view."""
+
+    def __init__(self, count, **settings):
+        self.settings = build_settings(**settings)
+        self.platform = PlatformStandIn()
+        self.platform.start()
+        routers = [Router() for _ in range(count)]
+        self.servers = [HttpServer("127.0.0.1", 0, router) for router in routers]
+        for server in self.servers:
+            server.start()
+        self.members = [build_peer(f"entry-{n}", s.port) for n, s in enumerate(self.servers)]
+        self.peers = [FixedPeers(each, list(self.members)) for each in self.members]
+        self.links = [FaultyPlatform(self.platform.port) for _ in range(count)]
+        self.desks = [
+            PostingDesk(link, peers, self.settings)
+            for link, peers in zip(self.links, self.peers, strict=True)
+        ]
+        for desk, router in zip(self.desks, routers, strict=True):
+            desk.add_routes(router)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        with ThreadPoolExecutor() as pool:
+            list(pool.map(lambda each: each.stop(), [*self.servers, self.platform]))
+
+    def isolate_views(self):
+        """Let every desk believe that it is the only live entry."""
+        for each in self.peers:
+            each.all_live = [each.myself()]
+
+
+class CountingService:
+    """Count runs of each key; `run` is a dispatch for a desk."""
+
+    def __init__(self):
+        self.runs = Counter()
+        self._lock = threading.Lock()
+
+    def dispatch(self, key, outcome=None, before=None):
+        def run(_token):
+            if before:
+                before()
+            with self._lock:
+                self.runs[key] += 1
+            body = f'{{"run": {self.runs[key]}}}'.encode()
+            return outcome or AnsweredByUpstream(200, "application/json", body)
+
+        return run
--- /dev/null
+++ b/gooseberryquay/postings/tests/test_posting_desk.py
@@ -0,0 +1,220 @@
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from result import Err, Ok
+
+from gooseberryquay.errors import (
+    AnswerNotKept,
+    IdempotencyKeyReused,
+    Overloaded,
+    PlatformUnavailable,
+    Ran,
+    RequestTooOld,
+    UnknownOutcome,
+    UntimedKeysFull,
+)
+from gooseberryquay.links.dispatch_outcome import AnsweredByUpstream, RefusedByUpstream, Undecided
+from gooseberryquay.postings.tests.builders import (
+    TIMEOUT_S,
+    CountingService,
+    Fleet,
+    build_key,
+    build_posting,
+)
+
+
+@pytest.fixture
+def service():
+    return CountingService()
+
+
+def run(desk, service, key, **posting):
+    return desk.run_once(build_posting(key, **posting), service.dispatch(key))
+
+
+def test_repeat_at_every_entry_gets_the_recorded_answer(service):
+    key = build_key()
+    with Fleet(3) as fleet:
+        answers = [run(desk, service, key) for desk in fleet.desks + fleet.desks]
+    assert [each.unwrap().body for each in answers] == [b'{"run": 1}'] * 6
+    assert service.runs[key] == 1
+
+
+def test_outage_before_the_claim_is_refused_as_not_run_and_the_key_stays_usable(service):
+    key = build_key()
+    with Fleet(2, claim_timeout_s=0.3, owner_timeout_s=0.1) as fleet:
+        for link in fleet.links:
+            link.is_out = True
+        refusal = run(fleet.desks[0], service, key).unwrap_err()
+        assert isinstance(refusal, PlatformUnavailable) and refusal.ran is Ran.NO
+        assert service.runs[key] == 0
+        for link in fleet.links:
+            link.is_out = False
+        assert all(desk.close(TIMEOUT_S) for desk in fleet.desks)
+        assert run(fleet.desks[1], service, key).is_ok()
+    assert service.runs[key] == 1
+
+
+def test_lost_claim_answer_is_resolved_by_reading_back(service):
+    key = build_key()
+    with Fleet(1) as fleet:
+        fleet.links[0].lost_answers = 1
+        assert run(fleet.desks[0], service, key).is_ok()
+        assert run(fleet.desks[0], service, key).unwrap().body == b'{"run": 1}'
+    assert service.runs[key] == 1
+
+
+def test_claim_that_lands_after_its_caller_was_refused_does_not_stay(service):
+    key = build_key()
+    with Fleet(2, claim_timeout_s=0.3) as fleet:
+        fleet.isolate_views()
+        first = fleet.links[0]
+        first.is_holding_next_write = True
+        refusal = run(fleet.desks[0], service, key).unwrap_err()
+        assert isinstance(refusal, PlatformUnavailable) and refusal.ran is Ran.NO
+        assert isinstance(first.land_held_write(), Ok)
+        repeat = run(fleet.desks[1], service, key).unwrap_err()
+        assert isinstance(repeat, UnknownOutcome) and repeat.retry_after_s
+        first.is_out = False
+        assert fleet.desks[0].close(TIMEOUT_S)
+        assert run(fleet.desks[1], service, key).is_ok()
+    assert service.runs[key] == 1
+
+
+def test_entries_that_each_think_they_own_the_shard_run_a_key_once(service):
+    keys = [build_key() for _ in range(20)]
+    with Fleet(4, head_bytes_max=1024, shard_count=2) as fleet, ThreadPoolExecutor(40) as pool:
+        fleet.isolate_views()
+        calls = [(desk, key) for key in keys for desk in fleet.desks]
+        list(pool.map(lambda call: run(call[0], service, call[1]), calls))
+        again = [run(desk, service, key) for desk, key in calls]
+    assert [service.runs[key] for key in keys] == [1] * len(keys)
+    assert all(each.unwrap().body == b'{"run": 1}' for each in again)
+
+
+def test_paused_holder_keeps_its_claim(service):
+    key = build_key()
+    paused, resume = threading.Event(), threading.Event()
+
+    def pause():
+        paused.set()
+        assert resume.wait(TIMEOUT_S)
+
+    with Fleet(2, running_s=0.01) as fleet, ThreadPoolExecutor(1) as pool:
+        held = pool.submit(
+            fleet.desks[0].run_once, build_posting(key), service.dispatch(key, before=pause)
+        )
+        assert paused.wait(TIMEOUT_S)
+        repeat = run(fleet.desks[1], service, key).unwrap_err()
+        assert isinstance(repeat, UnknownOutcome) and repeat.ran is Ran.MAYBE
+        resume.set()
+        assert held.result(TIMEOUT_S).is_ok()
+        assert run(fleet.desks[1], service, key).is_ok()
+    assert service.runs[key] == 1
+
+
+def test_answer_is_returned_in_an_outage_and_recorded_after_it(service):
+    key = build_key()
+    with Fleet(2, record_timeout_s=0.2, owner_timeout_s=0.1) as fleet:
+        fleet.isolate_views()
+        link = fleet.links[0]
+        cut = service.dispatch(key, before=lambda: setattr(link, "is_out", True))
+        assert fleet.desks[0].run_once(build_posting(key), cut).is_ok()
+        assert fleet.desks[0].has_unfinished()
+        assert isinstance(run(fleet.desks[1], service, key).unwrap_err(), UnknownOutcome)
+        link.is_out = False
+        assert fleet.desks[0].close(TIMEOUT_S)
+        assert run(fleet.desks[1], service, key).unwrap().body == b'{"run": 1}'
+    assert service.runs[key] == 1
+
+
+def test_refusal_by_the_upstream_frees_the_key(service):
+    key = build_key()
+    with Fleet(2) as fleet:
+        refusing = service.dispatch("other", outcome=RefusedByUpstream("busy", 2.0))
+        refusal = fleet.desks[0].run_once(build_posting(key), refusing).unwrap_err()
+        assert (type(refusal), refusal.ran, refusal.retry_after_s) == (Overloaded, Ran.NO, 2.0)
+        assert run(fleet.desks[1], service, key).is_ok()
+
+
+def test_lost_answer_stays_unknown_for_repeats(service):
+    key = build_key()
+    with Fleet(2) as fleet:
+        losing = service.dispatch(key, outcome=Undecided("late"))
+        first = fleet.desks[0].run_once(build_posting(key), losing)
+        for each in (first, run(fleet.desks[1], service, key)):
+            assert each == Err(UnknownOutcome(each.unwrap_err().message, Ran.MAYBE))
+    assert service.runs[key] == 1
+
+
+def test_failing_dispatch_counts_as_maybe_run(service):
+    key = build_key()
+
+    def fail(_token):
+        raise RuntimeError("bug")
+
+    with Fleet(1) as fleet:
+        refusal = fleet.desks[0].run_once(build_posting(key), fail).unwrap_err()
+        assert isinstance(refusal, UnknownOutcome)
+        assert run(fleet.desks[0], service, key).is_err()
+
+
+def test_key_with_another_body_is_refused(service):
+    key = build_key()
+    with Fleet(1) as fleet:
+        assert run(fleet.desks[0], service, key).is_ok()
+        reused = run(fleet.desks[0], service, key, body=b'{"kg": 2}').unwrap_err()
+    assert isinstance(reused, IdempotencyKeyReused) and service.runs[key] == 1
+
+
+def test_key_older_than_the_horizon_is_not_said_to_be_not_run(service):
+    with Fleet(1, horizon_s=600.0) as fleet:
+        old = run(fleet.desks[0], service, build_key(age_s=700)).unwrap_err()
+        future = run(fleet.desks[0], service, build_key(age_s=-700)).unwrap_err()
+    for each in (old, future):
+        assert isinstance(each, RequestTooOld) and each.ran is Ran.MAYBE
+
+
+def test_untimed_keys_are_bounded_and_kept(service):
+    with Fleet(1, untimed_keys_max=3, shard_count=1) as fleet:
+        assert all(run(fleet.desks[0], service, f"key-{n}").is_ok() for n in range(3))
+        full = run(fleet.desks[0], service, "key-3").unwrap_err()
+        assert isinstance(full, UntimedKeysFull) and full.ran is Ran.NO
+        assert run(fleet.desks[0], service, "key-0").is_ok()
+    assert service.runs == {f"key-{n}": 1 for n in range(3)}
+
+
+def test_answer_over_the_bound_is_known_to_have_run(service):
+    key = build_key()
+    large = AnsweredByUpstream(200, "text/plain", b"x" * 100)
+    with Fleet(1, answer_bytes_max=10) as fleet:
+        first = fleet.desks[0].run_once(build_posting(key), service.dispatch(key, large))
+        assert first.unwrap().body == large.body
+        repeat = run(fleet.desks[0], service, key).unwrap_err()
+    assert isinstance(repeat, AnswerNotKept) and repeat.ran is Ran.YES
+
+
+def test_dead_owner_is_bypassed(service):
+    keys = [build_key() for _ in range(8)]
+    with Fleet(2, owner_timeout_s=0.2) as fleet:
+        fleet.servers[1].stop()
+        assert all(run(fleet.desks[0], service, key).is_ok() for key in keys)
+
+
+def test_deadline_that_passed_while_claiming_frees_the_key(service):
+    key = build_key()
+    with Fleet(1, shard_count=1, write_interval_s=0.3) as fleet:
+        assert run(fleet.desks[0], service, build_key()).is_ok()
+        late = run(fleet.desks[0], service, key, timeout_s=0.01).unwrap_err()
+        assert late.ran is Ran.NO and service.runs[key] == 0
+        assert fleet.desks[0].close(TIMEOUT_S)
+        assert run(fleet.desks[0], service, key).is_ok()
+
+
+def test_one_write_carries_many_records(service):
+    keys = [build_key() for _ in range(40)]
+    with Fleet(1, shard_count=1, write_interval_s=0.1) as fleet, ThreadPoolExecutor(40) as pool:
+        list(pool.map(lambda key: run(fleet.desks[0], service, key), keys))
+        assert fleet.links[0].write_count < len(keys)
+    assert all(service.runs[key] == 1 for key in keys)
