Say that a posting did not run only where live entries exclude it

Cause: in a platform outage an entry refused with ran = no although another entry may have run the same key before; the claim log cannot be read then. - An entry asks every live entry whether it sent the key; entries that went away, do not answer or are too many leave it at maybe. A caller that states a first attempt gets no without questions. Ruled out: no from the own index alone (a repeat at another entry was refused with no after it had run, see the two outage tests).

--- a/gooseberryquay/links/tests/test_service_link.py
+++ b/gooseberryquay/links/tests/test_service_link.py
@@ -30,15 +30,14 @@
     opened = []
 
     def serve():
-        for answer in answers:
-            connection, _ = listener.accept()
-            opened.append(connection)
-            connection.recv(65536)
-            if answer is None:
-                continue
-            with suppress(OSError):
-                connection.sendall(answer.encode())
-                connection.shutdown(socket.SHUT_WR)
+        with suppress(OSError):
+            for answer in answers:
+                connection, _ = listener.accept()
+                opened.append(connection)
+                connection.recv(65536)
+                if answer is not None:
+                    connection.sendall(answer.encode())
+                    connection.shutdown(socket.SHUT_WR)
 
     thread = threading.Thread(target=serve, daemon=True)
     thread.start()
--- a/gooseberryquay/postings/claims.py
+++ b/gooseberryquay/postings/claims.py
@@ -5,6 +5,7 @@
 
 from result import Result
 
+from gooseberryquay.links.http_server import Router
 from gooseberryquay.postings.claim_index import KeyState
 from gooseberryquay.postings.posting import KeyLocation
 from gooseberryquay.postings.records import ClaimRecord
@@ -44,5 +45,11 @@
     ) -> Result[KeyState, AppendFailure]:
         """Append a record and give the state of its key once that is certain."""
 
+    def add_routes(self, router: Router) -> None:
+        """Serve other entries' appends, where the store has any."""
+
+    def has_unfinished(self) -> bool:
+        """Tell whether any append is under way here."""
+
     def known_state(self, at: KeyLocation) -> KeyState:
         """Give the last state seen of a key, without asking anyone; it may be old."""
--- a/gooseberryquay/postings/posting_desk.py
+++ b/gooseberryquay/postings/posting_desk.py
@@ -32,10 +32,12 @@
 from gooseberryquay.machines.peer import Peers
 from gooseberryquay.postings.backlog import Backlog
 from gooseberryquay.postings.claim_index import KeyPhase, KeyState
-from gooseberryquay.postings.claims import AppendFailure, AppendUncertain, KeysFull
+from gooseberryquay.postings.claims import AppendFailure, AppendUncertain, Claims, KeysFull
 from gooseberryquay.postings.owned_claims import OwnedClaims
 from gooseberryquay.postings.posting import KeyLocation, Posting, locate
 from gooseberryquay.postings.records import Answered, Claimed, ClaimRecord, OutcomeLost, Released
+from gooseberryquay.postings.run_memory import RunMemory
+from gooseberryquay.postings.run_witness import RunWitness
 from gooseberryquay.postings.settings import PostingSettings
 
 __all__ = ["Dispatch", "PostingDesk"]
@@ -51,17 +53,27 @@
     """Claim each key before its operation is sent, and keep the answer for repeats."""
 
     def __init__(
-        self, platform: PlatformLink, peers: Peers, settings: PostingSettings | None = None
+        self,
+        platform: PlatformLink,
+        peers: Peers,
+        settings: PostingSettings | None = None,
+        claims: Claims | None = None,
     ) -> None:
         self._settings = settings or PostingSettings()
-        self._claims = OwnedClaims(platform, peers, self._settings)
+        self._claims = claims or OwnedClaims(platform, peers, self._settings)
         self._backlog = Backlog(self._claims, self._settings.backlog_max)
+        self._memory = RunMemory(self._settings.witness_keys_max, self._settings.clock_skew_s)
+        self._witness = RunWitness(
+            peers, self._memory, self._claims.known_state, self._settings.witness_peers_max
+        )
+        self._peers = peers
         self._lock = threading.Lock()
         self._running_count = 0
 
     def add_routes(self, router: Router) -> None:
         """Serve other entries' questions about claims."""
         self._claims.add_routes(router)
+        self._witness.add_routes(router)
 
     def has_unfinished(self) -> bool:
         """Tell whether a posting, an append or a late record is under way."""
@@ -97,6 +109,16 @@
         known = self._claims.known_state(at)
         if known.phase is KeyPhase.ANSWERED:
             return self._answer_repeat(posting, known)
+        self._memory.observe(self._peers.live())
+        self._memory.begin(at.key)
+        try:
+            return self._claim_and_run(posting, at, dispatch)
+        finally:
+            self._memory.end(at.key)
+
+    def _claim_and_run(
+        self, posting: Posting, at: KeyLocation, dispatch: Dispatch
+    ) -> Result[Answered, Failure]:
         token = ClaimToken(secrets.token_hex(TOKEN_BYTES))
         match self._claim(posting, at, token):
             case Err(append_failure):
@@ -145,7 +167,7 @@
         """Tell whether an earlier request with the key may have run."""
         if posting.is_first_attempt:
             return Ran.NO
-        return Ran.NO if self._claims.known_state(at).phase is KeyPhase.FREE else Ran.MAYBE
+        return self._witness.ran_before(at, posting.created_at_s())
 
     def _answer_repeat(self, posting: Posting, state: KeyState) -> Result[Answered, Failure]:
         if state.fingerprint != posting.fingerprint():
@@ -171,6 +193,7 @@
         if failure := self._check_after_claim(posting):
             self._record(at, Released(key=at.key, token=token))
             return Err(failure)
+        self._memory.note_run(at.key)
         match self._dispatch(token, dispatch):
             case AnsweredByUpstream() as answer:
                 answered = _answered(at, token, answer)
--- /dev/null
+++ b/gooseberryquay/postings/run_memory.py
@@ -0,0 +1,90 @@
+"""What one entry can testify about keys while the platform cannot be asked."""
+
+import threading
+import time
+from collections import Counter, OrderedDict
+
+from gooseberryquay.ids import EntryId, Incarnation
+from gooseberryquay.machines.peer import Peer
+from gooseberryquay.postings.records import RecordKey
+
+__all__ = ["RunMemory"]
+
+ABSENCE_MEMORY_S = 3600.0
+START_MARGIN_S = 1.0
+
+
+_Run = tuple[EntryId, Incarnation]
+
+
+class RunMemory:
+    """Remember the keys tried here and the members that went away; safe for use by many threads.
+
+    Times are of the wall clock, since they are compared with the times that keys carry.
+    """
+
+    def __init__(self, keys_max: int, clock_skew_s: float) -> None:
+        self._keys_max = keys_max
+        self._clock_skew_s = clock_skew_s
+        self._lock = threading.Lock()
+        self._tried: OrderedDict[RecordKey, float] = OrderedDict()
+        self._open: Counter[RecordKey] = Counter()
+        self._forgotten_at_s = 0.0
+        self._started_at_s = time.time()
+        self._members: frozenset[_Run] = frozenset()
+        self._left_at_s: dict[_Run, float] = {}
+
+    def begin(self, key: RecordKey) -> None:
+        """Note that a request for the key is under way here."""
+        with self._lock:
+            self._open[key] += 1
+
+    def end(self, key: RecordKey) -> None:
+        """Note that a request for the key has ended here."""
+        with self._lock:
+            self._open[key] -= 1
+            if not self._open[key]:
+                del self._open[key]
+
+    def note_run(self, key: RecordKey) -> None:
+        """Note that the key is about to be sent from here."""
+        with self._lock:
+            self._tried.pop(key, None)
+            self._tried[key] = time.time()
+            while len(self._tried) > self._keys_max:
+                _, tried_at_s = self._tried.popitem(last=False)
+                self._forgotten_at_s = max(self._forgotten_at_s, tried_at_s)
+
+    def observe(self, live: tuple[Peer, ...]) -> None:
+        """Take in the members that are live now."""
+        now_s = time.time()
+        seen = frozenset((peer.id, peer.incarnation) for peer in live)
+        with self._lock:
+            if seen == self._members:
+                return
+            for run in self._members - seen:
+                self._left_at_s[run] = now_s
+            for run in seen:
+                self._left_at_s.pop(run, None)
+            self._members = seen
+            self._forget_old_absences(now_s)
+
+    def _forget_old_absences(self, now_s: float) -> None:
+        for run, left_at_s in list(self._left_at_s.items()):
+            if left_at_s < now_s - ABSENCE_MEMORY_S:
+                del self._left_at_s[run]
+                self._forgotten_at_s = max(self._forgotten_at_s, left_at_s)
+
+    def can_exclude_run(self, key: RecordKey, created_at_s: float | None, own_open: int) -> bool:
+        """Tell whether the key was neither sent from here nor by a member that went away.
+
+        `own_open` is how many of the requests under way here are the one that asks.
+        """
+        with self._lock:
+            if key in self._tried or self._open[key] > own_open:
+                return False
+            last_gap_s = max([self._forgotten_at_s, *self._left_at_s.values()])
+        if created_at_s is None:
+            return last_gap_s < time.time() - ABSENCE_MEMORY_S
+        is_newer_than_this_entry = created_at_s >= self._started_at_s - START_MARGIN_S
+        return is_newer_than_this_entry and last_gap_s < created_at_s - self._clock_skew_s
--- /dev/null
+++ b/gooseberryquay/postings/run_witness.py
@@ -0,0 +1,93 @@
+"""Find out from the live entries whether a key may have run, without the platform."""
+
+from collections.abc import Callable
+
+from pydantic import BaseModel, ValidationError
+from result import Ok
+
+from gooseberryquay.errors import Ran
+from gooseberryquay.links.http_client import Reply
+from gooseberryquay.links.http_server import Request, Response, Router
+from gooseberryquay.machines.peer import Peer, Peers
+from gooseberryquay.postings.claim_index import KeyPhase, KeyState
+from gooseberryquay.postings.posting import KeyLocation
+from gooseberryquay.postings.run_memory import RunMemory
+
+__all__ = ["RunWitness"]
+
+WITNESS_PATH = "/peer/claims/witness"
+ANSWER_TIMEOUT_S = 0.3
+OWN_REQUEST = 1
+
+
+class WitnessQuestion(BaseModel):
+    """Ask whether an entry can exclude that a key has run."""
+
+    at: KeyLocation
+    created_at_s: float | None
+
+
+class WitnessAnswer(BaseModel):
+    """Tell whether the asked entry can exclude that the key has run."""
+
+    can_exclude: bool
+
+
+class RunWitness:
+    """Ask every live entry about a key; a fleet over the bound is not asked."""
+
+    def __init__(
+        self,
+        peers: Peers,
+        memory: RunMemory,
+        known_state: Callable[[KeyLocation], KeyState],
+        peers_max: int,
+    ) -> None:
+        self._peers = peers
+        self._memory = memory
+        self._known_state = known_state
+        self._peers_max = peers_max
+
+    def add_routes(self, router: Router) -> None:
+        """Serve other entries' questions."""
+        router.add("POST", WITNESS_PATH, self._serve)
+
+    def ran_before(self, at: KeyLocation, created_at_s: float | None) -> Ran:
+        """Give NO only where every entry that may have sent the key says that it did not."""
+        live = self._peers.live()
+        others = [peer for peer in live if peer.id != self._peers.myself().id]
+        if len(live) > self._peers_max:
+            return Ran.MAYBE
+        if not self._can_exclude(at, created_at_s, OWN_REQUEST):
+            return Ran.MAYBE
+        question = WitnessQuestion(at=at, created_at_s=created_at_s)
+        is_excluded = all(self._ask(peer, question) for peer in others)
+        return Ran.NO if is_excluded else Ran.MAYBE
+
+    def _can_exclude(self, at: KeyLocation, created_at_s: float | None, own_open: int) -> bool:
+        self._memory.observe(self._peers.live())
+        if self._known_state(at).phase is not KeyPhase.FREE:
+            return False
+        return self._memory.can_exclude_run(at.key, created_at_s, own_open)
+
+    def _ask(self, peer: Peer, question: WitnessQuestion) -> bool:
+        match self._peers.send(peer, WITNESS_PATH, question, ANSWER_TIMEOUT_S):
+            case Ok(Reply(status=200, body=body)):
+                return _read_answer(body)
+            case _:
+                return False
+
+    def _serve(self, request: Request) -> Response:
+        try:
+            question = WitnessQuestion.model_validate_json(request.body)
+        except ValidationError:
+            return Response(status=400)
+        can_exclude = self._can_exclude(question.at, question.created_at_s, 0)
+        return Response.of(WitnessAnswer(can_exclude=can_exclude))
+
+
+def _read_answer(body: bytes) -> bool:
+    try:
+        return WitnessAnswer.model_validate_json(body).can_exclude
+    except ValidationError:
+        return False
--- a/gooseberryquay/postings/settings.py
+++ b/gooseberryquay/postings/settings.py
@@ -25,4 +25,6 @@
     claim_timeout_s: Annotated[float, Field(gt=0)] = 3.0
     record_timeout_s: Annotated[float, Field(gt=0)] = 2.0
     running_s: Annotated[float, Field(gt=0)] = 60.0
+    witness_peers_max: Annotated[int, Field(ge=0)] = 16
+    witness_keys_max: Annotated[int, Field(ge=1)] = 50_000
     backlog_max: Annotated[int, Field(ge=1)] = 10_000
--- a/gooseberryquay/postings/tests/test_posting_desk.py
+++ b/gooseberryquay/postings/tests/test_posting_desk.py
@@ -42,8 +42,8 @@
 
 
 def test_outage_before_the_claim_is_refused_as_not_run_and_the_key_stays_usable(service):
-    key = build_key()
     with Fleet(2, claim_timeout_s=0.3, owner_timeout_s=0.1) as fleet:
+        key = build_key()
         for link in fleet.links:
             link.is_out = True
         refusal = run(fleet.desks[0], service, key).unwrap_err()
@@ -66,8 +66,8 @@
 
 
 def test_claim_that_lands_after_its_caller_was_refused_does_not_stay(service):
-    key = build_key()
     with Fleet(2, claim_timeout_s=0.3) as fleet:
+        key = build_key()
         fleet.isolate_views()
         first = fleet.links[0]
         first.is_holding_next_write = True
@@ -203,8 +203,8 @@
 
 
 def test_deadline_that_passed_while_claiming_frees_the_key(service):
-    key = build_key()
     with Fleet(1, shard_count=1, write_interval_s=0.3) as fleet:
+        key = build_key()
         assert run(fleet.desks[0], service, build_key()).is_ok()
         late = run(fleet.desks[0], service, key, timeout_s=0.01).unwrap_err()
         assert late.ran is Ran.NO and service.runs[key] == 0
@@ -218,3 +218,32 @@
         list(pool.map(lambda key: run(fleet.desks[0], service, key), keys))
         assert fleet.links[0].write_count < len(keys)
     assert all(service.runs[key] == 1 for key in keys)
+
+
+def test_repeat_in_an_outage_is_not_said_to_be_not_run_at_any_entry(service):
+    key = build_key()
+    with Fleet(3, claim_timeout_s=0.2, owner_timeout_s=0.1) as fleet:
+        assert run(fleet.desks[0], service, key).is_ok()
+        for link in fleet.links:
+            link.is_out = True
+        outcomes = [run(desk, service, key) for desk in fleet.desks]
+        fresh = run(fleet.desks[2], service, build_key()).unwrap_err()
+        fleet.servers[0].stop()
+        fresh_with_an_entry_silent = run(fleet.desks[2], service, build_key()).unwrap_err()
+    assert all(each.is_ok() or each.unwrap_err().ran is Ran.MAYBE for each in outcomes)
+    assert fresh.ran is Ran.NO
+    assert fresh_with_an_entry_silent.ran is Ran.MAYBE
+
+
+def test_run_by_an_entry_that_went_away_is_not_excluded_in_an_outage(service):
+    with Fleet(2, claim_timeout_s=0.2, owner_timeout_s=0.1) as fleet:
+        key, untimed = build_key(), "weight-17"
+        fleet.peers[0].all_live = fleet.members[:1]
+        assert run(fleet.desks[1], service, build_key()).is_ok()
+        assert run(fleet.desks[0], service, key).is_ok()
+        fleet.peers[1].all_live = fleet.members[1:]
+        fleet.links[1].is_out = True
+        refusals = [run(fleet.desks[1], service, each).unwrap_err() for each in (key, untimed)]
+        assert [each.ran for each in refusals] == [Ran.MAYBE] * 2
+        first = run(fleet.desks[1], service, build_key(), is_first_attempt=True).unwrap_err()
+        assert first.ran is Ran.NO
