Let a log's writer keep its mean interval with short bursts

Cause: with a fixed pause after each write the answer's record waited for the claim's at every rate. The test of a deadline that passes while claiming relied on that pause; it is replaced by one that pauses the caller after the claim is certain.

--- a/gooseberryquay/postings/claim_log.py
+++ b/gooseberryquay/postings/claim_log.py
@@ -15,6 +15,7 @@
 __all__ = ["ClaimLog"]
 
 RETRY_INTERVAL_S = 0.05
+WRITE_BURST = 8
 WRITER_LINGER_S = 1.0
 BATCH_RECORDS_MAX = 128
 
@@ -49,7 +50,7 @@
         self._has_results = threading.Condition(self._lock)
         self._pending: list[_Pending] = []
         self._has_writer = False
-        self._last_write_at_s = 0.0
+        self._next_write_at_s = 0.0
         self._confirmed_at_s = 0.0
 
     @property
@@ -111,10 +112,12 @@
             return self._has_writer
 
     def _wait_for_turn(self) -> None:
-        """Keep the interval between writes, in which more records gather."""
-        wait_s = self._last_write_at_s + self._write_interval_s - time.monotonic()
-        if wait_s > 0:
-            time.sleep(wait_s)
+        """Keep the mean interval between writes, in which more records gather."""
+        now_s = time.monotonic()
+        earliest_s = now_s - WRITE_BURST * self._write_interval_s
+        self._next_write_at_s = max(self._next_write_at_s, earliest_s) + self._write_interval_s
+        if self._next_write_at_s > now_s:
+            time.sleep(self._next_write_at_s - now_s)
 
     def _write_once(self) -> bool:
         """Try to write all that waits; False asks for a pause before the next try."""
@@ -128,7 +131,6 @@
                 each.may_be_written = each.may_be_written or each.record in records
         if not records:
             return self._settle_without_write(batch, started_at_s)
-        self._last_write_at_s = started_at_s
         match self._copy.write(records):
             case Ok(_):
                 self._confirmed_at_s = started_at_s
--- a/gooseberryquay/postings/tests/builders.py
+++ b/gooseberryquay/postings/tests/builders.py
@@ -16,6 +16,8 @@
 from gooseberryquay.links.platform_link import OutcomeUnknown, PlatformLink, PlatformUnreachable
 from gooseberryquay.machines.peer import Peer
 from gooseberryquay.postings import Posting, PostingDesk, PostingSettings
+from gooseberryquay.postings.owned_claims import OwnedClaims
+from gooseberryquay.postings.records import Claimed
 from gooseberryquay.standins.platform import PlatformStandIn
 
 TIMEOUT_S = 20.0
@@ -144,6 +146,16 @@
             each.all_live = [each.myself()]
 
 
+class PausedAfterClaim(OwnedClaims):
+    """Claims whose caller is paused until past its deadline once the claim is certain."""
+
+    def append(self, at, record, deadline_at_s):
+        appended = super().append(at, record, deadline_at_s)
+        if isinstance(record, Claimed):
+            time.sleep(max(0.0, deadline_at_s - time.monotonic()) + 0.01)
+        return appended
+
+
 class CountingService:
     """Count runs of each key; `run` is a dispatch for a desk."""
 
