--- a/gooseberryquay/links/service_link.py
+++ b/gooseberryquay/links/service_link.py
@@ -137,12 +137,14 @@
     if stream.headers.get("x-request-id") != call.request_id:
         stream.close()
         return Undecided("the upstream answered a different request")
-    parts = []
-    for buffer in stream.buffers():
-        match buffer:
+    parts: list[bytes] = []
+    while True:
+        match stream.body.read():
             case Err(failure):
                 stream.close()
                 return Undecided(failure.message)
+            case Ok(b""):
+                break
             case Ok(part):
                 parts.append(part)
         if time.monotonic() >= deadline_at_s:
