--- a/gooseberryquay/contracts/settings.py
+++ b/gooseberryquay/contracts/settings.py
@@ -8,6 +8,7 @@
 
 from gooseberryquay.contracts.declaration import Declaration
 from gooseberryquay.contracts.fields import Address, AddressField, Model
+from gooseberryquay.contracts.posting_settings import PostingSettings
 from gooseberryquay.ids import EntryId, SiteId, ZoneId
 
 __all__ = [
@@ -66,8 +67,8 @@
     key_length_max: Annotated[int, Field(ge=16, le=1024)] = 200
     queue_length_max: Annotated[int, Field(ge=1)] = 2000
     stream_idle_timeout_s: Annotated[float, Field(gt=0)] = 5.0
+    leave_notice_s: Annotated[float, Field(ge=0)] = 1.0
     drain_timeout_s: Annotated[float, Field(gt=0)] = 1800.0
-    claim_horizon_s: Annotated[float, Field(gt=0)] = 7 * 24 * 3600.0
     retry_budget_ratio: Annotated[float, Field(ge=0, le=1)] = 0.1
     crash_count_max: Annotated[int, Field(ge=1, le=10)] = 2
 
@@ -94,7 +95,7 @@
     quick_tokens_max: Annotated[int, Field(ge=1)] = 64
     queue_patience: Annotated[float, Field(gt=0)] = 1.0
     length_scale: Annotated[float, Field(gt=0, le=100)] = 1.0
-    subset_size: Annotated[int, Field(ge=1)] = 148
+    subset_size: Annotated[int, Field(ge=1)] = 12
     poll_bytes_per_s: Annotated[int, Field(ge=100)] = 2000
 
 
@@ -122,4 +123,5 @@
     statsd: StatsdSettings = StatsdSettings()
     log: LogSettings = LogSettings()
     limits: LimitSettings = LimitSettings()
+    postings: PostingSettings = PostingSettings()
     choice: ChoiceSettings = ChoiceSettings()
--- a/gooseberryquay/contracts/settings_file.py
+++ b/gooseberryquay/contracts/settings_file.py
@@ -11,6 +11,7 @@
 
 from gooseberryquay.contracts.declaration import Declaration
 from gooseberryquay.contracts.fields import Model
+from gooseberryquay.contracts.posting_settings import PostingSettings
 from gooseberryquay.contracts.service import Service, ServiceKind
 from gooseberryquay.contracts.settings import (
     ChoiceSettings,
@@ -42,6 +43,7 @@
     "statsd": StatsdSettings,
     "log": LogSettings,
     "limits": LimitSettings,
+    "postings": PostingSettings,
     "choice": ChoiceSettings,
 }
 _OVERLAY_MAY_ADD = frozenset({"entry", "site", "platform", "statsd", "log"})
--- /dev/null
+++ b/gooseberryquay/daemons/cluster.py
@@ -0,0 +1,93 @@
+"""What one entry shares with the others: membership, configuration and crash suspects."""
+
+import time
+
+from gooseberryquay.contracts.declaration import Declaration
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.contracts.settings import EntrySettings, PlatformSettings, Settings
+from gooseberryquay.ids import Incarnation, Revision
+from gooseberryquay.links.http_server import Router
+from gooseberryquay.links.platform_link import PlatformLink
+from gooseberryquay.machines.member_messages import HeartbeatExtras
+from gooseberryquay.machines.membership import Membership
+from gooseberryquay.machines.peer import Peer
+from gooseberryquay.machines.suspect_list import SuspectList
+from gooseberryquay.zones.configuration import Configuration
+from gooseberryquay.zones.configuration_keeper import ConfigurationKeeper
+
+__all__ = ["Cluster"]
+
+MS_PER_S = 1000
+NO_CONFIGURATION = Configuration(revision=Revision(0), declaration=Declaration())
+
+
+class Cluster:
+    """Keep one entry in step with the platform and with the other entries."""
+
+    def __init__(self, settings: Settings, own: EntrySettings, platform: PlatformSettings) -> None:
+        self.platform = PlatformLink(platform.address)
+        self.membership = Membership(
+            _describe(own),
+            seeds=_seeds_of(settings, own),
+            platform=self.platform,
+            extras=self._tell,
+            on_extras=self._hear,
+        )
+        self.keeper = ConfigurationKeeper(self.membership, self.platform, settings.declaration)
+        self.suspects = SuspectList(
+            self.membership, self.platform, crash_count_max=settings.limits.crash_count_max
+        )
+
+    def add_routes(self, router: Router) -> None:
+        """Serve the other entries."""
+        self.membership.add_routes(router)
+        self.keeper.add_routes(router)
+        self.suspects.add_routes(router)
+
+    def start(self) -> None:
+        """Join the other entries; the control API must be served."""
+        self.membership.start()
+        self.keeper.start()
+        self.suspects.start()
+
+    def stop(self) -> None:
+        """Leave the other entries."""
+        self.suspects.stop()
+        self.keeper.stop()
+        self.membership.stop()
+
+    def configuration(self) -> Configuration:
+        """Give the configuration in force, or an empty one before there is one."""
+        return self.keeper.configuration() or NO_CONFIGURATION
+
+    def is_configured(self) -> bool:
+        """Tell whether the configuration in force may be acted on by this run of the entry."""
+        return self.keeper.is_fresh() and not self.membership.is_superseded()
+
+    def entry_count(self) -> int:
+        """Give the number of live entries, at least one."""
+        return max(1, len(self.membership.live()))
+
+    def _tell(self) -> HeartbeatExtras:
+        return HeartbeatExtras(
+            revision=self.keeper.revision(),
+            confirmed_age_s=self.keeper.confirmed_age_s(),
+            platform_unreachable=self.keeper.is_platform_unreachable(),
+        )
+
+    def _hear(self, peer: Peer, extras: HeartbeatExtras) -> None:
+        if extras.confirmed_age_s is not None:
+            self.keeper.heard_from_peer(peer, extras.revision, extras.confirmed_age_s)
+        if extras.platform_unreachable:
+            self.keeper.heard_platform_unreachable(peer.id)
+
+
+def _describe(own: EntrySettings) -> Peer:
+    incarnation = Incarnation(int(time.time() * MS_PER_S))
+    return Peer(
+        id=own.id, incarnation=incarnation, zone=own.zone, control_address=own.control_address
+    )
+
+
+def _seeds_of(settings: Settings, own: EntrySettings) -> tuple[Address, ...]:
+    return tuple(each.control_address for each in settings.entries.values() if each.id != own.id)
--- a/gooseberryquay/daemons/commands.py
+++ b/gooseberryquay/daemons/commands.py
@@ -24,8 +24,15 @@
                 case Err(problem):
                     _fail([problem])
                 case Ok(own):
-                    set_up_logs(settings.log, own.id)
-                    serve_until_signal(Entry(settings, own))
+                    _serve(settings, own, overlay)
+
+
+def _serve(settings: Settings, own: EntrySettings, overlay: str) -> None:
+    if settings.platform is None:
+        _fail([SettingsProblem(overlay, "platform", "address", "", "an entry needs a platform")])
+        return
+    set_up_logs(settings.log, own.id)
+    serve_until_signal(Entry(settings, own, settings.platform))
 
 
 def _own_settings(
--- /dev/null
+++ b/gooseberryquay/daemons/dispatching.py
@@ -0,0 +1,50 @@
+"""How one entry chooses upstreams: load, queue, cold starts and retries."""
+
+from gooseberryquay.contracts.settings import Settings
+from gooseberryquay.daemons.cluster import Cluster
+from gooseberryquay.machines.cold_admission import ColdAdmission, ColdAdmissionLinks
+from gooseberryquay.machines.cold_record import SlotHolder
+from gooseberryquay.machines.cold_store import SlotStore
+from gooseberryquay.machines.dispatcher import WorkDispatcher
+from gooseberryquay.machines.load_poller import LoadPoller, ReportSink
+from gooseberryquay.machines.retry_budget import RetryBudget
+from gooseberryquay.machines.subset import SubsetRule
+from gooseberryquay.machines.upstream_table import UpstreamTable
+
+__all__ = ["Dispatching"]
+
+
+class Dispatching:
+    """Wire the dispatcher to load reports and to the slots of cold upstreams."""
+
+    def __init__(self, settings: Settings, cluster: Cluster) -> None:
+        myself = cluster.membership.myself()
+        subset = SubsetRule(myself.id, settings.choice.subset_size)
+        table = UpstreamTable(cluster.configuration, subset)
+        holder = SlotHolder(entry=myself.id, incarnation=myself.incarnation)
+        self._cold = ColdAdmission(SlotStore(cluster.platform), holder, table)
+        self.dispatcher = WorkDispatcher(
+            table=table,
+            settings=settings.choice,
+            slots=self._cold,
+            entry_count=cluster.entry_count,
+            queue_length_max=settings.limits.queue_length_max,
+        )
+        sink = ReportSink(self.dispatcher.saw_report, self.dispatcher.saw_silence)
+        self._poller = LoadPoller(table, sink, settings.choice.poll_bytes_per_s)
+        self._cold_links = ColdAdmissionLinks(
+            fresh_report=self._poller.ask_now,
+            entry_count=cluster.entry_count,
+            capacity_changed=self.dispatcher.capacity_changed,
+        )
+        self.retries = RetryBudget(settings.limits.retry_budget_ratio)
+
+    def start(self) -> None:
+        """Start asking upstreams for their load."""
+        self._poller.start()
+        self._cold.start(self._cold_links)
+
+    def stop(self) -> None:
+        """Release slots and stop asking."""
+        self._cold.stop()
+        self._poller.stop()
--- a/gooseberryquay/daemons/entry.py
+++ b/gooseberryquay/daemons/entry.py
@@ -1,25 +1,32 @@
 """Composition root of the entry daemon."""
 
+import time
+
 from pydantic import BaseModel
 
-from gooseberryquay.contracts.settings import EntrySettings, Settings
+from gooseberryquay.contracts.settings import EntrySettings, PlatformSettings, Settings
+from gooseberryquay.daemons.cluster import Cluster
+from gooseberryquay.daemons.dispatching import Dispatching
 from gooseberryquay.daemons.entry_state import DrainableState
-from gooseberryquay.daemons.least_in_flight import LeastInFlightDispatcher
-from gooseberryquay.ids import EntryId, Revision, ServiceId, UpstreamId
+from gooseberryquay.ids import EntryId, Revision
 from gooseberryquay.links.caller_api import CallerApi
 from gooseberryquay.links.completion_api import CHAT_PATH, COMPLETION_PATH, CompletionApi
-from gooseberryquay.links.generation_relay import GenerationRelay, RelayHooks
+from gooseberryquay.links.engine_link import EngineLink
+from gooseberryquay.links.generation_relay import GenerationRelay
 from gooseberryquay.links.health_api import HealthApi
 from gooseberryquay.links.http_server import HttpServer, Router
 from gooseberryquay.links.in_flight import InFlight
 from gooseberryquay.links.request_log import RequestLog
-from gooseberryquay.links.upstream_links import EngineLinks
-from gooseberryquay.machines.work import Work
-from gooseberryquay.zones.configuration import Configuration
+from gooseberryquay.links.service_api import ServiceApi, ServiceCaller
+from gooseberryquay.links.service_link import ServiceLink
+from gooseberryquay.links.suspect_guard import SuspectGuard
+from gooseberryquay.links.upstream_links import UpstreamLinks
+from gooseberryquay.postings import PostingDesk
 
 __all__ = ["Entry", "EntryStatus"]
 
-FIRST_REVISION = Revision(1)
+SERVICE_PATH = "/services/{service}/{operation}"
+RECORDS_TIMEOUT_S = 60.0
 
 
 class EntryStatus(BaseModel):
@@ -27,45 +34,62 @@
 
     entry: EntryId
     revision: Revision
+    confirmed_age_s: float
     is_leaving: bool
     in_flight: int
+    queued: int
+    peers: tuple[EntryId, ...]
 
 
 class Entry:
     """Wire the parts of one entry, start them and drain them."""
 
-    def __init__(self, settings: Settings, own: EntrySettings) -> None:
-        self._settings = settings
+    def __init__(self, settings: Settings, own: EntrySettings, platform: PlatformSettings) -> None:
+        self._limits = settings.limits
         self._own = own
-        self._configuration = Configuration(
-            revision=FIRST_REVISION, declaration=settings.declaration
+        self._cluster = Cluster(settings, own, platform)
+        self._dispatching = Dispatching(settings, self._cluster)
+        self._desk = PostingDesk(
+            self._cluster.platform, self._cluster.membership, settings.postings
         )
         self._in_flight = InFlight()
-        self._state = DrainableState(lambda: True)
+        self._state = DrainableState(self._cluster.is_configured)
+        self._log = RequestLog()
         caller_api = self._build_caller_api()
         control_api = Router()
         health = HealthApi(self._state, self.status)
         health.add_routes(caller_api)
         health.add_routes(control_api)
+        self._cluster.add_routes(control_api)
+        self._desk.add_routes(control_api)
         self._caller_server = HttpServer(*own.address, caller_api)
         self._control_server = HttpServer(*own.control_address, control_api)
 
     def _build_caller_api(self) -> CallerApi:
-        links = EngineLinks(self._current_configuration)
-        dispatcher = LeastInFlightDispatcher(self._current_configuration)
-        hooks = RelayHooks(may_retry=_allow_retry, upstream_died=_ignore_death)
-        limits = self._settings.limits
-        relay = GenerationRelay(dispatcher, links.link_to, limits, hooks)
-        completions = CompletionApi(relay, self._current_configuration, RequestLog())
-        api = CallerApi(
-            self._current_configuration, self._state, self._in_flight, limits.body_bytes_max
+        configuration = self._cluster.configuration
+        completions = CompletionApi(self._build_relay(), configuration, self._log)
+        services = ServiceApi(
+            self._build_service_caller(),
+            self._desk,
+            configuration,
+            self._log,
+            self._limits.key_length_max,
         )
+        api = CallerApi(configuration, self._state, self._in_flight, self._limits.body_bytes_max)
         for path in (COMPLETION_PATH, CHAT_PATH):
             api.add_work("POST", path, completions.complete)
+        api.add_work("POST", SERVICE_PATH, services.call)
         return api
 
-    def _current_configuration(self) -> Configuration:
-        return self._configuration
+    def _build_relay(self) -> GenerationRelay:
+        links = UpstreamLinks(self._cluster.configuration, EngineLink)
+        guard = SuspectGuard(self._dispatching.dispatcher, self._cluster.suspects)
+        return GenerationRelay(guard, links.link_to, self._limits, self._dispatching.retries)
+
+    def _build_service_caller(self) -> ServiceCaller:
+        links = UpstreamLinks(self._cluster.configuration, lambda each: ServiceLink(each.address))
+        retries = self._dispatching.retries
+        return ServiceCaller(self._dispatching.dispatcher, links.link_to, retries)
 
     @property
     def port(self) -> int:
@@ -76,28 +100,31 @@
         """Give the state that operators see."""
         return EntryStatus(
             entry=self._own.id,
-            revision=self._configuration.revision,
+            revision=self._cluster.keeper.revision(),
+            confirmed_age_s=self._cluster.keeper.confirmed_age_s(),
             is_leaving=self._state.is_leaving,
             in_flight=self._in_flight.count,
+            queued=self._dispatching.dispatcher.queued(),
+            peers=tuple(sorted(each.id for each in self._cluster.membership.live())),
         )
 
     def start(self) -> None:
-        """Start listening."""
+        """Start listening, join the other entries and begin to serve."""
         self._control_server.start()
+        self._cluster.start()
+        self._dispatching.start()
         self._caller_server.start()
 
     def stop(self) -> None:
-        """Drain: refuse new work, finish all that is in flight, then close."""
+        """Drain: say so, refuse new work, finish all that is in flight, then close."""
+        self._state.start_leaving()
+        self._cluster.membership.announce_leave()
+        time.sleep(self._limits.leave_notice_s)
         self._state.start_drain()
         self._caller_server.close_connections_after_answers()
-        self._in_flight.wait_until_none(self._settings.limits.drain_timeout_s)
+        self._in_flight.wait_until_none(self._limits.drain_timeout_s)
+        self._desk.close(RECORDS_TIMEOUT_S)
+        self._dispatching.stop()
         self._caller_server.stop()
+        self._cluster.stop()
         self._control_server.stop()
-
-
-def _allow_retry(_service: ServiceId) -> bool:
-    return True
-
-
-def _ignore_death(_upstream: UpstreamId, _work: Work) -> None:
-    return None
--- a/gooseberryquay/links/caller_api.py
+++ b/gooseberryquay/links/caller_api.py
@@ -34,6 +34,9 @@
 class EntryState(Protocol):
     """Tell whether the entry may take new work."""
 
+    def readiness(self) -> Failure | None:
+        """Give the reason why a balancer should turn away, if there is one."""
+
     def refusal(self) -> Failure | None:
         """Give the reason not to take new work, if there is one."""
 
--- a/gooseberryquay/links/generation_relay.py
+++ b/gooseberryquay/links/generation_relay.py
@@ -9,7 +9,7 @@
 
 from gooseberryquay.contracts.settings import LimitSettings
 from gooseberryquay.errors import Failure, GenerationLost, Ran, UpstreamFailed
-from gooseberryquay.ids import ServiceId, UpstreamId
+from gooseberryquay.ids import UpstreamId
 from gooseberryquay.links.engine_link import (
     EngineLink,
     EngineRefusal,
@@ -22,9 +22,11 @@
 from gooseberryquay.links.event_sink import EventSink
 from gooseberryquay.links.generation_name import EventPosition, GenerationName
 from gooseberryquay.links.http_client import LinkBroken, LinkFailure, LinkTimeout, ReplyStream
-from gooseberryquay.machines.work import Dispatcher, Outcome, Placement, Work
+from gooseberryquay.links.suspect_guard import SuspectGuard
+from gooseberryquay.machines.retry_budget import RetryBudget
+from gooseberryquay.machines.work import Outcome, Placement, Work
 
-__all__ = ["GenerationRelay", "RelayHooks"]
+__all__ = ["GenerationRelay"]
 
 RESUME_PAUSES_S = (0.0, 0.05, 0.2, 0.5, 1.0)
 QUIET_TIMEOUTS = 3
@@ -41,14 +43,6 @@
     DIED = "died"
 
 
-@dataclass(frozen=True)
-class RelayHooks:
-    """Tell other parts of the entry what a relay saw."""
-
-    may_retry: Callable[[ServiceId], bool]
-    upstream_died: Callable[[UpstreamId, Work], None]
-
-
 @dataclass(frozen=True)
 class _Route:
     """Hold what following one generation at one engine needs."""
@@ -65,15 +59,15 @@
 
     def __init__(
         self,
-        dispatcher: Dispatcher,
+        guard: SuspectGuard,
         link_to: Callable[[UpstreamId], EngineLink | None],
         limits: LimitSettings,
-        hooks: RelayHooks,
+        retries: RetryBudget,
     ) -> None:
-        self._dispatcher = dispatcher
+        self._guard = guard
         self._link_to = link_to
         self._idle_timeout_s = limits.stream_idle_timeout_s
-        self._hooks = hooks
+        self._retries = retries
 
     def generate(
         self, work: Work, path: str, body: bytes, sink: EventSink
@@ -82,8 +76,9 @@
 
         A generation that was lost is run again only while the sink can forget what it has.
         """
+        self._retries.saw_request(work.service)
         for attempt in range(1, MAX_ATTEMPTS + 1):
-            match self._dispatcher.place(work):
+            match self._guard.place(work):
                 case Err(failure):
                     return Err(failure)
                 case Ok(placement):
@@ -92,8 +87,9 @@
                 return Ok(None)
             if not sink.restart():
                 return Err(_lost())
-            if attempt == MAX_ATTEMPTS or not self._hooks.may_retry(work.service):
+            if attempt == MAX_ATTEMPTS or not self._retries.may_retry(work.service):
                 return Err(_failed(end))
+            time.sleep(self._retries.backoff_s(attempt))
             work = replace(work, excluded=work.excluded | {placement.upstream.id})
         raise AssertionError("the last attempt returns")
 
@@ -115,7 +111,9 @@
             end = self._run_at(work, path, body, placement, sink)
             return end
         finally:
-            placement.finish(_outcome_of(end))
+            outcome = _outcome_of(end)
+            placement.finish(outcome)
+            self._guard.ended(work, outcome)
 
     def _run_at(
         self, work: Work, path: str, body: bytes, placement: Placement, sink: EventSink
@@ -131,7 +129,7 @@
         end = self._follow(route, opened)
         match end:
             case _End.DIED:
-                self._hooks.upstream_died(upstream, work)
+                self._guard.upstream_died(upstream, work)
             case _End.LOST:
                 link.cancel(generation.id)
         return end
--- a/gooseberryquay/links/health_api.py
+++ b/gooseberryquay/links/health_api.py
@@ -36,7 +36,7 @@
         return Response(body=b'{"is_live":true}')
 
     def _answer_ready(self, _request: Request) -> Response:
-        refusal = self._state.refusal()
+        refusal = self._state.readiness()
         if refusal is None:
             return Response.of(ReadyMessage(is_ready=True))
         return Response.of(ReadyMessage(is_ready=False, reason=refusal.type), HTTP_UNAVAILABLE)
--- a/gooseberryquay/links/http_client.py
+++ b/gooseberryquay/links/http_client.py
@@ -1,6 +1,6 @@
 """HTTP client on urllib3 that reports every failure as a type."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
 import urllib3
@@ -37,6 +37,13 @@
         }
         self.body = BodyReader(response, read_timeout_s)
 
+    def buffers(self) -> Iterator[Result[bytes, LinkFailure]]:
+        """Yield the body as it comes, or one failure at the end."""
+        while (part := self.body.read()) != Ok(b""):
+            yield part
+            if part.is_err():
+                return
+
     def close(self) -> None:
         """Close the connection without reading the rest."""
         self._response.close()
--- /dev/null
+++ b/gooseberryquay/links/service_api.py
@@ -0,0 +1,275 @@
+"""Caller API for plain services, repeatable operations and those that run at most once."""
+
+import re
+import secrets
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from result import Err, Ok, Result
+
+from gooseberryquay.contracts.service import Repeat, Service, ServiceKind
+from gooseberryquay.errors import (
+    Failure,
+    IdempotencyKeyRequired,
+    NotFound,
+    Ran,
+    UpstreamFailed,
+)
+from gooseberryquay.ids import (
+    ClaimToken,
+    IdempotencyKey,
+    OperationName,
+    RequestId,
+    ServiceId,
+    UpstreamId,
+    WorkKind,
+)
+from gooseberryquay.links.caller_request import CallerContext
+from gooseberryquay.links.dispatch_outcome import (
+    AnsweredByUpstream,
+    DispatchOutcome,
+    NotSent,
+    RefusedByUpstream,
+    Undecided,
+)
+from gooseberryquay.links.http_server import Request, Response
+from gooseberryquay.links.refusal import refuse
+from gooseberryquay.links.request_log import RequestLog, RequestRecord
+from gooseberryquay.links.service_link import ServiceCall, ServiceLink
+from gooseberryquay.machines.retry_budget import RetryBudget
+from gooseberryquay.machines.work import Dispatcher, Outcome, Work
+from gooseberryquay.postings import Posting, PostingDesk
+from gooseberryquay.zones.configuration import Configuration
+
+__all__ = ["ServiceApi", "ServiceCaller"]
+
+MAX_ATTEMPTS = 4
+RETRY_AFTER_S = 1.0
+TOKEN_BYTES = 12
+KEY_PATTERN = re.compile(r"[\x21-\x7e]+")
+
+
+@dataclass(frozen=True)
+class _Call:
+    """Describe one caller's call of one operation."""
+
+    context: CallerContext
+    service: Service
+    operation: OperationName
+    body: bytes
+    content_type: str
+    key: IdempotencyKey | None
+
+    @property
+    def repeat(self) -> Repeat:
+        """Give the operation's repeat rule."""
+        return self.service.repeat_of(self.operation)
+
+    @property
+    def deadline_at_s(self) -> float:
+        """Give when the answer is needed, on the monotonic clock."""
+        default_s = self.context.arrived_at_s + self.service.deadline_s
+        return self.context.deadline_at_s or default_s
+
+
+class ServiceCaller:
+    """Send one operation to an upstream of its service, again elsewhere where that is safe."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        link_to: Callable[[UpstreamId], ServiceLink | None],
+        retries: RetryBudget,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._link_to = link_to
+        self._retries = retries
+
+    def send(self, work: Work, call: ServiceCall) -> DispatchOutcome:
+        """Try upstreams until one answers; stop where an operation may have run once."""
+        outcome: DispatchOutcome = NotSent(UpstreamFailed("no upstream was tried"))
+        self._retries.saw_request(work.service)
+        for attempt in range(MAX_ATTEMPTS):
+            match self._dispatcher.place(work):
+                case Err(failure):
+                    return outcome if isinstance(outcome, Undecided) else NotSent(failure)
+                case Ok(placement):
+                    pass
+            upstream = placement.upstream.id
+            ending = Outcome.CANCELLED
+            try:
+                outcome = self._send_to(upstream, call)
+                ending = _ending_of(outcome)
+            finally:
+                placement.finish(ending)
+            is_last = attempt + 1 == MAX_ATTEMPTS
+            if is_last or not self._may_send_again(work, call, outcome):
+                return outcome
+            time.sleep(self._retries.backoff_s(attempt + 1))
+            work = replace(work, excluded=work.excluded | {upstream})
+        return outcome
+
+    def _send_to(self, upstream: UpstreamId, call: ServiceCall) -> DispatchOutcome:
+        link = self._link_to(upstream)
+        if link is None:
+            return NotSent(UpstreamFailed("the upstream is no longer declared"))
+        return link.send(call)
+
+    def _may_send_again(self, work: Work, call: ServiceCall, outcome: DispatchOutcome) -> bool:
+        if time.monotonic() >= work.deadline_at_s:
+            return False
+        match outcome:
+            case AnsweredByUpstream():
+                return False
+            case Undecided() if call.repeat is Repeat.NEVER:
+                return False
+            case _:
+                return self._retries.may_retry(work.service)
+
+
+class ServiceApi:
+    """Answer calls of plain services."""
+
+    def __init__(
+        self,
+        caller: ServiceCaller,
+        desk: PostingDesk,
+        configuration: Callable[[], Configuration],
+        log: RequestLog,
+        key_length_max: int,
+    ) -> None:
+        self._caller = caller
+        self._desk = desk
+        self._configuration = configuration
+        self._log = log
+        self._key_length_max = key_length_max
+
+    def call(self, request: Request, context: CallerContext) -> Response:
+        """Answer one call of one operation."""
+        match self._read(request, context):
+            case Err(failure):
+                return refuse(failure, context.request_id)
+            case Ok(call):
+                return self._run(call)
+
+    def _read(self, request: Request, context: CallerContext) -> Result[_Call, Failure]:
+        service_id = ServiceId(request.path_values["service"])
+        operation = OperationName(request.path_values["operation"])
+        service = self._configuration().declaration.services.get(service_id)
+        if service is None or service.kind is not ServiceKind.PLAIN:
+            return Err(NotFound("no such service is declared"))
+        if not service.has_operation(operation):
+            return Err(NotFound(f"service {service_id!r} has no such operation"))
+        key = request.headers.get("idempotency-key")
+        if failure := self._check_key(service.repeat_of(operation), key):
+            return Err(failure)
+        content_type = request.headers.get("content-type", "application/json")
+        own_key = None if key is None else IdempotencyKey(key)
+        return Ok(_Call(context, service, operation, request.body, content_type, own_key))
+
+    def _check_key(self, repeat: Repeat, key: str | None) -> Failure | None:
+        if key is None:
+            if repeat is Repeat.ALLOWED:
+                return None
+            return IdempotencyKeyRequired("this operation needs an Idempotency-Key")
+        if len(key) > self._key_length_max or KEY_PATTERN.fullmatch(key) is None:
+            allowed = f"1 to {self._key_length_max} printable ASCII characters without spaces"
+            return IdempotencyKeyRequired(f"Idempotency-Key must be {allowed}")
+        return None
+
+    def _run(self, call: _Call) -> Response:
+        context = call.context
+        record = RequestRecord(
+            context.request_id,
+            context.workspace,
+            call.service.id,
+            WorkKind(call.operation),
+            context.arrived_at_s,
+        )
+        match self._answer(call):
+            case Err(failure):
+                self._log.end(record, failure)
+                return refuse(failure, context.request_id)
+            case Ok(answer):
+                self._log.end(record, None)
+                headers: dict[str, str] = {"X-Request-Id": context.request_id}
+                return Response(answer.status, answer.body, answer.content_type, headers)
+
+    def _answer(self, call: _Call) -> Result[AnsweredByUpstream, Failure]:
+        match call.repeat:
+            case Repeat.NEVER:
+                return self._post(call)
+            case Repeat.ALLOWED:
+                token = RequestId(secrets.token_hex(TOKEN_BYTES))
+                return _judge(self._caller.send(_describe_work(call), _message_of(call, token)))
+
+    def _post(self, call: _Call) -> Result[AnsweredByUpstream, Failure]:
+        assert call.key is not None
+        posting = Posting(
+            workspace=call.context.workspace,
+            service=call.service.id,
+            operation=call.operation,
+            key=call.key,
+            body=call.body,
+            deadline_at_s=call.deadline_at_s,
+        )
+
+        def dispatch(token: ClaimToken) -> DispatchOutcome:
+            return self._caller.send(_describe_work(call), _message_of(call, RequestId(token)))
+
+        answered = self._desk.run_once(posting, dispatch)
+        return answered.map(
+            lambda each: AnsweredByUpstream(each.status, each.content_type, each.body)
+        )
+
+
+def _describe_work(call: _Call) -> Work:
+    context = call.context
+    return Work(
+        request_id=context.request_id,
+        workspace=context.workspace,
+        service=call.service.id,
+        kind=WorkKind(call.operation),
+        fingerprint=context.request_id,
+        prompt_tokens=0,
+        max_tokens=1,
+        prefix_hash="",
+        deadline_at_s=call.deadline_at_s,
+        first_token_s=call.service.first_token_s,
+        token_gap_s=call.service.token_gap_s,
+    )
+
+
+def _message_of(call: _Call, token: RequestId) -> ServiceCall:
+    return ServiceCall(
+        operation=call.operation,
+        request_id=token,
+        body=call.body,
+        repeat=call.repeat,
+        timeout_s=max(0.0, call.deadline_at_s - time.monotonic()),
+        idempotency_key=call.key,
+        content_type=call.content_type,
+    )
+
+
+def _ending_of(outcome: DispatchOutcome) -> Outcome:
+    match outcome:
+        case AnsweredByUpstream():
+            return Outcome.FINISHED
+        case RefusedByUpstream():
+            return Outcome.REFUSED
+        case NotSent() | Undecided():
+            return Outcome.BROKEN
+
+
+def _judge(outcome: DispatchOutcome) -> Result[AnsweredByUpstream, Failure]:
+    match outcome:
+        case AnsweredByUpstream() as answer:
+            return Ok(answer)
+        case NotSent(failure):
+            return Err(failure)
+        case RefusedByUpstream(message, retry_after_s):
+            return Err(UpstreamFailed(message, Ran.NO, retry_after_s or RETRY_AFTER_S))
+        case Undecided(message):
+            return Err(UpstreamFailed(message, Ran.MAYBE, RETRY_AFTER_S))
--- a/gooseberryquay/postings/__init__.py
+++ b/gooseberryquay/postings/__init__.py
@@ -1,7 +1,7 @@
 """Run operations at most once that must never be repeated."""
 
+from gooseberryquay.contracts.posting_settings import PostingSettings
 from gooseberryquay.postings.posting import Posting
 from gooseberryquay.postings.posting_desk import PostingDesk
-from gooseberryquay.postings.settings import PostingSettings
 
 __all__ = ["Posting", "PostingDesk", "PostingSettings"]
--- a/gooseberryquay/postings/owned_claims.py
+++ b/gooseberryquay/postings/owned_claims.py
@@ -7,6 +7,7 @@
 from pydantic import ValidationError
 from result import Err, Ok, Result
 
+from gooseberryquay.contracts.posting_settings import PostingSettings
 from gooseberryquay.ids import EntryId
 from gooseberryquay.links.http_client import Reply
 from gooseberryquay.links.http_server import Request, Response, Router
@@ -18,7 +19,6 @@
 from gooseberryquay.postings.peer_messages import AppendAnswer, AppendOutcome, AppendQuestion
 from gooseberryquay.postings.posting import KeyLocation
 from gooseberryquay.postings.records import ClaimRecord
-from gooseberryquay.postings.settings import PostingSettings
 
 __all__ = ["OwnedClaims", "choose_owner"]
 
--- a/gooseberryquay/postings/posting.py
+++ b/gooseberryquay/postings/posting.py
@@ -6,9 +6,9 @@
 
 import xxhash
 
+from gooseberryquay.contracts.posting_settings import PostingSettings
 from gooseberryquay.ids import IdempotencyKey, OperationName, ServiceId, WorkspaceId
 from gooseberryquay.postings.records import RecordKey
-from gooseberryquay.postings.settings import PostingSettings
 
 __all__ = ["KeyLocation", "LogName", "Posting", "locate"]
 
--- a/gooseberryquay/postings/posting_desk.py
+++ b/gooseberryquay/postings/posting_desk.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from gooseberryquay.contracts.posting_settings import PostingSettings
 from gooseberryquay.errors import (
     AnswerNotKept,
     DeadlineUnreachable,
@@ -38,7 +39,6 @@
 from gooseberryquay.postings.records import Answered, Claimed, ClaimRecord, OutcomeLost, Released
 from gooseberryquay.postings.run_memory import RunMemory
 from gooseberryquay.postings.run_witness import RunWitness
-from gooseberryquay.postings.settings import PostingSettings
 
 __all__ = ["Dispatch", "PostingDesk"]
 
--- a/gooseberryquay/standins/relay_cost/experiment.py
+++ b/gooseberryquay/standins/relay_cost/experiment.py
@@ -1,6 +1,7 @@
 """Compare an entry's processor time for each token with two reference relays, in one run."""
 
 import tempfile
+import time
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -14,6 +15,7 @@
 BODY = b'{"model":"model","prompt":"x","stream":true}'
 ZONE = "zone-a"
 MARGIN_S = 60.0
+SETTLE_S = 4.0
 
 
 @dataclass(frozen=True)
@@ -48,20 +50,24 @@
         source = CommandProcess(
             "standin", "tokensource", f"--tokens={self._tokens}", f"--period_s={self._period_s}"
         )
-        with source, tempfile.TemporaryDirectory() as folder:
-            process = self._relay_process(relay, source.port, Path(folder))
+        platform = CommandProcess("standin", "platform")
+        with source, platform, tempfile.TemporaryDirectory() as folder:
+            process = self._relay_process(relay, source.port, platform.port, Path(folder))
             with process:
+                time.sleep(SETTLE_S)
                 cpu_before_s = process.cpu_s()
                 result = self._read(process.port)
                 cpu_s = process.cpu_s() - cpu_before_s
                 resident_mb = process.resident_mb()
         return _cost_of(relay, result, cpu_s, resident_mb)
 
-    def _relay_process(self, relay: str, source_port: int, folder: Path) -> CommandProcess:
+    def _relay_process(
+        self, relay: str, source_port: int, platform_port: int, folder: Path
+    ) -> CommandProcess:
         if relay != "entry":
             return CommandProcess("standin", f"{relay}relay", f"--source_port={source_port}")
         base, overlay = folder / "base.ini", folder / "overlay.ini"
-        base.write_text(_base_text(source_port))
+        base.write_text(_base_text(source_port, platform_port))
         overlay.write_text(_overlay_text())
         return CommandProcess("entry", f"--base={base}", f"--overlay={overlay}")
 
@@ -75,12 +81,13 @@
         return reader.run(self._tokens * self._period_s + MARGIN_S)
 
 
-def _base_text(source_port: int) -> str:
+def _base_text(source_port: int, platform_port: int) -> str:
     return (
         f"[site:site]\nzones = {ZONE}\n[service:{MODEL}]\nkind = model\n"
         f"[workspace:{WORKSPACE}]\nmax_in_flight = 100000\n"
         f"[upstream:engine]\nservice = {MODEL}\nzone = {ZONE}\n"
-        f"address = 127.0.0.1:{source_port}\nin_flight_max = 100000\n[log]\nlevel = WARNING\n"
+        f"address = 127.0.0.1:{source_port}\nin_flight_max = 100000\n"
+        f"[platform]\naddress = 127.0.0.1:{platform_port}\n[log]\nlevel = WARNING\n"
     )
 
 
