--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	$(BIN)/gooseberryquay demo
 
 test: setup
-	$(BIN)/pytest
+	$(BIN)/pytest --numprocesses 6 --dist loadfile
 
 lint: setup
 	$(BIN)/black --check --quiet gooseberryquay conftest.py
