Name the preempted generations and the load tool's own lag

A mutation trial showed that the preemption test passed with the most urgent sequence as victim; it now checks which generation was preempted.

--- a/gooseberryquay/standins/engine_messages.py
+++ b/gooseberryquay/standins/engine_messages.py
@@ -47,6 +47,7 @@
     resumed: int = 0
     tokens: int = 0
     preemptions: int = 0
+    preempted: dict[str, int] = Field(default_factory=dict)
     stall_s: float = 0.0
     peak_in_flight: int = 0
     peak_cold_in_flight: int = 0
--- a/gooseberryquay/standins/load/model_call.py
+++ b/gooseberryquay/standins/load/model_call.py
@@ -43,6 +43,7 @@
     def run(self) -> CallOutcome:
         """Make the call, resuming it on another entry as long as it has begun."""
         outcome, check = self._outcome, self._check
+        outcome.started_at_s = self._clock_s()
         for attempt in range(MAX_RESUMES + 1):
             outcome.resumes = attempt
             try:
--- a/gooseberryquay/standins/load/outcome.py
+++ b/gooseberryquay/standins/load/outcome.py
@@ -27,6 +27,7 @@
     """
 
     arrival: Arrival
+    started_at_s: float = 0.0
     finished_at_s: float = 0.0
     first_token_at_s: float | None = None
     last_token_at_s: float = 0.0
--- a/gooseberryquay/standins/load/plain_call.py
+++ b/gooseberryquay/standins/load/plain_call.py
@@ -36,6 +36,7 @@
     def run(self) -> CallOutcome:
         """Make the call; a broken one is repeated on another entry."""
         outcome = self._outcome
+        outcome.started_at_s = self._clock_s()
         for attempt in range(MAX_RETRIES + 1):
             outcome.retries = attempt
             try:
--- a/gooseberryquay/standins/load/summary.py
+++ b/gooseberryquay/standins/load/summary.py
@@ -86,6 +86,7 @@
     """Hold everything measured of one variant.
 
     `stall_s` is the sum of all token gaps longer than `stall_gap_s`, each in whole length.
+    `start_lag` is how late the tool itself began the calls.
     """
 
     variant: str
@@ -96,6 +97,7 @@
     first_token: Percentiles = Percentiles()
     token_gap: Percentiles = Percentiles()
     plain_answer: Percentiles = Percentiles()
+    start_lag: Percentiles = Percentiles()
     tokens: int = 0
     stall_s: float = 0.0
     stalls: int = 0
@@ -118,6 +120,7 @@
         yield f"  time to first token  {self.first_token}"
         yield f"  between tokens       {self.token_gap}"
         yield f"  plain answers        {self.plain_answer}"
+        yield f"  tool's start lag     {self.start_lag}"
         yield (
             f"  stall time           {self.stall_s:.2f} s in {self.stalls} gaps over "
             f"{self.stall_gap_s * 1000:.0f} ms, {self.tokens} tokens"
--- a/gooseberryquay/standins/load/tally.py
+++ b/gooseberryquay/standins/load/tally.py
@@ -32,6 +32,7 @@
         self._first_token = _histogram()
         self._token_gap = _histogram()
         self._plain_answer = _histogram()
+        self._start_lag = _histogram()
         self._stall_us = 0
         self._kinds: defaultdict[str, KindSummary] = defaultdict(KindSummary)
         self._refusals: Counter[str] = Counter()
@@ -88,6 +89,7 @@
                     "first_token": Percentiles.of(self._first_token),
                     "token_gap": Percentiles.of(self._token_gap),
                     "plain_answer": Percentiles.of(self._plain_answer),
+                    "start_lag": Percentiles.of(self._start_lag),
                     "stall_s": self._stall_us / US_PER_S,
                     "kinds": dict(self._kinds),
                     "refusals": dict(self._refusals),
@@ -119,6 +121,7 @@
 
     def _count_tokens(self, outcome: CallOutcome) -> None:
         summary = self._summary
+        _record(self._start_lag, (outcome.started_at_s - outcome.arrival.at_s) * US_PER_S)
         summary.tokens += outcome.tokens
         summary.resumes += outcome.resumes
         summary.out_of_order_tokens += outcome.counts.out_of_order
--- a/gooseberryquay/standins/scheduler.py
+++ b/gooseberryquay/standins/scheduler.py
@@ -128,6 +128,8 @@
 
     def _preempt(self, victim: SequenceState, now_s: float) -> None:
         self._counts.preemptions += 1
+        preempted, name = self._counts.preempted, victim.generation.id
+        preempted[name] = preempted.get(name, 0) + 1
         self.running.remove(victim)
         self._release(victim)
         if victim.generation.tokens and victim.stopped_at_s is None:
--- a/gooseberryquay/standins/tests/test_engine.py
+++ b/gooseberryquay/standins/tests/test_engine.py
@@ -82,7 +82,8 @@
     assert event_indexes(read_stream(high), "high") == list(range(150))
     assert event_indexes(read_stream(low), "low") == list(range(150))
     counts = engine.counts()
-    assert counts.preemptions >= 1
+    assert set(counts.preempted) == {"low"}
+    assert counts.preemptions == counts.preempted["low"]
     assert counts.stall_s > 0
 
 
