--- a/gooseberryquay/standins/load/model_call.py
+++ b/gooseberryquay/standins/load/model_call.py
@@ -3,11 +3,11 @@
 import http.client
 import json
 import time
-from collections.abc import Callable
 
 from gooseberryquay.standins.load.arrivals import Arrival, LoadPlan
 from gooseberryquay.standins.load.outcome import CallEnd, CallOutcome
 from gooseberryquay.standins.load.refusal import read_refusal
+from gooseberryquay.standins.load.run_clock import RunClock
 from gooseberryquay.standins.load.sender import CallFailure, Sender
 from gooseberryquay.standins.load.stream_check import StreamCheck
 
@@ -29,35 +29,38 @@
         plan: LoadPlan,
         arrival: Arrival,
         sender: Sender,
-        clock_s: Callable[[], float],
+        clock: RunClock,
         late_gap_s: float,
     ) -> None:
         self._plan = plan
         self._arrival = arrival
         self._sender = sender
-        self._clock_s = clock_s
+        self._clock = clock
         self._late_gap_us = late_gap_s * US_PER_S
         self._check = StreamCheck()
-        self._outcome = CallOutcome(arrival, counts=self._check.counts)
+        self.outcome = CallOutcome(arrival, counts=self._check.counts)
 
     def run(self) -> CallOutcome:
         """Make the call, resuming it on another entry as long as it has begun."""
-        outcome, check = self._outcome, self._check
-        outcome.started_at_s = self._clock_s()
+        outcome, check = self.outcome, self._check
+        outcome.started_at_s = self._clock.elapsed_s()
         for attempt in range(MAX_RESUMES + 1):
             outcome.resumes = attempt
             try:
                 self._connect_and_read(attempt)
             except CallFailure as error:
                 outcome.failure = type(error).__name__
-            is_ended = outcome.end is not CallEnd.BROKEN or check.error_type is not None
-            if is_ended or not check.last_event_id:
+            if self._is_ended():
                 break
             time.sleep(RESUME_PAUSE_S)
         outcome.failure = check.error_type or outcome.failure
-        outcome.finished_at_s = self._clock_s()
+        outcome.finished_at_s = self._clock.elapsed_s()
         return outcome
 
+    def _is_ended(self) -> bool:
+        has_end = self.outcome.end is not CallEnd.BROKEN or self._check.error_type is not None
+        return has_end or not self._check.last_event_id or self._clock.is_stopped()
+
     def _connect_and_read(self, attempt: int) -> None:
         turn = self._arrival.number + attempt
         with self._sender.send(PATH, self._body(), self._headers(), turn) as response:
@@ -66,8 +69,8 @@
             elif self._check.last_event_id:
                 self._check.error_type = read_refusal(response)
             else:
-                self._outcome.failure = read_refusal(response)
-                self._outcome.end = CallEnd.REFUSED
+                self.outcome.failure = read_refusal(response)
+                self.outcome.end = CallEnd.REFUSED
 
     def _read(self, response: http.client.HTTPResponse) -> None:
         check = self._check
@@ -76,15 +79,17 @@
             tokens = check.take(buffer)
             if tokens:
                 self._count_tokens(tokens)
+            if self._clock.is_stopped():
+                return
             if check.is_done:
-                self._outcome.end = CallEnd.ANSWERED
-                self._outcome.failure = ""
+                self.outcome.end = CallEnd.ANSWERED
+                self.outcome.failure = ""
                 return
-        self._outcome.failure = "ended_early"
+        self.outcome.failure = "ended_early"
 
     def _count_tokens(self, tokens: int) -> None:
-        outcome = self._outcome
-        now_s = self._clock_s()
+        outcome = self.outcome
+        now_s = self._clock.elapsed_s()
         second = int(now_s)
         outcome.tokens_by_second[second] += tokens
         outcome.joined_tokens += tokens - 1
@@ -99,7 +104,7 @@
         outcome.tokens += tokens
 
     def _headers(self) -> dict[str, str]:
-        elapsed_s = self._clock_s() - self._arrival.at_s
+        elapsed_s = self._clock.elapsed_s() - self._arrival.at_s
         deadline_s = self._plan.deadline_s(self._arrival.kind) - elapsed_s
         headers = {
             "Content-Type": "application/json",
--- a/gooseberryquay/standins/load/plain_call.py
+++ b/gooseberryquay/standins/load/plain_call.py
@@ -2,11 +2,11 @@
 
 import http.client
 import json
-from collections.abc import Callable
 
 from gooseberryquay.standins.load.arrivals import Arrival, CallKind, LoadPlan
 from gooseberryquay.standins.load.outcome import CallEnd, CallOutcome
 from gooseberryquay.standins.load.refusal import read_refusal
+from gooseberryquay.standins.load.run_clock import RunClock
 from gooseberryquay.standins.load.sender import CallFailure, Sender
 
 __all__ = ["PlainCall"]
@@ -23,20 +23,20 @@
         plan: LoadPlan,
         arrival: Arrival,
         sender: Sender,
-        clock_s: Callable[[], float],
+        clock: RunClock,
         key: str,
     ) -> None:
         self._plan = plan
         self._arrival = arrival
         self._sender = sender
-        self._clock_s = clock_s
+        self._clock = clock
         self._key = key
-        self._outcome = CallOutcome(arrival)
+        self.outcome = CallOutcome(arrival)
 
     def run(self) -> CallOutcome:
         """Make the call; a broken one is repeated on another entry."""
-        outcome = self._outcome
-        outcome.started_at_s = self._clock_s()
+        outcome = self.outcome
+        outcome.started_at_s = self._clock.elapsed_s()
         for attempt in range(MAX_RETRIES + 1):
             outcome.retries = attempt
             try:
@@ -45,7 +45,7 @@
                 outcome.failure = type(error).__name__
             if outcome.end is not CallEnd.BROKEN:
                 break
-        outcome.finished_at_s = self._clock_s()
+        outcome.finished_at_s = self._clock.elapsed_s()
         return outcome
 
     def _send(self, attempt: int) -> None:
@@ -54,14 +54,14 @@
             if response.status == HTTP_OK:
                 self._read(response)
             else:
-                self._outcome.failure = read_refusal(response)
-                self._outcome.end = CallEnd.REFUSED
+                self.outcome.failure = read_refusal(response)
+                self.outcome.end = CallEnd.REFUSED
 
     def _read(self, response: http.client.HTTPResponse) -> None:
         answer = json.loads(response.read())
-        self._outcome.end = CallEnd.ANSWERED
-        self._outcome.failure = ""
-        self._outcome.is_wrong_answer = answer.get("reference") != self._key
+        self.outcome.end = CallEnd.ANSWERED
+        self.outcome.failure = ""
+        self.outcome.is_wrong_answer = answer.get("reference") != self._key
 
     def _path(self) -> str:
         is_posting = self._arrival.kind is CallKind.POSTING
--- a/gooseberryquay/standins/load/run.py
+++ b/gooseberryquay/standins/load/run.py
@@ -8,6 +8,7 @@
 from gooseberryquay.standins.load.arrivals import Arrival, LoadPlan, plan_arrivals
 from gooseberryquay.standins.load.model_call import ModelCall
 from gooseberryquay.standins.load.plain_call import PlainCall
+from gooseberryquay.standins.load.run_clock import RunClock
 from gooseberryquay.standins.load.sender import Sender
 from gooseberryquay.standins.load.snapshot import TallySnapshot
 from gooseberryquay.standins.load.summary import VariantSummary
@@ -45,7 +46,7 @@
         self._shard = shard
         self._tallies = [Tally(each.name, plan, options.stall_gap_s) for each in variants]
         self._gauges = [UpstreamGauge(each.upstreams) for each in variants]
-        self._started_at_s = 0.0
+        self._clock = RunClock()
         self._run_number = 0
 
     def run(self) -> list[VariantSummary]:
@@ -61,7 +62,7 @@
         The run number keeps the keys of repeated runs against the same entries apart.
         """
         threading.stack_size(STACK_BYTES)
-        self._started_at_s = started_at_s
+        self._clock.start(started_at_s)
         self._run_number = run_number
         planned = plan_arrivals(self._plan)
         arrivals = [each for each in planned if self._shard.includes(each.number)]
@@ -72,11 +73,12 @@
         for driver in drivers:
             driver.start()
         self._wait(drivers)
-        return [tally.snapshot() for tally in self._tallies]
+        self._clock.stop()
+        return [tally.close(self.elapsed_s()) for tally in self._tallies]
 
     def elapsed_s(self) -> float:
         """Give the time since the run's start."""
-        return time.monotonic() - self._started_at_s
+        return self._clock.elapsed_s()
 
     def _add_counts(self, summary: VariantSummary, number: int) -> VariantSummary:
         if self._variants[number].upstreams:
@@ -87,20 +89,21 @@
         sender = Sender(variant.entries, self._options.idle_timeout_s)
         for arrival in arrivals:
             time.sleep(max(0.0, arrival.at_s - self.elapsed_s()))
-            is_started = tally.open_calls < self._options.open_calls_max
-            tally.arrived(arrival, is_started)
-            if is_started:
-                arguments = (sender, variant, tally, arrival)
-                threading.Thread(target=self._call, args=arguments, daemon=True).start()
-
-    def _call(self, sender: Sender, variant: Variant, tally: Tally, arrival: Arrival) -> None:
-        call: ModelCall | PlainCall
+            tally.arrived(arrival)
+            if tally.open_calls < self._options.open_calls_max:
+                call = self._new_call(sender, variant, arrival)
+                tally.started(call.outcome)
+                threading.Thread(target=_make, args=(call, tally), daemon=True).start()
+            else:
+                tally.not_started()
+
+    def _new_call(
+        self, sender: Sender, variant: Variant, arrival: Arrival
+    ) -> ModelCall | PlainCall:
         if arrival.kind.is_generation():
-            call = ModelCall(self._plan, arrival, sender, self.elapsed_s, self._options.late_gap_s)
-        else:
-            key = f"{variant.name}-{self._run_number}-{arrival.number}"
-            call = PlainCall(self._plan, arrival, sender, self.elapsed_s, key)
-        tally.finished(call.run())
+            return ModelCall(self._plan, arrival, sender, self._clock, self._options.late_gap_s)
+        key = f"{variant.name}-{self._run_number}-{arrival.number}"
+        return PlainCall(self._plan, arrival, sender, self._clock, key)
 
     def _wait(self, drivers: list[threading.Thread]) -> None:
         shown_at_s = time.monotonic()
@@ -114,3 +117,7 @@
                 shown_at_s = time.monotonic()
                 states = "  ".join(tally.progress() for tally in self._tallies)
                 print(f"{self.elapsed_s():6.1f} s  {states}", file=sys.stderr, flush=True)
+
+
+def _make(call: ModelCall | PlainCall, tally: Tally) -> None:
+    tally.finished(call.run())
--- a/gooseberryquay/standins/load/tally.py
+++ b/gooseberryquay/standins/load/tally.py
@@ -23,7 +23,8 @@
         self._plan = plan
         self._stall_gap_us = stall_gap_s * US_PER_S
         self._lock = threading.Lock()
-        self._open: dict[int, Arrival] = {}
+        self._open: dict[int, CallOutcome] = {}
+        self._is_closed = False
         self._latencies = Latencies()
         self._stall_us = 0
         self._kinds: defaultdict[str, KindSummary] = defaultdict(KindSummary)
@@ -43,19 +44,27 @@
         """Give the number of calls under way."""
         return len(self._open)
 
-    def arrived(self, arrival: Arrival, is_started: bool) -> None:
-        """Count a planned call, and whether the tool could start it."""
+    def arrived(self, arrival: Arrival) -> None:
+        """Count a planned call."""
         with self._lock:
             self._kinds[arrival.kind.value].calls += 1
             self._second(arrival.at_s).arrived += 1
-            if is_started:
-                self._open[arrival.number] = arrival
-            else:
-                self._summary.not_started += 1
+
+    def started(self, outcome: CallOutcome) -> None:
+        """Follow a call that is under way."""
+        with self._lock:
+            self._open[outcome.arrival.number] = outcome
+
+    def not_started(self) -> None:
+        """Count a call that the tool had no thread for."""
+        with self._lock:
+            self._summary.not_started += 1
 
     def finished(self, outcome: CallOutcome) -> None:
         """Count a call's outcome."""
         with self._lock:
+            if self._is_closed:
+                return
             self._open.pop(outcome.arrival.number, None)
             self._count_end(outcome)
             self._count_tokens(outcome)
@@ -73,9 +82,12 @@
                 f"refused {refused} broken {broken}"
             )
 
-    def snapshot(self) -> TallySnapshot:
-        """Give the figures so far."""
+    def close(self, now_s: float) -> TallySnapshot:
+        """Give the figures; what open calls had until now is counted, later ends are not."""
         with self._lock:
+            self._is_closed = True
+            for outcome in self._open.values():
+                self._count_unfinished(outcome, now_s)
             summary = self._summary.model_copy(
                 update={
                     "stall_s": self._stall_us / US_PER_S,
@@ -111,23 +123,32 @@
                 second.broken += 1
                 self._failures[outcome.failure] += 1
 
+    def _count_unfinished(self, outcome: CallOutcome, now_s: float) -> None:
+        kind = outcome.arrival.kind
+        is_late = now_s - outcome.arrival.at_s > self._plan.deadline_s(kind)
+        self._kinds[kind.value].deadline_misses += is_late
+        silence_us = int((now_s - outcome.last_token_at_s) * US_PER_S)
+        if outcome.tokens and silence_us > self._stall_gap_us:
+            outcome.gaps_us.append(silence_us)
+        self._count_tokens(outcome)
+        self._count_seconds(outcome)
+
     def _count_tokens(self, outcome: CallOutcome) -> None:
         summary, latencies = self._summary, self._latencies
-        latencies.record(
-            latencies.start_lag, (outcome.started_at_s - outcome.arrival.at_s) * US_PER_S
-        )
+        planned_at_s = outcome.arrival.at_s
+        start_lag_us = (outcome.started_at_s - planned_at_s) * US_PER_S
+        latencies.record(latencies.start_lag, start_lag_us)
         summary.tokens += outcome.tokens
         summary.resumes += outcome.resumes
         summary.out_of_order_tokens += outcome.counts.out_of_order
         summary.duplicate_tokens += outcome.counts.duplicate
         summary.foreign_tokens += outcome.counts.foreign
         if outcome.first_token_at_s is not None:
-            latencies.record(
-                latencies.first_token, (outcome.first_token_at_s - outcome.arrival.at_s) * US_PER_S
-            )
+            first_token_us = (outcome.first_token_at_s - planned_at_s) * US_PER_S
+            latencies.record(latencies.first_token, first_token_us)
         elif not outcome.arrival.kind.is_generation() and outcome.end is CallEnd.ANSWERED:
             latencies.record(latencies.plain_answer, outcome.duration_s * US_PER_S)
-        for gap_us in outcome.gaps_us:
+        for gap_us in tuple(outcome.gaps_us):
             latencies.record(latencies.token_gap, gap_us)
             if gap_us > self._stall_gap_us:
                 self._stall_us += gap_us
@@ -136,9 +157,9 @@
             latencies.record(latencies.token_gap, 1, outcome.joined_tokens)
 
     def _count_seconds(self, outcome: CallOutcome) -> None:
-        for second, tokens in outcome.tokens_by_second.items():
+        for second, tokens in dict(outcome.tokens_by_second).items():
             self._second(second).tokens += tokens
-        for second, late_gaps in outcome.late_gaps_by_second.items():
+        for second, late_gaps in dict(outcome.late_gaps_by_second).items():
             self._second(second).late_gaps += late_gaps
 
     def _second(self, at_s: float) -> SecondSummary:
--- a/gooseberryquay/standins/load/tests/test_run.py
+++ b/gooseberryquay/standins/load/tests/test_run.py
@@ -1,7 +1,14 @@
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.standins.engine import EngineStandIn
 from gooseberryquay.standins.engine_settings import EngineSettings
-from gooseberryquay.standins.load import LoadPlan, LoadRun, ShardedLoadRun, Variant, plan_arrivals
+from gooseberryquay.standins.load import (
+    LoadOptions,
+    LoadPlan,
+    LoadRun,
+    ShardedLoadRun,
+    Variant,
+    plan_arrivals,
+)
 from gooseberryquay.standins.process import find_free_port
 
 PLAN = LoadPlan(
@@ -54,6 +61,27 @@
     engine.stop()
 
 
+def test_open_calls_are_counted_as_far_as_they_came():
+    engine = EngineStandIn(FAST)
+    engine.start()
+    address = Address("127.0.0.1", engine.port)
+    plan = LoadPlan(
+        workspaces=("clerks",),
+        model="m",
+        duration_s=1.0,
+        rate_per_s=5.0,
+        seed=3,
+        check_share=0.0,
+        summary_tokens_median=4000.0,
+        summary_deadline_s=0.5,
+    )
+    (summary,) = LoadRun(plan, [Variant("v", (address,))], LoadOptions(drain_s=1.0)).run()
+    kind = summary.kinds["summary"]
+    assert summary.unfinished == kind.calls == kind.deadline_misses
+    assert summary.tokens == sum(second.tokens for second in summary.seconds) > kind.calls
+    engine.stop()
+
+
 def test_calls_to_nobody_are_broken():
     nobody = Variant("nobody", (Address("127.0.0.1", find_free_port()),))
     plan = LoadPlan(**{**PLAN.__dict__, "duration_s": 0.5})
