--- a/gooseberryquay/standins/load/tally.py
+++ b/gooseberryquay/standins/load/tally.py
@@ -3,23 +3,18 @@
 import threading
 from collections import Counter, defaultdict
 
-from hdrh.histogram import HdrHistogram
-
 from gooseberryquay.standins.load.arrivals import Arrival, LoadPlan
+from gooseberryquay.standins.load.latencies import US_PER_S, Latencies
 from gooseberryquay.standins.load.outcome import CallEnd, CallOutcome
+from gooseberryquay.standins.load.snapshot import TallySnapshot, with_percentiles
 from gooseberryquay.standins.load.summary import (
     KindSummary,
-    Percentiles,
     SecondSummary,
     VariantSummary,
 )
 
 __all__ = ["Tally"]
 
-US_PER_S = 1_000_000
-MAX_RECORDED_US = 3600 * US_PER_S
-SIGNIFICANT_DIGITS = 3
-
 
 class Tally:
     """Sum outcomes into the figures of one variant; safe for use by many threads."""
@@ -28,10 +23,9 @@
         self._plan = plan
         self._stall_gap_us = stall_gap_s * US_PER_S
         self._lock = threading.Lock()
-        self._open: dict[int, Arrival] = {}
-        self._first_token = _histogram()
-        self._token_gap = _histogram()
-        self._plain_answer = _histogram()
+        self._open: dict[int, CallOutcome] = {}
+        self._is_closed = False
+        self._latencies = Latencies()
         self._stall_us = 0
         self._kinds: defaultdict[str, KindSummary] = defaultdict(KindSummary)
         self._refusals: Counter[str] = Counter()
@@ -50,19 +44,27 @@
         """Give the number of calls under way."""
         return len(self._open)
 
-    def arrived(self, arrival: Arrival, is_started: bool) -> None:
-        """Count a planned call, and whether the tool could start it."""
+    def arrived(self, arrival: Arrival) -> None:
+        """Count a planned call."""
         with self._lock:
             self._kinds[arrival.kind.value].calls += 1
             self._second(arrival.at_s).arrived += 1
-            if is_started:
-                self._open[arrival.number] = arrival
-            else:
-                self._summary.not_started += 1
+
+    def started(self, outcome: CallOutcome) -> None:
+        """Follow a call that is under way."""
+        with self._lock:
+            self._open[outcome.arrival.number] = outcome
+
+    def not_started(self) -> None:
+        """Count a call that the tool had no thread for."""
+        with self._lock:
+            self._summary.not_started += 1
 
     def finished(self, outcome: CallOutcome) -> None:
         """Count a call's outcome."""
         with self._lock:
+            if self._is_closed:
+                return
             self._open.pop(outcome.arrival.number, None)
             self._count_end(outcome)
             self._count_tokens(outcome)
@@ -80,14 +82,14 @@
                 f"refused {refused} broken {broken}"
             )
 
-    def summary(self) -> VariantSummary:
-        """Give the figures so far."""
+    def close(self, now_s: float) -> TallySnapshot:
+        """Give the figures; what open calls had until now is counted, later ends are not."""
         with self._lock:
-            return self._summary.model_copy(
+            self._is_closed = True
+            for outcome in self._open.values():
+                self._count_unfinished(outcome, now_s)
+            summary = self._summary.model_copy(
                 update={
-                    "first_token": Percentiles.of(self._first_token),
-                    "token_gap": Percentiles.of(self._token_gap),
-                    "plain_answer": Percentiles.of(self._plain_answer),
                     "stall_s": self._stall_us / US_PER_S,
                     "kinds": dict(self._kinds),
                     "refusals": dict(self._refusals),
@@ -97,6 +99,10 @@
                 },
                 deep=True,
             )
+            return TallySnapshot(
+                summary=with_percentiles(summary, self._latencies),
+                latencies=self._latencies.encode(),
+            )
 
     def _count_end(self, outcome: CallOutcome) -> None:
         kind = self._kinds[outcome.arrival.kind.value]
@@ -117,29 +123,43 @@
                 second.broken += 1
                 self._failures[outcome.failure] += 1
 
+    def _count_unfinished(self, outcome: CallOutcome, now_s: float) -> None:
+        kind = outcome.arrival.kind
+        is_late = now_s - outcome.arrival.at_s > self._plan.deadline_s(kind)
+        self._kinds[kind.value].deadline_misses += is_late
+        silence_us = int((now_s - outcome.last_token_at_s) * US_PER_S)
+        if outcome.tokens and silence_us > self._stall_gap_us:
+            outcome.gaps_us.append(silence_us)
+        self._count_tokens(outcome)
+        self._count_seconds(outcome)
+
     def _count_tokens(self, outcome: CallOutcome) -> None:
-        summary = self._summary
+        summary, latencies = self._summary, self._latencies
+        planned_at_s = outcome.arrival.at_s
+        start_lag_us = (outcome.started_at_s - planned_at_s) * US_PER_S
+        latencies.record(latencies.start_lag, start_lag_us)
         summary.tokens += outcome.tokens
         summary.resumes += outcome.resumes
         summary.out_of_order_tokens += outcome.counts.out_of_order
         summary.duplicate_tokens += outcome.counts.duplicate
         summary.foreign_tokens += outcome.counts.foreign
         if outcome.first_token_at_s is not None:
-            _record(self._first_token, (outcome.first_token_at_s - outcome.arrival.at_s) * US_PER_S)
+            first_token_us = (outcome.first_token_at_s - planned_at_s) * US_PER_S
+            latencies.record(latencies.first_token, first_token_us)
         elif not outcome.arrival.kind.is_generation() and outcome.end is CallEnd.ANSWERED:
-            _record(self._plain_answer, outcome.duration_s * US_PER_S)
-        for gap_us in outcome.gaps_us:
-            _record(self._token_gap, gap_us)
+            latencies.record(latencies.plain_answer, outcome.duration_s * US_PER_S)
+        for gap_us in tuple(outcome.gaps_us):
+            latencies.record(latencies.token_gap, gap_us)
             if gap_us > self._stall_gap_us:
                 self._stall_us += gap_us
                 summary.stalls += 1
         if outcome.joined_tokens:
-            self._token_gap.record_value(1, outcome.joined_tokens)
+            latencies.record(latencies.token_gap, 1, outcome.joined_tokens)
 
     def _count_seconds(self, outcome: CallOutcome) -> None:
-        for second, tokens in outcome.tokens_by_second.items():
+        for second, tokens in dict(outcome.tokens_by_second).items():
             self._second(second).tokens += tokens
-        for second, late_gaps in outcome.late_gaps_by_second.items():
+        for second, late_gaps in dict(outcome.late_gaps_by_second).items():
             self._second(second).late_gaps += late_gaps
 
     def _second(self, at_s: float) -> SecondSummary:
@@ -147,11 +167,3 @@
         if second not in self._seconds:
             self._seconds[second] = SecondSummary(second=second)
         return self._seconds[second]
-
-
-def _histogram() -> HdrHistogram:
-    return HdrHistogram(1, MAX_RECORDED_US, SIGNIFICANT_DIGITS)
-
-
-def _record(histogram: HdrHistogram, value_us: float) -> None:
-    histogram.record_value(min(MAX_RECORDED_US, max(1, int(value_us))))
