--- a/gooseberryquay/standins/keeper_fleet.py
+++ b/gooseberryquay/standins/keeper_fleet.py
@@ -40,9 +40,9 @@
         nodes = {name: self._make(name) for name in names}
         for name, node in nodes.items():
             self._roster[name] = node.bind()
-        self.nodes |= nodes
         for node in nodes.values():
             node.begin(cut_from)
+        self.nodes |= nodes
 
     def _make(self, name: str) -> KeeperNode:
         return KeeperNode(
--- a/gooseberryquay/zones/configuration_document.py
+++ b/gooseberryquay/zones/configuration_document.py
@@ -19,9 +19,9 @@
 CURRENT_KEY = "config/current"
 # A character is at most four bytes, so that a chunk is always under 1 MB.
 CHUNK_CHARACTERS = 250_000
-MAX_TAIL_CHANGES = 64
+MAX_TAIL_CHANGES = 32
 MAX_TAIL_BYTES = 32 * 1024
-HISTORY_CHANGES = 32
+HISTORY_CHANGES = 16
 
 
 class SnapshotReference(Model):
--- a/gooseberryquay/zones/configuration_messages.py
+++ b/gooseberryquay/zones/configuration_messages.py
@@ -5,22 +5,22 @@
 from gooseberryquay.machines.peer import Peer
 from gooseberryquay.zones.configuration import Configuration
 from gooseberryquay.zones.configuration_change import AcceptedChange
+from gooseberryquay.zones.outage_sketch import OutageRound
 
 __all__ = [
     "CHANGES_PATH",
+    "OUTAGE_PATH",
+    "OutageExchange",
     "PULL_PATH",
     "PullReply",
     "PullRequest",
     "PushChanges",
     "RevisionReply",
-    "UNREACHABLE_PATH",
-    "UnreachableReport",
-    "UnreachableReports",
 ]
 
 CHANGES_PATH = "/peer/config/changes"
 PULL_PATH = "/peer/config/pull"
-UNREACHABLE_PATH = "/peer/config/unreachable"
+OUTAGE_PATH = "/peer/config/outage"
 
 
 class RevisionReply(Model):
@@ -56,16 +56,9 @@
     members: tuple[EntryId, ...] = ()
 
 
-class UnreachableReport(Model):
-    """Tell that an entry could not reach the platform some seconds ago."""
-
-    entry: EntryId
-    age_s: float
-
-
-class UnreachableReports(Model):
-    """Pass on reports of entries that cannot reach the platform."""
+class OutageExchange(Model):
+    """Exchange which members cannot reach the platform, and what is in force here."""
 
     revision: Revision
     confirmed_age_s: float
-    reports: tuple[UnreachableReport, ...]
+    round: OutageRound
--- a/gooseberryquay/zones/configuration_watch.py
+++ b/gooseberryquay/zones/configuration_watch.py
@@ -179,7 +179,7 @@
     def _create(self) -> None:
         has_asked = self._spread.ask_peers()
         if self._held.current() is not None:
-            _log.error("the platform lost the configuration that is in force here")
+            _log.warning("the platform has no configuration, but one is in force here")
             self._wait_before_retry()
             return
         _log.info("no configuration exists, peers asked: %s", has_asked)
--- a/gooseberryquay/zones/outage_spread.py
+++ b/gooseberryquay/zones/outage_spread.py
@@ -4,27 +4,25 @@
 import threading
 from collections.abc import Callable
 
-from pydantic import ValidationError
+from result import Ok
 
 from gooseberryquay.ids import EntryId
+from gooseberryquay.links.http_client import Reply
 from gooseberryquay.links.http_server import Request, Response, Router
-from gooseberryquay.machines.peer import Peer, Peers
+from gooseberryquay.machines.peer import Peers
 from gooseberryquay.zones.configuration_held import HeldConfiguration
-from gooseberryquay.zones.configuration_messages import (
-    UNREACHABLE_PATH,
-    RevisionReply,
-    UnreachableReports,
-)
+from gooseberryquay.zones.configuration_messages import OUTAGE_PATH, OutageExchange
 from gooseberryquay.zones.keeper_timing import KeeperTiming
 from gooseberryquay.zones.platform_reachability import PlatformReachability
 
 __all__ = ["OutageSpread"]
 
+HTTP_OK = 200
 SEND_INTERVAL_S = 0.5
 
 
 class OutageSpread:
-    """Send reports to a few peers for as long as this entry cannot reach the platform.
+    """Exchange reports with a peer twice a second while this entry cannot reach the platform.
 
     `on_report` is called when a member reports an outage that was not known here.
     """
@@ -49,8 +47,7 @@
 
     def start(self) -> None:
         """Send in the background."""
-        for slot in range(self._timing.fan_out):
-            threading.Thread(target=self._run, args=(slot,), daemon=True).start()
+        threading.Thread(target=self._run, daemon=True).start()
 
     def stop(self) -> None:
         """Let the background threads end."""
@@ -58,44 +55,53 @@
 
     def add_routes(self, router: Router) -> None:
         """Serve the peers' reports."""
-        router.add("POST", UNREACHABLE_PATH, self._answer_reports)
+        router.add("POST", OUTAGE_PATH, self._answer_exchange)
 
-    def hear(self, member: EntryId, age_s: float = 0.0) -> None:
+    def hear(self, member: EntryId) -> None:
         """Take in that a member could not reach the platform."""
-        is_news = self._reachability.add_report(member, age_s)
-        if is_news and self._held.confirmed_age_s() > self._timing.freshness_bound_s / 4:
+        self._reachability.hear(member)
+        self._check_early()
+
+    def _check_early(self) -> None:
+        if self._held.confirmed_age_s() > self._timing.freshness_bound_s / 4:
             self._on_report()
 
-    def _run(self, slot: int) -> None:
+    def _run(self) -> None:
         while not self._is_stopped.wait(SEND_INTERVAL_S):
             if self._reachability.is_unreachable():
-                self._send(slot)
+                self._exchange()
 
-    def _send(self, slot: int) -> None:
-        peer = self._choose(slot)
-        if peer is None:
+    def _exchange(self) -> None:
+        myself = self._peers.myself().id
+        others = [peer for peer in self._peers.live() if peer.id != myself]
+        if not others:
             return
+        peer = self._chooser.choice(others)
+        sent = self._peers.send(peer, OUTAGE_PATH, self._message(), self._timing.peer_timeout_s)
+        match sent:
+            case Ok(Reply(status=status, body=body)) if status == HTTP_OK:
+                self._take_in(body)
+
+    def _message(self) -> OutageExchange:
         age_s = self._held.confirmed_age_s()
-        message = UnreachableReports(
+        return OutageExchange(
             revision=self._held.revision(),
             confirmed_age_s=age_s,
-            reports=self._reachability.reports(self._chooser),
+            round=self._reachability.round(),
         )
-        self._peers.send(peer, UNREACHABLE_PATH, message, self._timing.peer_timeout_s)
 
-    def _choose(self, slot: int) -> Peer | None:
-        myself = self._peers.myself().id
-        others = [peer for peer in self._peers.live() if peer.id != myself]
-        mine = others[slot :: self._timing.fan_out]
-        return self._chooser.choice(mine) if mine else None
-
-    def _answer_reports(self, request: Request) -> Response:
+    def _take_in(self, body: bytes) -> bool:
         try:
-            message = UnreachableReports.model_validate_json(request.body)
-        except ValidationError:
-            return Response(status=400, body=b"{}")
+            message = OutageExchange.model_validate_json(body)
+            is_news = self._reachability.merge(message.round)
+        except ValueError:
+            return False
         self._held.confirm(message.revision, message.confirmed_age_s)
-        for report in message.reports:
-            self.hear(report.entry, report.age_s)
-        age_s = self._held.confirmed_age_s()
-        return Response.of(RevisionReply(revision=self._held.revision(), confirmed_age_s=age_s))
+        if is_news:
+            self._check_early()
+        return True
+
+    def _answer_exchange(self, request: Request) -> Response:
+        if not self._take_in(request.body):
+            return Response(status=400, body=b"{}")
+        return Response.of(self._message())
