--- a/gooseberryquay/cli.py
+++ b/gooseberryquay/cli.py
@@ -7,6 +7,7 @@
 
 from gooseberryquay.contracts import load_settings
 from gooseberryquay.daemons.commands import run_entry
+from gooseberryquay.machines.fenced_order_commands import OrderCommands
 from gooseberryquay.standins.commands import StandInCommands
 from gooseberryquay.standins.load.command import run_load
 from gooseberryquay.standins.member_commands import MemberCommands
@@ -25,6 +26,7 @@
         self.zone = ZoneCommands()
         self.load = run_load
         self.members = MemberCommands()
+        self.order = OrderCommands()
 
     def entry(self, base: str, overlay: str, name: str | None = None) -> None:
         """Run the entry NAME of the overlay until SIGTERM, then drain it."""
--- /dev/null
+++ b/gooseberryquay/machines/fenced_order_link.py
@@ -0,0 +1,82 @@
+"""Connection that carries one order and bounds how late it can arrive."""
+
+import socket
+from types import TracebackType
+from typing import Self
+
+from result import Err, Ok, Result
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+
+from gooseberryquay.contracts.upstream import UpstreamDeclaration
+from gooseberryquay.ids import UpstreamId
+from gooseberryquay.machines.fenced_order_messages import (
+    FencedOrder,
+    OrderNotSent,
+    OrderOutcomeUnknown,
+)
+
+__all__ = ["OrderLink"]
+
+ORDERS_PATH = "/orders"
+MILLISECONDS = 1000
+
+
+class OrderLink:
+    """Connect before the lease is checked, then send, then wait for the answer.
+
+    Once sent, the kernel gives the order up where it is not acknowledged within `delivery_s`.
+    """
+
+    def __init__(
+        self, upstream: UpstreamDeclaration, *, delivery_s: float, answer_timeout_s: float
+    ) -> None:
+        self._upstream: UpstreamId = upstream.id
+        self._answer_timeout_s = answer_timeout_s
+        delivery_ms = round(delivery_s * MILLISECONDS)
+        self._connection = HTTPConnection(
+            upstream.address.host,
+            upstream.address.port,
+            timeout=delivery_s,
+            socket_options=[
+                (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+                (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, delivery_ms),
+            ],
+        )
+
+    def connect(self) -> Result[None, OrderNotSent]:
+        """Open the connection."""
+        try:
+            self._connection.connect()
+        except (HTTPError, OSError) as error:
+            return Err(OrderNotSent(self._upstream, str(error)))
+        return Ok(None)
+
+    def send(self, order: FencedOrder) -> Result[None, OrderOutcomeUnknown]:
+        """Hand the order to the kernel."""
+        try:
+            self._connection.request("POST", ORDERS_PATH, body=order.model_dump_json().encode())
+        except (HTTPError, OSError) as error:
+            return Err(OrderOutcomeUnknown(self._upstream, str(error)))
+        return Ok(None)
+
+    def status(self) -> Result[int, OrderOutcomeUnknown]:
+        """Wait for the answer and give its status."""
+        try:
+            self._connection.timeout = self._answer_timeout_s
+            response = self._connection.getresponse()
+            response.read()
+        except (HTTPError, OSError) as error:
+            return Err(OrderOutcomeUnknown(self._upstream, str(error)))
+        return Ok(response.status)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        _type: type[BaseException] | None,
+        _error: BaseException | None,
+        _traceback: TracebackType | None,
+    ) -> None:
+        self._connection.close()
--- a/gooseberryquay/machines/tests/test_membership.py
+++ b/gooseberryquay/machines/tests/test_membership.py
@@ -6,6 +6,7 @@
 from gooseberryquay.ids import Revision
 from gooseberryquay.links.platform_link import PlatformLink
 from gooseberryquay.links.platform_messages import InstanceState
+from gooseberryquay.machines.member_changes import ChangeQueue
 from gooseberryquay.machines.member_messages import HeartbeatExtras, MemberList
 from gooseberryquay.machines.tests.member_builders import FAST, wait_until
 from gooseberryquay.standins.process import find_free_port
@@ -64,6 +65,16 @@
     wait_until(lambda: all("entry-4" not in member.names() for member in members))
 
 
+def test_leave_that_no_heartbeat_told_is_read_from_a_list(fleet, monkeypatch):
+    monkeypatch.setattr(ChangeQueue, "add", lambda _queue, _record: None)
+    members = _add_many(fleet, 4)
+    leaver = members[3]
+    for member in members[1:3]:
+        _cut(leaver, member)
+    leaver.membership.announce_leave()
+    wait_until(lambda: all("entry-3" not in member.names() for member in members))
+
+
 def test_restart_after_the_clock_went_back_replaces_the_former_run(fleet):
     seed = fleet("entry-0")
     former = fleet("entry-1", seed, incarnation=1000)
--- a/gooseberryquay/machines/tests/test_peer_links.py
+++ b/gooseberryquay/machines/tests/test_peer_links.py
@@ -1,7 +1,9 @@
+import contextlib
 import socket
 import threading
+from concurrent.futures import ThreadPoolExecutor
 
-from result import Ok
+from result import Err, Ok
 
 from gooseberryquay.contracts import Address
 from gooseberryquay.links.http_client import LinkTimeout
@@ -11,21 +13,37 @@
 
 
 def _serve_then_go_silent(listener):
-    """Answer the first request of each connection and none after it."""
-    kept = []
-    while True:
-        connection, _ = listener.accept()
-        kept.append(connection)
-        connection.recv(4096)
-        connection.sendall(ANSWER)
+    """Answer one request on each connection, the first two together, and none after it."""
+    kept = [listener.accept()[0], listener.accept()[0]]
+    for connection in kept:
+        _answer(connection)
+    with contextlib.suppress(OSError):
+        while True:
+            kept.append(listener.accept()[0])
+            _answer(kept[-1])
 
 
-def test_silent_connection_is_replaced():
+def _answer(connection):
+    connection.recv(4096)
+    connection.sendall(ANSWER)
+
+
+def test_all_connections_to_a_silent_address_are_replaced():
     with socket.create_server(("127.0.0.1", 0)) as listener:
         threading.Thread(target=_serve_then_go_silent, args=(listener,), daemon=True).start()
         links = PeerLinks()
         to = Address(*listener.getsockname())
-        assert isinstance(links.send(to, "POST", "/x", b"", 5.0), Ok)
-        assert isinstance(links.send(to, "POST", "/x", b"", 0.3).unwrap_err(), LinkTimeout)
-        assert isinstance(links.send(to, "POST", "/x", b"", 5.0), Ok)
+        assert all(isinstance(sent, Ok) for sent in _send_two(links, to))
+        match links.send(to, "POST", "/x", b"", 0.3):
+            case Err(LinkTimeout()):
+                pass
+            case other:
+                raise AssertionError(other)
+        assert all(isinstance(sent, Ok) for sent in _send_two(links, to))
         links.close()
+
+
+def _send_two(links, to):
+    with ThreadPoolExecutor(2) as threads:
+        sent = [threads.submit(links.send, to, "POST", "/x", b"", 5.0) for _ in range(2)]
+        return [each.result() for each in sent]
--- a/gooseberryquay/standins/member_commands.py
+++ b/gooseberryquay/standins/member_commands.py
@@ -6,6 +6,7 @@
 from gooseberryquay.machines.member_timing import MembershipTiming
 from gooseberryquay.standins.member import MemberStandIn, platform_directory
 from gooseberryquay.standins.member_experiment import MemberExperiment
+from gooseberryquay.standins.paused_holder import run_paused_holder
 
 __all__ = ["MemberCommands"]
 
@@ -19,6 +20,12 @@
         """Run COUNT members as processes and print their cost and how fast they converge."""
         MemberExperiment(count, seconds, speed).run()
 
+    def paused_holder(
+        self, platform_port: int, upstream_port: int, lease_s: float, has_alarm: bool = False
+    ) -> None:
+        """Give an order, but stop this process between its lease's check and the send."""
+        run_paused_holder(platform_port, upstream_port, lease_s, has_alarm)
+
     def serve(
         self,
         id: str,
--- /dev/null
+++ b/gooseberryquay/standins/paused_holder.py
@@ -0,0 +1,43 @@
+"""Stand-in for an order's holder that is paused between its lease's check and its send."""
+
+import os
+import signal
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.contracts.upstream import UpstreamDeclaration
+from gooseberryquay.daemons.serving import READY_PREFIX
+from gooseberryquay.ids import ServiceId, UpstreamId, ZoneId
+from gooseberryquay.links.platform_link import PlatformLink
+from gooseberryquay.machines.fenced_order import AlarmDeadline, NoDeadline, OrderDesk, OrderTiming
+from gooseberryquay.machines.fenced_order_messages import Order, OrderKind
+
+__all__ = ["run_paused_holder"]
+
+HOST = "127.0.0.1"
+
+
+class _PausedDesk(OrderDesk):
+    """Stop the own process where its lease has been checked."""
+
+    def _before_send(self) -> None:
+        print(f"{READY_PREFIX}{os.getpid()}", flush=True)
+        os.kill(os.getpid(), signal.SIGSTOP)
+
+
+def run_paused_holder(
+    platform_port: int, upstream_port: int, lease_s: float, has_alarm: bool
+) -> None:
+    """Order a load of `old`; stops itself before the send and prints the outcome."""
+    upstream = UpstreamDeclaration(
+        id=UpstreamId("engine"),
+        service=ServiceId("service"),
+        zone=ZoneId("zone"),
+        address=Address(HOST, upstream_port),
+    )
+    desk = _PausedDesk(
+        PlatformLink(Address(HOST, platform_port)),
+        "paused",
+        timing=OrderTiming(lease_s=lease_s, delivery_s=lease_s / 4),
+        deadline=AlarmDeadline() if has_alarm else NoDeadline(),
+    )
+    print(desk.order(upstream, Order(OrderKind.ROLE, "old")))
