--- a/gooseberryquay/machines/rendezvous.py
+++ b/gooseberryquay/machines/rendezvous.py
@@ -13,12 +13,14 @@
 
 def owner_of(key: str, peers: Iterable[Peer]) -> Peer:
     """Give the peer that owns a key; raise ValueError where there is no peer."""
-    return max(peers, key=lambda peer: _weight(key, peer.id))
+    seed = _seed(key)
+    return max(peers, key=lambda peer: _weight(seed, peer.id))
 
 
 def first_owners(key: str, peers: Iterable[Peer], count: int) -> tuple[Peer, ...]:
     """Give the first `count` peers in a key's order, its owner first."""
-    ordered = sorted(peers, key=lambda peer: _weight(key, peer.id), reverse=True)
+    seed = _seed(key)
+    ordered = sorted(peers, key=lambda peer: _weight(seed, peer.id), reverse=True)
     return tuple(ordered[:count])
 
 
@@ -26,9 +28,14 @@
     entry: EntryId, upstreams: Iterable[UpstreamDeclaration], size: int
 ) -> tuple[UpstreamDeclaration, ...]:
     """Give the upstreams that one entry talks to, at most `size` of them."""
-    ordered = sorted(upstreams, key=lambda each: _weight(entry, each.id), reverse=True)
+    seed = _seed(entry)
+    ordered = sorted(upstreams, key=lambda each: _weight(seed, each.id), reverse=True)
     return tuple(ordered[:size])
 
 
-def _weight(key: str, member: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{key}\n{member}".encode())
+def _seed(key: str) -> int:
+    return xxhash.xxh3_64_intdigest(key.encode())
+
+
+def _weight(seed: int, member: str) -> int:
+    return xxhash.xxh3_64_intdigest(member.encode(), seed)
