--- a/gooseberryquay/standins/commands.py
+++ b/gooseberryquay/standins/commands.py
@@ -16,13 +16,14 @@
 from gooseberryquay.standins.keeper_node import KeeperNode
 from gooseberryquay.standins.platform import PlatformStandIn
 from gooseberryquay.standins.platform_limits import PlatformLimits
+from gooseberryquay.standins.posting_fleet.commands import PostingFleetCommands
 from gooseberryquay.standins.relay_cost.commands import RelayCostCommands
 from gooseberryquay.standins.service import ServiceSettings, ServiceStandIn
 
 __all__ = ["StandInCommands"]
 
 
-class StandInCommands(RelayCostCommands):
+class StandInCommands(PostingFleetCommands, RelayCostCommands):
     """Run stand-ins of the outside systems."""
 
     def platform(
--- /dev/null
+++ b/gooseberryquay/standins/posting_fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Processes and experiments that prove and measure postings."""
--- /dev/null
+++ b/gooseberryquay/standins/posting_fleet/fleet.py
@@ -0,0 +1,123 @@
+"""Start, pause, kill and ask a fleet of posting nodes, each a process."""
+
+import signal
+import time
+import uuid
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+from random import Random
+
+from result import Err, Ok, Result
+
+from gooseberryquay.ids import IdempotencyKey
+from gooseberryquay.links.http_client import HttpClient, LinkFailure
+from gooseberryquay.postings import PostingSettings
+from gooseberryquay.standins.posting_fleet.node import (
+    HOST,
+    POSTING_TIMEOUT_S,
+    ClaimStore,
+    LiveView,
+    NodeOptions,
+    PostingReply,
+)
+from gooseberryquay.standins.process import CommandProcess, find_free_port
+
+__all__ = ["PostingFleet", "build_key"]
+
+ANSWER_MARGIN_S = 4.0
+CONNECT_TIMEOUT_S = 0.5
+RANDOM_BITS = 62
+MS_PER_S = 1000
+
+
+def build_key(random: Random) -> IdempotencyKey:
+    """Make a UUIDv7 key of this moment."""
+    time_ms = int(time.time() * MS_PER_S)
+    low = random.getrandbits(RANDOM_BITS)
+    middle = random.getrandbits(12)
+    return IdempotencyKey(
+        str(uuid.UUID(int=time_ms << 80 | 7 << 76 | middle << 64 | 2 << RANDOM_BITS | low))
+    )
+
+
+class PostingFleet:
+    """Run posting nodes on fixed ports, each with its own way to the platform."""
+
+    def __init__(
+        self,
+        platform_ports: Sequence[int],
+        service_port: int = 0,
+        store: ClaimStore = ClaimStore.LOG,
+        settings: PostingSettings | None = None,
+        dispatch_delay_s: float = 0.0,
+    ) -> None:
+        ports = tuple(find_free_port() for _ in platform_ports)
+        self._options = [
+            NodeOptions(
+                number=number,
+                ports=ports,
+                platform_port=platform_port,
+                service_port=service_port,
+                store=store,
+                settings=settings or PostingSettings(),
+                dispatch_delay_s=dispatch_delay_s,
+            )
+            for number, platform_port in enumerate(platform_ports)
+        ]
+        self.processes = [_process(options) for options in self._options]
+        self._clients = [HttpClient(HOST, port, CONNECT_TIMEOUT_S) for port in ports]
+
+    def __len__(self) -> int:
+        return len(self.processes)
+
+    def start(self) -> None:
+        """Start every node."""
+        with ThreadPoolExecutor() as pool:
+            list(pool.map(CommandProcess.start, self.processes))
+
+    def stop(self) -> None:
+        """End every node at once."""
+        for process in self.processes:
+            process.kill()
+
+    def kill(self, number: int) -> None:
+        """End a node at once."""
+        self.processes[number].kill()
+
+    def restart(self, number: int) -> None:
+        """Start a node that was killed again, as a new run with empty memory."""
+        options = self._options[number]
+        options = options.model_copy(update={"incarnation": options.incarnation + 1})
+        self._options[number] = options
+        self.processes[number] = _process(options).start()
+
+    def pause(self, number: int) -> None:
+        """Stop a node's execution."""
+        self.processes[number].send_signal(signal.SIGSTOP)
+
+    def resume(self, number: int) -> None:
+        """Continue a paused node, if it has not been killed."""
+        with suppress(ProcessLookupError):
+            self.processes[number].send_signal(signal.SIGCONT)
+
+    def set_view(self, number: int, seen: tuple[int, ...]) -> None:
+        """Set which nodes one node takes for alive; nothing where it cannot be reached."""
+        body = LiveView(numbers=seen).model_dump_json().encode()
+        self._clients[number].send("POST", "/standin/view", body)
+
+    def post(
+        self, number: int, key: IdempotencyKey, timeout_s: float | None = None
+    ) -> Result[PostingReply, LinkFailure]:
+        """Send a posting to one node."""
+        wait_s = timeout_s or POSTING_TIMEOUT_S + ANSWER_MARGIN_S
+        sent = self._clients[number].send("POST", f"/postings/{key}", b"{}", None, wait_s)
+        match sent:
+            case Err(failure):
+                return Err(failure)
+            case Ok(reply):
+                return Ok(PostingReply.model_validate_json(reply.body))
+
+
+def _process(options: NodeOptions) -> CommandProcess:
+    return CommandProcess("standin", "posting_node", "--options", options.model_dump_json())
--- /dev/null
+++ b/gooseberryquay/standins/posting_fleet/history.py
@@ -0,0 +1,160 @@
+"""Run postings of many callers through one seeded fault schedule and judge the history."""
+
+import threading
+import time
+from collections import defaultdict
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
+from dataclasses import dataclass
+from random import Random
+
+from result import Ok
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.ids import IdempotencyKey
+from gooseberryquay.links.http_server import Request
+from gooseberryquay.postings import PostingSettings
+from gooseberryquay.standins.fault_proxy import FaultProxy
+from gooseberryquay.standins.platform_control import PlatformControl
+from gooseberryquay.standins.posting_fleet.fleet import PostingFleet, build_key
+from gooseberryquay.standins.posting_fleet.node import HOST
+from gooseberryquay.standins.posting_fleet.posting_faults import PostingFaults, Surroundings
+from gooseberryquay.standins.posting_fleet.verdict import Attempt, Verdict, judge
+from gooseberryquay.standins.process import CommandProcess
+from gooseberryquay.standins.service import ServiceSettings, ServiceStandIn
+from gooseberryquay.standins.service_messages import OperationAnswer
+
+__all__ = ["ScheduleOptions", "TimedService", "run_schedule"]
+
+ARRIVALS_S = 5.0
+ATTEMPTS_MAX = 5
+RACE_PROBABILITY = 0.3
+RACERS = 3
+CALLER_TIMEOUT_S = (0.5, 10.0)
+REPEAT_PAUSE_S = (0.0, 1.0)
+SETTLE_S = 3.0
+SETTLE_TIMEOUT_S = 20.0
+# Short timeouts and small heads bring refusals and seals into a schedule of seconds.
+TIGHT_SETTINGS = PostingSettings(
+    shard_count=4,
+    head_bytes_max=4096,
+    claim_timeout_s=0.8,
+    record_timeout_s=0.5,
+    owner_timeout_s=0.3,
+    clock_skew_s=0.5,
+)
+
+
+@dataclass(frozen=True)
+class ScheduleOptions:
+    """Set one schedule; equal options give the same arrivals and the same faults."""
+
+    seed: int
+    postings: int
+    nodes: int
+
+
+class TimedService(ServiceStandIn):
+    """Note when each key ran."""
+
+    def __init__(self, delay_s: float = ServiceSettings.delay_s) -> None:
+        super().__init__(ServiceSettings(delay_s), HOST)
+        self.run_times_s: dict[IdempotencyKey, list[float]] = defaultdict(list)
+
+    def _run(self, request: Request) -> OperationAnswer:
+        key = IdempotencyKey(request.headers["idempotency-key"])
+        self.run_times_s[key].append(time.monotonic())
+        return super()._run(request)
+
+
+class _Callers:
+    """Send postings and repeat them until an answer or a limit, at any node."""
+
+    def __init__(self, fleet: PostingFleet, options: ScheduleOptions) -> None:
+        self._fleet = fleet
+        self._options = options
+        self._lock = threading.Lock()
+        self.attempts: list[Attempt] = []
+        self.keys: list[IdempotencyKey] = []
+
+    def run(self) -> None:
+        """Send every posting of the schedule and wait until all callers are done."""
+        numbers = range(self._options.postings)
+        with ThreadPoolExecutor(self._options.postings) as pool:
+            list(
+                pool.map(
+                    lambda number: self._call(Random(f"{self._options.seed}/{number}")), numbers
+                )
+            )
+
+    def _call(self, random: Random) -> None:
+        time.sleep(random.uniform(0, ARRIVALS_S))
+        key = build_key(random)
+        with self._lock:
+            self.keys.append(key)
+        racers = RACERS if random.random() < RACE_PROBABILITY else 1
+        randoms = [Random(random.random()) for _ in range(racers)]
+        with ThreadPoolExecutor(racers) as pool:
+            list(pool.map(lambda each: self._repeat(each, key), randoms))
+
+    def _repeat(self, random: Random, key: IdempotencyKey) -> None:
+        for _ in range(ATTEMPTS_MAX):
+            number = random.randrange(len(self._fleet))
+            attempt = self.attempt(number, key, random.uniform(*CALLER_TIMEOUT_S))
+            if attempt.reply is not None and attempt.reply.failure is None:
+                return
+            time.sleep(random.uniform(*REPEAT_PAUSE_S))
+
+    def attempt(self, number: int, key: IdempotencyKey, timeout_s: float) -> Attempt:
+        """Send one request and note how it ended."""
+        sent_at_s = time.monotonic()
+        sent = self._fleet.post(number, key, timeout_s)
+        reply = sent.ok_value if isinstance(sent, Ok) else None
+        attempt = Attempt(key, sent_at_s, time.monotonic(), reply)
+        with self._lock:
+            self.attempts.append(attempt)
+        return attempt
+
+
+def run_schedule(options: ScheduleOptions) -> Verdict:
+    """Run one schedule with real processes and give its verdict."""
+    with ExitStack() as stack:
+        platform = stack.enter_context(CommandProcess("standin", "platform"))
+        links = [FaultProxy(Address(HOST, platform.port)) for _ in range(options.nodes)]
+        service = TimedService()
+        service.start()
+        stack.callback(service.stop)
+        service_link = FaultProxy(Address(HOST, service.port))
+        for link in (*links, service_link):
+            link.start()
+            stack.callback(link.stop)
+        fleet = PostingFleet(
+            [link.port for link in links], service_link.port, settings=TIGHT_SETTINGS
+        )
+        stack.callback(fleet.stop)
+        fleet.start()
+        control = PlatformControl(Address(HOST, platform.port))
+        faults = PostingFaults(
+            Random(options.seed), fleet, Surroundings(control, links, service, service_link)
+        )
+        return _run_history(options, fleet, faults, service)
+
+
+def _run_history(
+    options: ScheduleOptions, fleet: PostingFleet, faults: PostingFaults, service: TimedService
+) -> Verdict:
+    callers = _Callers(fleet, options)
+    troublemaker = threading.Thread(target=faults.run)
+    troublemaker.start()
+    callers.run()
+    faults.stop()
+    troublemaker.join()
+    time.sleep(SETTLE_S)
+    faults.heal()
+    attempts = list(callers.attempts)
+    with ThreadPoolExecutor(options.nodes * 4) as pool:
+        calls = [(number, key) for key in callers.keys for number in range(options.nodes)]
+        final = list(
+            pool.map(lambda call: callers.attempt(call[0], call[1], SETTLE_TIMEOUT_S), calls)
+        )
+    return judge(options.seed, attempts, final, service.run_times_s, faults.counts)
--- /dev/null
+++ b/gooseberryquay/standins/posting_fleet/verdict.py
@@ -0,0 +1,110 @@
+"""Judge what callers were told about postings by what the service counted."""
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+from gooseberryquay.errors import Ran
+from gooseberryquay.ids import IdempotencyKey
+from gooseberryquay.standins.posting_fleet.node import PostingReply
+
+__all__ = ["Attempt", "Verdict", "judge", "sum_up"]
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """Hold one request of a caller; `reply` is None where no answer came."""
+
+    key: IdempotencyKey
+    sent_at_s: float
+    received_at_s: float
+    reply: PostingReply | None
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """Count what was right and wrong in one schedule; the faults of it are named for a rerun."""
+
+    seed: int
+    postings: int
+    second_runs: int
+    false_not_run: int
+    wrong_answers: int
+    never_ran: int
+    refused_not_run: int
+    answers: Mapping[str, int] = field(default_factory=dict)
+    final_answers: Mapping[str, int] = field(default_factory=dict)
+    faults: Mapping[str, int] = field(default_factory=dict)
+
+    def is_right(self) -> bool:
+        """Tell whether nothing wrong was seen."""
+        return not (self.second_runs or self.false_not_run or self.wrong_answers)
+
+    def __str__(self) -> str:
+        return (
+            f"seed={self.seed} postings={self.postings} second_runs={self.second_runs} "
+            f"false_not_run={self.false_not_run} wrong_answers={self.wrong_answers} "
+            f"never_ran={self.never_ran} refused_not_run={self.refused_not_run} "
+            f"answers={dict(self.answers)} final={dict(self.final_answers)} "
+            f"faults={dict(self.faults)}"
+        )
+
+
+def judge(
+    seed: int,
+    attempts: Sequence[Attempt],
+    final: Sequence[Attempt],
+    run_times_s: Mapping[IdempotencyKey, Sequence[float]],
+    faults: Mapping[str, int],
+) -> Verdict:
+    """Compare every attempt with the service's runs."""
+    everything = [*attempts, *final]
+    keys = {attempt.key for attempt in everything}
+    return Verdict(
+        seed=seed,
+        postings=len(keys),
+        second_runs=sum(len(run_times_s.get(key, ())) > 1 for key in keys),
+        false_not_run=sum(_is_false_not_run(each, run_times_s) for each in everything),
+        wrong_answers=sum(_is_wrong_answer(each) for each in everything),
+        never_ran=sum(key not in run_times_s for key in keys),
+        refused_not_run=sum(_says_not_run(each) for each in everything),
+        answers=Counter(_kind(each) for each in attempts),
+        final_answers=Counter(_kind(each) for each in final),
+        faults=faults,
+    )
+
+
+def sum_up(verdicts: Sequence[Verdict]) -> str:
+    """Give the totals of many schedules on one line."""
+    return (
+        f"schedules={len(verdicts)} postings={sum(each.postings for each in verdicts)} "
+        f"second_runs={sum(each.second_runs for each in verdicts)} "
+        f"false_not_run={sum(each.false_not_run for each in verdicts)} "
+        f"wrong_answers={sum(each.wrong_answers for each in verdicts)} "
+        f"never_ran={sum(each.never_ran for each in verdicts)} "
+        f"refused_not_run={sum(each.refused_not_run for each in verdicts)} "
+        f"answers={dict(sum((Counter(each.answers) for each in verdicts), Counter()))}"
+    )
+
+
+def _says_not_run(attempt: Attempt) -> bool:
+    return attempt.reply is not None and attempt.reply.ran is Ran.NO
+
+
+def _is_false_not_run(
+    attempt: Attempt, run_times_s: Mapping[IdempotencyKey, Sequence[float]]
+) -> bool:
+    run_before = any(at_s < attempt.received_at_s for at_s in run_times_s.get(attempt.key, ()))
+    return _says_not_run(attempt) and run_before
+
+
+def _is_wrong_answer(attempt: Attempt) -> bool:
+    if attempt.reply is None or attempt.reply.failure is not None:
+        return False
+    return f'"key":"{attempt.key}"' not in attempt.reply.body
+
+
+def _kind(attempt: Attempt) -> str:
+    if attempt.reply is None:
+        return "no_answer"
+    return attempt.reply.failure or "answered"
