--- a/gooseberryquay/cli.py
+++ b/gooseberryquay/cli.py
@@ -7,6 +7,7 @@
 
 from gooseberryquay.contracts import load_settings
 from gooseberryquay.daemons.commands import run_entry
+from gooseberryquay.daemons.demo import run_demo
 from gooseberryquay.machines.fenced_order_commands import OrderCommands
 from gooseberryquay.standins.commands import StandInCommands
 from gooseberryquay.standins.load.command import run_load
@@ -32,6 +33,10 @@
         """Run the entry NAME of the overlay until SIGTERM, then drain it."""
         run_entry(base, overlay, name)
 
+    def demo(self) -> None:
+        """Run stand-ins and two entries in this process, with one request of each kind."""
+        run_demo()
+
     def check(self, base: str, overlay: str | None = None) -> None:
         """Check settings and print every problem; the exit status is 1 if there is one."""
         match load_settings(base, overlay):
