--- /dev/null
+++ b/gooseberryquay/daemons/tests/test_operations.py
@@ -0,0 +1,129 @@
+"""Operations that may not be repeated run at most once; the others get their own whole answer."""
+
+import threading
+
+import pytest
+
+from gooseberryquay.daemons.tests.builders import FIND_PATH, POST_PATH, call, small_plan, wait_until
+from gooseberryquay.standins.local_fleet import LocalFleet
+from gooseberryquay.standins.platform_control import PlatformControl
+from gooseberryquay.standins.platform_faults import Outage, PlatformFaults
+from gooseberryquay.standins.service_messages import (
+    BreakAfterRun,
+    CrossAnswers,
+    DelayAnswers,
+    RefuseBeforeRun,
+    TruncateAnswers,
+)
+
+SERVICE = "service-1"
+OUTAGE_KINDS = (Outage.REFUSE, Outage.DROP)
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    with LocalFleet(small_plan(entries=3, engines=1)) as running:
+        yield running
+
+
+@pytest.fixture
+def platform(fleet):
+    control = PlatformControl(fleet.addresses.own["platform"])
+    yield control
+    control.set_faults(PlatformFaults())
+    fleet.wait_until_ready(fleet.plan.entry_names())
+
+
+def _runs(fleet, key):
+    return fleet.service_counts(SERVICE).runs.get(key, 0)
+
+
+def test_repeats_at_all_entries_at_once_run_once(fleet):
+    answers = []
+    callers = [
+        threading.Thread(
+            target=lambda at=at: answers.append(call(at, POST_PATH, {"kg": 1}, "race"))
+        )
+        for at in fleet.entry_addresses() * 4
+    ]
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join()
+    assert _runs(fleet, "race") == 1
+    good = [each for each in answers if each.status == 200]
+    assert good
+    assert all(each.body == good[0].body for each in good)
+    assert all(each.error["ran"] == "maybe" for each in answers if each.status != 200)
+
+
+def test_posting_without_a_key_is_refused(fleet):
+    refused = call(fleet.entry_addresses()[0], POST_PATH, {})
+    assert (refused.status, refused.error["type"]) == (400, "idempotency_key_required")
+    assert refused.error["ran"] == "no"
+
+
+@pytest.mark.parametrize(
+    "fault", [CrossAnswers(), BreakAfterRun(), TruncateAnswers()], ids=lambda fault: fault.kind
+)
+def test_posting_whose_answer_is_lost_is_typed_and_never_run_again(fleet, fault):
+    key = f"lost-{fault.kind}"
+    fleet.inject(SERVICE, fault)
+    first = call(fleet.entry_addresses()[0], POST_PATH, {"kg": 2}, key)
+    assert (first.status, first.error["type"]) == (409, "unknown_outcome")
+    assert first.error["ran"] == "maybe"
+    for at in fleet.entry_addresses():
+        again = call(at, POST_PATH, {"kg": 2}, key)
+        assert again.error["type"] == "unknown_outcome"
+    assert _runs(fleet, key) == 1
+
+
+def test_lookup_gets_its_own_answer_when_answers_are_crossed(fleet):
+    fleet.inject(SERVICE, CrossAnswers())
+    answer = call(fleet.entry_addresses()[0], FIND_PATH, {"lot": 3}, "lookup-3")
+    assert answer.status == 200
+    assert answer.body["key"] == "lookup-3"
+
+
+def test_posting_that_the_upstream_refused_may_run_later(fleet):
+    fleet.inject(SERVICE, RefuseBeforeRun(count=10))
+    refused = call(fleet.entry_addresses()[0], POST_PATH, {"kg": 4}, "refused")
+    assert refused.error["ran"] == "no"
+    assert _runs(fleet, "refused") == 0
+    fleet.inject(SERVICE, RefuseBeforeRun(count=0))
+    wait_until(
+        lambda: call(fleet.entry_addresses()[1], POST_PATH, {"kg": 4}, "refused").status == 200
+    )
+    assert _runs(fleet, "refused") == 1
+
+
+@pytest.mark.parametrize("outage", OUTAGE_KINDS)
+def test_platform_outage_refuses_postings_truthfully_and_lookups_go_on(fleet, platform, outage):
+    key = f"outage-{outage.value}"
+    platform.set_faults(PlatformFaults(outage=outage))
+    refused = call(fleet.entry_addresses()[0], POST_PATH, {"kg": 5}, key)
+    assert refused.status == 503
+    assert _runs(fleet, key) == 0
+    wait_until(lambda: call(fleet.entry_addresses()[1], FIND_PATH, {"lot": 5}).status == 200)
+    platform.set_faults(PlatformFaults())
+    wait_until(lambda: call(fleet.entry_addresses()[2], POST_PATH, {"kg": 5}, key).status == 200)
+    assert _runs(fleet, key) == 1
+
+
+def test_entry_killed_during_a_posting_never_leads_to_a_second_run(fleet):
+    fleet.inject(SERVICE, DelayAnswers(delay_s=1.5))
+    caller = threading.Thread(
+        target=call, args=(fleet.entry_addresses()[2], POST_PATH, {"kg": 6}, "killed")
+    )
+    caller.start()
+    wait_until(lambda: _runs(fleet, "killed") == 1)
+    fleet.kill("entry-3")
+    caller.join()
+    for at in fleet.entry_addresses()[:2]:
+        again = call(at, POST_PATH, {"kg": 6}, "killed")
+        assert again.error["type"] == "unknown_outcome"
+    assert _runs(fleet, "killed") == 1
+    fleet.start("entry-3")
+    fleet.wait_until_ready(["entry-3"])
+    assert call(fleet.entry_addresses()[2], POST_PATH, {"kg": 6}, "killed").status == 409
+    assert _runs(fleet, "killed") == 1
--- a/gooseberryquay/machines/tests/test_peer_links.py
+++ b/gooseberryquay/machines/tests/test_peer_links.py
@@ -13,19 +13,21 @@
 
 
 def _serve_then_go_silent(listener):
-    """Answer one request on each connection, the first two together, and none after it."""
-    kept = [listener.accept()[0], listener.accept()[0]]
-    for connection in kept:
-        _answer(connection)
+    """Answer once on each of the first two connections, and always on later ones."""
+    silent = [listener.accept()[0], listener.accept()[0]]
+    for connection in silent:
+        connection.recv(4096)
+        connection.sendall(ANSWER)
     with contextlib.suppress(OSError):
         while True:
-            kept.append(listener.accept()[0])
-            _answer(kept[-1])
+            later = listener.accept()[0]
+            threading.Thread(target=_answer_always, args=(later,), daemon=True).start()
 
 
-def _answer(connection):
-    connection.recv(4096)
-    connection.sendall(ANSWER)
+def _answer_always(connection):
+    with contextlib.suppress(OSError):
+        while connection.recv(4096):
+            connection.sendall(ANSWER)
 
 
 def test_all_connections_to_a_silent_address_are_replaced():
--- a/gooseberryquay/standins/service.py
+++ b/gooseberryquay/standins/service.py
@@ -108,7 +108,7 @@
         fault = self._arrive()
         try:
             if isinstance(fault, RefuseBeforeRun):
-                return self._refuse()
+                return self._refuse(request)
             answer = self._run(request)
             time.sleep(self._settings.delay_s)
             return _respond(answer, fault)
@@ -123,10 +123,11 @@
             self._counts.peak_in_flight = max(self._counts.peak_in_flight, self._in_flight)
             return self._faults.pop(0) if self._faults else None
 
-    def _refuse(self) -> Response:
+    def _refuse(self, request: Request) -> Response:
         with self._lock:
             self._counts.refused += 1
-        return Response(status=503)
+        own_id = request.headers.get("x-request-id", "")
+        return Response(status=503, headers={"X-Request-Id": own_id})
 
     def _run(self, request: Request) -> OperationAnswer:
         request_id = request.headers.get("x-request-id", "")
