Close proxied sockets only after their threads have left them

Cause: a thread that still used a socket's number shut down the next connection, which had got the same number, so a reset reached its caller as an orderly close: 2 of 48 runs of the reset test, eight at once, failed. Ruled out: the reset itself (600 resets in each of 14 processes were right as long as no other connection was closed before). The last thread now closes the sockets. After: 64 of 64 runs of the whole file, eight at once, passed, each with 100 more resets.

--- a/gooseberryquay/standins/fault_proxy.py
+++ b/gooseberryquay/standins/fault_proxy.py
@@ -3,7 +3,6 @@
 import contextlib
 import socket
 import threading
-from collections.abc import Callable
 
 from pydantic import ValidationError
 
@@ -78,11 +77,12 @@
             case StallBytes(direction=direction):
                 self._state.stall(direction)
             case SilenceConnections(direction=direction):
-                self._for_each_connection(lambda each: each.silence(direction))
+                for connection in self._open_connections():
+                    connection.silence(direction)
             case CutConnections():
-                self._for_each_connection(ProxiedConnection.close)
+                self._end_connections(is_reset=False)
             case ResetConnections():
-                self._for_each_connection(ProxiedConnection.reset)
+                self._end_connections(is_reset=True)
             case RefuseConnections():
                 self._refuse()
             case LoseAnswers():
@@ -95,11 +95,16 @@
         if self._listener is None:
             self.start()
 
-    def _for_each_connection(self, action: Callable[[ProxiedConnection], None]) -> None:
+    def _open_connections(self) -> tuple[ProxiedConnection, ...]:
         with self._lock:
-            connections = tuple(self._connections)
+            return tuple(self._connections)
+
+    def _end_connections(self, is_reset: bool) -> None:
+        connections = self._open_connections()
+        for connection in connections:
+            connection.end(is_reset)
         for connection in connections:
-            action(connection)
+            connection.wait_until_ended()
 
     def _refuse(self) -> None:
         listener, self._listener = self._listener, None
--- a/gooseberryquay/standins/proxied_connection.py
+++ b/gooseberryquay/standins/proxied_connection.py
@@ -12,6 +12,8 @@
 __all__ = ["LinkState", "ProxiedConnection"]
 
 READ_BYTES = 64 * 1024
+STALL_POLL_S = 0.05
+END_TIMEOUT_S = 1.0
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
@@ -48,7 +50,11 @@
 
 
 class ProxiedConnection:
-    """Pass bytes between a caller and the target, or swallow them."""
+    """Pass bytes between a caller and the target, or swallow them.
+
+    The last of its two threads closes the sockets: a number closed under a thread that still uses
+    it could by then belong to another connection.
+    """
 
     def __init__(
         self,
@@ -64,13 +70,20 @@
         self._passed = passed
         self._closed = closed
         self._silenced: set[Direction] = set()
+        self._lock = threading.Lock()
+        self._is_ended = False
+        self._threads = [
+            threading.Thread(target=self._pump, args=(direction,), daemon=True)
+            for direction in (Direction.TO_TARGET, Direction.TO_CALLER)
+        ]
+        self._running = len(self._threads)
         for each in (caller, target):
             each.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def start(self) -> None:
         """Pass bytes in the background."""
-        for direction in (Direction.TO_TARGET, Direction.TO_CALLER):
-            threading.Thread(target=self._pump, args=(direction,), daemon=True).start()
+        for thread in self._threads:
+            thread.start()
 
     def silence(self, direction: Direction) -> None:
         """Swallow what comes from now on, ends of streams included."""
@@ -78,49 +91,76 @@
             if direction.includes(each):
                 self._silenced.add(each)
 
-    def close(self) -> None:
-        """Close both sides."""
-        for each in (self._caller, self._target):
-            with contextlib.suppress(OSError):
-                each.shutdown(socket.SHUT_RDWR)
-            each.close()
-        self._closed(self)
-
-    def reset(self) -> None:
-        """Reset both sides."""
-        for each in (self._caller, self._target):
-            with contextlib.suppress(OSError):
-                each.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-                # Wakes the thread that reads; a close alone would wait for it.
-                each.shutdown(socket.SHUT_RD)
-            each.close()
-        self._closed(self)
+    def end(self, is_reset: bool) -> None:
+        """Close both sides, or reset them."""
+        with self._lock:
+            if self._is_ended:
+                return
+            self._is_ended = True
+            for each in (self._caller, self._target):
+                with contextlib.suppress(OSError):
+                    _wake_and_end(each, is_reset)
+
+    def wait_until_ended(self) -> None:
+        """Wait until both sides are closed."""
+        deadline_s = time.monotonic() + END_TIMEOUT_S
+        for thread in self._threads:
+            thread.join(max(0.0, deadline_s - time.monotonic()))
+        # A thread that is blocked in a send ends only when its socket is closed.
+        self._release()
 
     def _pump(self, direction: Direction) -> None:
-        is_to_target = direction is Direction.TO_TARGET
-        source, sink = (
-            (self._caller, self._target) if is_to_target else (self._target, self._caller)
-        )
         try:
-            while buffer := source.recv(READ_BYTES):
-                self._pass_on(buffer, sink, direction)
-            self._state.flowing[direction].wait()
-            if direction not in self._silenced:
-                sink.shutdown(socket.SHUT_WR)
+            self._copy(direction)
         except OSError:
-            if not self._silenced:
-                self.close()
-            return
-        if not is_to_target and not self._silenced:
-            self.close()
+            self._end_unless_silenced()
+        if direction is Direction.TO_CALLER:
+            self._end_unless_silenced()
+        with self._lock:
+            self._running -= 1
+            is_last = self._running == 0
+        if is_last:
+            self._release()
+
+    def _copy(self, direction: Direction) -> None:
+        source, sink = self._caller, self._target
+        if direction is Direction.TO_CALLER:
+            source, sink = sink, source
+        while buffer := source.recv(READ_BYTES):
+            self._pass_on(buffer, sink, direction)
+        self._wait_while_stalled(direction)
+        with self._lock:
+            if not self._is_ended and direction not in self._silenced:
+                sink.shutdown(socket.SHUT_WR)
 
     def _pass_on(self, buffer: bytes, sink: socket.socket, direction: Direction) -> None:
         time.sleep(self._state.delay_s[direction])
-        self._state.flowing[direction].wait()
-        if direction in self._silenced:
+        self._wait_while_stalled(direction)
+        if direction in self._silenced or self._is_ended:
             return
         if direction is Direction.TO_CALLER and self._state.is_losing_answers:
-            self.close()
+            self.end(is_reset=False)
             return
         sink.sendall(buffer)
         self._passed(direction, len(buffer))
+
+    def _wait_while_stalled(self, direction: Direction) -> None:
+        while not self._state.flowing[direction].wait(STALL_POLL_S):
+            if self._is_ended:
+                return
+
+    def _end_unless_silenced(self) -> None:
+        if not self._silenced:
+            self.end(is_reset=False)
+
+    def _release(self) -> None:
+        self._caller.close()
+        self._target.close()
+        self._closed(self)
+
+
+def _wake_and_end(opened: socket.socket, is_reset: bool) -> None:
+    if is_reset:
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    # In place of an end of its own, the close that follows sends the reset.
+    opened.shutdown(socket.SHUT_RD if is_reset else socket.SHUT_RDWR)
--- a/gooseberryquay/standins/tests/test_fault_proxy.py
+++ b/gooseberryquay/standins/tests/test_fault_proxy.py
@@ -134,6 +134,14 @@
         connection.recv(1024)
 
 
+def test_reset_never_becomes_an_orderly_close(proxy):
+    for _ in range(100):
+        connection = _connect(proxy)
+        proxy.apply_fault(ResetConnections())
+        with pytest.raises(ConnectionResetError):
+            connection.recv(1024)
+
+
 def test_refused_connections_work_again_after_the_link_is_healed(proxy):
     connection = _connect(proxy)
     proxy.apply_fault(RefuseConnections())
