Let members of the experiment bind free ports themselves

Cause: a port that was free when asked for was taken by an outgoing connection of another member before its owner bound it; one run with 32 members ended with a member that did not start.

--- a/gooseberryquay/standins/member.py
+++ b/gooseberryquay/standins/member.py
@@ -31,7 +31,7 @@
 
 
 class MemberStandIn:
-    """Serve a control API with membership and a report on it."""
+    """Serve a control API with membership and a report on it; port 0 takes a free one."""
 
     def __init__(
         self,
@@ -44,21 +44,21 @@
     ) -> None:
         self._bytes = ByteCount()
         self._bytes.install()
+        self._router = Router()
+        self._router.add("GET", REPORT_PATH, self._report)
+        self._server = HttpServer(address.host, address.port, self._router)
+        self._server.start()
         myself = Peer(
             id=entry,
             incarnation=Incarnation(time.time_ns() // 1_000_000),
             zone=ZoneId("zone"),
-            control_address=address,
+            control_address=Address(address.host, self._server.port),
         )
         self._membership = Membership(myself, seeds=seeds, platform=directory, timing=timing)
-        router = Router()
-        self._membership.add_routes(router)
-        router.add("GET", REPORT_PATH, self._report)
-        self._server = HttpServer(address.host, address.port, router)
+        self._membership.add_routes(self._router)
 
     def start(self) -> None:
-        """Serve and join."""
-        self._server.start()
+        """Join."""
         self._membership.start()
 
     def stop(self) -> None:
--- a/gooseberryquay/standins/member_experiment.py
+++ b/gooseberryquay/standins/member_experiment.py
@@ -4,7 +4,7 @@
 import statistics
 import time
 from collections.abc import Callable, Sequence
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import ThreadPoolExecutor, wait
 from dataclasses import dataclass
 
 import urllib3
@@ -37,7 +37,6 @@
 
     def __init__(self, name: str, port: int, seed_ports: Sequence[int], speed: float) -> None:
         self.id = EntryId(name)
-        self._port = port
         seeds = "-".join(str(each) for each in seed_ports)
         self.process = CommandProcess(
             *("members", "serve", "--id", name, "--port", str(port)),
@@ -46,7 +45,9 @@
 
     def report(self) -> MemberReport:
         """Read the member's report."""
-        answer = urllib3.request("GET", f"http://{HOST}:{self._port}{REPORT_PATH}", timeout=10.0)
+        answer = urllib3.request(
+            "GET", f"http://{HOST}:{self.process.port}{REPORT_PATH}", timeout=10.0
+        )
         return MemberReport.model_validate_json(answer.data)
 
     def holds_live(self) -> set[EntryId]:
@@ -78,7 +79,8 @@
         started_s = time.monotonic()
         for number in range(self._count):
             self._add(number)
-        list(self._threads.map(lambda member: member.process.start(), self._members))
+        self._start_all(self._members[:SEEDS])
+        self._start_all(self._members[SEEDS:])
         print(f"members {self._count}, started in {time.monotonic() - started_s:.1f} s")
         joined_s = self._time_until(lambda seen: len(seen) == self._count)[-1]
         print(f"all know all after another {joined_s:.2f} s")
@@ -87,9 +89,15 @@
         self._measure_join()
         self._measure_leave()
 
+    def _start_all(self, members: list[MemberProcess]) -> None:
+        started = [self._threads.submit(member.process.start) for member in members]
+        wait(started)
+        for each in started:
+            each.result()
+
     def _add(self, number: int) -> MemberProcess:
         is_seed = number < len(self._seed_ports)
-        port = self._seed_ports[number] if is_seed else find_free_port()
+        port = self._seed_ports[number] if is_seed else 0
         member = MemberProcess(f"entry-{number}", port, self._seed_ports, self._speed)
         self._members.append(member)
         return member
