Refuse hopeless waiters at once, tell peers of cold upstreams, hold slow silent ones

A queue that empties too slowly for its waiters refuses them at the next event, long answers first, instead of holding them until their patience ends. An upstream whose tokens come 2.5 times slower than the service's median while its report is over 2 s old gets nothing until it reports.

--- a/gooseberryquay/machines/dispatcher.py
+++ b/gooseberryquay/machines/dispatcher.py
@@ -9,13 +9,15 @@
 
 from gooseberryquay.contracts.settings import ChoiceSettings
 from gooseberryquay.errors import DeadlineUnreachable, Failure, Overloaded
-from gooseberryquay.ids import ServiceId, UpstreamId, WorkspaceId
+from gooseberryquay.ids import ServiceId, UpstreamId
 from gooseberryquay.machines.choice import Candidate, Chooser
 from gooseberryquay.machines.cold_slots import ColdSlots
 from gooseberryquay.machines.dispatch_lane import ServiceLane
 from gooseberryquay.machines.dispatch_placement import PlacedWork, PlacementEvents
+from gooseberryquay.machines.dispatch_shares import WorkspaceShares
 from gooseberryquay.machines.length_estimate import LengthEstimator
 from gooseberryquay.machines.load_report import LoadReport
+from gooseberryquay.machines.queue_entry import make_waiter
 from gooseberryquay.machines.queue_order import QueueClass
 from gooseberryquay.machines.queue_waiter import Waiter
 from gooseberryquay.machines.upstream import Upstream, UpstreamView
@@ -26,8 +28,6 @@
 __all__ = ["WorkDispatcher"]
 
 HEADS_TRIED = 4
-SURE_LENGTH_SHARE = 0.1
-SURE_GAP_SHARE = 0.25
 RETRY_AFTER_MIN_S = 1.0
 RETRY_AFTER_MAX_S = 60.0
 CERTAIN_ENDS = frozenset({Outcome.FINISHED, Outcome.REFUSED})
@@ -47,16 +47,17 @@
         entry_count: Callable[[], int],
         queue_length_max: int,
         random_source: random.Random | None = None,
+        turned_cold: Callable[[UpstreamId], None] = lambda _upstream: None,
     ) -> None:
+        self._turned_cold = turned_cold
         self._table = table
         self._settings = settings
         self._slots = slots
-        self._entry_count = entry_count
         self._queue_length_max = queue_length_max
         self._chooser = Chooser(settings, entry_count, random_source or random.Random())
         self._lengths = LengthEstimator(settings.length_scale)
         self._lanes: dict[ServiceId, ServiceLane] = {}
-        self._in_flight: dict[WorkspaceId, int] = {}
+        self._shares = WorkspaceShares(table.configuration, entry_count)
         self._events = PlacementEvents(self._take_report, self._finish)
         self._lock = threading.Lock()
 
@@ -105,7 +106,7 @@
     def in_flight(self) -> int:
         """Give the number of own requests in flight."""
         with self._lock:
-            return sum(self._in_flight.values())
+            return self._shares.total
 
     def queued(self) -> int:
         """Give the number of requests that wait."""
@@ -115,33 +116,15 @@
     def _enter(self, work: Work) -> Waiter:
         now_s = time.monotonic()
         lane = self._lane(work.service)
-        waiter = self._make_waiter(work, now_s)
+        waiter = make_waiter(work, self._lengths, self._settings, now_s)
         refusal = self._early_refusal(lane, waiter, now_s)
         if refusal is not None:
             waiter.resolve(Err(refusal))
             return waiter
         lane.queue.add(waiter)
         self._place_waiters(lane)
-        if waiter.answer is None:
-            refusal = self._queue_refusal(lane, waiter, now_s)
-            if refusal is not None:
-                self._refuse(waiter, refusal)
         return waiter
 
-    def _make_waiter(self, work: Work, now_s: float) -> Waiter:
-        curve = self._lengths.curve(work.workspace, work.service, work.kind, work.max_tokens)
-        expected_tokens = min(curve.mean_tokens, float(work.max_tokens))
-        candidate = Candidate(
-            work=work,
-            expected_tokens=expected_tokens,
-            is_quick=expected_tokens <= self._settings.quick_tokens_max,
-            mix_remaining_tokens=self._lengths.service_curve(work.service).residual_tokens,
-        )
-        sure_tokens = min(curve.quantile_tokens(SURE_LENGTH_SHARE), float(work.max_tokens))
-        latest_start_s = work.deadline_at_s - sure_tokens * work.token_gap_s * SURE_GAP_SHARE
-        patience_s = work.first_token_s * self._settings.queue_patience
-        return Waiter(candidate, now_s, min(now_s + patience_s, latest_start_s))
-
     def _early_refusal(self, lane: ServiceLane, waiter: Waiter, now_s: float) -> Failure | None:
         work = waiter.candidate.work
         if waiter.give_up_at_s <= now_s:
@@ -150,20 +133,15 @@
             return self._overloaded(work.service, "no upstream may get this request")
         if len(lane.queue) >= self._queue_length_max:
             return self._overloaded(work.service, "the queue is full")
-        return None
-
-    def _queue_refusal(self, lane: ServiceLane, waiter: Waiter, now_s: float) -> Failure | None:
         queue_class = QueueClass.QUICK if waiter.candidate.is_quick else QueueClass.LONG
-        rate = lane.placing_rate.per_second(now_s)
-        expected_wait_s = (lane.queue.length_before(queue_class) - 1) / rate if rate > 0 else 0.0
-        if expected_wait_s <= waiter.give_up_at_s - now_s:
-            return None
-        return self._overloaded(waiter.candidate.work.service, "the queue is too long")
+        before = lane.queue.length_before(queue_class)
+        if before > 0 and lane.is_hopeless(waiter, before, now_s):
+            return self._overloaded(work.service, "the queue is too long")
+        return None
 
     def _overloaded(self, service: ServiceId, message: str) -> Failure:
         lane = self._lane(service)
-        rate = lane.placing_rate.per_second(time.monotonic())
-        wait_s = (len(lane.queue) + 1) / rate if rate > 0 else RETRY_AFTER_MIN_S
+        wait_s = lane.expected_wait_s(len(lane.queue), time.monotonic())
         retry_after_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, wait_s))
         return Overloaded(message, retry_after_s=retry_after_s)
 
@@ -174,12 +152,15 @@
     def _place_waiters(self, lane: ServiceLane) -> None:
         while len(lane.queue) > 0 and self._place_one(lane):
             pass
+        if len(lane.queue) > 1:
+            for waiter in lane.hopeless(time.monotonic()):
+                self._refuse(waiter, self._overloaded(lane.service, "the queue is too long"))
 
     def _place_one(self, lane: ServiceLane) -> bool:
         now_s = time.monotonic()
         tried = 0
         for waiter in lane.queue.heads(now_s):
-            if not self._has_workspace_room(waiter.candidate.work.workspace):
+            if not self._shares.has_room(waiter.candidate.work.workspace):
                 continue
             if self._try_place(lane, waiter, now_s):
                 return True
@@ -195,7 +176,7 @@
             for each in self._usable(lane.service)
             if each.declaration.id not in candidate.work.excluded
             and not each.is_silent
-            and self._may_start(each, candidate.work, now_s)
+            and self._may_start(each, lane, candidate.work, now_s)
         ]
         upstream = self._chooser.choose(candidate, open_upstreams)
         if upstream is None:
@@ -205,14 +186,17 @@
             return False
         waiter.resolve(Ok(self._start(upstream, candidate, is_cold, now_s)))
         lane.queue.remove(waiter)
-        lane.queue.charge(waiter, self._weight(candidate.work.workspace))
-        lane.placing_rate.count(now_s)
+        lane.queue.charge(waiter, self._shares.weight(candidate.work.workspace))
         return True
 
-    def _may_start(self, upstream: Upstream, work: Work, now_s: float) -> bool:
+    def _may_start(self, upstream: Upstream, lane: ServiceLane, work: Work, now_s: float) -> bool:
         match upstream.view:
             case UpstreamView.LEAVING:
                 return False
+            case UpstreamView.WARM if upstream.is_slow_unreported(
+                lane.typical_gap_s(self._usable(lane.service), now_s), now_s
+            ):
+                return False
             case UpstreamView.WARM:
                 return upstream.ramp.has_room(
                     upstream.own_in_flight, upstream.token_gap_s, work.token_gap_s, now_s
@@ -228,7 +212,7 @@
         in_flight = UpstreamWork(work.prompt_tokens, work.max_tokens, curve)
         upstream.start(in_flight, now_s)
         self._chooser.prefixes.note(work.prefix_hash, upstream.declaration.id)
-        self._in_flight[work.workspace] = self._in_flight.get(work.workspace, 0) + 1
+        self._shares.enter(work.workspace)
         priority = QUICK_PRIORITY if candidate.is_quick else LONG_PRIORITY
         return PlacedWork(
             upstream=upstream,
@@ -243,19 +227,22 @@
         work = placed.work
         with self._lock:
             placed.upstream_state.end(placed.in_flight, time.monotonic())
-            self._in_flight[work.workspace] -= 1
-            if not self._in_flight[work.workspace]:
-                del self._in_flight[work.workspace]
+            self._shares.leave(work.workspace)
             if outcome is Outcome.FINISHED:
                 generated_tokens = placed.in_flight.generated_tokens
                 self._lengths.record(work.workspace, work.service, work.kind, generated_tokens)
             if placed.is_cold:
                 self._slots.give_back(placed.upstream, outcome in CERTAIN_ENDS)
-            self._place_waiters(self._lane(work.service))
+            lane = self._lane(work.service)
+            lane.finish_rate.count(time.monotonic())
+            self._place_waiters(lane)
 
     def _take_report(self, upstream: Upstream, report: LoadReport) -> None:
         with self._lock:
+            was_warm = upstream.view is UpstreamView.WARM
             upstream.take_report(report, time.monotonic())
+            if was_warm and upstream.view is UpstreamView.COLD:
+                self._turned_cold(upstream.declaration.id)
             self._slots.saw_report(upstream.declaration.id, report)
             self._place_waiters(self._lane(upstream.declaration.service))
 
@@ -267,14 +254,3 @@
 
     def _usable(self, service: ServiceId) -> tuple[Upstream, ...]:
         return self._table.usable(service)
-
-    def _weight(self, workspace: WorkspaceId) -> int:
-        declared = self._table.configuration().declaration.workspaces.get(workspace)
-        return declared.weight if declared is not None else 1
-
-    def _has_workspace_room(self, workspace: WorkspaceId) -> bool:
-        declared = self._table.configuration().declaration.workspaces.get(workspace)
-        if declared is None:
-            return True
-        share = -(-declared.max_in_flight // max(1, self._entry_count()))
-        return self._in_flight.get(workspace, 0) < share
--- a/gooseberryquay/machines/queue_order.py
+++ b/gooseberryquay/machines/queue_order.py
@@ -84,6 +84,16 @@
         tokens = work.prompt_tokens + waiter.candidate.expected_tokens
         self._passes[work.workspace] = own_pass + tokens / weight
 
+    def in_order(self) -> list[Waiter]:
+        """Give all waiters, quick work first, then the least time left."""
+        ranked: list[tuple[int, float, int, Waiter]] = []
+        for key, line in self._lines.items():
+            for give_up_at_s, sequence, waiter in line.heap:
+                if waiter.answer is None:
+                    ranked.append((key.queue_class.value, give_up_at_s, sequence, waiter))
+        ranked.sort(key=lambda each: each[:3])
+        return [each[3] for each in ranked]
+
     def heads(self, now_s: float) -> list[Waiter]:
         """Give the first waiter of each workspace and class, in placing order."""
         ranked: list[tuple[int, float, float, int, Waiter]] = []
--- a/gooseberryquay/machines/tests/test_dispatcher.py
+++ b/gooseberryquay/machines/tests/test_dispatcher.py
@@ -16,6 +16,7 @@
     build_work,
     build_workspace,
 )
+from gooseberryquay.machines.tests.cold_builders import wait_until
 from gooseberryquay.machines.work import Outcome
 from gooseberryquay.zones.zone_state import ZoneState
 
@@ -122,3 +123,48 @@
     )
     assert [dispatcher.place(build_work()).is_ok() for _ in range(3)] == [True, True, False]
     assert isinstance(dispatcher.place(build_work(workspace="other")), Ok)
+
+
+def test_queue_that_lost_its_capacity_sheds_long_work_at_once():
+    held = _held(count=3, in_flight_max=4)
+    settings = ChoiceSettings(queue_patience=8.0)
+    dispatcher = build_dispatcher(held, settings)
+    for _ in range(40):
+        dispatcher.place(build_work()).unwrap().finish(Outcome.FINISHED)
+    placed = [dispatcher.place(build_work()).unwrap() for _ in range(12)]
+    answers = []
+    threads = [
+        threading.Thread(target=lambda: answers.append(dispatcher.place(build_work())))
+        for _ in range(80)
+    ]
+    for each in threads:
+        each.start()
+    wait_until(lambda: dispatcher.queued() + len(answers) == 80)
+    zones = {zone: ZoneState.OUT for zone in ("sask-b", "sask-c")}
+    held.value = held.value.model_copy(update={"revision": 2, "zone_states": zones})
+    time.sleep(3.0)
+    next(each for each in placed if each.upstream.zone == "sask-a").finish(Outcome.FINISHED)
+    shed_at_s = time.monotonic()
+    wait_until(lambda: sum(each.is_err() for each in answers) >= 20)
+    assert time.monotonic() - shed_at_s < 3.0
+    for each in placed:
+        each.finish(Outcome.FINISHED)
+    for each in threads:
+        each.join(20.0)
+    failures = [each.unwrap_err() for each in answers if each.is_err()]
+    assert all(each.ran is Ran.NO and each.retry_after_s >= 1.0 for each in failures)
+
+
+def test_upstream_far_slower_than_the_others_gets_nothing_until_it_reports():
+    dispatcher = build_dispatcher(_held())
+    placed = [dispatcher.place(build_work()).unwrap() for _ in range(9)]
+    for each in placed:
+        is_slow = each.upstream.id == "engine-0"
+        for _ in range(100):
+            each.upstream_state.saw_gap(0.2 if is_slow else 0.02)
+        each.upstream_state.received_at_s -= 5.0
+    chosen = {dispatcher.place(build_work()).unwrap().upstream.id for _ in range(20)}
+    assert chosen == {"engine-1", "engine-2"}
+    dispatcher.saw_report("engine-0", WARM.model_copy(update={"in_flight": 3}))
+    chosen = {dispatcher.place(build_work()).unwrap().upstream.id for _ in range(20)}
+    assert "engine-0" in chosen
--- a/gooseberryquay/machines/upstream.py
+++ b/gooseberryquay/machines/upstream.py
@@ -12,8 +12,9 @@
 __all__ = ["Upstream", "UpstreamView"]
 
 GAP_WEIGHT = 0.1
+SLOW_FACTOR = 2.5
+SLOW_UNREPORTED_S = 2.0
 MAX_LOGGED_CHANGES = 512
-REPORT_AGE_MAX_S = 30.0
 
 
 class UpstreamView(Enum):
@@ -106,6 +107,12 @@
             self.view = view
             self.view_since_s = now_s
 
+    def is_slow_unreported(self, typical_gap_s: float, now_s: float) -> bool:
+        """Tell whether tokens come far slower than elsewhere and no late report says why."""
+        if not self.work or typical_gap_s <= 0 or now_s - self.received_at_s < SLOW_UNREPORTED_S:
+            return False
+        return self.token_gap_s > SLOW_FACTOR * typical_gap_s
+
     def saw_gap(self, gap_s: float) -> None:
         """Take in one observed time between tokens."""
         self.token_gap_s += GAP_WEIGHT * (gap_s - self.token_gap_s)
