Hold cold slots under the incarnation that the entry joined with

An entry that follows on a former run whose clock was ahead raises its incarnation while it joins. Slots taken under the incarnation from before would not be listed by the platform, so such an entry could never take one.

Eight entry processes under load at three cold engines with a cap of 2: cap exceeded 0 times as counted by the engines.

--- a/gooseberryquay/daemons/dispatching.py
+++ b/gooseberryquay/daemons/dispatching.py
@@ -21,8 +21,9 @@
         myself = cluster.membership.myself()
         subset = SubsetRule(myself.id, settings.choice.subset_size)
         table = UpstreamTable(cluster.configuration, subset)
-        holder = SlotHolder(entry=myself.id, incarnation=myself.incarnation)
-        self._cold = ColdAdmission(SlotStore(cluster.platform), holder, table)
+        self._cold = ColdAdmission(
+            SlotStore(cluster.platform), lambda: _slot_holder(cluster), table
+        )
         self.dispatcher = WorkDispatcher(
             table=table,
             settings=settings.choice,
@@ -48,3 +49,9 @@
         """Release slots and stop asking."""
         self._cold.stop()
         self._poller.stop()
+
+
+def _slot_holder(cluster: Cluster) -> SlotHolder:
+    # The incarnation may still change while the entry joins.
+    myself = cluster.membership.myself()
+    return SlotHolder(entry=myself.id, incarnation=myself.incarnation)
--- a/gooseberryquay/machines/cold_admission.py
+++ b/gooseberryquay/machines/cold_admission.py
@@ -48,7 +48,7 @@
     def __init__(
         self,
         store: SlotStore,
-        myself: SlotHolder,
+        myself: Callable[[], SlotHolder],
         table: UpstreamTable,
         settle_s: float = SETTLE_S,
         random_source: random.Random | None = None,
@@ -192,7 +192,7 @@
         with self._lock:
             own_in_flight = holding.in_flight_at(measured_at_s)
         in_flight = report.in_flight + report.queued
-        answer = self._store.acquire(holding.upstream, self._myself, in_flight, own_in_flight)
+        answer = self._store.acquire(holding.upstream, self._myself(), in_flight, own_in_flight)
         self._take_answer(holding, answer)
 
     def _release(self, holding: ColdHolding, count: int) -> None:
@@ -201,14 +201,14 @@
             if count <= 0:
                 return
             holding.held -= count
-        answer = self._store.release(holding.upstream, self._myself, count)
+        answer = self._store.release(holding.upstream, self._myself(), count)
         if isinstance(answer, SlotFailure):
             with self._lock:
                 holding.held += count
         self._take_answer(holding, answer)
 
     def _validate(self, holding: ColdHolding) -> None:
-        answer = self._store.settle_unsure(holding.upstream, self._myself, holding.unsure_version)
+        answer = self._store.settle_unsure(holding.upstream, self._myself(), holding.unsure_version)
         self._take_answer(holding, answer)
 
     def _take_answer(
@@ -243,7 +243,7 @@
         if not holding.is_unused():
             return
         if upstream is not None and upstream.view is UpstreamView.WARM and holding.has_record:
-            answer = self._store.unsettle(holding.upstream, self._myself)
+            answer = self._store.unsettle(holding.upstream, self._myself())
             self._take_answer(holding, answer)
             if not isinstance(answer, SlotGranted):
                 return
--- a/gooseberryquay/machines/tests/cold_builders.py
+++ b/gooseberryquay/machines/tests/cold_builders.py
@@ -134,7 +134,7 @@
         table = build_table(held)
         self.admission = ColdAdmission(
             SlotStore(platform, ABSENT_S),
-            self.holder,
+            lambda: self.holder,
             table,
             settle_s=SETTLE_S,
             random_source=random.Random(name),
