--- a/gooseberryquay/daemons/dispatching.py
+++ b/gooseberryquay/daemons/dispatching.py
@@ -2,7 +2,9 @@
 
 from gooseberryquay.contracts.settings import Settings
 from gooseberryquay.daemons.cluster import Cluster
+from gooseberryquay.links.http_server import Router
 from gooseberryquay.machines.cold_admission import ColdAdmission, ColdAdmissionLinks
+from gooseberryquay.machines.cold_notice import ColdNotices
 from gooseberryquay.machines.cold_record import SlotHolder
 from gooseberryquay.machines.cold_store import SlotStore
 from gooseberryquay.machines.dispatcher import WorkDispatcher
@@ -30,7 +32,9 @@
             slots=self._cold,
             entry_count=cluster.entry_count,
             queue_length_max=settings.limits.queue_length_max,
+            turned_cold=lambda upstream: self._notices.announce(upstream),
         )
+        self._notices = ColdNotices(cluster.membership, self.dispatcher.saw_cold)
         sink = ReportSink(self.dispatcher.saw_report, self.dispatcher.saw_silence)
         self._poller = LoadPoller(table, sink, settings.choice.poll_bytes_per_s)
         self._cold_links = ColdAdmissionLinks(
@@ -40,14 +44,20 @@
         )
         self.retries = RetryBudget(settings.limits.retry_budget_ratio)
 
+    def add_routes(self, router: Router) -> None:
+        """Serve the other entries."""
+        self._notices.add_routes(router)
+
     def start(self) -> None:
         """Start asking upstreams for their load."""
+        self._notices.start()
         self._poller.start()
         self._cold.start(self._cold_links)
 
     def stop(self) -> None:
         """Release slots and stop asking."""
         self._cold.stop()
+        self._notices.stop()
         self._poller.stop()
 
 
--- a/gooseberryquay/daemons/entry.py
+++ b/gooseberryquay/daemons/entry.py
@@ -21,7 +21,7 @@
 from gooseberryquay.links.service_link import ServiceLink
 from gooseberryquay.links.suspect_guard import SuspectGuard
 from gooseberryquay.links.upstream_links import UpstreamLinks
-from gooseberryquay.postings import PostingDesk
+from gooseberryquay.postings import ClaimSweeper, PostingDesk
 
 __all__ = ["Entry", "EntryStatus"]
 
@@ -52,6 +52,9 @@
         self._desk = PostingDesk(
             self._cluster.platform, self._cluster.membership, settings.postings
         )
+        self._sweeper = ClaimSweeper(
+            self._cluster.platform, self._cluster.membership, settings.postings
+        )
         self._in_flight = InFlight()
         self._state = DrainableState(self._cluster.is_configured)
         self._log = RequestLog()
@@ -61,6 +64,7 @@
         health.add_routes(caller_api)
         health.add_routes(control_api)
         self._cluster.add_routes(control_api)
+        self._dispatching.add_routes(control_api)
         self._desk.add_routes(control_api)
         self._caller_server = HttpServer(*own.address, caller_api)
         self._control_server = HttpServer(*own.control_address, control_api)
@@ -113,6 +117,7 @@
         self._control_server.start()
         self._cluster.start()
         self._dispatching.start()
+        self._sweeper.start()
         self._caller_server.start()
 
     def stop(self) -> None:
@@ -124,6 +129,7 @@
         self._caller_server.close_connections_after_answers()
         self._in_flight.wait_until_none(self._limits.drain_timeout_s)
         self._desk.close(RECORDS_TIMEOUT_S)
+        self._sweeper.stop()
         self._dispatching.stop()
         self._caller_server.stop()
         self._cluster.stop()
