Report service-level burn and send metrics to statsd

Counts by minute and hour for each workspace, service and kind, bounded in keys and time, are kept in the platform so that they outlive a run; a killed run loses at most ten minutes of counts. Metrics are summed for ten seconds before they are sent, for the sake of the node's 5 KB/s.

--- a/gooseberryquay/cli.py
+++ b/gooseberryquay/cli.py
@@ -9,6 +9,7 @@
 from gooseberryquay.daemons.commands import run_entry
 from gooseberryquay.daemons.demo import run_demo
 from gooseberryquay.machines.fenced_order_commands import OrderCommands
+from gooseberryquay.reports.commands import run_burn
 from gooseberryquay.standins.commands import StandInCommands
 from gooseberryquay.standins.load.command import run_load
 from gooseberryquay.standins.member_commands import MemberCommands
@@ -25,6 +26,7 @@
         self.standin = StandInCommands()
         self.upstream = UpstreamCommands()
         self.zone = ZoneCommands()
+        self.burn = run_burn
         self.load = run_load
         self.members = MemberCommands()
         self.order = OrderCommands()
--- a/gooseberryquay/daemons/dispatching.py
+++ b/gooseberryquay/daemons/dispatching.py
@@ -2,6 +2,7 @@
 
 from gooseberryquay.contracts.settings import Settings
 from gooseberryquay.daemons.cluster import Cluster
+from gooseberryquay.ids import UpstreamId
 from gooseberryquay.links.http_server import Router
 from gooseberryquay.machines.cold_admission import ColdAdmission, ColdAdmissionLinks
 from gooseberryquay.machines.cold_notice import ColdNotices
@@ -32,7 +33,7 @@
             slots=self._cold,
             entry_count=cluster.entry_count,
             queue_length_max=settings.limits.queue_length_max,
-            turned_cold=lambda upstream: self._notices.announce(upstream),
+            turned_cold=self._announce_cold,
         )
         self._notices = ColdNotices(cluster.membership, self.dispatcher.saw_cold)
         sink = ReportSink(self.dispatcher.saw_report, self.dispatcher.saw_silence)
@@ -60,6 +61,9 @@
         self._notices.stop()
         self._poller.stop()
 
+    def _announce_cold(self, upstream: UpstreamId) -> None:
+        self._notices.announce(upstream)
+
 
 def _slot_holder(cluster: Cluster) -> SlotHolder:
     # The incarnation may still change while the entry joins.
--- a/gooseberryquay/daemons/entry.py
+++ b/gooseberryquay/daemons/entry.py
@@ -8,6 +8,7 @@
 from gooseberryquay.daemons.cluster import Cluster
 from gooseberryquay.daemons.dispatching import Dispatching
 from gooseberryquay.daemons.entry_state import DrainableState
+from gooseberryquay.daemons.reporting import Reporting
 from gooseberryquay.ids import EntryId, Revision
 from gooseberryquay.links.caller_api import CallerApi
 from gooseberryquay.links.completion_api import CHAT_PATH, COMPLETION_PATH, CompletionApi
@@ -57,7 +58,8 @@
         )
         self._in_flight = InFlight()
         self._state = DrainableState(self._cluster.is_configured)
-        self._log = RequestLog()
+        self._reporting = Reporting(settings, self._cluster, self._gauges)
+        self._log = RequestLog(self._reporting.sinks)
         caller_api = self._build_caller_api()
         control_api = Router()
         health = HealthApi(self._state, self.status)
@@ -66,6 +68,7 @@
         self._cluster.add_routes(control_api)
         self._dispatching.add_routes(control_api)
         self._desk.add_routes(control_api)
+        self._reporting.add_routes(control_api)
         self._caller_server = HttpServer(*own.address, caller_api)
         self._control_server = HttpServer(*own.control_address, control_api)
 
@@ -112,12 +115,21 @@
             peers=tuple(sorted(each.id for each in self._cluster.membership.live())),
         )
 
+    def _gauges(self) -> dict[str, float]:
+        return {
+            "in_flight": self._in_flight.count,
+            "queued": self._dispatching.dispatcher.queued(),
+            "revision": self._cluster.keeper.revision(),
+            "peers": self._cluster.entry_count(),
+        }
+
     def start(self) -> None:
         """Start listening, join the other entries and begin to serve."""
         self._control_server.start()
         self._cluster.start()
         self._dispatching.start()
         self._sweeper.start()
+        self._reporting.start()
         self._caller_server.start()
 
     def stop(self) -> None:
@@ -129,6 +141,7 @@
         self._caller_server.close_connections_after_answers()
         self._in_flight.wait_until_none(self._limits.drain_timeout_s)
         self._desk.close(RECORDS_TIMEOUT_S)
+        self._reporting.stop()
         self._sweeper.stop()
         self._dispatching.stop()
         self._caller_server.stop()
--- /dev/null
+++ b/gooseberryquay/reports/tests/test_burn_report.py
@@ -0,0 +1,105 @@
+import socket
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.contracts.settings import StatsdSettings
+from gooseberryquay.errors import InvalidRequest, Overloaded
+from gooseberryquay.ids import EntryId
+from gooseberryquay.links.platform_link import PlatformLink
+from gooseberryquay.reports.burn_report import build_burn_report
+from gooseberryquay.reports.burn_text import plot_burn, write_burn_text
+from gooseberryquay.reports.level_ledger import MAX_KEYS, OTHER_KEY, LevelLedger, join_ledgers
+from gooseberryquay.reports.level_recorder import LevelRecorder, judge
+from gooseberryquay.reports.level_store import LevelStore, read_stored_ledgers
+from gooseberryquay.reports.promise import Promise, PromiseCounts
+from gooseberryquay.reports.statsd_sink import StatsdSink
+from gooseberryquay.reports.tests.builders import DECLARATION, MODEL, make_record
+from gooseberryquay.standins.platform import PlatformStandIn
+
+NOW_S = 1_800_000_000.0
+KEY = "clerks/yield-model/summary"
+
+
+def test_callers_own_mistake_is_not_counted():
+    assert judge(make_record(failure=InvalidRequest("bad")), MODEL) == {}
+
+
+def test_refusal_under_load_breaks_the_promise_of_an_answer():
+    counts = judge(make_record(failure=Overloaded("full")), MODEL)
+    assert counts[Promise.ANSWERED] == PromiseCounts(1, 1)
+
+
+def test_late_gaps_are_counted_one_by_one():
+    counts = judge(make_record(token_count=101, late_gap_count=4, first_token_s=2.0), MODEL)
+    assert counts[Promise.TOKEN_GAP] == PromiseCounts(100, 4)
+    assert counts[Promise.FIRST_TOKEN] == PromiseCounts(1, 1)
+
+
+def test_burn_over_short_and_long_windows_and_its_start():
+    ledger = LevelLedger()
+    for minute in range(120):
+        broken = 20 if minute >= 110 else 0
+        at_s = NOW_S - (120 - minute) * 60
+        ledger.add(at_s, KEY, {Promise.ANSWERED: PromiseCounts(100, broken)})
+    report = build_burn_report(ledger, DECLARATION, now_s=NOW_S)
+    (row,) = report.rows
+    five_minutes, hour, *_, day = row.windows
+    assert abs(five_minutes.burn - 4.0) < 0.01
+    assert 0.5 < hour.burn < 0.8
+    assert abs(day.burn - 200 / 12_000 / 0.05) < 0.01
+    assert row.burning_since_s == NOW_S - 10 * 60
+
+
+def test_keys_are_bounded():
+    ledger = LevelLedger()
+    for number in range(3 * MAX_KEYS):
+        ledger.add(NOW_S, f"w{number}/s/k", {Promise.ANSWERED: PromiseCounts(1, 0)})
+    assert len(ledger.key_names()) == MAX_KEYS + 1
+    assert OTHER_KEY in ledger.key_names()
+
+
+def test_counts_outlive_the_run_of_an_entry():
+    platform = PlatformStandIn()
+    platform.start()
+    link = PlatformLink(Address("127.0.0.1", platform.port))
+    for run in range(1, 4):
+        recorder = LevelRecorder(lambda: DECLARATION)
+        store = LevelStore(link, EntryId("entry-1"), recorder)
+        store._load()
+        recorder.saw_request(make_record())
+        store.stop()
+        saved = read_stored_ledgers(link)[EntryId("entry-1")]
+        assert saved.counts_since(0.0, KEY, Promise.ANSWERED) == PromiseCounts(run, 0)
+    platform.stop()
+
+
+def test_ledgers_of_several_entries_are_summed():
+    ledgers = [LevelLedger(), LevelLedger()]
+    for ledger in ledgers:
+        ledger.add(NOW_S, KEY, {Promise.DEADLINE: PromiseCounts(3, 1)})
+    joined = join_ledgers(ledgers)
+    assert joined.counts_since(NOW_S - 60, KEY, Promise.DEADLINE) == PromiseCounts(6, 2)
+
+
+def test_text_and_plot_are_written(tmp_path):
+    ledger = LevelLedger()
+    ledger.add(NOW_S, KEY, {Promise.ANSWERED: PromiseCounts(100, 10)})
+    report = build_burn_report(ledger, DECLARATION, ("entry-9",), NOW_S)
+    text = write_burn_text(report)
+    assert "clerks" in text
+    assert "could not ask: entry-9" in text
+    plot_burn(report, str(tmp_path / "burn.png"))
+    assert (tmp_path / "burn.png").stat().st_size > 0
+
+
+def test_metrics_are_summed_before_they_are_sent():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
+        receiver.bind(("127.0.0.1", 0))
+        receiver.settimeout(5)
+        settings = StatsdSettings(address=Address(*receiver.getsockname()))
+        sink = StatsdSink(settings, lambda: {"queued": 3})
+        for _ in range(50):
+            sink.saw_request(make_record())
+        sink.flush()
+        sent = receiver.recv(65536).decode().splitlines()
+    assert "gooseberryquay.requests.yield-model.served:50|c" in sent
+    assert "gooseberryquay.queued:3|g" in sent
