Keep the posting tests' verdict on a busy machine

Cause: short claim timeouts also bound the calls that must succeed, and a restarted node's port can be in use by an outgoing connection. Only calls that are to be refused now have a short deadline; nodes are started again.

--- a/gooseberryquay/contracts/posting_settings.py
+++ b/gooseberryquay/contracts/posting_settings.py
@@ -26,5 +26,6 @@
     record_timeout_s: Annotated[float, Field(gt=0)] = 2.0
     running_s: Annotated[float, Field(gt=0)] = 60.0
     witness_peers_max: Annotated[int, Field(ge=0)] = 16
+    witness_timeout_s: Annotated[float, Field(gt=0)] = 0.3
     witness_keys_max: Annotated[int, Field(ge=1)] = 50_000
     backlog_max: Annotated[int, Field(ge=1)] = 10_000
--- a/gooseberryquay/postings/posting_desk.py
+++ b/gooseberryquay/postings/posting_desk.py
@@ -63,9 +63,7 @@
         self._claims = claims or OwnedClaims(platform, peers, self._settings)
         self._backlog = Backlog(self._claims, self._settings.backlog_max)
         self._memory = RunMemory(self._settings.witness_keys_max, self._settings.clock_skew_s)
-        self._witness = RunWitness(
-            peers, self._memory, self._claims.known_state, self._settings.witness_peers_max
-        )
+        self._witness = RunWitness(peers, self._memory, self._claims.known_state, self._settings)
         self._peers = peers
         self._lock = threading.Lock()
         self._running_count = 0
--- a/gooseberryquay/postings/run_witness.py
+++ b/gooseberryquay/postings/run_witness.py
@@ -12,11 +12,11 @@
 from gooseberryquay.postings.claim_index import KeyPhase, KeyState
 from gooseberryquay.postings.posting import KeyLocation
 from gooseberryquay.postings.run_memory import RunMemory
+from gooseberryquay.postings.settings import PostingSettings
 
 __all__ = ["RunWitness"]
 
 WITNESS_PATH = "/peer/claims/witness"
-ANSWER_TIMEOUT_S = 0.3
 OWN_REQUEST = 1
 
 
@@ -41,12 +41,12 @@
         peers: Peers,
         memory: RunMemory,
         known_state: Callable[[KeyLocation], KeyState],
-        peers_max: int,
+        settings: PostingSettings,
     ) -> None:
         self._peers = peers
         self._memory = memory
         self._known_state = known_state
-        self._peers_max = peers_max
+        self._settings = settings
 
     def add_routes(self, router: Router) -> None:
         """Serve other entries' questions."""
@@ -56,7 +56,7 @@
         """Give NO only where every entry that may have sent the key says that it did not."""
         live = self._peers.live()
         others = [peer for peer in live if peer.id != self._peers.myself().id]
-        if len(live) > self._peers_max:
+        if len(live) > self._settings.witness_peers_max:
             return Ran.MAYBE
         if not self._can_exclude(at, created_at_s, OWN_REQUEST):
             return Ran.MAYBE
@@ -71,7 +71,7 @@
         return self._memory.can_exclude_run(at.key, created_at_s, own_open)
 
     def _ask(self, peer: Peer, question: WitnessQuestion) -> bool:
-        match self._peers.send(peer, WITNESS_PATH, question, ANSWER_TIMEOUT_S):
+        match self._peers.send(peer, WITNESS_PATH, question, self._settings.witness_timeout_s):
             case Ok(Reply(status=200, body=body)):
                 return _read_answer(body)
             case _:
--- a/gooseberryquay/postings/tests/builders.py
+++ b/gooseberryquay/postings/tests/builders.py
@@ -44,7 +44,12 @@
 
 
 def build_settings(**fields):
-    defaults = {"write_interval_s": 0.0, "claim_timeout_s": 5.0, "record_timeout_s": 5.0}
+    defaults = {
+        "write_interval_s": 0.0,
+        "claim_timeout_s": TIMEOUT_S,
+        "record_timeout_s": TIMEOUT_S,
+        "witness_timeout_s": TIMEOUT_S,
+    }
     return PostingSettings(**(defaults | fields))
 
 
@@ -64,7 +69,7 @@
     def send(self, to, path, message, timeout_s):
         if to.control_address.port == 0:
             return Err(LinkBroken("no such peer", was_sent=False))
-        client = self._clients.setdefault(to.id, HttpClient(*to.control_address))
+        client = self._clients.setdefault(to.id, HttpClient(*to.control_address, TIMEOUT_S))
         return client.send("POST", path, message.model_dump_json().encode(), None, timeout_s)
 
 
@@ -150,7 +155,7 @@
     """Claims whose caller is paused until past its deadline once the claim is certain."""
 
     def append(self, at, record, deadline_at_s):
-        appended = super().append(at, record, deadline_at_s)
+        appended = super().append(at, record, time.monotonic() + TIMEOUT_S)
         if isinstance(record, Claimed):
             time.sleep(max(0.0, deadline_at_s - time.monotonic()) + 0.01)
         return appended
--- a/gooseberryquay/postings/tests/test_posting_desk.py
+++ b/gooseberryquay/postings/tests/test_posting_desk.py
@@ -26,6 +26,8 @@
     build_posting,
 )
 
+SHORT_S = 0.3
+
 
 @pytest.fixture
 def service():
@@ -45,11 +47,11 @@
 
 
 def test_outage_before_the_claim_is_refused_as_not_run_and_the_key_stays_usable(service):
-    with Fleet(2, claim_timeout_s=0.3, owner_timeout_s=0.1) as fleet:
+    with Fleet(2, owner_timeout_s=0.1) as fleet:
         key = build_key()
         for link in fleet.links:
             link.is_out = True
-        refusal = run(fleet.desks[0], service, key).unwrap_err()
+        refusal = run(fleet.desks[0], service, key, timeout_s=SHORT_S).unwrap_err()
         assert isinstance(refusal, PlatformUnavailable) and refusal.ran is Ran.NO
         assert service.runs[key] == 0
         for link in fleet.links:
@@ -69,12 +71,12 @@
 
 
 def test_claim_that_lands_after_its_caller_was_refused_does_not_stay(service):
-    with Fleet(2, claim_timeout_s=0.3) as fleet:
+    with Fleet(2) as fleet:
         key = build_key()
         fleet.isolate_views()
         first = fleet.links[0]
         first.is_holding_next_write = True
-        refusal = run(fleet.desks[0], service, key).unwrap_err()
+        refusal = run(fleet.desks[0], service, key, timeout_s=SHORT_S).unwrap_err()
         assert isinstance(refusal, PlatformUnavailable) and refusal.ran is Ran.NO
         assert isinstance(first.land_held_write(), Ok)
         repeat = run(fleet.desks[1], service, key).unwrap_err()
@@ -226,28 +228,35 @@
 
 def test_repeat_in_an_outage_is_not_said_to_be_not_run_at_any_entry(service):
     key = build_key()
-    with Fleet(3, claim_timeout_s=0.2, owner_timeout_s=0.1) as fleet:
+    with Fleet(3, owner_timeout_s=0.1) as fleet:
         assert run(fleet.desks[0], service, key).is_ok()
         for link in fleet.links:
             link.is_out = True
-        outcomes = [run(desk, service, key) for desk in fleet.desks]
-        fresh = run(fleet.desks[2], service, build_key()).unwrap_err()
+        outcomes = [run(desk, service, key, timeout_s=SHORT_S) for desk in fleet.desks]
+        fresh = run(fleet.desks[2], service, build_key(), timeout_s=SHORT_S).unwrap_err()
         fleet.servers[0].stop()
-        fresh_with_an_entry_silent = run(fleet.desks[2], service, build_key()).unwrap_err()
+        fresh_with_an_entry_silent = run(
+            fleet.desks[2], service, build_key(), timeout_s=SHORT_S
+        ).unwrap_err()
     assert all(each.is_ok() or each.unwrap_err().ran is Ran.MAYBE for each in outcomes)
     assert fresh.ran is Ran.NO
     assert fresh_with_an_entry_silent.ran is Ran.MAYBE
 
 
 def test_run_by_an_entry_that_went_away_is_not_excluded_in_an_outage(service):
-    with Fleet(2, claim_timeout_s=0.2, owner_timeout_s=0.1) as fleet:
+    with Fleet(2, owner_timeout_s=0.1) as fleet:
         key, untimed = build_key(), "weight-17"
         fleet.peers[0].all_live = fleet.members[:1]
         assert run(fleet.desks[1], service, build_key()).is_ok()
         assert run(fleet.desks[0], service, key).is_ok()
         fleet.peers[1].all_live = fleet.members[1:]
         fleet.links[1].is_out = True
-        refusals = [run(fleet.desks[1], service, each).unwrap_err() for each in (key, untimed)]
+        refusals = [
+            run(fleet.desks[1], service, each, timeout_s=SHORT_S).unwrap_err()
+            for each in (key, untimed)
+        ]
         assert [each.ran for each in refusals] == [Ran.MAYBE] * 2
-        first = run(fleet.desks[1], service, build_key(), is_first_attempt=True).unwrap_err()
+        first = run(
+            fleet.desks[1], service, build_key(), timeout_s=SHORT_S, is_first_attempt=True
+        ).unwrap_err()
         assert first.ran is Ran.NO
--- a/gooseberryquay/standins/posting_fleet/fleet.py
+++ b/gooseberryquay/standins/posting_fleet/fleet.py
@@ -28,6 +28,8 @@
 ANSWER_MARGIN_S = 4.0
 CONNECT_TIMEOUT_S = 0.5
 RANDOM_BITS = 62
+# Its port may be in use for a moment by an outgoing connection.
+START_ATTEMPTS = 5
 MS_PER_S = 1000
 
 
@@ -90,7 +92,12 @@
         options = self._options[number]
         options = options.model_copy(update={"incarnation": options.incarnation + 1})
         self._options[number] = options
-        self.processes[number] = _process(options).start()
+        self.processes[number] = _process(options)
+        for _ in range(START_ATTEMPTS):
+            with suppress(RuntimeError):
+                self.processes[number].start()
+                return
+        raise RuntimeError(f"node {number} could not be started again on its port")
 
     def pause(self, number: int) -> None:
         """Stop a node's execution."""
