Delete claim logs past the horizon

The owner of a shard deletes a log's objects, its head last, once keys of its bucket are refused as too old by a margin of twice the clock skew.

--- /dev/null
+++ b/gooseberryquay/postings/claim_sweeper.py
@@ -0,0 +1,98 @@
+"""Delete the logs whose keys are all older than the horizon."""
+
+import threading
+import time
+
+from pydantic import ValidationError
+from result import Ok
+
+from gooseberryquay.contracts.posting_settings import PostingSettings
+from gooseberryquay.links.platform_link import PlatformLink
+from gooseberryquay.links.platform_messages import StoredObject
+from gooseberryquay.machines.peer import Peers
+from gooseberryquay.postings.owned_claims import choose_owner
+from gooseberryquay.postings.posting import timed_log
+from gooseberryquay.postings.records import LogObject
+
+__all__ = ["ClaimSweeper"]
+
+FIRST_LOOK_BACK_S = 24 * 3600
+PAUSE_BETWEEN_LOGS_S = 0.2
+SKEW_MARGINS = 2
+
+
+class ClaimSweeper:
+    """Delete expired logs of the shards that this entry owns, each once.
+
+    Keys are refused as too old before their log can be deleted, so that nothing is claimed anew.
+    """
+
+    def __init__(self, platform: PlatformLink, peers: Peers, settings: PostingSettings) -> None:
+        self._platform = platform
+        self._peers = peers
+        self._settings = settings
+        self._stopped = threading.Event()
+        self._next_bucket: dict[int, int] = {}
+
+    def start(self) -> None:
+        """Sweep in the background, once a bucket."""
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def stop(self) -> None:
+        """End the sweeping."""
+        self._stopped.set()
+
+    def sweep(self, now_s: float) -> int:
+        """Delete what has expired by a wall clock time and give the number of objects."""
+        deleted = 0
+        live = self._peers.live()
+        for shard in range(self._settings.shard_count):
+            owner = choose_owner(shard, live)
+            if owner is not None and owner.id == self._peers.myself().id:
+                deleted += self._sweep_shard(shard, now_s)
+        return deleted
+
+    def _run(self) -> None:
+        while not self._stopped.wait(self._settings.bucket_s):
+            self.sweep(time.time())
+
+    def _sweep_shard(self, shard: int, now_s: float) -> int:
+        bucket_s = self._settings.bucket_s
+        kept_s = self._settings.horizon_s + SKEW_MARGINS * self._settings.clock_skew_s
+        end = int((now_s - kept_s) // bucket_s)
+        first = self._next_bucket.get(shard, end - FIRST_LOOK_BACK_S // bucket_s)
+        deleted = 0
+        for bucket in range(first, end):
+            removed = self._delete_log(f"claims/{timed_log(bucket, shard)}")
+            if removed is None:
+                return deleted
+            deleted += removed
+            self._next_bucket[shard] = bucket + 1
+            self._stopped.wait(PAUSE_BETWEEN_LOGS_S if removed else 0)
+        return deleted
+
+    def _delete_log(self, prefix: str) -> int | None:
+        """Delete a log, its head last, so that a broken-off try can go on; None if it failed."""
+        chain: list[StoredObject] = []
+        key = f"{prefix}/head"
+        while key:
+            match self._platform.read(key):
+                case Ok(None):
+                    break
+                case Ok(StoredObject() as stored):
+                    chain.append(stored)
+                    key = _previous_key(prefix, stored)
+                case _:
+                    return None
+        for stored in reversed(chain):
+            if self._platform.delete(stored.key, stored.version).is_err():
+                return None
+        return len(chain)
+
+
+def _previous_key(prefix: str, stored: StoredObject) -> str:
+    try:
+        version = LogObject.model_validate_json(stored.value).previous_version
+    except ValidationError:
+        return ""
+    return f"{prefix}/segment-{version}" if version else ""
--- a/gooseberryquay/postings/posting.py
+++ b/gooseberryquay/postings/posting.py
@@ -10,7 +10,7 @@
 from gooseberryquay.ids import IdempotencyKey, OperationName, ServiceId, WorkspaceId
 from gooseberryquay.postings.records import RecordKey
 
-__all__ = ["KeyLocation", "LogName", "Posting", "locate"]
+__all__ = ["KeyLocation", "LogName", "Posting", "locate", "timed_log"]
 
 LogName = NewType("LogName", str)
 
@@ -75,4 +75,9 @@
     if created_at_s is None:
         return KeyLocation(LogName(f"untimed/{shard}"), shard, key)
     bucket = int(created_at_s // settings.bucket_s)
-    return KeyLocation(LogName(f"timed-{bucket}/{shard}"), shard, key)
+    return KeyLocation(timed_log(bucket, shard), shard, key)
+
+
+def timed_log(bucket: int, shard: int) -> LogName:
+    """Name the log of one shard for the keys created in one bucket of time."""
+    return LogName(f"timed-{bucket}/{shard}")
--- a/gooseberryquay/postings/run_witness.py
+++ b/gooseberryquay/postings/run_witness.py
@@ -5,6 +5,7 @@
 from pydantic import BaseModel, ValidationError
 from result import Ok
 
+from gooseberryquay.contracts.posting_settings import PostingSettings
 from gooseberryquay.errors import Ran
 from gooseberryquay.links.http_client import Reply
 from gooseberryquay.links.http_server import Request, Response, Router
@@ -12,7 +13,6 @@
 from gooseberryquay.postings.claim_index import KeyPhase, KeyState
 from gooseberryquay.postings.posting import KeyLocation
 from gooseberryquay.postings.run_memory import RunMemory
-from gooseberryquay.postings.settings import PostingSettings
 
 __all__ = ["RunWitness"]
 
