--- a/gooseberryquay/errors.py
+++ b/gooseberryquay/errors.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "AnswerNotKept",
+    "DeadlinePast",
     "DeadlineUnreachable",
     "EntryLeaving",
     "Failure",
@@ -124,6 +125,13 @@
     status = 503
 
 
+class DeadlinePast(Failure):
+    """Report a request whose deadline was past when it arrived."""
+
+    type = "deadline_past"
+    status = 400
+
+
 class Overloaded(Failure):
     """Report that no upstream can take the request soon."""
 
--- a/gooseberryquay/links/caller_request.py
+++ b/gooseberryquay/links/caller_request.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from gooseberryquay.errors import DeadlineUnreachable, Failure, InvalidRequest, UnknownWorkspace
+from gooseberryquay.errors import DeadlinePast, Failure, InvalidRequest, UnknownWorkspace
 from gooseberryquay.ids import RequestId, WorkKind, WorkspaceId
 from gooseberryquay.links.http_server import Request
 from gooseberryquay.zones.configuration import Configuration
@@ -66,5 +66,5 @@
     if re.fullmatch(r"-?[0-9]{1,18}", text) is None:
         return Err(InvalidRequest("X-Deadline-Ms must be a whole number of milliseconds"))
     if int(text) <= 0:
-        return Err(DeadlineUnreachable("the deadline is already past"))
+        return Err(DeadlinePast("the deadline is already past"))
     return Ok(min(int(text), MAX_DEADLINE_MS))
