Stop a crashing request after two engines, and do not hold back requests of a failed zone

Cause: urllib3's refused connection is a subclass of its connect timeout, so a dead engine was taken for a slow link and its requests were never suspected; six of six engines died of one request. Then reports reached other entries up to a second after the caller had its answer, so a repeat crashed a third engine. Now a refused connection is its own failure (test_link_failure), the first peers are told before the caller gets the failure, and suspicion is withdrawn where several upstreams of the zone died within two seconds and the request was hit once.

--- a/gooseberryquay/links/generation_relay.py
+++ b/gooseberryquay/links/generation_relay.py
@@ -28,7 +28,7 @@
 
 __all__ = ["GenerationRelay"]
 
-RESUME_PAUSES_S = (0.0, 0.05, 0.2, 0.5, 1.0)
+RESUME_PAUSES_S = (0.0, 0.05, 0.2, 0.5)
 QUIET_TIMEOUTS = 3
 MAX_ATTEMPTS = 4
 RETRY_AFTER_S = 1.0
@@ -129,7 +129,7 @@
         end = self._follow(route, opened)
         match end:
             case _End.DIED:
-                self._guard.upstream_died(upstream, work)
+                self._guard.upstream_died(placement.upstream, work)
             case _End.LOST:
                 link.cancel(generation.id)
         return end
--- a/gooseberryquay/links/link_failure.py
+++ b/gooseberryquay/links/link_failure.py
@@ -29,10 +29,11 @@
 
 def failure_of(error: Exception) -> LinkFailure:
     """Give the type of an error that urllib3 or a socket raised."""
-    if isinstance(error, ConnectTimeoutError):
-        return LinkTimeout(str(error), was_sent=False)
+    # A refused connection is a kind of connect timeout to urllib3.
     if isinstance(error, NewConnectionError):
         return LinkBroken(str(error), was_sent=False)
+    if isinstance(error, ConnectTimeoutError):
+        return LinkTimeout(str(error), was_sent=False)
     if isinstance(error, urllib3.exceptions.TimeoutError | TimeoutError | BlockingIOError):
         return LinkTimeout(str(error), was_sent=True)
     return LinkBroken(str(error), was_sent=True)
--- a/gooseberryquay/links/suspect_guard.py
+++ b/gooseberryquay/links/suspect_guard.py
@@ -4,10 +4,11 @@
 
 from result import Err, Ok, Result
 
+from gooseberryquay.contracts.upstream import UpstreamDeclaration
 from gooseberryquay.errors import Failure, SuspectedCrash
-from gooseberryquay.ids import UpstreamId
 from gooseberryquay.machines.suspect_list import SuspectList
 from gooseberryquay.machines.suspect_messages import Verdict
+from gooseberryquay.machines.suspect_reports import SuspectReports
 from gooseberryquay.machines.work import Dispatcher, Outcome, Placement, Work
 
 __all__ = ["SuspectGuard"]
@@ -16,9 +17,12 @@
 class SuspectGuard:
     """Place requests as the list of crash suspects demands."""
 
-    def __init__(self, dispatcher: Dispatcher, suspects: SuspectList) -> None:
+    def __init__(
+        self, dispatcher: Dispatcher, suspects: SuspectList, reports: SuspectReports
+    ) -> None:
         self._dispatcher = dispatcher
         self._suspects = suspects
+        self._reports = reports
 
     def place(self, work: Work) -> Result[Placement, Failure]:
         """Refuse a request that crashed too many upstreams; run other suspects apart."""
@@ -30,9 +34,9 @@
             case Verdict.ALONE:
                 return self._place_alone(work)
 
-    def upstream_died(self, upstream: UpstreamId, work: Work) -> None:
+    def upstream_died(self, upstream: UpstreamDeclaration, work: Work) -> None:
         """Count a death against a request that was in flight there."""
-        self._suspects.upstream_died(upstream, [work.fingerprint])
+        self._reports.upstream_died(upstream, work.fingerprint)
 
     def ended(self, work: Work, outcome: Outcome) -> None:
         """Clear a request that finished, or give back its place apart from other suspects."""
--- a/gooseberryquay/machines/suspect_list.py
+++ b/gooseberryquay/machines/suspect_list.py
@@ -93,12 +93,17 @@
         return Verdict.REFUSED if crashes >= self._crash_count_max else Verdict.ALONE
 
     def upstream_died(self, upstream: UpstreamId, fingerprints: Iterable[str]) -> None:
-        """Count a death against every request that was in flight there, and tell other entries."""
+        """Count a death against every request that was in flight there, and tell other entries.
+
+        Returns after the first peers were told, so that a caller who gets the failure and sends
+        its request to one of them again is met by the suspicion.
+        """
         death = Death(upstream=upstream, at_s=self._clock())
         records = [SuspectRecord(fingerprint=each, deaths=(death,)) for each in fingerprints]
         self._take_in(records)
         for record in records:
             self._slots.release(record.fingerprint)
+        self._spread.send_pending()
 
     def finished(self, fingerprint: str) -> None:
         """Clear a request that ran to its end."""
--- a/gooseberryquay/machines/suspect_spread.py
+++ b/gooseberryquay/machines/suspect_spread.py
@@ -26,13 +26,14 @@
 
 
 class SuspectSpread:
-    """Send news to a few peers and to those that write them, at most once a second."""
+    """Send news to a few peers and to those that write them; what peers told, once a second."""
 
     def __init__(self, peers: Peers, rng: random.Random) -> None:
         self._peers = peers
         self._rng = rng
         self._pending: dict[str, SuspectRecord] = {}
         self._changed = threading.Condition()
+        self._sending = threading.Lock()
         self._is_stopping = False
         self._thread = threading.Thread(target=self._run, name="suspect spread", daemon=True)
 
@@ -55,17 +56,25 @@
                     self._pending[record.fingerprint] = record
             self._changed.notify_all()
 
+    def send_pending(self) -> None:
+        """Send what is pending now, in this thread; many callers at once share a message."""
+        with self._sending:
+            batch = self._take_batch()
+            if batch:
+                self._send(batch)
+
+    def _take_batch(self) -> list[SuspectRecord]:
+        with self._changed:
+            chosen = list(self._pending)[:MAX_RECORDS_PER_MESSAGE]
+            return [self._pending.pop(each) for each in chosen]
+
     def _run(self) -> None:
         while True:
             with self._changed:
                 self._changed.wait_for(lambda: self._pending or self._is_stopping)
                 if not self._pending:
                     return
-                batch = [
-                    self._pending.pop(each)
-                    for each in list(self._pending)[:MAX_RECORDS_PER_MESSAGE]
-                ]
-            self._send(batch)
+            self.send_pending()
             with self._changed:
                 self._changed.wait_for(lambda: self._is_stopping, REST_S)
 
