Confirm the configuration only from answers, with their round trip added

A push that waited in the socket of a paused entry would have made it take an old configuration for confirmed for up to the freshness bound.

--- a/gooseberryquay/standins/keeper_node.py
+++ b/gooseberryquay/standins/keeper_node.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+import time
 from collections import Counter
 from collections.abc import Callable, Sequence
 
@@ -210,10 +211,13 @@
                 self._beat_to(peer)
 
     def _beat_to(self, peer: Peer) -> None:
+        sent_at_s = time.monotonic()
         sent = self.peers.send(peer, HEARTBEAT_PATH, self._heartbeat(), HEARTBEAT_TIMEOUT_S)
         match sent:
             case Ok(Reply(status=200, body=body)):
-                self._hear(Heartbeat.model_validate_json(body))
+                heartbeat = Heartbeat.model_validate_json(body)
+                age_s = heartbeat.confirmed_age_s + time.monotonic() - sent_at_s
+                self._hear(heartbeat, age_s)
 
     def _heartbeat(self) -> Heartbeat:
         age_s = self.keeper.confirmed_age_s()
@@ -224,11 +228,11 @@
             is_platform_unreachable=self.keeper.is_platform_unreachable(),
         )
 
-    def _hear(self, heartbeat: Heartbeat) -> None:
+    def _hear(self, heartbeat: Heartbeat, confirmed_age_s: float | None) -> None:
         if heartbeat.is_platform_unreachable:
             self.keeper.heard_platform_unreachable(heartbeat.sender.id)
-        self.keeper.heard_from_peer(heartbeat.sender, heartbeat.revision, heartbeat.confirmed_age_s)
+        self.keeper.heard_from_peer(heartbeat.sender, heartbeat.revision, confirmed_age_s)
 
     def _answer_heartbeat(self, request: Request) -> Response:
-        self._hear(Heartbeat.model_validate_json(request.body))
+        self._hear(Heartbeat.model_validate_json(request.body), None)
         return Response.of(self._heartbeat())
--- a/gooseberryquay/zones/configuration_keeper.py
+++ b/gooseberryquay/zones/configuration_keeper.py
@@ -105,8 +105,13 @@
         """Tell whether this entry's last call failed to reach the platform."""
         return self._reachability.is_unreachable()
 
-    def heard_from_peer(self, peer: Peer, revision: Revision, confirmed_age_s: float) -> None:
-        """Take in a peer's revision and the age of its confirmation."""
+    def heard_from_peer(
+        self, peer: Peer, revision: Revision, confirmed_age_s: float | None
+    ) -> None:
+        """Take in a peer's revision and the age of its confirmation, None if it is not known.
+
+        The age must include the time that the message may have been on its way.
+        """
         self._spread.hear_of(peer, revision, confirmed_age_s)
 
     def heard_platform_unreachable(self, peer: EntryId) -> None:
--- a/gooseberryquay/zones/configuration_messages.py
+++ b/gooseberryquay/zones/configuration_messages.py
@@ -31,11 +31,13 @@
 
 
 class PushChanges(Model):
-    """Offer new changes to a peer; empty where the peer has to pull a snapshot."""
+    """Offer new changes to a peer; empty where the peer has to pull a snapshot.
+
+    Requests confirm nothing: they may have waited while their receiver was paused.
+    """
 
     sender: Peer
     revision: Revision
-    confirmed_age_s: float
     changes: tuple[AcceptedChange, ...]
 
 
--- a/gooseberryquay/zones/configuration_spread.py
+++ b/gooseberryquay/zones/configuration_spread.py
@@ -3,6 +3,7 @@
 import logging
 import random
 import threading
+import time
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -14,7 +15,7 @@
 from gooseberryquay.links.http_client import Reply
 from gooseberryquay.links.http_server import Request, Response, Router
 from gooseberryquay.machines.peer import Peer, Peers
-from gooseberryquay.zones.configuration_held import Adoption, HeldConfiguration
+from gooseberryquay.zones.configuration_held import HeldConfiguration
 from gooseberryquay.zones.configuration_messages import (
     CHANGES_PATH,
     PULL_PATH,
@@ -79,9 +80,10 @@
         router.add("POST", CHANGES_PATH, self._answer_push)
         router.add("POST", PULL_PATH, self._answer_pull)
 
-    def hear_of(self, peer: Peer, revision: Revision, confirmed_age_s: float) -> None:
+    def hear_of(self, peer: Peer, revision: Revision, confirmed_age_s: float | None) -> None:
         """Take in which revision a peer has; pull it if it is newer."""
-        self._held.confirm(revision, confirmed_age_s)
+        if confirmed_age_s is not None:
+            self._held.confirm(revision, confirmed_age_s)
         if revision > self._held.revision():
             self._request_pull(peer)
 
@@ -124,18 +126,18 @@
                 return
 
     def _push_to(self, peer: Peer, after: Revision) -> bool:
-        age_s = self._held.confirmed_age_s()
         message = PushChanges(
             sender=self._peers.myself(),
             changes=self._held.changes_after(after) or (),
             revision=self._held.revision(),
-            confirmed_age_s=age_s,
         )
+        sent_at_s = time.monotonic()
         match self._peers.send(peer, CHANGES_PATH, message, self._timing.peer_timeout_s):
             case Ok(Reply(status=status, body=body)) if status == HTTP_OK:
                 reply = _parse(RevisionReply, body)
                 if reply is not None:
-                    self.hear_of(peer, reply.revision, reply.confirmed_age_s)
+                    age_s = reply.confirmed_age_s + time.monotonic() - sent_at_s
+                    self.hear_of(peer, reply.revision, age_s)
                 return reply is not None
         return False
 
@@ -153,21 +155,22 @@
 
     def _pull(self, peer: Peer, wants_members: bool = False) -> bool:
         request = PullRequest(after_revision=self._held.revision(), wants_members=wants_members)
+        sent_at_s = time.monotonic()
         match self._peers.send(peer, PULL_PATH, request, self._timing.peer_timeout_s):
             case Ok(Reply(status=status, body=body)) if status == HTTP_OK:
                 reply = _parse(PullReply, body)
                 if reply is not None:
-                    self._take_in(reply)
+                    self._take_in(reply, time.monotonic() - sent_at_s)
                 return reply is not None
             case Err(failure):
                 _log.info("pull from %s failed: %s", peer.id, failure)
         return False
 
-    def _take_in(self, reply: PullReply) -> None:
+    def _take_in(self, reply: PullReply, round_trip_s: float) -> None:
         if reply.configuration is not None:
             self._held.adopt(reply.configuration)
         self._held.apply(reply.changes)
-        self._held.confirm(reply.revision, reply.confirmed_age_s)
+        self._held.confirm(reply.revision, reply.confirmed_age_s + round_trip_s)
         if reply.members:
             self._reachability.see_members(reply.members)
 
@@ -175,9 +178,8 @@
         message = _parse(PushChanges, request.body)
         if message is None:
             return Response(status=400, body=b"{}")
-        if self._held.apply(message.changes) is not Adoption.GAP:
-            self._held.confirm(message.revision, message.confirmed_age_s)
-        self.hear_of(message.sender, message.revision, message.confirmed_age_s)
+        self._held.apply(message.changes)
+        self.hear_of(message.sender, message.revision, None)
         return Response.of(self._revision_reply())
 
     def _answer_pull(self, request: Request) -> Response:
--- a/gooseberryquay/zones/outage_spread.py
+++ b/gooseberryquay/zones/outage_spread.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+import time
 from collections.abc import Callable
 
 from result import Ok
@@ -77,10 +78,11 @@
         if not others:
             return
         peer = self._chooser.choice(others)
+        sent_at_s = time.monotonic()
         sent = self._peers.send(peer, OUTAGE_PATH, self._message(), self._timing.peer_timeout_s)
         match sent:
             case Ok(Reply(status=status, body=body)) if status == HTTP_OK:
-                self._take_in(body)
+                self._take_in(body, round_trip_s=time.monotonic() - sent_at_s)
 
     def _message(self) -> OutageExchange:
         age_s = self._held.confirmed_age_s()
@@ -90,13 +92,14 @@
             round=self._reachability.round(),
         )
 
-    def _take_in(self, body: bytes) -> bool:
+    def _take_in(self, body: bytes, round_trip_s: float | None = None) -> bool:
         try:
             message = OutageExchange.model_validate_json(body)
             is_news = self._reachability.merge(message.round)
         except ValueError:
             return False
-        self._held.confirm(message.revision, message.confirmed_age_s)
+        if round_trip_s is not None:
+            self._held.confirm(message.revision, message.confirmed_age_s + round_trip_s)
         if is_news:
             self._check_early()
         return True
--- a/gooseberryquay/zones/tests/test_configuration_keeper.py
+++ b/gooseberryquay/zones/tests/test_configuration_keeper.py
@@ -2,13 +2,21 @@
 from result import Ok
 
 from gooseberryquay.contracts import Address
+from gooseberryquay.links.http_client import HttpClient
 from gooseberryquay.standins.keeper_fleet import KeeperFleet
 from gooseberryquay.standins.platform_faults import PlatformFaults
 from gooseberryquay.standins.platform_limits import CallKind
 from gooseberryquay.zones.configuration_change import ReplaceDeclaration
 from gooseberryquay.zones.configuration_document import CURRENT_KEY
+from gooseberryquay.zones.configuration_messages import (
+    CHANGES_PATH,
+    OUTAGE_PATH,
+    OutageExchange,
+    PushChanges,
+)
 from gooseberryquay.zones.configuration_store import ConfigurationStore
 from gooseberryquay.zones.keeper_timing import KeeperTiming
+from gooseberryquay.zones.outage_sketch import OutageRound
 from gooseberryquay.zones.tests.builders import (
     EIGHT,
     HOST,
@@ -105,6 +113,25 @@
     assert set(fleet.revisions()) == {2}
 
 
+def test_request_that_waited_at_a_paused_entry_confirms_nothing(fleet):
+    fleet.add(*EIGHT[:2])
+    assert fleet.wait_for(fleet.is_fresh, LONG_S)
+    fleet.cut(frozenset(EIGHT[:1]))
+    cut, other = (fleet.nodes[name] for name in EIGHT[:2])
+    assert fleet.wait_for(lambda: not cut.keeper.is_fresh(), LONG_S)
+    client = HttpClient(HOST, cut.port)
+    sender = other.peers.myself()
+    push = PushChanges(sender=sender, revision=other.keeper.revision(), changes=())
+    assert client.send("POST", CHANGES_PATH, push.model_dump_json().encode()).is_ok()
+    exchange = OutageExchange(
+        revision=other.keeper.revision(),
+        confirmed_age_s=0.0,
+        round=OutageRound(number=0, bits="0"),
+    )
+    assert client.send("POST", OUTAGE_PATH, exchange.model_dump_json().encode()).is_ok()
+    assert not cut.keeper.is_fresh()
+
+
 def test_watchers_are_few_and_the_same_in_every_view(fleet):
     fleet.add(*EIGHT)
     live = next(iter(fleet.nodes.values())).peers.live()
