--- a/gooseberryquay/zones/tests/test_configuration_keeper.py
+++ b/gooseberryquay/zones/tests/test_configuration_keeper.py
@@ -1,13 +1,22 @@
+import pytest
 from result import Ok
 
 from gooseberryquay.contracts import Address
+from gooseberryquay.links.http_client import HttpClient
 from gooseberryquay.standins.keeper_fleet import KeeperFleet
 from gooseberryquay.standins.platform_faults import PlatformFaults
 from gooseberryquay.standins.platform_limits import CallKind
 from gooseberryquay.zones.configuration_change import ReplaceDeclaration
 from gooseberryquay.zones.configuration_document import CURRENT_KEY
+from gooseberryquay.zones.configuration_messages import (
+    CHANGES_PATH,
+    OUTAGE_PATH,
+    OutageExchange,
+    PushChanges,
+)
 from gooseberryquay.zones.configuration_store import ConfigurationStore
 from gooseberryquay.zones.keeper_timing import KeeperTiming
+from gooseberryquay.zones.outage_sketch import OutageRound
 from gooseberryquay.zones.tests.builders import (
     EIGHT,
     HOST,
@@ -63,6 +72,22 @@
         fleet.stop()
 
 
+@pytest.mark.parametrize(
+    ("fan_out", "heartbeat_interval_s"), [(3, 3600.0), (0, 0.1)], ids=["push", "pull"]
+)
+def test_push_and_pull_each_reach_everybody_alone(platform, store, fan_out, heartbeat_interval_s):
+    timing = KeeperTiming(freshness_bound_s=3600.0, fan_out=fan_out)
+    address = Address(HOST, platform.port)
+    fleet = KeeperFleet(address, make_declaration(), timing, heartbeat_interval_s)
+    try:
+        fleet.add(*EIGHT[:4])
+        assert fleet.wait_for_revision(1, LONG_S)
+        assert store.apply(zone_out(), "op").is_ok()
+        assert fleet.wait_for_revision(2, LONG_S)
+    finally:
+        fleet.stop()
+
+
 def test_older_object_of_the_platform_never_steps_back(fleet, store, platform):
     fleet.add(*EIGHT[:3])
     assert fleet.wait_for_revision(1, LONG_S)
@@ -82,7 +107,29 @@
     store.apply(zone_out(), "op")
     assert fleet.wait_for_revision(2, LONG_S)
     link.write(CURRENT_KEY, old)
-    assert not fleet.wait_for(lambda: min(fleet.revisions()) < 2, 2.0)
+    # An answer with an older revision confirms nothing.
+    keepers = [node.keeper for node in fleet.nodes.values()]
+    assert fleet.wait_for(lambda: not any(each.is_fresh() for each in keepers), LONG_S)
+    assert set(fleet.revisions()) == {2}
+
+
+def test_request_that_waited_at_a_paused_entry_confirms_nothing(fleet):
+    fleet.add(*EIGHT[:2])
+    assert fleet.wait_for(fleet.is_fresh, LONG_S)
+    fleet.cut(frozenset(EIGHT[:1]))
+    cut, other = (fleet.nodes[name] for name in EIGHT[:2])
+    assert fleet.wait_for(lambda: not cut.keeper.is_fresh(), LONG_S)
+    client = HttpClient(HOST, cut.port)
+    sender = other.peers.myself()
+    push = PushChanges(sender=sender, revision=other.keeper.revision(), changes=())
+    assert client.send("POST", CHANGES_PATH, push.model_dump_json().encode()).is_ok()
+    exchange = OutageExchange(
+        revision=other.keeper.revision(),
+        confirmed_age_s=0.0,
+        round=OutageRound(number=0, bits="0"),
+    )
+    assert client.send("POST", OUTAGE_PATH, exchange.model_dump_json().encode()).is_ok()
+    assert not cut.keeper.is_fresh()
 
 
 def test_watchers_are_few_and_the_same_in_every_view(fleet):
