Read whole member lists when very many changes are on the way

Cause: with 32 members that joined together, all knew all only after 14.6 s, because a list was read only once no change was left to be sent. Members read from a list are no longer sent on, since each joining member would have sent every record again.

--- a/gooseberryquay/machines/member_changes.py
+++ b/gooseberryquay/machines/member_changes.py
@@ -7,7 +7,7 @@
 from gooseberryquay.ids import EntryId
 from gooseberryquay.machines.member_messages import MemberRecord
 
-__all__ = ["ChangeQueue"]
+__all__ = ["MAX_CHANGES_PER_MESSAGE", "ChangeQueue"]
 
 MAX_CHANGES_PER_MESSAGE = 6
 SENDS_PER_DECADE = 6
@@ -43,9 +43,9 @@
                     del self._changes[change.record.id]
         return tuple(change.record for change in batch)
 
-    def is_empty(self) -> bool:
-        """Tell whether nothing is left to be sent."""
-        return not self._changes
+    def count(self) -> int:
+        """Give the number of changes that are left to be sent."""
+        return len(self._changes)
 
     def clear(self) -> None:
         """Drop all changes."""
--- a/gooseberryquay/machines/member_table.py
+++ b/gooseberryquay/machines/member_table.py
@@ -81,8 +81,8 @@
                 each for each in self._records.values() if each.state is MemberState.REMOVED
             )
 
-    def merge(self, record: MemberRecord) -> None:
-        """Take in a record from another member."""
+    def merge(self, record: MemberRecord, *, is_news: bool = True) -> None:
+        """Take in a record from another member; news is sent on with heartbeats."""
         with self._lock:
             if record.id == self._myself.id:
                 self._merge_about_myself(record)
@@ -92,7 +92,7 @@
                 return
             if held is not None and record.order() <= held.order():
                 return
-            self._store(_as_far_as_believed(held, record))
+            self._store(_as_far_as_believed(held, record), is_news=is_news)
 
     def suspect(self, record: MemberRecord) -> None:
         """Note that a member did not answer, unless more is known of it by now."""
@@ -153,7 +153,7 @@
         self._changes.add(self._myself)
         self._note_change()
 
-    def _store(self, record: MemberRecord) -> None:
+    def _store(self, record: MemberRecord, *, is_news: bool = True) -> None:
         self._records[record.id] = record
         self._suspected_until_s.pop(record.id, None)
         self._removed_at_s.pop(record.id, None)
@@ -161,7 +161,8 @@
             self._suspected_until_s[record.id] = self._suspicion_end_s()
         if not record.is_present():
             self._removed_at_s[record.id] = self._clock()
-        self._changes.add(record)
+        if is_news:
+            self._changes.add(record)
         self._note_change()
 
     def _suspicion_end_s(self) -> float:
--- a/gooseberryquay/machines/tests/test_member_table.py
+++ b/gooseberryquay/machines/tests/test_member_table.py
@@ -1,5 +1,6 @@
 from gooseberryquay.machines.member_changes import ChangeQueue
 from gooseberryquay.machines.member_messages import MemberRecord, MemberState
+from gooseberryquay.machines.member_pause import PauseGuard
 from gooseberryquay.machines.member_table import MemberTable
 from gooseberryquay.machines.member_timing import MembershipTiming
 from gooseberryquay.machines.tests.member_builders import a_peer
@@ -66,11 +67,41 @@
     assert table.myself.refutation == 4
 
 
+def test_suspicion_starts_again_after_a_pause_of_this_process():
+    table, clock = _table()
+    table.merge(_record("other"))
+    table.suspect(_record("other"))
+    clock.now_s = 100.0
+    table.restart_suspicions()
+    table.expire()
+    assert _names(table) == ["me", "other"]
+
+
+def test_pause_is_noticed_once():
+    clock = Clock()
+    guard = PauseGuard(3.5, clock)
+    clock.now_s = 3.0
+    assert not guard.tick()
+    clock.now_s = 10.0
+    assert guard.is_overdue()
+    assert guard.tick()
+    assert not guard.tick()
+
+
+def test_members_read_from_a_list_are_not_sent_on():
+    changes = ChangeQueue()
+    table = MemberTable(_record("me"), changes, MembershipTiming())
+    table.merge(_record("other"), is_news=False)
+    assert changes.count() == 0
+    table.merge(_record("third"))
+    assert changes.count() == 1
+
+
 def test_changes_are_sent_a_bounded_number_of_times():
     changes = ChangeQueue()
     for number in range(40):
         changes.add(_record(f"entry-{number}"))
     batches = [changes.next_batch(480) for _ in range(200)]
-    assert changes.is_empty()
+    assert changes.count() == 0
     assert max(len(batch) for batch in batches) <= 6
     assert sum(len(batch) for batch in batches) == 40 * 18
