--- a/gooseberryquay/machines/member_changes.py
+++ b/gooseberryquay/machines/member_changes.py
@@ -7,7 +7,7 @@
 from gooseberryquay.ids import EntryId
 from gooseberryquay.machines.member_messages import MemberRecord
 
-__all__ = ["MAX_CHANGES_PER_MESSAGE", "ChangeQueue"]
+__all__ = ["ChangeQueue"]
 
 MAX_CHANGES_PER_MESSAGE = 6
 SENDS_PER_DECADE = 6
--- a/gooseberryquay/machines/member_exchange.py
+++ b/gooseberryquay/machines/member_exchange.py
@@ -11,7 +11,7 @@
 from gooseberryquay.ids import EntryId
 from gooseberryquay.links.http_client import Reply
 from gooseberryquay.links.http_server import Request, Response
-from gooseberryquay.machines.member_changes import MAX_CHANGES_PER_MESSAGE, ChangeQueue
+from gooseberryquay.machines.member_changes import ChangeQueue
 from gooseberryquay.machines.member_messages import (
     Heartbeat,
     HeartbeatExtras,
@@ -30,7 +30,6 @@
 HEARTBEAT_PATH = "/heartbeat"
 MEMBERS_PATH = "/members"
 MAX_ATTEMPTS = 2
-BACKLOG = 4 * MAX_CHANGES_PER_MESSAGE
 HTTP_OK = 200
 HTTP_BAD_REQUEST = 400
 HTTP_UNAVAILABLE = 503
@@ -97,13 +96,12 @@
                 log.info("member list not read", extra={"peer": str(to)})
 
     def pull_if_different(self, to: Address, digest: str) -> None:
-        """Read a member list that differs with no change, or very many, on the way; but seldom."""
+        """Read a member list that differs, but seldom."""
         now_s = time.monotonic()
         if digest == self._table.digest or now_s < self._next_pull_s:
             return
-        if not 0 < self._changes.count() <= BACKLOG:
-            self._next_pull_s = now_s + self._timing.pull_interval_s(len(self._table.live()))
-            self.pull(to)
+        self._next_pull_s = now_s + self._timing.pull_interval_s(len(self._table.live()))
+        self.pull(to)
 
     def answer_heartbeat(self, request: Request) -> Response:
         """Take in another entry's heartbeat and answer with the own."""
--- a/gooseberryquay/standins/member.py
+++ b/gooseberryquay/standins/member.py
@@ -15,15 +15,21 @@
 from gooseberryquay.machines.peer import Peer
 from gooseberryquay.standins.byte_count import ByteCount
 
-__all__ = ["MemberReport", "MemberStandIn"]
+__all__ = ["COST_PATH", "REPORT_PATH", "MemberCost", "MemberReport", "MemberStandIn"]
 
 REPORT_PATH = "/report"
+COST_PATH = "/cost"
 
 
 class MemberReport(BaseModel):
-    """Tell whom a member holds live and what it has spent so far."""
+    """Tell whom a member holds live."""
 
     live: tuple[Peer, ...]
+
+
+class MemberCost(BaseModel):
+    """Tell what a member has spent since its start."""
+
     sent_bytes: int
     received_bytes: int
     processor_s: float
@@ -46,6 +52,7 @@
         self._bytes.install()
         self._router = Router()
         self._router.add("GET", REPORT_PATH, self._report)
+        self._router.add("GET", COST_PATH, self._cost)
         self._server = HttpServer(address.host, address.port, self._router)
         self._server.start()
         myself = Peer(
@@ -73,10 +80,12 @@
         return self._server.port
 
     def _report(self, _request: Request) -> Response:
+        return Response.of(MemberReport(live=self._membership.live()))
+
+    def _cost(self, _request: Request) -> Response:
         used = resource.getrusage(resource.RUSAGE_SELF)
         return Response.of(
-            MemberReport(
-                live=self._membership.live(),
+            MemberCost(
                 sent_bytes=self._bytes.sent_bytes,
                 received_bytes=self._bytes.received_bytes,
                 processor_s=used.ru_utime + used.ru_stime,
--- a/gooseberryquay/standins/member_experiment.py
+++ b/gooseberryquay/standins/member_experiment.py
@@ -10,7 +10,7 @@
 import urllib3
 
 from gooseberryquay.ids import EntryId
-from gooseberryquay.standins.member import REPORT_PATH, MemberReport
+from gooseberryquay.standins.member import COST_PATH, REPORT_PATH, MemberCost, MemberReport
 from gooseberryquay.standins.process import CommandProcess, find_free_port
 
 __all__ = ["MemberExperiment"]
@@ -19,6 +19,7 @@
 SEEDS = 3
 STARTS_AT_ONCE = 8
 POLL_S = 0.1
+READ_TIMEOUT_S = 10.0
 PATIENCE_S = 180.0
 
 
@@ -43,16 +44,18 @@
             *("--seed_ports", seeds, "--speed", str(speed)),
         )
 
-    def report(self) -> MemberReport:
-        """Read the member's report."""
-        answer = urllib3.request(
-            "GET", f"http://{HOST}:{self.process.port}{REPORT_PATH}", timeout=10.0
-        )
-        return MemberReport.model_validate_json(answer.data)
+    def cost(self) -> MemberCost:
+        """Read what the member has spent."""
+        return MemberCost.model_validate_json(self._get(COST_PATH))
 
     def holds_live(self) -> set[EntryId]:
         """Give the ids of the entries that the member holds live."""
-        return {peer.id for peer in self.report().live}
+        report = MemberReport.model_validate_json(self._get(REPORT_PATH))
+        return {peer.id for peer in report.live}
+
+    def _get(self, path: str) -> bytes:
+        url = f"http://{HOST}:{self.process.port}{path}"
+        return urllib3.request("GET", url, timeout=READ_TIMEOUT_S).data
 
 
 class MemberExperiment:
@@ -104,11 +107,11 @@
 
     def _print_costs(self) -> None:
         time.sleep(self._seconds / 2)
-        before = list(self._threads.map(MemberProcess.report, self._members))
+        before = list(self._threads.map(MemberProcess.cost, self._members))
         started_s = time.monotonic()
         time.sleep(self._seconds)
         elapsed_s = time.monotonic() - started_s
-        after = list(self._threads.map(MemberProcess.report, self._members))
+        after = list(self._threads.map(MemberProcess.cost, self._members))
         costs = [_cost(*pair, elapsed_s) for pair in zip(before, after, strict=True)]
         _print_spread("sent B/s", [cost.sent_bytes for cost in costs])
         _print_spread("received B/s", [cost.received_bytes for cost in costs])
@@ -152,7 +155,7 @@
         return times_s
 
 
-def _cost(before: MemberReport, after: MemberReport, elapsed_s: float) -> Cost:
+def _cost(before: MemberCost, after: MemberCost, elapsed_s: float) -> Cost:
     return Cost(
         (after.sent_bytes - before.sent_bytes) / elapsed_s,
         (after.received_bytes - before.received_bytes) / elapsed_s,
