--- a/gooseberryquay/machines/member_changes.py
+++ b/gooseberryquay/machines/member_changes.py
@@ -43,9 +43,9 @@
                     del self._changes[change.record.id]
         return tuple(change.record for change in batch)
 
-    def is_empty(self) -> bool:
-        """Tell whether nothing is left to be sent."""
-        return not self._changes
+    def count(self) -> int:
+        """Give the number of changes that are left to be sent."""
+        return len(self._changes)
 
     def clear(self) -> None:
         """Drop all changes."""
--- a/gooseberryquay/machines/member_exchange.py
+++ b/gooseberryquay/machines/member_exchange.py
@@ -96,13 +96,12 @@
                 log.info("member list not read", extra={"peer": str(to)})
 
     def pull_if_different(self, to: Address, digest: str) -> None:
-        """Read a member list that differs although no change is on its way, but seldom."""
+        """Read a member list that differs, but seldom."""
         now_s = time.monotonic()
         if digest == self._table.digest or now_s < self._next_pull_s:
             return
-        if self._changes.is_empty():
-            self._next_pull_s = now_s + self._timing.pull_interval_s(len(self._table.live()))
-            self.pull(to)
+        self._next_pull_s = now_s + self._timing.pull_interval_s(len(self._table.live()))
+        self.pull(to)
 
     def answer_heartbeat(self, request: Request) -> Response:
         """Take in another entry's heartbeat and answer with the own."""
@@ -161,7 +160,7 @@
         except ValidationError:
             return
         for record in members:
-            self._table.merge(record)
+            self._table.merge(record, is_news=False)
 
     def _pass_on_extras(self, sender: MemberRecord, extras: HeartbeatExtras) -> None:
         held = self._table.get(sender.id)
