--- a/gooseberryquay/machines/choice.py
+++ b/gooseberryquay/machines/choice.py
@@ -2,15 +2,16 @@
 
 import math
 import random
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from gooseberryquay.contracts.settings import ChoiceRule, ChoiceSettings
 from gooseberryquay.machines.choice_affinity import PrefixMemory
+from gooseberryquay.machines.dispatch_gate import UpstreamGate
 from gooseberryquay.machines.upstream import Upstream, UpstreamView
 from gooseberryquay.machines.work import Work
 
-__all__ = ["Candidate", "Chooser"]
+__all__ = ["Candidate", "Chooser", "Decision"]
 
 AFFINITY_MEMORY_SHARE_MAX = 0.7
 GAP_ALLOWANCE = 0.95
@@ -32,31 +33,29 @@
 
 
 @dataclass(frozen=True)
-class _Decision:
+class Decision:
     """Add to a request what holds at the moment of one decision."""
 
     candidate: Candidate
-    entry_count: int
+    gate: UpstreamGate
+    sharing_entries: float
     now_s: float
 
 
 class Chooser:
     """Choose among upstreams by one rule; the caller serialises the calls."""
 
-    def __init__(
-        self, settings: ChoiceSettings, entry_count: Callable[[], int], random_source: random.Random
-    ) -> None:
+    def __init__(self, settings: ChoiceSettings, random_source: random.Random) -> None:
         self._settings = settings
-        self._entry_count = entry_count
         self._random = random_source
         self._turn = 0
         self.prefixes = PrefixMemory()
 
-    def choose(
-        self, candidate: Candidate, upstreams: Sequence[Upstream], now_s: float
-    ) -> Upstream | None:
+    def choose(self, decision: Decision, upstreams: Sequence[Upstream]) -> Upstream | None:
         """Give the upstream that takes the request, or None when none can."""
-        open_upstreams = [each for each in upstreams if _has_width(each)]
+        if self._settings.rule is ChoiceRule.EXPECTED_MEMORY:
+            return self._by_expected_memory(decision, upstreams)
+        open_upstreams = [each for each in upstreams if decision.gate.is_open(each)]
         if not open_upstreams:
             return None
         match self._settings.rule:
@@ -68,21 +67,20 @@
             case ChoiceRule.POWER_OF_TWO:
                 pair = self._random.sample(open_upstreams, min(2, len(open_upstreams)))
                 return self._least_in_flight(pair)
-            case ChoiceRule.EXPECTED_MEMORY:
-                decision = _Decision(candidate, self._entry_count(), now_s)
-                return self._by_expected_memory(decision, open_upstreams)
 
     def _least_in_flight(self, upstreams: Sequence[Upstream]) -> Upstream:
         return min(upstreams, key=lambda each: (each.own_in_flight, self._random.random()))
 
     def _by_expected_memory(
-        self, decision: _Decision, upstreams: Sequence[Upstream]
+        self, decision: Decision, upstreams: Sequence[Upstream]
     ) -> Upstream | None:
         candidate = decision.candidate
         best: Upstream | None = None
         best_score = math.inf
         admitted = 0
         for upstream in self._in_asking_order(candidate, upstreams):
+            if not decision.gate.is_open(upstream):
+                continue
             score = self._score(decision, upstream)
             if score is None:
                 continue
@@ -98,13 +96,19 @@
     ) -> Iterator[Upstream]:
         """Give upstreams that hold the prefix first, then all others at random."""
         holders = self.prefixes.holders(candidate.work.prefix_hash)
-        shuffled = self._random.sample(upstreams, len(upstreams))
-        shuffled.sort(key=lambda each: each.declaration.id not in holders)
-        return iter(shuffled)
-
-    def _score(self, decision: _Decision, upstream: Upstream) -> float | None:
+        if holders:
+            yield from (each for each in upstreams if each.declaration.id in holders)
+        left = list(upstreams)
+        while left:
+            index = int(self._random.random() * len(left))
+            left[index], left[-1] = left[-1], left[index]
+            upstream = left.pop()
+            if upstream.declaration.id not in holders:
+                yield upstream
+
+    def _score(self, decision: Decision, upstream: Upstream) -> float | None:
         candidate = decision.candidate
-        in_flight = upstream.expected_in_flight(decision.entry_count)
+        in_flight = upstream.expected_in_flight(decision.sharing_entries)
         if upstream.view is UpstreamView.COLD:
             return COLD_PENALTY + in_flight / upstream.declaration.cold_in_flight_max
         gap_share = _gap_share(candidate, upstream, in_flight)
@@ -129,10 +133,6 @@
         return self._settings.memory_share_max
 
 
-def _has_width(upstream: Upstream) -> bool:
-    return upstream.own_in_flight < upstream.declaration.in_flight_max
-
-
 def _gap_share(candidate: Candidate, upstream: Upstream, in_flight: float) -> float:
     """Give the time between tokens expected with one more request, as a share of the promise."""
     report = upstream.report
@@ -143,13 +143,15 @@
     return gap_s / candidate.work.token_gap_s
 
 
-def _memory_share(decision: _Decision, upstream: Upstream, in_flight: float) -> float:
+def _memory_share(decision: Decision, upstream: Upstream, in_flight: float) -> float:
     candidate = decision.candidate
     report = upstream.report
     if report is None or report.kv_total_tokens == 0:
         return in_flight / upstream.declaration.in_flight_max
-    held_tokens = upstream.expected_held_tokens(decision.entry_count, decision.now_s)
-    remaining_tokens = upstream.expected_remaining_tokens(candidate.mix_remaining_tokens, in_flight)
+    held_tokens = upstream.expected_held_tokens(decision.sharing_entries, decision.now_s)
+    remaining_tokens = upstream.expected_remaining_tokens(
+        candidate.mix_remaining_tokens, in_flight, decision.now_s
+    )
     count = in_flight + 1.0
     total_remaining = in_flight * remaining_tokens + candidate.expected_tokens
     total_held = held_tokens + candidate.work.prompt_tokens
@@ -157,21 +159,22 @@
     return peak_tokens / report.kv_total_tokens
 
 
-def _own_memory_share(decision: _Decision, upstream: Upstream) -> float:
+def _own_memory_share(decision: Decision, upstream: Upstream) -> float:
     """Give the memory share if every entry had as much work there as this one.
 
     Unlike the report it is never late, so that entries which balance it don't herd.
     """
     report = upstream.report
     if report is None or report.kv_total_tokens == 0:
-        own_count = (upstream.own_in_flight + 1) * decision.entry_count
+        own_count = (upstream.own_in_flight + 1) * decision.sharing_entries
         return own_count / upstream.declaration.in_flight_max
     candidate = decision.candidate
     count = upstream.own_in_flight + 1
-    held_tokens = candidate.work.prompt_tokens + upstream.own_held_tokens
-    remaining_tokens = candidate.expected_tokens + upstream.own_remaining_tokens
+    own = upstream.own_load(decision.now_s)
+    held_tokens = candidate.work.prompt_tokens + own.held_tokens
+    remaining_tokens = candidate.expected_tokens + own.remaining_tokens
     peak_tokens = _expected_peak_tokens(count, held_tokens / count, remaining_tokens / count)
-    return decision.entry_count * peak_tokens / report.kv_total_tokens
+    return decision.sharing_entries * peak_tokens / report.kv_total_tokens
 
 
 def _expected_peak_tokens(count: float, held_tokens: float, remaining_tokens: float) -> float:
--- /dev/null
+++ b/gooseberryquay/machines/dispatch_gate.py
@@ -0,0 +1,41 @@
+"""Which upstreams may get one request now, whatever the rule."""
+
+from dataclasses import dataclass
+
+from gooseberryquay.machines.cold_slots import ColdSlots
+from gooseberryquay.machines.upstream import Upstream, UpstreamView
+from gooseberryquay.machines.work import Work
+
+__all__ = ["UpstreamGate"]
+
+
+@dataclass(frozen=True)
+class UpstreamGate:
+    """Hold back a request from upstreams that are excluded, silent, slow, full or cold."""
+
+    work: Work
+    slots: ColdSlots
+    typical_gap_s: float
+    now_s: float
+
+    def is_open(self, upstream: Upstream) -> bool:
+        """Tell whether an upstream may get the request."""
+        declaration = upstream.declaration
+        if upstream.is_silent or declaration.id in self.work.excluded:
+            return False
+        if upstream.own_in_flight >= declaration.in_flight_max:
+            return False
+        match upstream.view:
+            case UpstreamView.LEAVING:
+                return False
+            case UpstreamView.WARM:
+                return self._is_open_warm(upstream)
+            case UpstreamView.COLD | UpstreamView.UNKNOWN:
+                return self.slots.has_free(declaration)
+
+    def _is_open_warm(self, upstream: Upstream) -> bool:
+        if upstream.is_slow_unreported(self.typical_gap_s, self.now_s):
+            return False
+        return upstream.ramp.has_room(
+            upstream.own_in_flight, upstream.token_gap_s, self.work.token_gap_s, self.now_s
+        )
--- a/gooseberryquay/machines/dispatcher.py
+++ b/gooseberryquay/machines/dispatcher.py
@@ -10,8 +10,9 @@
 from gooseberryquay.contracts.settings import ChoiceSettings
 from gooseberryquay.errors import DeadlineUnreachable, Failure, Overloaded
 from gooseberryquay.ids import ServiceId, UpstreamId
-from gooseberryquay.machines.choice import Candidate, Chooser
+from gooseberryquay.machines.choice import Candidate, Chooser, Decision
 from gooseberryquay.machines.cold_slots import ColdSlots
+from gooseberryquay.machines.dispatch_gate import UpstreamGate
 from gooseberryquay.machines.dispatch_lane import ServiceLane
 from gooseberryquay.machines.dispatch_placement import PlacedWork, PlacementEvents
 from gooseberryquay.machines.dispatch_shares import WorkspaceShares
@@ -52,9 +53,10 @@
         self._turned_cold = turned_cold
         self._table = table
         self._settings = settings
+        self._entry_count = entry_count
         self._slots = slots
         self._queue_length_max = queue_length_max
-        self._chooser = Chooser(settings, entry_count, random_source or random.Random())
+        self._chooser = Chooser(settings, random_source or random.Random())
         self._lengths = LengthEstimator(settings.length_scale)
         self._lanes: dict[ServiceId, ServiceLane] = {}
         self._shares = WorkspaceShares(table.configuration, entry_count)
@@ -171,14 +173,12 @@
 
     def _try_place(self, lane: ServiceLane, waiter: Waiter, now_s: float) -> bool:
         candidate = waiter.candidate
-        open_upstreams = [
-            each
-            for each in self._usable(lane.service)
-            if each.declaration.id not in candidate.work.excluded
-            and not each.is_silent
-            and self._may_start(each, lane, candidate.work, now_s)
-        ]
-        upstream = self._chooser.choose(candidate, open_upstreams, now_s)
+        upstreams = self._usable(lane.service)
+        typical_gap_s = lane.typical_gap_s(upstreams, now_s)
+        gate = UpstreamGate(candidate.work, self._slots, typical_gap_s, now_s)
+        sharing_entries = self._table.sharing_entries(lane.service, self._entry_count())
+        decision = Decision(candidate, gate, sharing_entries, now_s)
+        upstream = self._chooser.choose(decision, upstreams)
         if upstream is None:
             return False
         is_cold = upstream.view is not UpstreamView.WARM
@@ -189,21 +189,6 @@
         lane.queue.charge(waiter, self._shares.weight(candidate.work.workspace))
         return True
 
-    def _may_start(self, upstream: Upstream, lane: ServiceLane, work: Work, now_s: float) -> bool:
-        match upstream.view:
-            case UpstreamView.LEAVING:
-                return False
-            case UpstreamView.WARM if upstream.is_slow_unreported(
-                lane.typical_gap_s(self._usable(lane.service), now_s), now_s
-            ):
-                return False
-            case UpstreamView.WARM:
-                return upstream.ramp.has_room(
-                    upstream.own_in_flight, upstream.token_gap_s, work.token_gap_s, now_s
-                )
-            case UpstreamView.COLD | UpstreamView.UNKNOWN:
-                return self._slots.has_free(upstream.declaration)
-
     def _start(
         self, upstream: Upstream, candidate: Candidate, is_cold: bool, now_s: float
     ) -> PlacedWork:
--- a/gooseberryquay/machines/tests/test_subset.py
+++ b/gooseberryquay/machines/tests/test_subset.py
@@ -1,7 +1,13 @@
 from collections import Counter
 
 from gooseberryquay.machines.subset import SubsetRule
-from gooseberryquay.machines.tests.choice_builders import build_upstream
+from gooseberryquay.machines.tests.choice_builders import (
+    SERVICE,
+    HeldConfiguration,
+    build_configuration,
+    build_table,
+    build_upstream,
+)
 
 SIZE = 148
 
@@ -34,3 +40,10 @@
     before = rule.choose(upstreams)
     after = rule.choose([each for each in upstreams if each is not before[0]])
     assert len(set(before) - set(after)) <= 2
+
+
+def test_entries_that_share_an_upstream_are_counted_by_subset():
+    held = HeldConfiguration(build_configuration(_fleet(480, zones=3)))
+    table = build_table(held, size=48)
+    assert table.sharing_entries(SERVICE, 100) == 10.0
+    assert table.sharing_entries(SERVICE, 4) == 1.0
--- a/gooseberryquay/machines/upstream.py
+++ b/gooseberryquay/machines/upstream.py
@@ -12,6 +12,7 @@
 __all__ = ["Upstream", "UpstreamView"]
 
 GAP_WEIGHT = 0.1
+OWN_LOAD_REFRESH_S = 0.1
 OTHERS_WEIGHT = 0.3
 SLOW_FACTOR = 2.5
 SLOW_UNREPORTED_S = 2.0
@@ -43,6 +44,15 @@
     held_tokens: float
 
 
+@dataclass(frozen=True)
+class OwnLoad:
+    """Sum the memory that own requests use and the tokens that they still need."""
+
+    held_tokens: float
+    remaining_tokens: float
+    counted_at_s: float
+
+
 class Upstream:
     """Hold one upstream's declaration, report, own work and observed speed.
 
@@ -60,6 +70,7 @@
         self.token_gap_s = 0.0
         self.is_silent = False
         self.ramp = WidthRamp()
+        self._own_load: OwnLoad | None = None
         self._changes: deque[_Change] = deque(maxlen=MAX_LOGGED_CHANGES)
 
     @property
@@ -67,24 +78,25 @@
         """Give the number of own requests in flight."""
         return len(self.work)
 
-    @property
-    def own_held_tokens(self) -> float:
-        """Give the memory that own requests use."""
-        return sum(work.held_tokens for work in self.work)
-
-    @property
-    def own_remaining_tokens(self) -> float:
-        """Give the tokens that own requests are expected to need yet."""
-        return sum(work.remaining_tokens for work in self.work)
+    def own_load(self, now_s: float) -> OwnLoad:
+        """Give what own requests hold and still need, counted a moment ago at most."""
+        load = self._own_load
+        if load is None or now_s - load.counted_at_s > OWN_LOAD_REFRESH_S:
+            held_tokens = sum(work.held_tokens for work in self.work)
+            remaining_tokens = sum(work.remaining_tokens for work in self.work)
+            load = self._own_load = OwnLoad(held_tokens, remaining_tokens, now_s)
+        return load
 
     def start(self, work: UpstreamWork, now_s: float) -> None:
         """Count a request that is sent now."""
         self.work.add(work)
+        self._own_load = None
         self._changes.append(_Change(now_s, 1, work.prompt_tokens))
 
     def end(self, work: UpstreamWork, now_s: float) -> None:
         """Count a request that has ended."""
         self.work.discard(work)
+        self._own_load = None
         self._changes.append(_Change(now_s, -1, -work.held_tokens))
 
     def take_report(self, report: LoadReport, now_s: float) -> None:
@@ -128,22 +140,22 @@
         """Take in one observed time between tokens."""
         self.token_gap_s += GAP_WEIGHT * (gap_s - self.token_gap_s)
 
-    def expected_in_flight(self, entry_count: int) -> float:
+    def expected_in_flight(self, sharing_entries: float) -> float:
         """Give the expected number of requests there now, other entries' included."""
         if self.report is None:
-            return float(self.own_in_flight * entry_count)
+            return float(self.own_in_flight * sharing_entries)
         own_change = sum(change.count for change in self._changes)
         reported = self.report.in_flight + self.report.queued
-        return max(float(self.own_in_flight), reported + own_change * _spread(entry_count))
+        return max(float(self.own_in_flight), reported + own_change * _spread(sharing_entries))
 
-    def expected_held_tokens(self, entry_count: int, now_s: float) -> float:
+    def expected_held_tokens(self, sharing_entries: float, now_s: float) -> float:
         """Give the expected memory in use now, in tokens."""
-        own_tokens = self.own_held_tokens
+        own_tokens = self.own_load(now_s).held_tokens
         if self.report is None:
-            return own_tokens * entry_count
+            return own_tokens * sharing_entries
         own_change = sum(change.held_tokens for change in self._changes)
         own_growth = self.own_in_flight * self._steps_since_report(now_s)
-        changed_tokens = own_change * _spread(entry_count) + own_growth
+        changed_tokens = own_change * _spread(sharing_entries) + own_growth
         return max(own_tokens, self.report.kv_used_tokens + changed_tokens)
 
     def _steps_since_report(self, now_s: float) -> float:
@@ -151,13 +163,15 @@
             return 0.0
         return (now_s - self.reported_at_s) / self.report.step_s
 
-    def expected_remaining_tokens(self, mix_remaining_tokens: float, in_flight: float) -> float:
+    def expected_remaining_tokens(
+        self, mix_remaining_tokens: float, in_flight: float, now_s: float
+    ) -> float:
         """Give the mean of the tokens that a request there still needs."""
         other_count = max(0.0, in_flight - self.own_in_flight)
-        total_tokens = self.own_remaining_tokens + other_count * mix_remaining_tokens
+        total_tokens = self.own_load(now_s).remaining_tokens + other_count * mix_remaining_tokens
         return total_tokens / max(1.0, in_flight)
 
 
-def _spread(entry_count: int) -> float:
+def _spread(sharing_entries: float) -> float:
     """Give how many requests one own change stands for, other entries' unseen ones included."""
-    return 1.0 + OTHERS_WEIGHT * (entry_count - 1)
+    return 1.0 + OTHERS_WEIGHT * (sharing_entries - 1)
--- a/gooseberryquay/machines/upstream_table.py
+++ b/gooseberryquay/machines/upstream_table.py
@@ -20,6 +20,7 @@
         self._subset = subset
         self._upstreams: dict[UpstreamId, Upstream] = {}
         self._usable: dict[ServiceId, tuple[Upstream, ...]] = {}
+        self._parts: dict[ServiceId, float] = {}
         self._in_force: Configuration | None = None
         self._lock = threading.Lock()
 
@@ -30,11 +31,19 @@
             self._follow(configuration)
             found = self._usable.get(service)
             if found is None:
-                allowed = self._subset.choose(configuration.usable_upstreams(service))
-                found = tuple(self._state_of(each) for each in allowed)
+                allowed = configuration.usable_upstreams(service)
+                chosen = self._subset.choose(allowed)
+                found = tuple(self._state_of(each) for each in chosen)
                 self._usable[service] = found
+                self._parts[service] = len(chosen) / max(1, len(allowed))
             return found
 
+    def sharing_entries(self, service: ServiceId, entry_count: int) -> float:
+        """Give how many entries send to one upstream, this one included."""
+        self.usable(service)
+        with self._lock:
+            return max(1.0, entry_count * self._parts.get(service, 1.0))
+
     def all_usable(self) -> tuple[Upstream, ...]:
         """Give this entry's upstreams of every service that may get new work."""
         services = tuple(self.configuration().declaration.services)
