--- a/gooseberryquay/machines/choice.py
+++ b/gooseberryquay/machines/choice.py
@@ -9,6 +9,7 @@
 from gooseberryquay.machines.choice_affinity import PrefixMemory
 from gooseberryquay.machines.dispatch_gate import UpstreamGate
 from gooseberryquay.machines.upstream import Upstream, UpstreamView
+from gooseberryquay.machines.upstream_peak import expected_peak_tokens
 from gooseberryquay.machines.work import Work
 
 __all__ = ["Candidate", "Chooser", "Decision"]
@@ -18,6 +19,7 @@
 FIXED_STEP_SHARE = 0.5
 GAP_PENALTY = 0.2
 REPORT_WEIGHT = 0.3
+FULL_TRUST_AGE_S = 2.0
 COLD_PENALTY = 0.5
 QUEUED_PENALTY = 0.5
 
@@ -39,6 +41,7 @@
     candidate: Candidate
     gate: UpstreamGate
     sharing_entries: float
+    usual_memory_share: float
     now_s: float
 
 
@@ -114,7 +117,7 @@
         gap_share = _gap_share(candidate, upstream, in_flight)
         if gap_share > GAP_ALLOWANCE and in_flight >= 1:
             return None
-        memory_share = _memory_share(decision, upstream, in_flight)
+        memory_share = _discounted_memory_share(decision, upstream, in_flight)
         if memory_share > self._memory_share_max(candidate):
             return None
         own_share = _own_memory_share(decision, upstream)
@@ -155,10 +158,20 @@
     count = in_flight + 1.0
     total_remaining = in_flight * remaining_tokens + candidate.expected_tokens
     total_held = held_tokens + candidate.work.prompt_tokens
-    peak_tokens = _expected_peak_tokens(count, total_held / count, total_remaining / count)
+    peak_tokens = expected_peak_tokens(count, total_held / count, total_remaining / count)
     return peak_tokens / report.kv_total_tokens
 
 
+def _discounted_memory_share(decision: Decision, upstream: Upstream, in_flight: float) -> float:
+    """Give the memory share, the more from all own work the older the report is."""
+    reported_share = _memory_share(decision, upstream, in_flight)
+    age_s = decision.now_s - upstream.reported_at_s
+    if upstream.report is None or age_s <= FULL_TRUST_AGE_S:
+        return reported_share
+    trust = FULL_TRUST_AGE_S / age_s
+    return trust * reported_share + (1.0 - trust) * decision.usual_memory_share
+
+
 def _own_memory_share(decision: Decision, upstream: Upstream) -> float:
     """Give the memory share if every entry had as much work there as this one.
 
@@ -173,21 +186,10 @@
     own = upstream.own_load(decision.now_s)
     held_tokens = candidate.work.prompt_tokens + own.held_tokens
     remaining_tokens = candidate.expected_tokens + own.remaining_tokens
-    peak_tokens = _expected_peak_tokens(count, held_tokens / count, remaining_tokens / count)
+    peak_tokens = expected_peak_tokens(count, held_tokens / count, remaining_tokens / count)
     return decision.sharing_entries * peak_tokens / report.kv_total_tokens
 
 
-def _expected_peak_tokens(count: float, held_tokens: float, remaining_tokens: float) -> float:
-    """Give the highest expected memory use from now on.
-
-    With exponential remaining lengths of mean m, `count * (held + h) * exp(-h / m)` tokens are
-    expected after h more steps, which is highest at h = m - held.
-    """
-    if remaining_tokens <= held_tokens:
-        return count * held_tokens
-    return count * remaining_tokens * math.exp(held_tokens / remaining_tokens - 1.0)
-
-
 def _prefix_gain(candidate: Candidate, upstream: Upstream) -> float:
     report = upstream.report
     if report is None or report.kv_total_tokens == 0:
--- a/gooseberryquay/machines/dispatcher.py
+++ b/gooseberryquay/machines/dispatcher.py
@@ -177,7 +177,8 @@
         typical_gap_s = lane.typical_gap_s(upstreams, now_s)
         gate = UpstreamGate(candidate.work, self._slots, typical_gap_s, now_s)
         sharing_entries = self._table.sharing_entries(lane.service, self._entry_count())
-        decision = Decision(candidate, gate, sharing_entries, now_s)
+        usual_memory_share = lane.own_memory_share(upstreams, sharing_entries, now_s)
+        decision = Decision(candidate, gate, sharing_entries, usual_memory_share, now_s)
         upstream = self._chooser.choose(decision, upstreams)
         if upstream is None:
             return False
