--- a/gooseberryquay/machines/choice.py
+++ b/gooseberryquay/machines/choice.py
@@ -115,7 +115,7 @@
         if upstream.view is UpstreamView.COLD:
             return COLD_PENALTY + in_flight / upstream.declaration.cold_in_flight_max
         gap_share = _gap_share(candidate, upstream, in_flight)
-        if gap_share > GAP_ALLOWANCE and in_flight >= 1:
+        if gap_share > GAP_ALLOWANCE and _has_late_tokens(candidate, upstream):
             return None
         memory_share = _discounted_memory_share(decision, upstream, in_flight)
         if memory_share > self._memory_share_max(candidate):
@@ -140,12 +140,19 @@
     """Give the time between tokens expected with one more request, as a share of the promise."""
     report = upstream.report
     gap_s = upstream.token_gap_s
-    if report is not None and report.in_flight > 0:
+    if report is not None:
         growth = (in_flight + 1.0) / (report.in_flight + 1.0)
-        gap_s = report.step_s * (FIXED_STEP_SHARE + (1.0 - FIXED_STEP_SHARE) * growth)
+        gap_s = upstream.step_s * (FIXED_STEP_SHARE + (1.0 - FIXED_STEP_SHARE) * growth)
     return gap_s / candidate.work.token_gap_s
 
 
+def _has_late_tokens(candidate: Candidate, upstream: Upstream) -> bool:
+    """Tell whether own tokens come late there; one long prefill in a report is no sign of it."""
+    if not upstream.work:
+        return False
+    return upstream.token_gap_s > GAP_ALLOWANCE * candidate.work.token_gap_s
+
+
 def _memory_share(decision: Decision, upstream: Upstream, in_flight: float) -> float:
     candidate = decision.candidate
     report = upstream.report
--- a/gooseberryquay/machines/tests/test_choice.py
+++ b/gooseberryquay/machines/tests/test_choice.py
@@ -6,10 +6,12 @@
 from gooseberryquay.machines.choice import Candidate, Chooser, Decision
 from gooseberryquay.machines.cold_slots import NoColdSlots
 from gooseberryquay.machines.dispatch_gate import UpstreamGate
+from gooseberryquay.machines.length_estimate import LengthCount, LengthCurve
 from gooseberryquay.machines.load_report import LoadReport
 from gooseberryquay.machines.tests.choice_builders import build_upstream, build_work
 from gooseberryquay.machines.upstream import Upstream
 from gooseberryquay.machines.upstream_peak import expected_peak_tokens
+from gooseberryquay.machines.upstream_work import UpstreamWork
 
 NOW_S = 1000.0
 
@@ -64,6 +66,18 @@
     assert _decide(_build_upstreams([1_000] * 3, age_s=20.0), usual_memory_share=1.2)[0] is None
 
 
+def test_engine_with_late_tokens_gets_nothing_and_one_long_step_alone_does_no_harm():
+    upstreams = _build_upstreams([4_000])
+    slow = LoadReport(in_flight=10, kv_used_tokens=4_000, kv_total_tokens=10_000, step_s=0.3)
+    upstreams[0].take_report(slow, NOW_S)
+    assert _decide(upstreams)[0] is upstreams[0]
+    curve = LengthCurve([LengthCount(50.0, 1)])
+    upstreams[0].start(UpstreamWork(10, 100, curve), NOW_S)
+    for _ in range(50):
+        upstreams[0].saw_gap(0.1)
+    assert _decide(upstreams) == [None] * 20
+
+
 @pytest.mark.parametrize(("held", "remaining"), [(100.0, 50.0), (50.0, 400.0), (0.0, 100.0)])
 def test_expected_peak_is_the_highest_point_of_growth_and_decay(held, remaining):
     count = 20.0
--- a/gooseberryquay/machines/upstream.py
+++ b/gooseberryquay/machines/upstream.py
@@ -12,6 +12,7 @@
 __all__ = ["Upstream", "UpstreamView"]
 
 GAP_WEIGHT = 0.1
+STEP_WEIGHT = 0.3
 OWN_LOAD_REFRESH_S = 0.1
 OTHERS_WEIGHT = 0.3
 SLOW_FACTOR = 2.5
@@ -68,6 +69,7 @@
         self.view_since_s = 0.0
         self.work: set[UpstreamWork] = set()
         self.token_gap_s = 0.0
+        self.step_s = 0.0
         self.is_silent = False
         self.ramp = WidthRamp()
         self._own_load: OwnLoad | None = None
@@ -106,6 +108,7 @@
         if measured_at_s < self.reported_at_s:
             return
         self.report = report
+        self.step_s += (report.step_s - self.step_s) * (STEP_WEIGHT if self.step_s else 1.0)
         self.reported_at_s = measured_at_s
         self.received_at_s = now_s
         while self._changes and self._changes[0].at_s <= measured_at_s:
