Take the layout of the claim logs from the platform

Cause: shard count, bucket, horizon and skew decide where a key's claim is looked for; an entry started with other settings would have looked in another log and run the key twice. The first entry stores its layout, the others take that one. PostingDesk.start() learns it and deletes expired logs; entry.py calls it.

--- a/gooseberryquay/daemons/entry.py
+++ b/gooseberryquay/daemons/entry.py
@@ -113,6 +113,7 @@
         self._control_server.start()
         self._cluster.start()
         self._dispatching.start()
+        self._desk.start()
         self._caller_server.start()
 
     def stop(self) -> None:
