--- a/gooseberryquay/postings/posting_desk.py
+++ b/gooseberryquay/postings/posting_desk.py
@@ -9,14 +9,11 @@
 
 from gooseberryquay.contracts.posting_settings import PostingSettings
 from gooseberryquay.errors import (
-    AnswerNotKept,
     DeadlineUnreachable,
     Failure,
-    IdempotencyKeyReused,
     Overloaded,
     PlatformUnavailable,
     Ran,
-    RequestTooOld,
     UnknownOutcome,
     UntimedKeysFull,
 )
@@ -33,9 +30,12 @@
 from gooseberryquay.machines.peer import Peers
 from gooseberryquay.postings.backlog import Backlog
 from gooseberryquay.postings.claim_index import KeyPhase, KeyState
+from gooseberryquay.postings.claim_layout import SharedLayout
+from gooseberryquay.postings.claim_sweeper import ClaimSweeper
 from gooseberryquay.postings.claims import AppendFailure, AppendUncertain, Claims, KeysFull
 from gooseberryquay.postings.owned_claims import OwnedClaims
 from gooseberryquay.postings.posting import KeyLocation, Posting, locate
+from gooseberryquay.postings.posting_answer import answer_repeat, check_age
 from gooseberryquay.postings.records import Answered, Claimed, ClaimRecord, OutcomeLost, Released
 from gooseberryquay.postings.run_memory import RunMemory
 from gooseberryquay.postings.run_witness import RunWitness
@@ -60,6 +60,8 @@
         claims: Claims | None = None,
     ) -> None:
         self._settings = settings or PostingSettings()
+        self._layout = SharedLayout(platform, self._settings)
+        self._sweeper = ClaimSweeper(platform, peers, self._layout)
         self._claims = claims or OwnedClaims(platform, peers, self._settings)
         self._backlog = Backlog(self._claims, self._settings.backlog_max)
         self._memory = RunMemory(self._settings.witness_keys_max, self._settings.clock_skew_s)
@@ -73,6 +75,12 @@
         self._claims.add_routes(router)
         self._witness.add_routes(router)
 
+    def start(self) -> None:
+        """Learn the shared layout, follow the members and delete expired logs in the background."""
+        self._layout.start()
+        self._sweeper.start()
+        self._witness.start()
+
     def has_unfinished(self) -> bool:
         """Tell whether a posting, an append or a late record is under way."""
         with self._lock:
@@ -81,6 +89,8 @@
 
     def close(self, timeout_s: float) -> bool:
         """Wait for late records and for appends; False where the time is over first."""
+        self._sweeper.stop()
+        self._witness.stop()
         deadline_at_s = time.monotonic() + timeout_s
         self._backlog.wait_until_empty(timeout_s)
         while self.has_unfinished() and time.monotonic() < deadline_at_s:
@@ -101,12 +111,16 @@
                 self._running_count -= 1
 
     def _run_once(self, posting: Posting, dispatch: Dispatch) -> Result[Answered, Failure]:
-        if failure := self._check_age(posting):
+        settings = self._layout.wait(self._claim_deadline_s(posting))
+        if settings is None:
+            at = locate(posting, self._settings)
+            return Err(self._refuse_for_platform(posting, at, "the claim layout is not known"))
+        if failure := check_age(posting, settings):
             return Err(failure)
-        at = locate(posting, self._settings)
+        at = locate(posting, settings)
         known = self._claims.known_state(at)
         if known.phase is KeyPhase.ANSWERED:
-            return self._answer_repeat(posting, known)
+            return answer_repeat(posting, known, settings.running_s)
         self._memory.observe(self._peers.live())
         self._memory.begin(at.key)
         try:
@@ -126,18 +140,7 @@
             case Ok(state) if state.phase is KeyPhase.FREE:
                 return Err(PlatformUnavailable("the claim was made void", Ran.NO, RETRY_AFTER_S))
             case Ok(state):
-                return self._answer_repeat(posting, state)
-
-    def _check_age(self, posting: Posting) -> Failure | None:
-        created_at_s = posting.created_at_s()
-        if created_at_s is None:
-            return None
-        age_s = time.time() - created_at_s
-        if age_s > self._settings.horizon_s - self._settings.clock_skew_s:
-            return RequestTooOld("records of keys as old as this are not kept", Ran.MAYBE)
-        if age_s < -self._settings.clock_skew_s:
-            return RequestTooOld("the key's creation time lies in the future", Ran.MAYBE)
-        return None
+                return answer_repeat(posting, state, self._settings.running_s)
 
     def _claim(
         self, posting: Posting, at: KeyLocation, token: ClaimToken
@@ -145,8 +148,11 @@
         claimed = Claimed(
             key=at.key, token=token, fingerprint=posting.fingerprint(), at_s=int(time.time())
         )
+        return self._claims.append(at, claimed, self._claim_deadline_s(posting))
+
+    def _claim_deadline_s(self, posting: Posting) -> float:
         latest_s = time.monotonic() + self._settings.claim_timeout_s
-        return self._claims.append(at, claimed, min(latest_s, posting.deadline_at_s))
+        return min(latest_s, posting.deadline_at_s)
 
     def _refuse_unclaimed(
         self, posting: Posting, at: KeyLocation, token: ClaimToken, failure: AppendFailure
@@ -155,10 +161,13 @@
         match failure:
             case KeysFull():
                 message = "too many keys without a creation time are kept; send UUIDv7 keys"
-                return UntimedKeysFull(message, Ran.NO, RETRY_AFTER_S)
+                return UntimedKeysFull(message, self._ran_before(posting, at), RETRY_AFTER_S)
             case AppendUncertain():
                 self._backlog.add(at, Released(key=at.key, token=token))
-        message = f"the claim cannot be recorded now: {failure.message}"
+        return self._refuse_for_platform(posting, at, failure.message)
+
+    def _refuse_for_platform(self, posting: Posting, at: KeyLocation, reason: str) -> Failure:
+        message = f"the claim cannot be recorded now: {reason}"
         return PlatformUnavailable(message, self._ran_before(posting, at), RETRY_AFTER_S)
 
     def _ran_before(self, posting: Posting, at: KeyLocation) -> Ran:
@@ -167,24 +176,6 @@
             return Ran.NO
         return self._witness.ran_before(at, posting.created_at_s())
 
-    def _answer_repeat(self, posting: Posting, state: KeyState) -> Result[Answered, Failure]:
-        if state.fingerprint != posting.fingerprint():
-            return Err(IdempotencyKeyReused("the key was used with a different body", Ran.NO))
-        match state:
-            case KeyState(phase=KeyPhase.ANSWERED, answer=Answered(is_kept=True) as answer):
-                return Ok(answer)
-            case KeyState(phase=KeyPhase.ANSWERED):
-                return Err(AnswerNotKept("it ran and its answer was not kept", Ran.YES))
-            case KeyState(phase=KeyPhase.CLAIMED) if self._may_be_running(state):
-                message = "an earlier request with this key is under way"
-                return Err(UnknownOutcome(message, Ran.MAYBE, RETRY_AFTER_S))
-            case _:
-                message = "an earlier request with this key may have run; its answer is lost"
-                return Err(UnknownOutcome(message, Ran.MAYBE))
-
-    def _may_be_running(self, state: KeyState) -> bool:
-        return time.time() - state.claimed_at_s < self._settings.running_s
-
     def _run_claimed(
         self, posting: Posting, at: KeyLocation, token: ClaimToken, dispatch: Dispatch
     ) -> Result[Answered, Failure]:
@@ -211,7 +202,8 @@
         """Check again what may have changed while this thread waited or was paused."""
         if time.monotonic() >= posting.deadline_at_s:
             return DeadlineUnreachable("the deadline passed before it could be sent", Ran.NO)
-        return self._check_age(posting)
+        settings = self._layout.wait(time.monotonic()) or self._settings
+        return check_age(posting, settings)
 
     def _dispatch(self, token: ClaimToken, dispatch: Dispatch) -> DispatchOutcome:
         try:
