Read an open call's tokens under its lock, and stop test engines also after a failure

Cause: at the end of a load run the token sum and the tokens of each second were read while the call's thread was between the two; the test saw unequal sums once under high load. The engine of the failed test was not stopped, and the test process then waited for its threads for ever.

--- a/gooseberryquay/standins/load/model_call.py
+++ b/gooseberryquay/standins/load/model_call.py
@@ -78,7 +78,8 @@
         while buffer := response.read1(READ_BYTES):
             tokens = check.take(buffer)
             if tokens:
-                self._count_tokens(tokens)
+                with self.outcome.lock:
+                    self._count_tokens(tokens)
             if self._clock.is_stopped():
                 return
             if check.is_done:
--- a/gooseberryquay/standins/load/outcome.py
+++ b/gooseberryquay/standins/load/outcome.py
@@ -1,5 +1,6 @@
 """What became of one call."""
 
+import threading
 from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
@@ -23,7 +24,8 @@
     """Collect the times and counts of one call; times count from the start of the run.
 
     `gaps_us` has the time between two reads that brought tokens; tokens that came with an earlier
-    one in the same read are counted in `joined_tokens`.
+    one in the same read are counted in `joined_tokens`. Whoever reads the tokens of a call that is
+    still open holds the lock.
     """
 
     arrival: Arrival
@@ -42,6 +44,7 @@
     retries: int = 0
     is_wrong_answer: bool = False
     counts: StreamCounts = field(default_factory=StreamCounts)
+    lock: threading.Lock = field(default_factory=threading.Lock)
 
     @property
     def duration_s(self) -> float:
--- a/gooseberryquay/standins/load/tally.py
+++ b/gooseberryquay/standins/load/tally.py
@@ -87,7 +87,8 @@
         with self._lock:
             self._is_closed = True
             for outcome in self._open.values():
-                self._count_unfinished(outcome, now_s)
+                with outcome.lock:
+                    self._count_unfinished(outcome, now_s)
             summary = self._summary.model_copy(
                 update={
                     "stall_s": self._stall_us / US_PER_S,
@@ -148,7 +149,7 @@
             latencies.record(latencies.first_token, first_token_us)
         elif not outcome.arrival.kind.is_generation() and outcome.end is CallEnd.ANSWERED:
             latencies.record(latencies.plain_answer, outcome.duration_s * US_PER_S)
-        for gap_us in tuple(outcome.gaps_us):
+        for gap_us in outcome.gaps_us:
             latencies.record(latencies.token_gap, gap_us)
             if gap_us > self._stall_gap_us:
                 self._stall_us += gap_us
@@ -157,9 +158,9 @@
             latencies.record(latencies.token_gap, 1, outcome.joined_tokens)
 
     def _count_seconds(self, outcome: CallOutcome) -> None:
-        for second, tokens in dict(outcome.tokens_by_second).items():
+        for second, tokens in outcome.tokens_by_second.items():
             self._second(second).tokens += tokens
-        for second, late_gaps in dict(outcome.late_gaps_by_second).items():
+        for second, late_gaps in outcome.late_gaps_by_second.items():
             self._second(second).late_gaps += late_gaps
 
     def _second(self, at_s: float) -> SecondSummary:
--- a/gooseberryquay/standins/load/tests/test_run.py
+++ b/gooseberryquay/standins/load/tests/test_run.py
@@ -1,3 +1,5 @@
+import pytest
+
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.standins.engine import EngineStandIn
 from gooseberryquay.standins.engine_settings import EngineSettings
@@ -22,6 +24,21 @@
 FAST = EngineSettings(step_base_s=0.002, step_per_sequence_s=0.0)
 
 
+@pytest.fixture
+def start_engine():
+    engines = []
+
+    def start():
+        engine = EngineStandIn(FAST)
+        engine.start()
+        engines.append(engine)
+        return Address("127.0.0.1", engine.port)
+
+    yield start
+    for engine in engines:
+        engine.stop()
+
+
 def test_plan_is_the_same_for_the_same_seed():
     first, second = plan_arrivals(PLAN), plan_arrivals(PLAN)
     assert first == second
@@ -29,11 +46,8 @@
     assert [each.at_s for each in first] == sorted(each.at_s for each in first)
 
 
-def test_variants_get_the_same_calls_and_engines_are_counted():
-    engines = [EngineStandIn(FAST), EngineStandIn(FAST)]
-    for engine in engines:
-        engine.start()
-    addresses = [Address("127.0.0.1", engine.port) for engine in engines]
+def test_variants_get_the_same_calls_and_engines_are_counted(start_engine):
+    addresses = [start_engine(), start_engine()]
     variants = [Variant(str(each.port), (each,), (each,)) for each in addresses]
     first, second = LoadRun(PLAN, variants).run()
     expected = plan_arrivals(PLAN)
@@ -43,14 +57,10 @@
         assert summary.upstreams.runs == len(expected)
         assert (summary.foreign_tokens, summary.duplicate_tokens) == (0, 0)
         assert sum(second.tokens for second in summary.seconds) == summary.tokens
-    for engine in engines:
-        engine.stop()
 
 
-def test_processes_share_the_calls():
-    engine = EngineStandIn(FAST)
-    engine.start()
-    address = Address("127.0.0.1", engine.port)
+def test_processes_share_the_calls(start_engine):
+    address = start_engine()
     (summary,) = ShardedLoadRun(PLAN, [Variant("v", (address,), (address,))], processes=2).run()
     expected = plan_arrivals(PLAN)
     assert sum(kind.answered for kind in summary.kinds.values()) == len(expected)
@@ -58,13 +68,10 @@
     assert summary.first_token.count == summary.upstreams.runs == len(expected)
     assert summary.token_gap.count == summary.tokens - len(expected)
     assert sum(second.arrived for second in summary.seconds) == len(expected)
-    engine.stop()
 
 
-def test_open_calls_are_counted_as_far_as_they_came():
-    engine = EngineStandIn(FAST)
-    engine.start()
-    address = Address("127.0.0.1", engine.port)
+def test_open_calls_are_counted_as_far_as_they_came(start_engine):
+    address = start_engine()
     plan = LoadPlan(
         workspaces=("clerks",),
         model="m",
@@ -79,7 +86,6 @@
     kind = summary.kinds["summary"]
     assert summary.unfinished == kind.calls == kind.deadline_misses
     assert summary.tokens == sum(second.tokens for second in summary.seconds) > kind.calls
-    engine.stop()
 
 
 def test_calls_to_nobody_are_broken():
