--- a/gooseberryquay/zones/commands.py
+++ b/gooseberryquay/zones/commands.py
@@ -19,7 +19,9 @@
     SetZoneState,
     describe_change,
 )
+from gooseberryquay.zones.configuration_failure import ConfigurationUnavailable
 from gooseberryquay.zones.configuration_store import ConfigurationStore
+from gooseberryquay.zones.held_elsewhere import read_newest
 from gooseberryquay.zones.zone_state import UpstreamOrder, ZoneState
 
 __all__ = ["ConfigCommands", "UpstreamCommands", "ZoneCommands"]
@@ -85,6 +87,18 @@
                 )
                 finish(outcome, json)
 
+    def restore(
+        self, *entries: str, platform: str, author: str | None = None, json: bool = False
+    ) -> None:
+        """Write back the newest configuration that entries hold, given by control address."""
+        if not entries:
+            _reject("name the control address of at least one entry")
+        held = read_newest(tuple(_address(entry) for entry in entries))
+        if held is None:
+            unavailable = ConfigurationUnavailable("no entry gave a configuration")
+            finish(outcome_of(Err(unavailable)), json)
+        finish(outcome_of(_store(platform).restore(held, _author(author))), json)
+
 
 class ZoneCommands:
     """Take availability zones out and bring them back."""
@@ -166,10 +180,14 @@
 
 
 def _store(platform: str) -> ConfigurationStore:
-    host, _, port = str(platform).rpartition(":")
+    return ConfigurationStore(PlatformLink(_address(platform)))
+
+
+def _address(text: str) -> Address:
+    host, _, port = str(text).rpartition(":")
     if not host or not port.isdigit():
-        _reject(f"--platform={platform} must be IP:PORT")
-    return ConfigurationStore(PlatformLink(Address(host, int(port))))
+        _reject(f"{text} must be IP:PORT")
+    return Address(host, int(port))
 
 
 def _reject(message: str) -> NoReturn:
--- a/gooseberryquay/zones/configuration_store.py
+++ b/gooseberryquay/zones/configuration_store.py
@@ -45,6 +45,7 @@
 FIRST_REVISION = Revision(1)
 NO_REVISION = Revision(0)
 MUST_NOT_EXIST = 0
+RESTORE_STEP = 1000
 
 
 @dataclass(frozen=True)
@@ -114,14 +115,27 @@
         problems = check_declaration(declaration)
         if problems:
             return Err(ChangeRejected(problems))
-        configuration = Configuration(revision=FIRST_REVISION, declaration=declaration)
-        accepted = _accept(FIRST_REVISION, author, DeclarationReplaced())
-        snapshot = _reference(configuration, accepted.change_id)
-        document = ConfigurationDocument(
-            revision=FIRST_REVISION, snapshot=snapshot, changes=(accepted,)
-        )
-        draft = Draft(accepted, configuration, document, MUST_NOT_EXIST)
-        return self._write.commit(draft)
+        first = Configuration(revision=FIRST_REVISION, declaration=declaration)
+        return self._write.commit(_whole_draft(first, author, MUST_NOT_EXIST))
+
+    def restore(
+        self, held: Configuration, author: str
+    ) -> Result[Configuration, ConfigurationFailure]:
+        """Write back a configuration that entries hold and the platform has lost.
+
+        Its revision is raised far enough to be above any that was accepted and is not known.
+        """
+        match self._link.read(CURRENT_KEY):
+            case Err(refusal):
+                return Err(ConfigurationUnavailable(str(refusal)))
+            case Ok(stored):
+                document = parse_document(stored) if stored else None
+                if document is not None and document.revision >= held.revision:
+                    return Err(ConfigurationConflict(held.revision, document.revision, ()))
+                raised = Revision(held.revision + RESTORE_STEP)
+                restored = held.model_copy(update={"revision": raised})
+                version = stored.version if stored else MUST_NOT_EXIST
+                return self._write.commit(_whole_draft(restored, author, version))
 
     def apply(
         self,
@@ -165,6 +179,16 @@
         return None
 
 
+def _whole_draft(configuration: Configuration, author: str, expected_version: int) -> Draft:
+    accepted = _accept(configuration.revision, author, DeclarationReplaced())
+    document = ConfigurationDocument(
+        revision=configuration.revision,
+        snapshot=_reference(configuration, accepted.change_id),
+        changes=(accepted,),
+    )
+    return Draft(accepted, configuration, document, expected_version)
+
+
 def _draft(stored: StoredConfiguration, change: ConfigurationChange, author: str) -> Draft:
     held, document = stored.configuration, stored.document
     accepted = _accept(Revision(held.revision + 1), author, _stored_form(held, change))
--- /dev/null
+++ b/gooseberryquay/zones/held_elsewhere.py
@@ -0,0 +1,32 @@
+"""Configurations that entries hold, read over their control API."""
+
+from collections.abc import Sequence
+
+from pydantic import ValidationError
+from result import Ok
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.links.http_client import HttpClient, Reply
+from gooseberryquay.zones.configuration import Configuration
+from gooseberryquay.zones.configuration_held import NO_REVISION
+from gooseberryquay.zones.configuration_messages import PULL_PATH, PullReply, PullRequest
+
+__all__ = ["read_newest"]
+
+
+def read_newest(addresses: Sequence[Address]) -> Configuration | None:
+    """Ask entries at their control addresses; give the newest configuration that one holds."""
+    answers = [_read(address) for address in addresses]
+    found = [each for each in answers if each is not None]
+    return max(found, key=lambda each: each.revision, default=None)
+
+
+def _read(address: Address) -> Configuration | None:
+    request = PullRequest(after_revision=NO_REVISION).model_dump_json().encode()
+    match HttpClient(address.host, address.port).send("POST", PULL_PATH, request):
+        case Ok(Reply(status=200, body=body)):
+            try:
+                return PullReply.model_validate_json(body).configuration
+            except ValidationError:
+                return None
+    return None
--- a/gooseberryquay/zones/tests/test_commands.py
+++ b/gooseberryquay/zones/tests/test_commands.py
@@ -6,7 +6,15 @@
 
 from gooseberryquay.standins.platform_faults import LostAnswers, Outage, PlatformFaults
 from gooseberryquay.zones.configuration_document import CURRENT_KEY
-from gooseberryquay.zones.tests.builders import BASE_INI, HOST, drain
+from gooseberryquay.zones.tests.builders import (
+    BASE_INI,
+    HOST,
+    LONG_S,
+    drain,
+    make_upstream,
+    zone_back,
+    zone_out,
+)
 
 
 @pytest.fixture
@@ -65,3 +73,21 @@
     assert failed.returncode == 1
     assert "nowhere" in json.loads(failed.stdout)["problems"][0]
     assert store.read().is_err()
+
+
+def test_lost_configuration_is_restored_from_the_newest_entry(run, fleet, store, link):
+    fleet.add("entry-1", "entry-2")
+    assert fleet.wait_for_revision(1, LONG_S)
+    assert store.apply(zone_out(), "op").is_ok()
+    assert fleet.wait_for_revision(2, LONG_S)
+    addresses = [f"{HOST}:{node.port}" for node in fleet.nodes.values()]
+    assert run("config", "restore", *addresses).returncode == 2
+    stored = link.read(CURRENT_KEY).unwrap()
+    assert link.delete(CURRENT_KEY, stored.version).is_ok()
+    assert run("config", "restore", *addresses).returncode == 0
+    restored = store.read().unwrap().configuration
+    assert restored.revision > 2
+    assert not restored.may_get_work(make_upstream("yield-0"))
+    assert fleet.wait_for_revision(restored.revision, LONG_S)
+    assert store.apply(zone_back(), "op").is_ok()
+    assert fleet.wait_for_revision(restored.revision + 1, LONG_S)
