--- a/gooseberryquay/postings/claim_log.py
+++ b/gooseberryquay/postings/claim_log.py
@@ -150,7 +150,8 @@
         for each in batch:
             key = each.record.key
             if self._is_over_bound(each.record, len(states)):
-                self._finish(each, Err(KeysFull("no more untimed keys can be kept")))
+                if self._confirmed_at_s >= each.queued_at_s:
+                    self._finish(each, Err(KeysFull("no more untimed keys can be kept")))
                 continue
             state = states.get(key, self._copy.index.state(key))
             states[key] = next_state(state, each.record)
--- a/gooseberryquay/postings/posting_desk.py
+++ b/gooseberryquay/postings/posting_desk.py
@@ -155,7 +155,7 @@
         match failure:
             case KeysFull():
                 message = "too many keys without a creation time are kept; send UUIDv7 keys"
-                return UntimedKeysFull(message, Ran.NO, RETRY_AFTER_S)
+                return UntimedKeysFull(message, self._ran_before(posting, at), RETRY_AFTER_S)
             case AppendUncertain():
                 self._backlog.add(at, Released(key=at.key, token=token))
         message = f"the claim cannot be recorded now: {failure.message}"
--- a/gooseberryquay/postings/tests/test_posting_desk.py
+++ b/gooseberryquay/postings/tests/test_posting_desk.py
@@ -182,11 +182,13 @@
 
 
 def test_untimed_keys_are_bounded_and_kept(service):
-    with Fleet(1, untimed_keys_max=3, shard_count=1) as fleet:
+    with Fleet(2, untimed_keys_max=3, shard_count=1) as fleet:
         assert all(run(fleet.desks[0], service, f"key-{n}").is_ok() for n in range(3))
         full = run(fleet.desks[0], service, "key-3").unwrap_err()
         assert isinstance(full, UntimedKeysFull) and full.ran is Ran.NO
         assert run(fleet.desks[0], service, "key-0").is_ok()
+        fleet.isolate_views()
+        assert all(run(fleet.desks[1], service, f"key-{n}").is_ok() for n in range(3))
     assert service.runs == {f"key-{n}": 1 for n in range(3)}
 
 
