Take the layout of the claim logs from the platform

Cause: shard count, bucket, horizon and skew decide where a key's claim is looked for; an entry started with other settings would have looked in another log and run the key twice. The first entry stores its layout, the others take that one. PostingDesk.start() learns it and deletes expired logs; entry.py calls it.

--- a/gooseberryquay/daemons/entry.py
+++ b/gooseberryquay/daemons/entry.py
@@ -22,7 +22,7 @@
 from gooseberryquay.links.service_link import ServiceLink
 from gooseberryquay.links.suspect_guard import SuspectGuard
 from gooseberryquay.links.upstream_links import UpstreamLinks
-from gooseberryquay.postings import ClaimSweeper, PostingDesk
+from gooseberryquay.postings import PostingDesk
 
 __all__ = ["Entry", "EntryStatus"]
 
@@ -53,9 +53,6 @@
         self._desk = PostingDesk(
             self._cluster.platform, self._cluster.membership, settings.postings
         )
-        self._sweeper = ClaimSweeper(
-            self._cluster.platform, self._cluster.membership, settings.postings
-        )
         self._in_flight = InFlight()
         self._state = DrainableState(self._cluster.is_configured)
         self._reporting = Reporting(settings, self._cluster, self._gauges)
@@ -128,7 +125,7 @@
         self._control_server.start()
         self._cluster.start()
         self._dispatching.start()
-        self._sweeper.start()
+        self._desk.start()
         self._reporting.start()
         self._caller_server.start()
 
@@ -142,7 +139,6 @@
         self._in_flight.wait_until_none(self._limits.drain_timeout_s)
         self._desk.close(RECORDS_TIMEOUT_S)
         self._reporting.stop()
-        self._sweeper.stop()
         self._dispatching.stop()
         self._caller_server.stop()
         self._cluster.stop()
--- a/gooseberryquay/postings/__init__.py
+++ b/gooseberryquay/postings/__init__.py
@@ -1,8 +1,7 @@
 """Run operations at most once that must never be repeated."""
 
 from gooseberryquay.contracts.posting_settings import PostingSettings
-from gooseberryquay.postings.claim_sweeper import ClaimSweeper
 from gooseberryquay.postings.posting import Posting
 from gooseberryquay.postings.posting_desk import PostingDesk
 
-__all__ = ["ClaimSweeper", "Posting", "PostingDesk", "PostingSettings"]
+__all__ = ["Posting", "PostingDesk", "PostingSettings"]
--- a/gooseberryquay/postings/claim_sweeper.py
+++ b/gooseberryquay/postings/claim_sweeper.py
@@ -10,6 +10,7 @@
 from gooseberryquay.links.platform_link import PlatformLink
 from gooseberryquay.links.platform_messages import StoredObject
 from gooseberryquay.machines.peer import Peers
+from gooseberryquay.postings.claim_layout import SharedLayout
 from gooseberryquay.postings.owned_claims import choose_owner
 from gooseberryquay.postings.posting import timed_log
 from gooseberryquay.postings.records import LogObject
@@ -18,6 +19,7 @@
 
 FIRST_LOOK_BACK_S = 2 * 3600
 PAUSE_BETWEEN_LOGS_S = 0.02
+SWEEP_INTERVAL_S = 60.0
 SKEW_MARGINS = 2
 
 
@@ -31,18 +33,18 @@
         self,
         platform: PlatformLink,
         peers: Peers,
-        settings: PostingSettings,
+        layout: SharedLayout,
         pause_s: float = PAUSE_BETWEEN_LOGS_S,
     ) -> None:
         self._platform = platform
         self._peers = peers
-        self._settings = settings
+        self._layout = layout
         self._pause_s = pause_s
         self._stopped = threading.Event()
         self._next_bucket: dict[int, int] = {}
 
     def start(self) -> None:
-        """Sweep in the background, once a bucket."""
+        """Sweep in the background."""
         threading.Thread(target=self._run, daemon=True).start()
 
     def stop(self) -> None:
@@ -51,21 +53,24 @@
 
     def sweep(self, now_s: float) -> int:
         """Delete what has expired by a wall clock time and give the number of objects."""
+        settings = self._layout.wait(time.monotonic())
+        if settings is None:
+            return 0
         deleted = 0
         live = self._peers.live()
-        for shard in range(self._settings.shard_count):
+        for shard in range(settings.shard_count):
             owner = choose_owner(shard, live)
             if owner is not None and owner.id == self._peers.myself().id:
-                deleted += self._sweep_shard(shard, now_s)
+                deleted += self._sweep_shard(shard, now_s, settings)
         return deleted
 
     def _run(self) -> None:
-        while not self._stopped.wait(self._settings.bucket_s):
+        while not self._stopped.wait(SWEEP_INTERVAL_S):
             self.sweep(time.time())
 
-    def _sweep_shard(self, shard: int, now_s: float) -> int:
-        bucket_s = self._settings.bucket_s
-        kept_s = self._settings.horizon_s + SKEW_MARGINS * self._settings.clock_skew_s
+    def _sweep_shard(self, shard: int, now_s: float, settings: PostingSettings) -> int:
+        bucket_s = settings.bucket_s
+        kept_s = settings.horizon_s + SKEW_MARGINS * settings.clock_skew_s
         end = int((now_s - kept_s) // bucket_s)
         first = self._next_bucket.get(shard, end - FIRST_LOOK_BACK_S // bucket_s)
         deleted = 0
--- a/gooseberryquay/postings/posting_desk.py
+++ b/gooseberryquay/postings/posting_desk.py
@@ -33,6 +33,8 @@
 from gooseberryquay.machines.peer import Peers
 from gooseberryquay.postings.backlog import Backlog
 from gooseberryquay.postings.claim_index import KeyPhase, KeyState
+from gooseberryquay.postings.claim_layout import SharedLayout
+from gooseberryquay.postings.claim_sweeper import ClaimSweeper
 from gooseberryquay.postings.claims import AppendFailure, AppendUncertain, Claims, KeysFull
 from gooseberryquay.postings.owned_claims import OwnedClaims
 from gooseberryquay.postings.posting import KeyLocation, Posting, locate
@@ -60,6 +62,8 @@
         claims: Claims | None = None,
     ) -> None:
         self._settings = settings or PostingSettings()
+        self._layout = SharedLayout(platform, self._settings)
+        self._sweeper = ClaimSweeper(platform, peers, self._layout)
         self._claims = claims or OwnedClaims(platform, peers, self._settings)
         self._backlog = Backlog(self._claims, self._settings.backlog_max)
         self._memory = RunMemory(self._settings.witness_keys_max, self._settings.clock_skew_s)
@@ -73,6 +77,11 @@
         self._claims.add_routes(router)
         self._witness.add_routes(router)
 
+    def start(self) -> None:
+        """Learn the shared layout and delete expired logs in the background."""
+        self._layout.start()
+        self._sweeper.start()
+
     def has_unfinished(self) -> bool:
         """Tell whether a posting, an append or a late record is under way."""
         with self._lock:
@@ -81,6 +90,7 @@
 
     def close(self, timeout_s: float) -> bool:
         """Wait for late records and for appends; False where the time is over first."""
+        self._sweeper.stop()
         deadline_at_s = time.monotonic() + timeout_s
         self._backlog.wait_until_empty(timeout_s)
         while self.has_unfinished() and time.monotonic() < deadline_at_s:
@@ -101,9 +111,13 @@
                 self._running_count -= 1
 
     def _run_once(self, posting: Posting, dispatch: Dispatch) -> Result[Answered, Failure]:
-        if failure := self._check_age(posting):
+        settings = self._layout.wait(self._claim_deadline_s(posting))
+        if settings is None:
+            at = locate(posting, self._settings)
+            return Err(self._refuse_for_platform(posting, at, "the claim layout is not known"))
+        if failure := _check_age(posting, settings):
             return Err(failure)
-        at = locate(posting, self._settings)
+        at = locate(posting, settings)
         known = self._claims.known_state(at)
         if known.phase is KeyPhase.ANSWERED:
             return self._answer_repeat(posting, known)
@@ -128,25 +142,17 @@
             case Ok(state):
                 return self._answer_repeat(posting, state)
 
-    def _check_age(self, posting: Posting) -> Failure | None:
-        created_at_s = posting.created_at_s()
-        if created_at_s is None:
-            return None
-        age_s = time.time() - created_at_s
-        if age_s > self._settings.horizon_s - self._settings.clock_skew_s:
-            return RequestTooOld("records of keys as old as this are not kept", Ran.MAYBE)
-        if age_s < -self._settings.clock_skew_s:
-            return RequestTooOld("the key's creation time lies in the future", Ran.MAYBE)
-        return None
-
     def _claim(
         self, posting: Posting, at: KeyLocation, token: ClaimToken
     ) -> Result[KeyState, AppendFailure]:
         claimed = Claimed(
             key=at.key, token=token, fingerprint=posting.fingerprint(), at_s=int(time.time())
         )
+        return self._claims.append(at, claimed, self._claim_deadline_s(posting))
+
+    def _claim_deadline_s(self, posting: Posting) -> float:
         latest_s = time.monotonic() + self._settings.claim_timeout_s
-        return self._claims.append(at, claimed, min(latest_s, posting.deadline_at_s))
+        return min(latest_s, posting.deadline_at_s)
 
     def _refuse_unclaimed(
         self, posting: Posting, at: KeyLocation, token: ClaimToken, failure: AppendFailure
@@ -158,7 +164,10 @@
                 return UntimedKeysFull(message, self._ran_before(posting, at), RETRY_AFTER_S)
             case AppendUncertain():
                 self._backlog.add(at, Released(key=at.key, token=token))
-        message = f"the claim cannot be recorded now: {failure.message}"
+        return self._refuse_for_platform(posting, at, failure.message)
+
+    def _refuse_for_platform(self, posting: Posting, at: KeyLocation, reason: str) -> Failure:
+        message = f"the claim cannot be recorded now: {reason}"
         return PlatformUnavailable(message, self._ran_before(posting, at), RETRY_AFTER_S)
 
     def _ran_before(self, posting: Posting, at: KeyLocation) -> Ran:
@@ -211,7 +220,8 @@
         """Check again what may have changed while this thread waited or was paused."""
         if time.monotonic() >= posting.deadline_at_s:
             return DeadlineUnreachable("the deadline passed before it could be sent", Ran.NO)
-        return self._check_age(posting)
+        settings = self._layout.wait(time.monotonic()) or self._settings
+        return _check_age(posting, settings)
 
     def _dispatch(self, token: ClaimToken, dispatch: Dispatch) -> DispatchOutcome:
         try:
@@ -239,3 +249,15 @@
         content_type=answer.content_type[:CONTENT_TYPE_LENGTH_MAX],
         body=answer.body,
     )
+
+
+def _check_age(posting: Posting, settings: PostingSettings) -> Failure | None:
+    created_at_s = posting.created_at_s()
+    if created_at_s is None:
+        return None
+    age_s = time.time() - created_at_s
+    if age_s > settings.horizon_s - settings.clock_skew_s:
+        return RequestTooOld("records of keys as old as this are not kept", Ran.MAYBE)
+    if age_s < -settings.clock_skew_s:
+        return RequestTooOld("the key's creation time lies in the future", Ran.MAYBE)
+    return None
--- a/gooseberryquay/postings/tests/test_posting_desk.py
+++ b/gooseberryquay/postings/tests/test_posting_desk.py
@@ -24,6 +24,7 @@
     PausedAfterClaim,
     build_key,
     build_posting,
+    build_settings,
 )
 
 SHORT_S = 0.3
@@ -75,6 +76,7 @@
         key = build_key()
         fleet.isolate_views()
         first = fleet.links[0]
+        assert run(fleet.desks[0], service, build_key()).is_ok()
         first.is_holding_next_write = True
         refusal = run(fleet.desks[0], service, key, timeout_s=SHORT_S).unwrap_err()
         assert isinstance(refusal, PlatformUnavailable) and refusal.ran is Ran.NO
@@ -262,3 +264,13 @@
             fleet.desks[1], service, build_key(), timeout_s=SHORT_S, is_first_attempt=True
         ).unwrap_err()
         assert first.ran is Ran.NO
+
+
+def test_entry_with_other_settings_finds_the_claims_of_the_rest(service):
+    key = build_key()
+    with Fleet(2, shard_count=4, bucket_s=60) as fleet:
+        assert run(fleet.desks[0], service, key).is_ok()
+        other = build_settings(shard_count=8, bucket_s=30)
+        changed = PostingDesk(fleet.links[1], fleet.peers[1], other)
+        assert run(changed, service, key).unwrap().body == b'{"run": 1}'
+    assert service.runs[key] == 1
--- a/gooseberryquay/standins/posting_fleet/node.py
+++ b/gooseberryquay/standins/posting_fleet/node.py
@@ -131,6 +131,7 @@
 
     def start(self) -> None:
         """Serve in the background."""
+        self._desk.start()
         self._server.start()
 
     def stop(self) -> None:
