--- /dev/null
+++ b/gooseberryquay/postings/posting_answer.py
@@ -0,0 +1,56 @@
+"""What a posting is answered by its age and by what the log says of its key."""
+
+import time
+
+from result import Err, Ok, Result
+
+from gooseberryquay.contracts.posting_settings import PostingSettings
+from gooseberryquay.errors import (
+    AnswerNotKept,
+    Failure,
+    IdempotencyKeyReused,
+    Ran,
+    RequestTooOld,
+    UnknownOutcome,
+)
+from gooseberryquay.postings.claim_index import KeyPhase, KeyState
+from gooseberryquay.postings.posting import Posting
+from gooseberryquay.postings.records import Answered
+
+__all__ = ["answer_repeat", "check_age"]
+
+RETRY_AFTER_S = 1.0
+
+
+def answer_repeat(posting: Posting, state: KeyState, running_s: float) -> Result[Answered, Failure]:
+    """Answer a request whose key an earlier one holds; a claim may run for `running_s`."""
+    if state.fingerprint != posting.fingerprint():
+        return Err(IdempotencyKeyReused("the key was used with a different body", Ran.NO))
+    match state:
+        case KeyState(phase=KeyPhase.ANSWERED, answer=Answered(is_kept=True) as answer):
+            return Ok(answer)
+        case KeyState(phase=KeyPhase.ANSWERED):
+            return Err(AnswerNotKept("it ran and its answer was not kept", Ran.YES))
+        case KeyState(phase=KeyPhase.CLAIMED) if _may_be_running(state, running_s):
+            message = "an earlier request with this key is under way"
+            return Err(UnknownOutcome(message, Ran.MAYBE, RETRY_AFTER_S))
+        case _:
+            message = "an earlier request with this key may have run; its answer is lost"
+            return Err(UnknownOutcome(message, Ran.MAYBE))
+
+
+def _may_be_running(state: KeyState, running_s: float) -> bool:
+    return time.time() - state.claimed_at_s < running_s
+
+
+def check_age(posting: Posting, settings: PostingSettings) -> Failure | None:
+    """Refuse keys whose records may be deleted, and keys from the future."""
+    created_at_s = posting.created_at_s()
+    if created_at_s is None:
+        return None
+    age_s = time.time() - created_at_s
+    if age_s > settings.horizon_s - settings.clock_skew_s:
+        return RequestTooOld("records of keys as old as this are not kept", Ran.MAYBE)
+    if age_s < -settings.clock_skew_s:
+        return RequestTooOld("the key's creation time lies in the future", Ran.MAYBE)
+    return None
--- a/gooseberryquay/postings/posting_desk.py
+++ b/gooseberryquay/postings/posting_desk.py
@@ -9,14 +9,11 @@
 
 from gooseberryquay.contracts.posting_settings import PostingSettings
 from gooseberryquay.errors import (
-    AnswerNotKept,
     DeadlineUnreachable,
     Failure,
-    IdempotencyKeyReused,
     Overloaded,
     PlatformUnavailable,
     Ran,
-    RequestTooOld,
     UnknownOutcome,
     UntimedKeysFull,
 )
@@ -38,6 +35,7 @@
 from gooseberryquay.postings.claims import AppendFailure, AppendUncertain, Claims, KeysFull
 from gooseberryquay.postings.owned_claims import OwnedClaims
 from gooseberryquay.postings.posting import KeyLocation, Posting, locate
+from gooseberryquay.postings.posting_answer import answer_repeat, check_age
 from gooseberryquay.postings.records import Answered, Claimed, ClaimRecord, OutcomeLost, Released
 from gooseberryquay.postings.run_memory import RunMemory
 from gooseberryquay.postings.run_witness import RunWitness
@@ -117,12 +115,12 @@
         if settings is None:
             at = locate(posting, self._settings)
             return Err(self._refuse_for_platform(posting, at, "the claim layout is not known"))
-        if failure := _check_age(posting, settings):
+        if failure := check_age(posting, settings):
             return Err(failure)
         at = locate(posting, settings)
         known = self._claims.known_state(at)
         if known.phase is KeyPhase.ANSWERED:
-            return self._answer_repeat(posting, known)
+            return answer_repeat(posting, known, settings.running_s)
         self._memory.observe(self._peers.live())
         self._memory.begin(at.key)
         try:
@@ -142,7 +140,7 @@
             case Ok(state) if state.phase is KeyPhase.FREE:
                 return Err(PlatformUnavailable("the claim was made void", Ran.NO, RETRY_AFTER_S))
             case Ok(state):
-                return self._answer_repeat(posting, state)
+                return answer_repeat(posting, state, self._settings.running_s)
 
     def _claim(
         self, posting: Posting, at: KeyLocation, token: ClaimToken
@@ -178,24 +176,6 @@
             return Ran.NO
         return self._witness.ran_before(at, posting.created_at_s())
 
-    def _answer_repeat(self, posting: Posting, state: KeyState) -> Result[Answered, Failure]:
-        if state.fingerprint != posting.fingerprint():
-            return Err(IdempotencyKeyReused("the key was used with a different body", Ran.NO))
-        match state:
-            case KeyState(phase=KeyPhase.ANSWERED, answer=Answered(is_kept=True) as answer):
-                return Ok(answer)
-            case KeyState(phase=KeyPhase.ANSWERED):
-                return Err(AnswerNotKept("it ran and its answer was not kept", Ran.YES))
-            case KeyState(phase=KeyPhase.CLAIMED) if self._may_be_running(state):
-                message = "an earlier request with this key is under way"
-                return Err(UnknownOutcome(message, Ran.MAYBE, RETRY_AFTER_S))
-            case _:
-                message = "an earlier request with this key may have run; its answer is lost"
-                return Err(UnknownOutcome(message, Ran.MAYBE))
-
-    def _may_be_running(self, state: KeyState) -> bool:
-        return time.time() - state.claimed_at_s < self._settings.running_s
-
     def _run_claimed(
         self, posting: Posting, at: KeyLocation, token: ClaimToken, dispatch: Dispatch
     ) -> Result[Answered, Failure]:
@@ -223,7 +203,7 @@
         if time.monotonic() >= posting.deadline_at_s:
             return DeadlineUnreachable("the deadline passed before it could be sent", Ran.NO)
         settings = self._layout.wait(time.monotonic()) or self._settings
-        return _check_age(posting, settings)
+        return check_age(posting, settings)
 
     def _dispatch(self, token: ClaimToken, dispatch: Dispatch) -> DispatchOutcome:
         try:
@@ -251,15 +231,3 @@
         content_type=answer.content_type[:CONTENT_TYPE_LENGTH_MAX],
         body=answer.body,
     )
-
-
-def _check_age(posting: Posting, settings: PostingSettings) -> Failure | None:
-    created_at_s = posting.created_at_s()
-    if created_at_s is None:
-        return None
-    age_s = time.time() - created_at_s
-    if age_s > settings.horizon_s - settings.clock_skew_s:
-        return RequestTooOld("records of keys as old as this are not kept", Ran.MAYBE)
-    if age_s < -settings.clock_skew_s:
-        return RequestTooOld("the key's creation time lies in the future", Ran.MAYBE)
-    return None
