--- a/gooseberryquay/standins/posting_fleet/fleet.py
+++ b/gooseberryquay/standins/posting_fleet/fleet.py
@@ -54,7 +54,7 @@
         settings: PostingSettings | None = None,
         dispatch_delay_s: float = 0.0,
     ) -> None:
-        ports = tuple(find_free_port() for _ in platform_ports)
+        ports = _find_free_ports(len(platform_ports))
         self._options = [
             NodeOptions(
                 number=number,
@@ -126,5 +126,12 @@
                 return Ok(PostingReply.model_validate_json(reply.body))
 
 
+def _find_free_ports(count: int) -> tuple[int, ...]:
+    ports: set[int] = set()
+    while len(ports) < count:
+        ports.add(find_free_port())
+    return tuple(ports)
+
+
 def _process(options: NodeOptions) -> CommandProcess:
     return CommandProcess("standin", "posting_node", "--options", options.model_dump_json())
