--- a/gooseberryquay/zones/configuration_spread.py
+++ b/gooseberryquay/zones/configuration_spread.py
@@ -119,8 +119,9 @@
             pushed = reached
 
     def _push(self, slot: int, after: Revision) -> None:
-        others = self._others()
-        self._chooser.shuffle(others)
+        others = sorted(self._others(), key=lambda each: each.id)
+        # All slots shuffle alike, so that no two of them choose the same peer.
+        random.Random(f"{self._peers.myself().id}/{after}").shuffle(others)
         for peer in others[slot :: self._timing.fan_out][:PUSH_ATTEMPTS]:
             if self._push_to(peer, after):
                 return
