--- a/gooseberryquay/cli.py
+++ b/gooseberryquay/cli.py
@@ -11,6 +11,7 @@
 from gooseberryquay.machines.fenced_order_commands import OrderCommands
 from gooseberryquay.reports.commands import run_burn
 from gooseberryquay.standins.commands import StandInCommands
+from gooseberryquay.standins.experiments.commands import ExperimentCommands
 from gooseberryquay.standins.load.command import run_load
 from gooseberryquay.standins.member_commands import MemberCommands
 from gooseberryquay.zones.commands import ConfigCommands, UpstreamCommands, ZoneCommands
@@ -27,6 +28,7 @@
         self.upstream = UpstreamCommands()
         self.zone = ZoneCommands()
         self.burn = run_burn
+        self.experiment = ExperimentCommands()
         self.load = run_load
         self.members = MemberCommands()
         self.order = OrderCommands()
--- /dev/null
+++ b/gooseberryquay/standins/experiments/commands.py
@@ -0,0 +1,41 @@
+"""Commands of the experiments with whole fleets."""
+
+from gooseberryquay.standins.experiments.rule_experiment import RuleExperiment, describe_summary
+from gooseberryquay.standins.experiments.zone_experiment import ZoneExperiment
+
+__all__ = ["ExperimentCommands"]
+
+ALL_RULES = "round_robin,least_in_flight,power_of_two,expected_memory"
+
+
+def _split(names: object) -> list[str]:
+    parts = names.split(",") if isinstance(names, str) else list(names)  # type: ignore[call-overload]
+    return [str(part) for part in parts]
+
+
+class ExperimentCommands:
+    """Measure a fleet of today's size on this machine."""
+
+    def rules(
+        self,
+        load: float = 0.9,
+        seeds: int = 1,
+        duration_s: float = 30.0,
+        report_lag_s: float = 1.0,
+        rules: str = ALL_RULES,
+    ) -> None:
+        """Print the brief's measures of each rule of upstream choice for each seed."""
+        experiment = RuleExperiment(load, duration_s, report_lag_s)
+        for seed in range(1, seeds + 1):
+            for summary in experiment.run(_split(rules), seed):
+                print(describe_summary(summary), flush=True)
+
+    def zone(self, load: float = 0.7, seeds: int = 1, duration_s: float = 45.0) -> None:
+        """Take a zone out and back under load and print what callers and engines saw."""
+        for seed in range(1, seeds + 1):
+            result = ZoneExperiment(load, duration_s).run(seed)
+            print(describe_summary(result.summary))
+            print(f"  arrivals in the zone from 3 s after it went out: {result.arrivals_while_out}")
+            print(f"  arrivals in the zone after its return: {result.arrivals_after_return}")
+            print(f"  longest gap between tokens: {result.summary.token_gap.max_ms:.0f} ms")
+            print(f"  refusals: {result.summary.refusals}  failures: {result.summary.failures}")
--- a/gooseberryquay/standins/fleet_plan.py
+++ b/gooseberryquay/standins/fleet_plan.py
@@ -35,6 +35,7 @@
     upstream_options: Mapping[str, object] = field(default_factory=dict)
     model_options: Mapping[str, object] = field(default_factory=dict)
     limits: Mapping[str, object] = field(default_factory=dict)
+    choice: Mapping[str, object] = field(default_factory=dict)
     has_proxies: bool = False
 
     def engine_names(self) -> list[str]:
@@ -83,6 +84,7 @@
         *(_section(f"workspace:{each}", {"weight": 1}) for each in plan.workspaces),
         _section("platform", {"address": addresses.seen["platform"]}),
         _section("limits", plan.limits),
+        _section("choice", plan.choice),
     ]
     for service, names in _upstream_names(plan).items():
         for name in names:
