--- a/gooseberryquay/cli.py
+++ b/gooseberryquay/cli.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from gooseberryquay.contracts import load_settings
+from gooseberryquay.contracts.settings_reference import write_settings_reference
 from gooseberryquay.daemons.commands import run_entry
 from gooseberryquay.daemons.demo import run_demo
 from gooseberryquay.machines.fenced_order_commands import OrderCommands
@@ -41,6 +42,10 @@
         """Run stand-ins and two entries in this process, with one request of each kind."""
         run_demo()
 
+    def settings(self) -> None:
+        """Print the reference of every setting."""
+        print(write_settings_reference(), end="")
+
     def check(self, base: str, overlay: str | None = None) -> None:
         """Check settings and print every problem; the exit status is 1 if there is one."""
         match load_settings(base, overlay):
--- a/gooseberryquay/contracts/settings_file.py
+++ b/gooseberryquay/contracts/settings_file.py
@@ -28,16 +28,16 @@
 from gooseberryquay.contracts.upstream import UpstreamDeclaration
 from gooseberryquay.contracts.workspace import Workspace
 
-__all__ = ["load_settings", "parse_settings"]
+__all__ = ["NAMED_SECTIONS", "SINGLE_SECTIONS", "load_settings", "parse_settings"]
 
-_NAMED_SECTIONS: Mapping[str, type[Model]] = {
+NAMED_SECTIONS: Mapping[str, type[Model]] = {
     "service": Service,
     "site": Site,
     "workspace": Workspace,
     "upstream": UpstreamDeclaration,
     "entry": EntrySettings,
 }
-_SINGLE_SECTIONS: Mapping[str, type[Model]] = {
+SINGLE_SECTIONS: Mapping[str, type[Model]] = {
     "site": SiteSettings,
     "platform": PlatformSettings,
     "statsd": StatsdSettings,
@@ -151,9 +151,9 @@
 
 def _check_section(reading: _Reading, section: str, keys: dict[str, str]) -> Model | None:
     kind, separator, name = section.partition(":")
-    model_type = (_NAMED_SECTIONS if separator else _SINGLE_SECTIONS).get(kind)
+    model_type = (NAMED_SECTIONS if separator else SINGLE_SECTIONS).get(kind)
     if model_type is None:
-        allowed = [f"{each}:NAME" for each in _NAMED_SECTIONS] + list(_SINGLE_SECTIONS)
+        allowed = [f"{each}:NAME" for each in NAMED_SECTIONS] + list(SINGLE_SECTIONS)
         reading.report(section, "", "", f"unknown section; allowed: {', '.join(allowed)}")
         return None
     values: dict[str, Any] = dict(keys)
@@ -225,6 +225,6 @@
         workspaces={model.id: model for _, model in _models_of(models, Workspace)},
         upstreams={model.id: model for _, model in _models_of(models, UpstreamDeclaration)},
     )
-    singles = {name: models[name] for name in _SINGLE_SECTIONS if name in models}
+    singles = {name: models[name] for name in SINGLE_SECTIONS if name in models}
     entries = {model.id: model for _, model in _models_of(models, EntrySettings)}
     return Settings.model_validate({"declaration": declaration, "entries": entries, **singles})
