Leave unready entries out, and tell duplicate postings from repeated lookups in load runs

Cause: a trial with faults showed 9 duplicate runs, all of lookups, which may repeat, while one key run by two services would not have shown; and 29 calls refused by a leaving entry that a balancer would have left out. Runs are now joined by idempotency key over all services, and the tool follows /readyz.

--- a/gooseberryquay/standins/load/run.py
+++ b/gooseberryquay/standins/load/run.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from gooseberryquay.standins.load.arrivals import Arrival, LoadPlan, plan_arrivals
+from gooseberryquay.standins.load.balancer import Balancer
 from gooseberryquay.standins.load.model_call import ModelCall
 from gooseberryquay.standins.load.plain_call import PlainCall
 from gooseberryquay.standins.load.run_clock import RunClock
@@ -86,7 +87,9 @@
         return summary
 
     def _drive(self, variant: Variant, tally: Tally, arrivals: list[Arrival]) -> None:
-        sender = Sender(variant.entries, self._options.idle_timeout_s)
+        balancer = Balancer(variant.entries, self._options.health_poll_s)
+        balancer.start(self._clock.is_stopped)
+        sender = Sender(balancer, self._options.idle_timeout_s)
         for arrival in arrivals:
             time.sleep(max(0.0, arrival.at_s - self.elapsed_s()))
             tally.arrived(arrival)
--- a/gooseberryquay/standins/load/summary.py
+++ b/gooseberryquay/standins/load/summary.py
@@ -68,7 +68,10 @@
 
 
 class UpstreamSummary(BaseModel):
-    """Sum what the upstream stand-ins counted during the run."""
+    """Sum what the upstream stand-ins counted during the run.
+
+    A duplicate run is one beyond the first of a generation, or of an idempotency key anywhere.
+    """
 
     runs: int = 0
     duplicate_runs: int = 0
--- a/gooseberryquay/standins/load/variant.py
+++ b/gooseberryquay/standins/load/variant.py
@@ -35,12 +35,14 @@
 class LoadOptions:
     """Set what the tool itself does; gaps over `late_gap_s` are shown second by second.
 
+    Entries whose health check fails get no calls; `health_poll_s` 0 switches the checks off.
     The run ends `drain_s` after the last arrival even where calls are still open.
     """
 
     stall_gap_s: float = TOKEN_GAP_S * STALL_GAPS
     late_gap_s: float = TOKEN_GAP_S
     idle_timeout_s: float = 15.0
+    health_poll_s: float = 0.5
     drain_s: float = 60.0
     open_calls_max: int = 800
     shows_progress: bool = False
--- a/gooseberryquay/standins/service.py
+++ b/gooseberryquay/standins/service.py
@@ -131,10 +131,13 @@
 
     def _run(self, request: Request) -> OperationAnswer:
         request_id = request.headers.get("x-request-id", "")
-        key = request.headers.get("idempotency-key") or request_id
+        idempotency_key = request.headers.get("idempotency-key")
+        key = idempotency_key or request_id
         with self._lock:
             run = self._counts.runs.get(key, 0) + 1
             self._counts.runs[key] = run
+            if idempotency_key:
+                self._counts.keyed_runs[key] = run
         return OperationAnswer(
             request_id=request_id,
             operation=request.path_values["operation"],
--- a/gooseberryquay/standins/service_messages.py
+++ b/gooseberryquay/standins/service_messages.py
@@ -30,9 +30,14 @@
 
 
 class ServiceCounts(BaseModel):
-    """Count what one plain service stand-in did since its start."""
+    """Count what one plain service stand-in did since its start.
+
+    `runs` is by idempotency key, or by request id where there is none; `keyed_runs` has only the
+    former, which must never run twice.
+    """
 
     runs: dict[str, int] = Field(default_factory=dict)
+    keyed_runs: dict[str, int] = Field(default_factory=dict)
     arrivals: int = 0
     refused: int = 0
     peak_in_flight: int = 0
--- a/gooseberryquay/standins/tests/test_service.py
+++ b/gooseberryquay/standins/tests/test_service.py
@@ -41,6 +41,7 @@
     assert (first["request_id"], first["reference"]) == ("r1", "ref-r1")
     _send(service, "r3")
     assert service.counts().runs == {"k1": 2, "r3": 1}
+    assert service.counts().keyed_runs == {"k1": 2}
 
 
 def test_crossed_answer_names_another_request(service):
