--- a/gooseberryquay/zones/configuration_held.py
+++ b/gooseberryquay/zones/configuration_held.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections.abc import Sequence
+from dataclasses import dataclass
 from enum import Enum
 
 from gooseberryquay.ids import Revision
@@ -10,9 +11,17 @@
 from gooseberryquay.zones.configuration_change import AcceptedChange
 from gooseberryquay.zones.configuration_document import changes_between
 
-__all__ = ["Adoption", "HeldConfiguration", "NEVER_CONFIRMED_S", "NO_REVISION"]
+__all__ = [
+    "Adoption",
+    "HeldConfiguration",
+    "NEVER_CONFIRMED_S",
+    "NO_REVISION",
+    "NO_VERSION",
+    "Offer",
+]
 
 NO_REVISION = Revision(0)
+NO_VERSION = 0
 NEVER_CONFIRMED_S = 1e9
 KEPT_CHANGES = 256
 
@@ -25,6 +34,18 @@
     GAP = "gap"
 
 
+@dataclass(frozen=True)
+class Offer:
+    """Hold the held revision, its object's version, and the changes up to it.
+
+    The version is 0 where it is not known; `changes` is None where some are not kept.
+    """
+
+    revision: Revision
+    version: int
+    changes: tuple[AcceptedChange, ...] | None
+
+
 class HeldConfiguration:
     """Hold the newest revision known here and when it was last confirmed."""
 
@@ -32,6 +53,7 @@
         self._changed = threading.Condition()
         self._configuration: Configuration | None = None
         self._changes: tuple[AcceptedChange, ...] = ()
+        self._version = NO_VERSION
         self._confirmed_at_s = time.monotonic() - NEVER_CONFIRMED_S
 
     def current(self) -> Configuration | None:
@@ -43,18 +65,22 @@
         held = self._configuration
         return held.revision if held else NO_REVISION
 
-    def adopt(self, configuration: Configuration) -> Adoption:
-        """Take a whole configuration if it is newer."""
+    def adopt(self, configuration: Configuration, version: int = NO_VERSION) -> Adoption:
+        """Take a whole configuration if it is newer, with its object's version if known."""
         with self._changed:
             if configuration.revision <= self.revision():
                 return Adoption.KNOWN
             self._configuration = configuration
             self._changes = ()
+            self._version = version
             self._changed.notify_all()
             return Adoption.NEWER
 
-    def apply(self, changes: Sequence[AcceptedChange]) -> Adoption:
-        """Take the changes that follow the held revision, if there is no gap before them."""
+    def apply(self, changes: Sequence[AcceptedChange], version: int = NO_VERSION) -> Adoption:
+        """Take the changes that follow the held revision, if there is no gap before them.
+
+        The version is that of the object at the last of the changes, if known.
+        """
         with self._changed:
             held = self._configuration
             if held is None:
@@ -68,14 +94,16 @@
             for accepted in newer:
                 held = held.after(accepted)
             self._configuration = held
+            self._version = version
             self._changes = (*self._changes, *newer)[-KEPT_CHANGES:]
             self._changed.notify_all()
             return Adoption.NEWER
 
-    def changes_after(self, revision: Revision) -> tuple[AcceptedChange, ...] | None:
-        """Give the changes from a revision to the held one, or None where some are not kept."""
+    def offer_after(self, revision: Revision) -> Offer:
+        """Give what leads from a revision to the held one."""
         with self._changed:
-            return changes_between(self._changes, revision, self.revision())
+            held = self.revision()
+            return Offer(held, self._version, changes_between(self._changes, revision, held))
 
     def confirm(self, revision: Revision, age_s: float) -> None:
         """Record that the platform had a revision as its newest some seconds ago.
--- a/gooseberryquay/zones/configuration_messages.py
+++ b/gooseberryquay/zones/configuration_messages.py
@@ -38,6 +38,7 @@
 
     sender: Peer
     revision: Revision
+    version: int
     changes: tuple[AcceptedChange, ...]
 
 
@@ -49,9 +50,13 @@
 
 
 class PullReply(Model):
-    """Give the changes after a revision, or the whole configuration."""
+    """Give the changes after a revision, or the whole configuration.
+
+    `version` is that of the platform's object at this revision, 0 where it is not known.
+    """
 
     revision: Revision
+    version: int
     confirmed_age_s: float
     changes: tuple[AcceptedChange, ...] = ()
     configuration: Configuration | None = None
--- a/gooseberryquay/zones/configuration_spread.py
+++ b/gooseberryquay/zones/configuration_spread.py
@@ -15,7 +15,7 @@
 from gooseberryquay.links.http_client import Reply
 from gooseberryquay.links.http_server import Request, Response, Router
 from gooseberryquay.machines.peer import Peer, Peers
-from gooseberryquay.zones.configuration_held import HeldConfiguration
+from gooseberryquay.zones.configuration_held import NO_VERSION, HeldConfiguration
 from gooseberryquay.zones.configuration_messages import (
     CHANGES_PATH,
     PULL_PATH,
@@ -126,10 +126,12 @@
                 return
 
     def _push_to(self, peer: Peer, after: Revision) -> bool:
+        offer = self._held.offer_after(after)
         message = PushChanges(
             sender=self._peers.myself(),
-            changes=self._held.changes_after(after) or (),
-            revision=self._held.revision(),
+            changes=offer.changes or (),
+            revision=offer.revision,
+            version=offer.version,
         )
         sent_at_s = time.monotonic()
         match self._peers.send(peer, CHANGES_PATH, message, self._timing.peer_timeout_s):
@@ -168,8 +170,8 @@
 
     def _take_in(self, reply: PullReply, round_trip_s: float) -> None:
         if reply.configuration is not None:
-            self._held.adopt(reply.configuration)
-        self._held.apply(reply.changes)
+            self._held.adopt(reply.configuration, reply.version)
+        self._held.apply(reply.changes, reply.version)
         self._held.confirm(reply.revision, reply.confirmed_age_s + round_trip_s)
         if reply.members:
             self._reachability.see_members(reply.members)
@@ -178,7 +180,7 @@
         message = _parse(PushChanges, request.body)
         if message is None:
             return Response(status=400, body=b"{}")
-        self._held.apply(message.changes)
+        self._held.apply(message.changes, message.version)
         self.hear_of(message.sender, message.revision, None)
         return Response.of(self._revision_reply())
 
@@ -188,13 +190,15 @@
             return Response(status=400, body=b"{}")
         members = self._reachability.members() if message.wants_members else ()
         age_s = self._held.confirmed_age_s()
-        held = self._held.current()
-        changes = self._held.changes_after(message.after_revision)
+        offer = self._held.offer_after(message.after_revision)
+        held = self._held.current() if offer.changes is None else None
+        is_same = held is None or held.revision == offer.revision
         reply = PullReply(
-            revision=self._held.revision(),
+            revision=offer.revision,
+            version=offer.version if is_same else NO_VERSION,
             confirmed_age_s=age_s,
-            changes=changes or (),
-            configuration=held if changes is None else None,
+            changes=offer.changes or (),
+            configuration=held,
             members=members,
         )
         return Response.of(reply)
--- a/gooseberryquay/zones/configuration_watch.py
+++ b/gooseberryquay/zones/configuration_watch.py
@@ -12,7 +12,7 @@
 from gooseberryquay.links.platform_messages import StoredObject
 from gooseberryquay.machines.peer import Peers
 from gooseberryquay.zones.configuration_document import CURRENT_KEY, ConfigurationDocument
-from gooseberryquay.zones.configuration_held import NO_REVISION, HeldConfiguration
+from gooseberryquay.zones.configuration_held import NO_REVISION, NO_VERSION, HeldConfiguration
 from gooseberryquay.zones.configuration_spread import ConfigurationSpread
 from gooseberryquay.zones.configuration_store import ConfigurationStore, parse_document
 from gooseberryquay.zones.keeper_timing import KeeperTiming
@@ -21,7 +21,6 @@
 
 __all__ = ["ConfigurationWatch"]
 
-NO_VERSION = 0
 MAX_IDLE_WAIT_S = 0.25
 MIN_RETRY_WAIT_S = 0.25
 MAX_RETRY_WAIT_S = 2.0
@@ -104,6 +103,7 @@
         self._due_age_s = self._timing.freshness_bound_s / 2 * factor
 
     def _ask(self, timeout_s: float) -> None:
+        self._take_version_from_peers()
         asked_at_s = time.monotonic()
         is_first = self._version == NO_VERSION
         answer = self._read(timeout_s)
@@ -124,6 +124,12 @@
         self._retry_wait_s = MIN_RETRY_WAIT_S
         self._choose_due_age()
 
+    def _take_version_from_peers(self) -> None:
+        known = self._held.offer_after(self._held.revision())
+        if known.version > self._version:
+            self._version = known.version
+            self._seen_revision = known.revision
+
     def _read(self, timeout_s: float) -> Result[StoredObject | None, ReadFailure]:
         if self._version == NO_VERSION:
             return self._link.read(CURRENT_KEY)
@@ -143,6 +149,7 @@
     def _confirm_unchanged(self, answered_after_s: float) -> None:
         self._reachability.mark(is_unreachable=False)
         self._held.confirm(self._seen_revision, time.monotonic() - answered_after_s)
+        self._is_settled.set()
 
     def _take_in(self, stored: StoredObject, asked_at_s: float) -> None:
         self._reachability.mark(is_unreachable=False)
@@ -155,7 +162,7 @@
             _log.info("the answer has revision %s, older than the one held", document.revision)
             self._wait_before_retry()
             return
-        if not self._adopt(document):
+        if not self._adopt(document, stored.version):
             self._wait_before_retry()
             return
         self._version = max(self._version, stored.version)
@@ -163,14 +170,14 @@
         self._held.confirm(document.revision, time.monotonic() - asked_at_s)
         self._is_settled.set()
 
-    def _adopt(self, document: ConfigurationDocument) -> bool:
+    def _adopt(self, document: ConfigurationDocument, version: int) -> bool:
         changes = document.changes_after(self._held.revision())
         if changes is not None and self._held.current() is not None:
-            self._held.apply(changes)
+            self._held.apply(changes, version)
             return True
         match self._store.complete(document):
             case Ok(configuration):
-                self._held.adopt(configuration)
+                self._held.adopt(configuration, version)
                 return True
             case Err(failure):
                 _log.info("snapshot could not be read: %s", failure)
--- a/gooseberryquay/zones/tests/test_configuration_keeper.py
+++ b/gooseberryquay/zones/tests/test_configuration_keeper.py
@@ -72,6 +72,26 @@
         fleet.stop()
 
 
+def test_own_checks_after_a_pushed_change_do_not_read_the_object_again(platform, store):
+    timing = KeeperTiming(freshness_bound_s=1.0, watch_timeout_s=0.3)
+    fleet = KeeperFleet(Address(HOST, platform.port), make_declaration(), timing, 3600.0)
+    try:
+        fleet.add(*EIGHT)
+        assert fleet.wait_for(fleet.is_fresh, LONG_S)
+        assert store.apply(zone_out(), "op").is_ok()
+        assert fleet.wait_for_revision(2, LONG_S)
+        object_bytes = len(store.read().unwrap().document.model_dump_json())
+        before = platform.counts()
+        assert fleet.wait_for(
+            lambda: platform.counts().calls(CallKind.WATCH) > before.calls(CallKind.WATCH) + 50,
+            LONG_S,
+        )
+        read_bytes = platform.counts().body_bytes(CallKind.WATCH)
+        assert read_bytes - before.body_bytes(CallKind.WATCH) <= 2 * object_bytes
+    finally:
+        fleet.stop()
+
+
 @pytest.mark.parametrize(
     ("fan_out", "heartbeat_interval_s"), [(3, 3600.0), (0, 0.1)], ids=["push", "pull"]
 )
@@ -121,7 +141,7 @@
     assert fleet.wait_for(lambda: not cut.keeper.is_fresh(), LONG_S)
     client = HttpClient(HOST, cut.port)
     sender = other.peers.myself()
-    push = PushChanges(sender=sender, revision=other.keeper.revision(), changes=())
+    push = PushChanges(sender=sender, revision=other.keeper.revision(), version=0, changes=())
     assert client.send("POST", CHANGES_PATH, push.model_dump_json().encode()).is_ok()
     exchange = OutageExchange(
         revision=other.keeper.revision(),
