Test that an entry which was paused judges nobody before it caught up

Switching the recovery off was not caught before, because the order of records alone gave the result of the test with processes; the new test failed with it off.

--- a/gooseberryquay/machines/tests/test_membership.py
+++ b/gooseberryquay/machines/tests/test_membership.py
@@ -8,6 +8,7 @@
 from gooseberryquay.links.platform_messages import InstanceState
 from gooseberryquay.machines.member_changes import ChangeQueue
 from gooseberryquay.machines.member_messages import HeartbeatExtras, MemberList
+from gooseberryquay.machines.member_pause import PauseGuard
 from gooseberryquay.machines.tests.member_builders import FAST, wait_until
 from gooseberryquay.standins.process import find_free_port
 
@@ -109,6 +110,16 @@
     )
 
 
+def test_entry_that_finds_it_was_paused_removes_nobody(fleet, monkeypatch):
+    members = _add_many(fleet, 3)
+    monkeypatch.setattr(PauseGuard, "tick", lambda _guard: True)
+    members[2].stop()
+    time.sleep(4 * FAST.suspicion_s)
+    assert all("entry-2" in member.names() for member in members[:2])
+    monkeypatch.undo()
+    wait_until(lambda: all("entry-2" not in member.names() for member in members[:2]))
+
+
 def test_age_is_believed_from_answers_only(fleet):
     heard = {"entry-0": [], "entry-1": []}
     extras = HeartbeatExtras(revision=Revision(7), confirmed_age_s=3.0)
