Void the count of unslotted work as soon as a warm spell is seen

Cause: a holder noted a warm spell only once its slots were unused. When the engine was cold again before that, the record's old count stood, and a request sent in the warm spell wasn't counted: cap exceeded in the new test. Slots held through the spell were also used again at once. The spell is now noted when it is seen, slots held through it are released before any new count, and no slot is used while the report shows the cap in flight.

--- a/gooseberryquay/machines/cold_admission.py
+++ b/gooseberryquay/machines/cold_admission.py
@@ -4,11 +4,11 @@
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from gooseberryquay.contracts.upstream import UpstreamDeclaration
-from gooseberryquay.ids import ServiceId, UpstreamId
+from gooseberryquay.ids import UpstreamId
 from gooseberryquay.machines.cold_holding import ColdHolding
+from gooseberryquay.machines.cold_links import ColdAdmissionLinks
 from gooseberryquay.machines.cold_pause import PauseWatch
 from gooseberryquay.machines.cold_record import SlotHolder
 from gooseberryquay.machines.cold_store import SlotFailure, SlotGranted, SlotStore, SlotUnsure
@@ -26,18 +26,6 @@
 RETRY_MAX_S = 5.0
 
 
-@dataclass(frozen=True)
-class ColdAdmissionLinks:
-    """Name what cold admission asks of the rest of the entry.
-
-    `fresh_report` asks the upstream now; `entry_count` gives the live entries.
-    """
-
-    fresh_report: Callable[[UpstreamDeclaration], LoadReport | None]
-    entry_count: Callable[[], int]
-    capacity_changed: Callable[[ServiceId], None]
-
-
 class ColdAdmission:
     """Hold slots of cold upstreams and hand them to the dispatcher.
 
@@ -138,7 +126,7 @@
             self._do_round()
             self._stopped.wait(ROUND_S)
         for holding in self._copy_holdings():
-            self._release(holding, holding.free(time.monotonic()))
+            self._release(holding, holding.unused(time.monotonic()))
 
     def _copy_holdings(self) -> list[ColdHolding]:
         with self._lock:
@@ -159,8 +147,11 @@
             if not holding.is_validated or holding.unsure_version is not None:
                 self._validate(holding)
             elif not is_cold:
-                self._release(holding, holding.free(now_s))
+                self._note_warm(holding, upstream)
+                self._release(holding, holding.unused(now_s))
                 self._forget_unused(holding, upstream)
+            elif holding.has_noted_warm and holding.unused(now_s) > 0:
+                self._release(holding, holding.unused(now_s))
             elif holding.is_wanted and self._may_want_more(holding, now_s):
                 assert upstream is not None
                 self._acquire(holding, upstream)
@@ -197,7 +188,7 @@
 
     def _release(self, holding: ColdHolding, count: int) -> None:
         with self._lock:
-            count = min(count, holding.free(time.monotonic()))
+            count = min(count, holding.unused(time.monotonic()))
             if count <= 0:
                 return
             holding.held -= count
@@ -219,6 +210,8 @@
             case SlotGranted(held=held):
                 with self._lock:
                     has_more = held > holding.held
+                    if has_more:
+                        holding.has_noted_warm = False
                     holding.held = held
                     holding.has_record = True
                     holding.is_validated = True
@@ -239,14 +232,20 @@
         backoff_s = min(RETRY_MAX_S, RETRY_MIN_S * 2.0 ** min(holding.failures, 8))
         holding.try_again_at_s = time.monotonic() + backoff_s * self._random.random()
 
+    def _note_warm(self, holding: ColdHolding, upstream: Upstream | None) -> None:
+        """Have unslotted work counted anew, since a warm upstream gets such work."""
+        if upstream is None or upstream.view is not UpstreamView.WARM:
+            return
+        if holding.has_noted_warm or not holding.has_record:
+            return
+        answer = self._store.unsettle(holding.upstream, self._myself())
+        self._take_answer(holding, answer)
+        holding.has_noted_warm = isinstance(answer, SlotGranted)
+
     def _forget_unused(self, holding: ColdHolding, upstream: Upstream | None) -> None:
-        if not holding.is_unused():
+        is_due_to_note = holding.has_record and not holding.has_noted_warm
+        if upstream is not None and is_due_to_note:
             return
-        if upstream is not None and upstream.view is UpstreamView.WARM and holding.has_record:
-            answer = self._store.unsettle(holding.upstream, self._myself())
-            self._take_answer(holding, answer)
-            if not isinstance(answer, SlotGranted):
-                return
         with self._lock:
             if holding.is_unused():
                 self._holdings.pop(holding.upstream.id, None)
--- a/gooseberryquay/machines/cold_holding.py
+++ b/gooseberryquay/machines/cold_holding.py
@@ -21,6 +21,7 @@
     is_wanted: bool = False
     is_validated: bool = True
     has_record: bool = False
+    has_noted_warm: bool = False
     unsure_version: int | None = None
     try_again_at_s: float = 0.0
     failures: int = 0
@@ -30,9 +31,13 @@
 
     def free(self, now_s: float) -> int:
         """Give the number of slots that may be used now."""
-        self._expire(now_s)
-        if not self.is_validated:
+        if not self.is_validated or self.has_noted_warm:
             return 0
+        return self.unused(now_s)
+
+    def unused(self, now_s: float) -> int:
+        """Give the number of slots with no request in flight or in doubt."""
+        self._expire(now_s)
         return self.held - len(self.started_at_s) - len(self.uncertain_ends_at_s)
 
     def take(self, now_s: float) -> bool:
--- a/gooseberryquay/machines/dispatch_gate.py
+++ b/gooseberryquay/machines/dispatch_gate.py
@@ -31,7 +31,10 @@
             case UpstreamView.WARM:
                 return self._is_open_warm(upstream)
             case UpstreamView.COLD | UpstreamView.UNKNOWN:
-                return self.slots.has_free(declaration)
+                has_free = self.slots.has_free(declaration)
+                return (
+                    has_free and upstream.expected_in_flight(1.0) < declaration.cold_in_flight_max
+                )
 
     def _is_open_warm(self, upstream: Upstream) -> bool:
         if upstream.is_slow_unreported(self.typical_gap_s, self.now_s):
--- a/gooseberryquay/machines/tests/test_cold_cap.py
+++ b/gooseberryquay/machines/tests/test_cold_cap.py
@@ -9,6 +9,7 @@
     load_until,
     start_entries,
 )
+from gooseberryquay.machines.work import Outcome
 
 
 @pytest.fixture
@@ -38,3 +39,28 @@
 
     load_until(entries, is_over)
     assert engine.exceeded == 0
+
+
+def test_work_sent_in_a_short_warm_spell_is_counted_when_the_engine_is_cold_again(platform):
+    engine = CountingEngine(2)
+    holder, sender, other = start_entries(3, platform, engine)
+    held, also_held = holder.wait_for_place(), other.wait_for_place()
+    engine.begin()
+    engine.begin()
+    engine.is_cold = False
+    for entry in (holder, sender, other):
+        entry.poll()
+    sent_warm = sender.place().unwrap()
+    engine.begin()
+    time.sleep(1.0)
+    engine.is_cold = True
+    for entry in (holder, sender, other):
+        entry.poll()
+    for each in (held, also_held):
+        engine.end()
+        each.finish(Outcome.FINISHED)
+    end_s = time.monotonic() + 1.8
+    load_until([holder, other], lambda: time.monotonic() > end_s)
+    assert engine.exceeded == 0
+    engine.end()
+    sent_warm.finish(Outcome.FINISHED)
