Split the service caller from its API; let drain tests outlast the server's own stop

Cause: with the wait for requests in flight switched off, the drain tests still passed: their streams ended within the five seconds that the HTTP server waits for its threads. Streams now take longer than that.

--- a/gooseberryquay/daemons/entry.py
+++ b/gooseberryquay/daemons/entry.py
@@ -18,7 +18,8 @@
 from gooseberryquay.links.http_server import HttpServer, Router
 from gooseberryquay.links.in_flight import InFlight
 from gooseberryquay.links.request_log import RequestLog
-from gooseberryquay.links.service_api import ServiceApi, ServiceCaller
+from gooseberryquay.links.service_api import ServiceApi
+from gooseberryquay.links.service_caller import ServiceCaller
 from gooseberryquay.links.service_link import ServiceLink
 from gooseberryquay.links.suspect_guard import SuspectGuard
 from gooseberryquay.links.upstream_links import UpstreamLinks
--- a/gooseberryquay/daemons/tests/builders.py
+++ b/gooseberryquay/daemons/tests/builders.py
@@ -1,6 +1,8 @@
 """Callers and fleets for the tests of whole entries."""
 
 import json
+import subprocess
+import sys
 import threading
 import time
 from dataclasses import dataclass, field
@@ -10,6 +12,8 @@
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.links.http_client import HttpClient
 from gooseberryquay.standins.fleet_plan import FleetPlan
+from gooseberryquay.standins.platform_control import PlatformControl
+from gooseberryquay.standins.platform_faults import PlatformFaults
 
 WORKSPACE = "clerks"
 MODEL = "yield-model"
@@ -150,3 +154,16 @@
     while not condition():
         assert time.monotonic() < deadline_s, "condition did not come true"
         time.sleep(0.02)
+
+
+def operate(fleet, *arguments):
+    """Run an operators' command against a fleet's platform."""
+    platform = f"--platform={fleet.addresses.own['platform']}"
+    command = [sys.executable, "-m", "gooseberryquay", *arguments, platform]
+    return subprocess.run(command, check=False, capture_output=True, timeout=60)
+
+
+def set_outage(fleet, outage):
+    """Let a fleet's platform fail, or work again."""
+    control = PlatformControl(fleet.addresses.own["platform"])
+    control.set_faults(PlatformFaults(outage=outage))
--- a/gooseberryquay/daemons/tests/test_two_faults.py
+++ b/gooseberryquay/daemons/tests/test_two_faults.py
@@ -1,8 +1,6 @@
 """Faults that meet: outages, kills, drains and orders at the same time."""
 
 import json
-import subprocess
-import sys
 
 import pytest
 
@@ -10,13 +8,14 @@
     POST_PATH,
     BackgroundStream,
     call,
+    operate,
+    set_outage,
     small_plan,
     stream,
     wait_until,
 )
 from gooseberryquay.standins.local_fleet import LocalFleet
-from gooseberryquay.standins.platform_control import PlatformControl
-from gooseberryquay.standins.platform_faults import Outage, PlatformFaults
+from gooseberryquay.standins.platform_faults import Outage
 
 UNAVAILABLE_STATUS = 3
 TOKENS = 120
@@ -28,23 +27,12 @@
         yield running
 
 
-def _operate(fleet, *arguments):
-    platform = f"--platform={fleet.addresses.own['platform']}"
-    command = [sys.executable, "-m", "gooseberryquay", *arguments, platform]
-    return subprocess.run(command, check=False, capture_output=True, timeout=60)
-
-
-def _set_outage(fleet, outage):
-    control = PlatformControl(fleet.addresses.own["platform"])
-    control.set_faults(PlatformFaults(outage=outage))
-
-
 def test_zone_order_in_a_platform_outage_is_refused_and_works_after_it(fleet):
-    _set_outage(fleet, Outage.REFUSE)
-    refused = _operate(fleet, "zone", "out", "zone-a")
+    set_outage(fleet, Outage.REFUSE)
+    refused = operate(fleet, "zone", "out", "zone-a")
     assert refused.returncode == UNAVAILABLE_STATUS
-    _set_outage(fleet, Outage.NONE)
-    assert _operate(fleet, "zone", "out", "zone-a").returncode == 0
+    set_outage(fleet, Outage.NONE)
+    assert operate(fleet, "zone", "out", "zone-a").returncode == 0
 
 
 def test_entry_killed_while_another_drains_loses_no_token(fleet):
@@ -61,7 +49,7 @@
 
 
 def test_engine_that_dies_in_a_platform_outage_leaves_the_others_serving(fleet):
-    _set_outage(fleet, Outage.DROP)
+    set_outage(fleet, Outage.DROP)
     fleet.kill("engine-1")
     wait_until(lambda: stream(fleet.entry_addresses()[0], 3).is_done)
     results = [stream(at, 3) for at in fleet.entry_addresses() * 5]
@@ -71,11 +59,11 @@
 def test_posting_whose_entry_dies_in_a_platform_outage_never_runs_twice(fleet):
     entries = fleet.entry_addresses()
     assert call(entries[0], POST_PATH, {"kg": 1}, "both").status == 200
-    _set_outage(fleet, Outage.DROP)
+    set_outage(fleet, Outage.DROP)
     fleet.kill("entry-1")
     again = call(entries[1], POST_PATH, {"kg": 1}, "both")
     assert again.status == 200 or again.error["ran"] != "no"
-    _set_outage(fleet, Outage.NONE)
+    set_outage(fleet, Outage.NONE)
     wait_until(lambda: call(entries[2], POST_PATH, {"kg": 1}, "both").status == 200)
     assert fleet.service_counts("service-1").runs["both"] == 1
 
@@ -89,6 +77,6 @@
     fleet.wait_until_ready(["entry-1"])
     base = tmp_path / "base.ini"
     base.write_text("[service:ledger-app]\nkind = plain\noperations = post-weights\n")
-    report = json.loads(_operate(fleet, "burn", f"--base={base}", "--json").stdout)
+    report = json.loads(operate(fleet, "burn", f"--base={base}", "--json").stdout)
     (row,) = [each for each in report["rows"] if each["promise"] == "answered"]
     assert row["windows"][-1]["due"] == len(fleet.entry_addresses())
--- a/gooseberryquay/daemons/tests/test_zones_and_drain.py
+++ b/gooseberryquay/daemons/tests/test_zones_and_drain.py
@@ -1,8 +1,6 @@
 """Planned stops cut nothing off; zones and upstreams that were taken out get no new work."""
 
 import signal
-import subprocess
-import sys
 import time
 
 import pytest
@@ -10,17 +8,20 @@
 from gooseberryquay.daemons.tests.builders import (
     BackgroundStream,
     call,
+    operate,
+    set_outage,
     small_plan,
     stream,
     wait_until,
 )
 from gooseberryquay.standins.engine_faults import Reclaim
 from gooseberryquay.standins.local_fleet import LocalFleet
-from gooseberryquay.standins.platform_control import PlatformControl
-from gooseberryquay.standins.platform_faults import Outage, PlatformFaults
+from gooseberryquay.standins.platform_faults import Outage
 
 NO_NEW_WORK_AFTER_S = 3.0
 IN_FORCE_S = 5.0
+# Longer than the HTTP server itself waits for its threads when it is stopped.
+LONG_STREAM_TOKENS = 600
 
 
 @pytest.fixture
@@ -29,12 +30,6 @@
         yield running
 
 
-def _operate(fleet, *arguments):
-    platform = f"--platform={fleet.addresses.own['platform']}"
-    command = [sys.executable, "-m", "gooseberryquay", *arguments, platform]
-    return subprocess.run(command, check=True, capture_output=True, timeout=30)
-
-
 def _revision(fleet, number):
     status = call(fleet.entry_addresses()[number], "/status", {}, method="GET")
     return status.body["revision"]
@@ -57,19 +52,19 @@
     running = [BackgroundStream(at, 150) for at in fleet.entry_addresses() * 3]
     for each in running:
         each.wait_for_tokens(2)
-    _operate(fleet, "zone", "out", "zone-a")
+    assert operate(fleet, "zone", "out", "zone-a").returncode == 0
     time.sleep(NO_NEW_WORK_AFTER_S)
     engines = _engines_of(fleet, "zone-a")
     before = _arrivals(fleet, engines)
     assert all(each.is_done for each in _send_to_all(fleet, 10))
     assert _arrivals(fleet, engines) == before
     assert all(each.join().is_done for each in running)
-    _operate(fleet, "zone", "back", "zone-a")
+    assert operate(fleet, "zone", "back", "zone-a").returncode == 0
     wait_until(lambda: _send_to_all(fleet, 2) and _arrivals(fleet, engines) > before)
 
 
 def test_drained_upstream_gets_no_new_work(fleet):
-    _operate(fleet, "upstream", "drain", "engine-1")
+    assert operate(fleet, "upstream", "drain", "engine-1").returncode == 0
     time.sleep(NO_NEW_WORK_AFTER_S)
     before = _arrivals(fleet, ["engine-1"])
     assert all(each.is_done for each in _send_to_all(fleet, 10))
@@ -85,7 +80,7 @@
 
 
 def test_sigterm_finishes_every_stream_and_exits_with_success(fleet):
-    running = [BackgroundStream(fleet.entry_addresses()[0], 200) for _ in range(10)]
+    running = [BackgroundStream(fleet.entry_addresses()[0], LONG_STREAM_TOKENS) for _ in range(10)]
     for each in running:
         each.wait_for_tokens(2)
     fleet.terminate("entry-1")
@@ -99,7 +94,7 @@
     results = []
     for name, at in fleet.addresses.entries.items():
         others = [each for each in fleet.entry_addresses() if each != at]
-        running = [BackgroundStream(each, 60) for each in (at, *others)]
+        running = [BackgroundStream(each, LONG_STREAM_TOKENS) for each in (at, *others)]
         for each in running:
             each.wait_for_tokens(1)
         fleet.terminate(name)
@@ -111,9 +106,9 @@
 
 
 def test_configuration_survives_a_restart_during_a_platform_outage(fleet):
-    _operate(fleet, "zone", "out", "zone-b")
+    assert operate(fleet, "zone", "out", "zone-b").returncode == 0
     wait_until(lambda: all(_revision(fleet, each) == 2 for each in range(3)), IN_FORCE_S)
-    PlatformControl(fleet.addresses.own["platform"]).set_faults(PlatformFaults(outage=Outage.DROP))
+    set_outage(fleet, Outage.DROP)
     fleet.process("entry-1").send_signal(signal.SIGKILL)
     fleet.process("entry-1").wait(10)
     fleet.start("entry-1")
--- a/gooseberryquay/links/service_api.py
+++ b/gooseberryquay/links/service_api.py
@@ -4,7 +4,7 @@
 import secrets
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
@@ -22,7 +22,6 @@
     OperationName,
     RequestId,
     ServiceId,
-    UpstreamId,
     WorkKind,
 )
 from gooseberryquay.links.caller_request import CallerContext
@@ -36,15 +35,14 @@
 from gooseberryquay.links.http_server import Request, Response
 from gooseberryquay.links.refusal import refuse
 from gooseberryquay.links.request_log import RequestLog, RequestRecord
-from gooseberryquay.links.service_link import ServiceCall, ServiceLink
-from gooseberryquay.machines.retry_budget import RetryBudget
-from gooseberryquay.machines.work import Dispatcher, Outcome, Work
+from gooseberryquay.links.service_caller import ServiceCaller
+from gooseberryquay.links.service_link import ServiceCall
+from gooseberryquay.machines.work import Work
 from gooseberryquay.postings import Posting, PostingDesk
 from gooseberryquay.zones.configuration import Configuration
 
-__all__ = ["ServiceApi", "ServiceCaller"]
+__all__ = ["ServiceApi"]
 
-MAX_ATTEMPTS = 4
 RETRY_AFTER_S = 1.0
 TOKEN_BYTES = 12
 KEY_PATTERN = re.compile(r"[\x21-\x7e]+")
@@ -73,61 +71,6 @@
         return self.context.deadline_at_s or default_s
 
 
-class ServiceCaller:
-    """Send one operation to an upstream of its service, again elsewhere where that is safe."""
-
-    def __init__(
-        self,
-        dispatcher: Dispatcher,
-        link_to: Callable[[UpstreamId], ServiceLink | None],
-        retries: RetryBudget,
-    ) -> None:
-        self._dispatcher = dispatcher
-        self._link_to = link_to
-        self._retries = retries
-
-    def send(self, work: Work, call: ServiceCall) -> DispatchOutcome:
-        """Try upstreams until one answers; stop where an operation may have run once."""
-        outcome: DispatchOutcome = NotSent(UpstreamFailed("no upstream was tried"))
-        self._retries.saw_request(work.service)
-        for attempt in range(MAX_ATTEMPTS):
-            match self._dispatcher.place(work):
-                case Err(failure):
-                    return outcome if isinstance(outcome, Undecided) else NotSent(failure)
-                case Ok(placement):
-                    pass
-            upstream = placement.upstream.id
-            ending = Outcome.CANCELLED
-            try:
-                outcome = self._send_to(upstream, call)
-                ending = _ending_of(outcome)
-            finally:
-                placement.finish(ending)
-            is_last = attempt + 1 == MAX_ATTEMPTS
-            if is_last or not self._may_send_again(work, call, outcome):
-                return outcome
-            time.sleep(self._retries.backoff_s(attempt + 1))
-            work = replace(work, excluded=work.excluded | {upstream})
-        return outcome
-
-    def _send_to(self, upstream: UpstreamId, call: ServiceCall) -> DispatchOutcome:
-        link = self._link_to(upstream)
-        if link is None:
-            return NotSent(UpstreamFailed("the upstream is no longer declared"))
-        return link.send(call)
-
-    def _may_send_again(self, work: Work, call: ServiceCall, outcome: DispatchOutcome) -> bool:
-        if time.monotonic() >= work.deadline_at_s:
-            return False
-        match outcome:
-            case AnsweredByUpstream():
-                return False
-            case Undecided() if call.repeat is Repeat.NEVER:
-                return False
-            case _:
-                return self._retries.may_retry(work.service)
-
-
 class ServiceApi:
     """Answer calls of plain services."""
 
@@ -253,16 +196,6 @@
     )
 
 
-def _ending_of(outcome: DispatchOutcome) -> Outcome:
-    match outcome:
-        case AnsweredByUpstream():
-            return Outcome.FINISHED
-        case RefusedByUpstream():
-            return Outcome.REFUSED
-        case NotSent() | Undecided():
-            return Outcome.BROKEN
-
-
 def _judge(outcome: DispatchOutcome) -> Result[AnsweredByUpstream, Failure]:
     match outcome:
         case AnsweredByUpstream() as answer:
--- /dev/null
+++ b/gooseberryquay/links/service_caller.py
@@ -0,0 +1,90 @@
+"""Send one operation to an upstream of its service, and elsewhere where that is safe."""
+
+import time
+from collections.abc import Callable
+from dataclasses import replace
+
+from result import Err, Ok
+
+from gooseberryquay.contracts.service import Repeat
+from gooseberryquay.errors import UpstreamFailed
+from gooseberryquay.ids import UpstreamId
+from gooseberryquay.links.dispatch_outcome import (
+    AnsweredByUpstream,
+    DispatchOutcome,
+    NotSent,
+    RefusedByUpstream,
+    Undecided,
+)
+from gooseberryquay.links.service_link import ServiceCall, ServiceLink
+from gooseberryquay.machines.retry_budget import RetryBudget
+from gooseberryquay.machines.work import Dispatcher, Outcome, Work
+
+__all__ = ["ServiceCaller"]
+
+MAX_ATTEMPTS = 4
+
+
+class ServiceCaller:
+    """Send one operation to an upstream of its service, again elsewhere where that is safe."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        link_to: Callable[[UpstreamId], ServiceLink | None],
+        retries: RetryBudget,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._link_to = link_to
+        self._retries = retries
+
+    def send(self, work: Work, call: ServiceCall) -> DispatchOutcome:
+        """Try upstreams until one answers; stop where an operation may have run once."""
+        outcome: DispatchOutcome = NotSent(UpstreamFailed("no upstream was tried"))
+        self._retries.saw_request(work.service)
+        for attempt in range(MAX_ATTEMPTS):
+            match self._dispatcher.place(work):
+                case Err(failure):
+                    return outcome if isinstance(outcome, Undecided) else NotSent(failure)
+                case Ok(placement):
+                    pass
+            upstream = placement.upstream.id
+            ending = Outcome.CANCELLED
+            try:
+                outcome = self._send_to(upstream, call)
+                ending = _ending_of(outcome)
+            finally:
+                placement.finish(ending)
+            is_last = attempt + 1 == MAX_ATTEMPTS
+            if is_last or not self._may_send_again(work, call, outcome):
+                return outcome
+            time.sleep(self._retries.backoff_s(attempt + 1))
+            work = replace(work, excluded=work.excluded | {upstream})
+        return outcome
+
+    def _send_to(self, upstream: UpstreamId, call: ServiceCall) -> DispatchOutcome:
+        link = self._link_to(upstream)
+        if link is None:
+            return NotSent(UpstreamFailed("the upstream is no longer declared"))
+        return link.send(call)
+
+    def _may_send_again(self, work: Work, call: ServiceCall, outcome: DispatchOutcome) -> bool:
+        if time.monotonic() >= work.deadline_at_s:
+            return False
+        match outcome:
+            case AnsweredByUpstream():
+                return False
+            case Undecided() if call.repeat is Repeat.NEVER:
+                return False
+            case _:
+                return self._retries.may_retry(work.service)
+
+
+def _ending_of(outcome: DispatchOutcome) -> Outcome:
+    match outcome:
+        case AnsweredByUpstream():
+            return Outcome.FINISHED
+        case RefusedByUpstream():
+            return Outcome.REFUSED
+        case NotSent() | Undecided():
+            return Outcome.BROKEN
