--- a/gooseberryquay/standins/batch.py
+++ b/gooseberryquay/standins/batch.py
@@ -65,6 +65,7 @@
         with self._changed:
             now_s = time.monotonic()
             self.counts.arrivals += 1
+            self.counts.arrivals_while_leaving += self.is_leaving
             if len(self.scheduler.waiting) >= self._settings.queue_max or self._is_stopped:
                 self.counts.refused += 1
                 return None
--- a/gooseberryquay/standins/engine_messages.py
+++ b/gooseberryquay/standins/engine_messages.py
@@ -41,6 +41,7 @@
 
     runs: dict[str, int] = Field(default_factory=dict)
     arrivals: int = 0
+    arrivals_while_leaving: int = 0
     refused: int = 0
     finished: int = 0
     cancelled: int = 0
--- a/gooseberryquay/standins/tests/test_engine.py
+++ b/gooseberryquay/standins/tests/test_engine.py
@@ -3,10 +3,10 @@
 import pytest
 from result import Ok
 
-from gooseberryquay.links.http_client import HttpClient
+from gooseberryquay.links.http_client import HttpClient, LinkTimeout
 from gooseberryquay.machines.load_report import UpstreamCondition, parse_load_report
 from gooseberryquay.standins.engine import EngineStandIn
-from gooseberryquay.standins.engine_faults import TurnCold, WrongGeneration
+from gooseberryquay.standins.engine_faults import Hang, Reclaim, TurnCold, WrongGeneration
 from gooseberryquay.standins.engine_settings import EngineSettings
 from gooseberryquay.standins.generation import token_text
 from gooseberryquay.standins.tests.builders import (
@@ -133,6 +133,38 @@
     assert engine.has_crashed.wait(10)
 
 
+def test_reclaimed_engine_is_leaving_and_then_dies(start_engine):
+    engine, client = start_engine()
+    engine.apply_fault(Reclaim(after_s=3.0))
+    stream = open_stream(client, "gen-1", 30_000)
+    report = parse_load_report(stream.headers["x-engine-load"])
+    assert report.condition is UpstreamCondition.LEAVING
+    assert engine.counts().arrivals_while_leaving == 1
+    assert engine.has_crashed.wait(10)
+    assert any(part.is_err() for part in parts_of(stream))
+
+
+def test_hanging_engine_goes_on_where_it_stopped(start_engine):
+    engine, client = start_engine()
+    stream = open_stream(client, "gen-1", 300)
+    engine.apply_fault(Hang(duration_s=3.0))
+    load = client.send("GET", "/load", read_timeout_s=0.2)
+    assert isinstance(load.unwrap_err(), LinkTimeout)
+    assert event_indexes(read_stream(stream), "gen-1") == list(range(300))
+
+
+@pytest.mark.parametrize("event_lag_s", [0.0, 3600.0])
+def test_cache_events_come_late_and_with_gaps(start_engine, event_lag_s):
+    settings = EngineSettings(event_lag_s=event_lag_s, event_drop_ratio=0.5)
+    engine, client = start_engine(settings)
+    read_stream(open_stream(client, "gen-1", 1, prompt="lot record " * 400))
+    reply = client.send("GET", "/events?after=0").unwrap()
+    numbers = [event["number"] for event in json.loads(reply.body)["events"]]
+    assert numbers == sorted(numbers)
+    assert len(numbers) < 4400 // 64
+    assert bool(numbers) == (event_lag_s == 0.0)
+
+
 def test_wrong_generation_fault_changes_the_event_id(start_engine):
     engine, client = start_engine()
     engine.apply_fault(WrongGeneration(tokens=1))
