--- a/gooseberryquay/machines/tests/test_membership_processes.py
+++ b/gooseberryquay/machines/tests/test_membership_processes.py
@@ -1,3 +1,4 @@
+import contextlib
 import signal
 
 import pytest
@@ -21,6 +22,9 @@
         arguments = ["--id", self.name, "--port", str(self.port), "--seed_ports", self.seed_port]
         return CommandProcess("members", "serve", *arguments, "--speed", "5").start()
 
+    def kill(self):
+        self.process.kill()
+
     def restart(self):
         self.process.kill()
         self.process = self._start()
@@ -34,12 +38,17 @@
 
 @pytest.fixture
 def members():
-    seed = MemberProcess("entry-0")
-    started = [seed, *(MemberProcess(f"entry-{number}", seed.port) for number in range(1, 4))]
-    wait_until(lambda: all(len(member.runs()) == 4 for member in started))
-    yield started
-    for member in started:
-        member.process.kill()
+    with contextlib.ExitStack() as ends:
+
+        def add(name, seed_port=""):
+            member = MemberProcess(name, seed_port)
+            ends.callback(member.kill)
+            return member
+
+        seed = add("entry-0")
+        started = [seed, *(add(f"entry-{number}", seed.port) for number in range(1, 4))]
+        wait_until(lambda: all(len(member.runs()) == 4 for member in started))
+        yield started
 
 
 def test_killed_member_is_removed_and_its_next_run_replaces_it(members):
