--- a/gooseberryquay/machines/tests/test_cold_cap.py
+++ b/gooseberryquay/machines/tests/test_cold_cap.py
@@ -3,11 +3,13 @@
 
 import pytest
 
+from gooseberryquay.machines.cold_record import AdmissionRecord
 from gooseberryquay.machines.tests.cold_builders import (
     CountingEngine,
     MemoryPlatform,
     load_until,
     start_entries,
+    wait_until,
 )
 from gooseberryquay.machines.work import Outcome
 
@@ -41,6 +43,10 @@
     assert engine.exceeded == 0
 
 
+def _read_record(platform):
+    return AdmissionRecord.model_validate_json(platform.objects["admission/engine-0"].value)
+
+
 def test_work_sent_in_a_short_warm_spell_is_counted_when_the_engine_is_cold_again(platform):
     engine = CountingEngine(2)
     holder, sender, other = start_entries(3, platform, engine)
@@ -52,7 +58,7 @@
         entry.poll()
     sent_warm = sender.place().unwrap()
     engine.begin()
-    time.sleep(1.0)
+    wait_until(lambda: not _read_record(platform).is_settled)
     engine.is_cold = True
     for entry in (holder, sender, other):
         entry.poll()
