--- a/gooseberryquay/links/engine_link.py
+++ b/gooseberryquay/links/engine_link.py
@@ -35,9 +35,14 @@
 
 
 class EngineLink:
-    """Open streams at one engine; safe for use by many threads."""
+    """Open streams at one engine; safe for use by many threads.
+
+    A kept connection may have gone silent together with the one that a stream was lost on, so a
+    resume never uses one, and leaves none to others.
+    """
 
     def __init__(self, declaration: UpstreamDeclaration) -> None:
+        self._address = declaration.address
         self._client = HttpClient(*declaration.address)
 
     def start(
@@ -60,7 +65,8 @@
     def resume(
         self, generation: GenerationId, from_index: int, idle_timeout_s: float
     ) -> Result[ReplyStream, OpenFailure]:
-        """Read the rest of a generation from an index on, over a new request."""
+        """Read the rest of a generation from an index on, over a new connection."""
+        self._replace_connections()
         path = f"/generations/{quote(generation, safe='')}?from={from_index}"
         return _check_status(self._client.open("GET", path, read_timeout_s=idle_timeout_s))
 
@@ -69,6 +75,10 @@
         path = f"/generations/{quote(generation, safe='')}"
         self._client.send("DELETE", path, read_timeout_s=CANCEL_TIMEOUT_S)
 
+    def _replace_connections(self) -> None:
+        former, self._client = self._client, HttpClient(*self._address)
+        former.close()
+
     def close(self) -> None:
         """Close all kept connections."""
         self._client.close()
