--- a/gooseberryquay/daemons/cluster.py
+++ b/gooseberryquay/daemons/cluster.py
@@ -19,6 +19,9 @@
 __all__ = ["Cluster"]
 
 MS_PER_S = 1000
+# A third of the keeper's freshness bound must hold a whole call.
+KEEPER_CONNECT_TIMEOUT_S = 0.3
+KEEPER_READ_TIMEOUT_S = 0.8
 NO_CONFIGURATION = Configuration(revision=Revision(0), declaration=Declaration())
 
 
@@ -34,7 +37,10 @@
             extras=self._tell,
             on_extras=self._hear,
         )
-        self.keeper = ConfigurationKeeper(self.membership, self.platform, settings.declaration)
+        keeper_link = PlatformLink(
+            platform.address, KEEPER_CONNECT_TIMEOUT_S, KEEPER_READ_TIMEOUT_S
+        )
+        self.keeper = ConfigurationKeeper(self.membership, keeper_link, settings.declaration)
         self.suspects = SuspectList(
             self.membership, self.platform, crash_count_max=settings.limits.crash_count_max
         )
--- a/gooseberryquay/standins/relay_cost/token_source.py
+++ b/gooseberryquay/standins/relay_cost/token_source.py
@@ -12,6 +12,9 @@
 ANSWER_HEAD = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
+LOAD_REQUEST = b"GET /load "
+LOAD_BODY = b'{"condition":"warm"}'
+LOAD_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(LOAD_BODY), LOAD_BODY)
 LAST_CHUNK = b"0\r\n\r\n"
 DONE_EVENT = b"data: [DONE]\n\n"
 TOKEN_DATA = b'data: {"id":"c","object":"text_completion","choices":[{"index":0,"text":"token "}]}'
@@ -79,7 +82,10 @@
         self._requests[connection] = request
         if _is_complete(request):
             self._requests[connection] = b""
-            self._start_stream(connection, request)
+            if request.startswith(LOAD_REQUEST):
+                connection.sendall(LOAD_ANSWER)
+            else:
+                self._start_stream(connection, request)
 
     def _start_stream(self, connection: socket.socket, request: bytes) -> None:
         connection.sendall(ANSWER_HEAD)
