--- a/gooseberryquay/daemons/tests/test_operations.py
+++ b/gooseberryquay/daemons/tests/test_operations.py
@@ -101,8 +101,9 @@
 def test_platform_outage_refuses_postings_truthfully_and_lookups_go_on(fleet, platform, outage):
     key = f"outage-{outage.value}"
     platform.set_faults(PlatformFaults(outage=outage))
-    refused = call(fleet.entry_addresses()[0], POST_PATH, {"kg": 5}, key)
-    assert refused.status == 503
+    first = {"X-Retry-Count": "0"}
+    refused = call(fleet.entry_addresses()[0], POST_PATH, {"kg": 5}, key, **first)
+    assert (refused.status, refused.error["ran"]) == (503, "no")
     assert _runs(fleet, key) == 0
     wait_until(lambda: call(fleet.entry_addresses()[1], FIND_PATH, {"lot": 5}).status == 200)
     platform.set_faults(PlatformFaults())
--- a/gooseberryquay/links/service_api.py
+++ b/gooseberryquay/links/service_api.py
@@ -58,6 +58,7 @@
     body: bytes
     content_type: str
     key: IdempotencyKey | None
+    is_first_attempt: bool
 
     @property
     def repeat(self) -> Repeat:
@@ -109,7 +110,8 @@
             return Err(failure)
         content_type = request.headers.get("content-type", "application/json")
         own_key = None if key is None else IdempotencyKey(key)
-        return Ok(_Call(context, service, operation, request.body, content_type, own_key))
+        is_first = request.headers.get("x-retry-count") == "0"
+        return Ok(_Call(context, service, operation, request.body, content_type, own_key, is_first))
 
     def _check_key(self, repeat: Repeat, key: str | None) -> Failure | None:
         if key is None:
@@ -156,6 +158,7 @@
             key=call.key,
             body=call.body,
             deadline_at_s=call.deadline_at_s,
+            is_first_attempt=call.is_first_attempt,
         )
 
         def dispatch(token: ClaimToken) -> DispatchOutcome:
