--- a/gooseberryquay/daemons/tests/test_two_faults.py
+++ b/gooseberryquay/daemons/tests/test_two_faults.py
@@ -35,6 +35,19 @@
     assert operate(fleet, "zone", "out", "zone-a").returncode == 0
 
 
+def test_leaving_entry_does_not_say_not_run_of_a_posting_that_ran(fleet):
+    entries = fleet.entry_addresses()
+    assert call(entries[1], POST_PATH, {"kg": 1}, "ran").status == 200
+    running = BackgroundStream(entries[0], 400).wait_for_tokens(1)
+    fleet.terminate("entry-1")
+    wait_until(lambda: call(entries[0], POST_PATH, {"kg": 1}, "ran").status == 503)
+    again = call(entries[0], POST_PATH, {"kg": 1}, "ran")
+    assert (again.error["type"], again.error["ran"]) == ("entry_leaving", "maybe")
+    first = call(entries[0], POST_PATH, {"kg": 2}, "new", **{"X-Retry-Count": "0"})
+    assert (first.error["type"], first.error["ran"]) == ("entry_leaving", "no")
+    assert running.join().is_done
+
+
 def test_entry_killed_while_another_drains_loses_no_token(fleet):
     entries = fleet.entry_addresses()
     drained = BackgroundStream(entries[0], TOKENS).wait_for_tokens(3)
--- a/gooseberryquay/links/caller_request.py
+++ b/gooseberryquay/links/caller_request.py
@@ -12,11 +12,12 @@
 from gooseberryquay.links.http_server import Request
 from gooseberryquay.zones.configuration import Configuration
 
-__all__ = ["CallerContext", "read_context", "request_id_of"]
+__all__ = ["CallerContext", "is_first_attempt", "read_context", "request_id_of"]
 
 REQUEST_ID_PATTERN = re.compile(r"[\x21-\x7e]{1,128}")
 KIND_PATTERN = re.compile(r"[A-Za-z0-9_.-]{1,64}")
 DEFAULT_KIND = WorkKind("default")
+FIRST_RETRY_COUNT = "0"
 MAX_DEADLINE_MS = 24 * 3600 * 1000
 RANDOM_BYTES = 12
 
@@ -40,6 +41,11 @@
     return RequestId(secrets.token_hex(RANDOM_BYTES))
 
 
+def is_first_attempt(request: Request) -> bool:
+    """Tell whether the caller says that it has not sent this request before."""
+    return request.headers.get("x-retry-count") == FIRST_RETRY_COUNT
+
+
 def read_context(
     request: Request, request_id: RequestId, configuration: Configuration
 ) -> Result[CallerContext, Failure]:
--- a/gooseberryquay/links/service_api.py
+++ b/gooseberryquay/links/service_api.py
@@ -24,7 +24,7 @@
     ServiceId,
     WorkKind,
 )
-from gooseberryquay.links.caller_request import CallerContext
+from gooseberryquay.links.caller_request import CallerContext, is_first_attempt
 from gooseberryquay.links.dispatch_outcome import (
     AnsweredByUpstream,
     DispatchOutcome,
@@ -110,7 +110,7 @@
             return Err(failure)
         content_type = request.headers.get("content-type", "application/json")
         own_key = None if key is None else IdempotencyKey(key)
-        is_first = request.headers.get("x-retry-count") == "0"
+        is_first = is_first_attempt(request)
         return Ok(_Call(context, service, operation, request.body, content_type, own_key, is_first))
 
     def _check_key(self, repeat: Repeat, key: str | None) -> Failure | None:
--- a/gooseberryquay/standins/posting_fleet/verdict.py
+++ b/gooseberryquay/standins/posting_fleet/verdict.py
@@ -35,6 +35,7 @@
     answers: Mapping[str, int] = field(default_factory=dict)
     final_answers: Mapping[str, int] = field(default_factory=dict)
     faults: Mapping[str, int] = field(default_factory=dict)
+    traces: tuple[str, ...] = ()
 
     def is_right(self) -> bool:
         """Tell whether nothing wrong was seen."""
@@ -46,7 +47,7 @@
             f"false_not_run={self.false_not_run} wrong_answers={self.wrong_answers} "
             f"never_ran={self.never_ran} refused_not_run={self.refused_not_run} "
             f"answers={dict(self.answers)} final={dict(self.final_answers)} "
-            f"faults={dict(self.faults)}"
+            f"faults={dict(self.faults)}" + "".join(f"\n  {trace}" for trace in self.traces)
         )
 
 
@@ -71,6 +72,11 @@
         answers=Counter(_kind(each) for each in attempts),
         final_answers=Counter(_kind(each) for each in final),
         faults=faults,
+        traces=tuple(
+            _trace(each, everything, run_times_s)
+            for each in everything
+            if _is_false_not_run(each, run_times_s)
+        ),
     )
 
 
@@ -98,6 +104,23 @@
     return _says_not_run(attempt) and run_before
 
 
+def _trace(
+    attempt: Attempt,
+    everything: Sequence[Attempt],
+    run_times_s: Mapping[IdempotencyKey, Sequence[float]],
+) -> str:
+    """Show all requests for the key of a false refusal, in seconds from its own sending."""
+    zero_s = attempt.sent_at_s
+    runs = [round(at_s - zero_s, 3) for at_s in run_times_s.get(attempt.key, ())]
+    told = [
+        f"{each.sent_at_s - zero_s:.3f}..{each.received_at_s - zero_s:.3f} {_kind(each)}"
+        f" ran={each.reply.ran if each.reply else None}"
+        for each in everything
+        if each.key == attempt.key
+    ]
+    return f"key {attempt.key} ran at {runs}: {'; '.join(told)}"
+
+
 def _is_wrong_answer(attempt: Attempt) -> bool:
     if attempt.reply is None or attempt.reply.failure is not None:
         return False
