--- a/gooseberryquay/cli.py
+++ b/gooseberryquay/cli.py
@@ -11,6 +11,7 @@
 from gooseberryquay.daemons.demo import run_demo
 from gooseberryquay.machines.fenced_order_commands import OrderCommands
 from gooseberryquay.reports.commands import run_burn
+from gooseberryquay.reports.status_command import run_status
 from gooseberryquay.standins.commands import StandInCommands
 from gooseberryquay.standins.experiments.commands import ExperimentCommands
 from gooseberryquay.standins.load.command import run_load
@@ -29,6 +30,7 @@
         self.upstream = UpstreamCommands()
         self.zone = ZoneCommands()
         self.burn = run_burn
+        self.status = run_status
         self.experiment = ExperimentCommands()
         self.load = run_load
         self.members = MemberCommands()
--- a/gooseberryquay/daemons/dispatching.py
+++ b/gooseberryquay/daemons/dispatching.py
@@ -13,6 +13,7 @@
 from gooseberryquay.machines.retry_budget import RetryBudget
 from gooseberryquay.machines.subset import SubsetRule
 from gooseberryquay.machines.upstream_table import UpstreamTable
+from gooseberryquay.reports.entry_status import UpstreamStatus
 
 __all__ = ["Dispatching"]
 
@@ -23,7 +24,7 @@
     def __init__(self, settings: Settings, cluster: Cluster) -> None:
         myself = cluster.membership.myself()
         subset = SubsetRule(myself.id, settings.choice.subset_size)
-        table = UpstreamTable(cluster.configuration, subset)
+        self._table = table = UpstreamTable(cluster.configuration, subset)
         self._cold = ColdAdmission(
             SlotStore(cluster.platform), lambda: _slot_holder(cluster), table
         )
@@ -49,6 +50,20 @@
         """Serve the other entries."""
         self._notices.add_routes(router)
 
+    def upstream_statuses(self) -> tuple[UpstreamStatus, ...]:
+        """Show how this entry sees each upstream that may get work."""
+        return tuple(
+            UpstreamStatus(
+                id=each.declaration.id,
+                service=each.declaration.service,
+                zone=each.declaration.zone,
+                view=each.view.value,
+                is_silent=each.is_silent,
+                own_in_flight=each.own_in_flight,
+            )
+            for each in self._table.all_usable()
+        )
+
     def start(self) -> None:
         """Start asking upstreams for their load."""
         self._notices.start()
--- a/gooseberryquay/daemons/entry.py
+++ b/gooseberryquay/daemons/entry.py
@@ -2,14 +2,11 @@
 
 import time
 
-from pydantic import BaseModel
-
 from gooseberryquay.contracts.settings import EntrySettings, PlatformSettings, Settings
 from gooseberryquay.daemons.cluster import Cluster
 from gooseberryquay.daemons.dispatching import Dispatching
 from gooseberryquay.daemons.entry_state import DrainableState
 from gooseberryquay.daemons.reporting import Reporting
-from gooseberryquay.ids import EntryId, Revision
 from gooseberryquay.links.caller_api import CallerApi
 from gooseberryquay.links.completion_api import CHAT_PATH, COMPLETION_PATH, CompletionApi
 from gooseberryquay.links.engine_link import EngineLink
@@ -24,25 +21,14 @@
 from gooseberryquay.links.suspect_guard import SuspectGuard
 from gooseberryquay.links.upstream_links import UpstreamLinks
 from gooseberryquay.postings import PostingDesk
+from gooseberryquay.reports.entry_status import EntryStatus
 
-__all__ = ["Entry", "EntryStatus"]
+__all__ = ["Entry"]
 
 SERVICE_PATH = "/services/{service}/{operation}"
 RECORDS_TIMEOUT_S = 60.0
 
 
-class EntryStatus(BaseModel):
-    """Show one entry's state to operators."""
-
-    entry: EntryId
-    revision: Revision
-    confirmed_age_s: float
-    is_leaving: bool
-    in_flight: int
-    queued: int
-    peers: tuple[EntryId, ...]
-
-
 class Entry:
     """Wire the parts of one entry, start them and drain them."""
 
@@ -113,6 +99,7 @@
             in_flight=self._in_flight.count,
             queued=self._dispatching.dispatcher.queued(),
             peers=tuple(sorted(each.id for each in self._cluster.membership.live())),
+            upstreams=self._dispatching.upstream_statuses(),
         )
 
     def _gauges(self) -> dict[str, float]:
--- a/gooseberryquay/daemons/tests/test_zones_and_drain.py
+++ b/gooseberryquay/daemons/tests/test_zones_and_drain.py
@@ -1,5 +1,6 @@
 """Planned stops cut nothing off; zones and upstreams that were taken out get no new work."""
 
+import json
 import signal
 import time
 
@@ -66,6 +67,10 @@
 def test_drained_upstream_gets_no_new_work(fleet):
     assert operate(fleet, "upstream", "drain", "engine-1").returncode == 0
     time.sleep(NO_NEW_WORK_AFTER_S)
+    status = json.loads(operate(fleet, "status", "--json").stdout)
+    assert len(status["entries"]) == len(fleet.entry_addresses())
+    for entry in status["entries"]:
+        assert "engine-1" not in {each["id"] for each in entry["upstreams"]}
     before = _arrivals(fleet, ["engine-1"])
     assert all(each.is_done for each in _send_to_all(fleet, 10))
     assert _arrivals(fleet, ["engine-1"]) == before
--- /dev/null
+++ b/gooseberryquay/reports/status_command.py
@@ -0,0 +1,80 @@
+"""The `status` command."""
+
+import sys
+
+from pydantic import BaseModel, TypeAdapter, ValidationError
+from result import Err, Ok
+
+from gooseberryquay.contracts.fields import Address, AddressField
+from gooseberryquay.links.http_client import HttpClient
+from gooseberryquay.links.platform_link import PlatformLink
+from gooseberryquay.links.platform_messages import InstanceEntry
+from gooseberryquay.reports.entry_status import EntryStatus
+
+__all__ = ["run_status"]
+
+STATUS_PATH = "/status"
+ENTRY_KIND = "entry"
+PLATFORM_STATUS = 3
+
+
+class FleetStatus(BaseModel):
+    """Hold what the listed entries answered."""
+
+    entries: tuple[EntryStatus, ...]
+    silent: tuple[str, ...]
+
+
+def run_status(platform: str, json: bool = False) -> None:
+    """Show every entry that the platform lists: revision, work and how it sees its upstreams.
+
+    Exit status 3: the platform cannot be reached.
+    """
+    address: Address = TypeAdapter(AddressField).validate_python(platform)
+    match PlatformLink(address).instances():
+        case Err(failure):
+            print(failure.message, file=sys.stderr)
+            sys.exit(PLATFORM_STATUS)
+        case Ok(instances):
+            status = _ask_all([each for each in instances if each.kind == ENTRY_KIND])
+    print(status.model_dump_json(indent=2) if json else _write_text(status))
+
+
+def _ask_all(instances: list[InstanceEntry]) -> FleetStatus:
+    answers = {each.id: _ask(each.address) for each in instances}
+    return FleetStatus(
+        entries=tuple(answer for answer in answers.values() if answer is not None),
+        silent=tuple(name for name, answer in answers.items() if answer is None),
+    )
+
+
+def _ask(address: Address) -> EntryStatus | None:
+    client = HttpClient(*address)
+    sent = client.send("GET", STATUS_PATH)
+    client.close()
+    match sent:
+        case Err(_):
+            return None
+        case Ok(reply):
+            try:
+                return EntryStatus.model_validate_json(reply.body)
+            except ValidationError:
+                return None
+
+
+def _write_text(status: FleetStatus) -> str:
+    lines = []
+    for entry in status.entries:
+        state = "leaving" if entry.is_leaving else "serving"
+        lines.append(
+            f"{entry.entry}: {state}, revision {entry.revision}"
+            f" (confirmed {entry.confirmed_age_s:.1f} s ago), {entry.in_flight} in flight,"
+            f" {entry.queued} queued, {len(entry.peers)} live entries"
+        )
+        lines += [
+            f"  {each.id} ({each.service}, {each.zone}): {each.view}"
+            f"{', silent' if each.is_silent else ''}, {each.own_in_flight} own in flight"
+            for each in entry.upstreams
+        ]
+    lines += [f"{name}: no answer" for name in status.silent]
+    return "\n".join(lines)
