Read addresses of the command line in one place

Cause: four commands parsed IP:PORT each in its own way, and two of them showed a traceback for a wrong one; now all end with a message and exit status 1.

--- a/gooseberryquay/contracts/fields.py
+++ b/gooseberryquay/contracts/fields.py
@@ -4,7 +4,7 @@
 
 from pydantic import BaseModel, BeforeValidator, ConfigDict, PlainSerializer
 
-__all__ = ["Address", "AddressField", "Model", "NameList"]
+__all__ = ["Address", "AddressField", "Model", "NameList", "parse_address"]
 
 MAX_PORT = 65535
 
@@ -25,20 +25,23 @@
         return f"{self.host}:{self.port}"
 
 
-def _parse_address(value: Any) -> Any:
-    if not isinstance(value, str):
-        return value
-    host, separator, port = value.rpartition(":")
-    if not separator or not port.isdigit() or int(port) > MAX_PORT:
+def parse_address(text: str) -> Address:
+    """Read `IP:PORT`; anything else is a `ValueError`."""
+    host, separator, port = text.rpartition(":")
+    if not host or not separator or not port.isdigit() or int(port) > MAX_PORT:
         raise ValueError("must be IP:PORT")
     return Address(host, int(port))
 
 
+def _parse_if_text(value: Any) -> Any:
+    return parse_address(value) if isinstance(value, str) else value
+
+
 def _split_names(value: Any) -> Any:
     if not isinstance(value, str):
         return value
     return tuple(name.strip() for name in value.split(",") if name.strip())
 
 
-AddressField = Annotated[Address, BeforeValidator(_parse_address), PlainSerializer(str)]
+AddressField = Annotated[Address, BeforeValidator(_parse_if_text), PlainSerializer(str)]
 NameList = Annotated[tuple[str, ...], BeforeValidator(_split_names)]
--- a/gooseberryquay/reports/commands.py
+++ b/gooseberryquay/reports/commands.py
@@ -2,10 +2,11 @@
 
 import sys
 
-from pydantic import TypeAdapter, ValidationError
+from pydantic import ValidationError
 from result import Err, Ok
 
-from gooseberryquay.contracts.fields import Address, AddressField
+from gooseberryquay.contracts.address_option import require_address
+from gooseberryquay.contracts.fields import Address
 from gooseberryquay.contracts.settings_file import load_settings
 from gooseberryquay.ids import EntryId
 from gooseberryquay.links.http_client import HttpClient
@@ -34,7 +35,7 @@
             print("\n".join(map(str, problems)), file=sys.stderr)
             sys.exit(BAD_SETTINGS_STATUS)
         case Ok(settings):
-            address: Address = TypeAdapter(AddressField).validate_python(platform)
+            address = require_address(platform)
             ledgers, missing = _gather(PlatformLink(address))
     report = build_burn_report(join_ledgers(ledgers), settings.declaration, missing)
     _show(report, json)
--- a/gooseberryquay/reports/status_command.py
+++ b/gooseberryquay/reports/status_command.py
@@ -2,10 +2,11 @@
 
 import sys
 
-from pydantic import BaseModel, TypeAdapter, ValidationError
+from pydantic import BaseModel, ValidationError
 from result import Err, Ok
 
-from gooseberryquay.contracts.fields import Address, AddressField
+from gooseberryquay.contracts.address_option import require_address
+from gooseberryquay.contracts.fields import Address
 from gooseberryquay.links.http_client import HttpClient
 from gooseberryquay.links.platform_link import PlatformLink
 from gooseberryquay.links.platform_messages import InstanceEntry
@@ -30,7 +31,7 @@
 
     Exit status 3: the platform cannot be reached.
     """
-    address: Address = TypeAdapter(AddressField).validate_python(platform)
+    address = require_address(platform)
     match PlatformLink(address).instances():
         case Err(failure):
             print(failure.message, file=sys.stderr)
--- a/gooseberryquay/standins/commands.py
+++ b/gooseberryquay/standins/commands.py
@@ -1,13 +1,11 @@
 """Commands that run the stand-ins, each as a process of its own."""
 
-import sys
 from pathlib import Path
 from typing import Any
 
-from pydantic import TypeAdapter, ValidationError
-
 from gooseberryquay.contracts import load_settings
-from gooseberryquay.contracts.fields import Address, AddressField
+from gooseberryquay.contracts.address_option import require_address
+from gooseberryquay.contracts.fields import Address
 from gooseberryquay.daemons.serving import serve_until_signal
 from gooseberryquay.ids import EntryId, Incarnation, ZoneId
 from gooseberryquay.machines.peer import Peer
@@ -51,7 +49,7 @@
         declaration = load_settings(base).unwrap().declaration
         path = Path(roster)
         serve_until_signal(
-            KeeperNode(name, _read_address(platform), declaration, lambda: _read_roster(path))
+            KeeperNode(name, require_address(platform), declaration, lambda: _read_roster(path))
         )
 
     def configuration_experiment(
@@ -90,7 +88,7 @@
         self, target: str, host: str = "127.0.0.1", port: int = 0, control_port: int = 0
     ) -> None:
         """Serve a TCP fault proxy; the control port is printed before the ready line."""
-        proxy = FaultProxy(_read_address(target), host, port)
+        proxy = FaultProxy(require_address(target), host, port)
         serve_until_signal(FaultProxyServer(proxy, host, control_port))
 
     def load_shard(self) -> None:
@@ -98,15 +96,6 @@
         run_shard()
 
 
-def _read_address(text: str) -> Address:
-    adapter: TypeAdapter[Address] = TypeAdapter(AddressField)
-    try:
-        return adapter.validate_python(text)
-    except ValidationError:
-        print(f"{text}: must be IP:PORT", file=sys.stderr)
-        sys.exit(1)
-
-
 def _read_roster(path: Path) -> tuple[Peer, ...]:
     if not path.exists():
         return ()
--- a/gooseberryquay/zones/commands.py
+++ b/gooseberryquay/zones/commands.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from gooseberryquay.contracts import load_settings
+from gooseberryquay.contracts.address_option import read_address
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.ids import Revision, UpstreamId, ZoneId
 from gooseberryquay.links.platform_link import PlatformLink
@@ -184,10 +185,10 @@
 
 
 def _address(text: str) -> Address:
-    host, _, port = str(text).rpartition(":")
-    if not host or not port.isdigit():
-        _reject(f"{text} must be IP:PORT")
-    return Address(host, int(port))
+    found = read_address(text)
+    if isinstance(found, Err):
+        _reject(str(found.err_value))
+    return found.ok_value
 
 
 def _reject(message: str) -> NoReturn:
