Don't count a caller that left against the service level

Cause: a caller that closed its stream was logged as internal_error and burned the budget of its workspace; it is logged as caller_left now and counts for nothing.

--- a/gooseberryquay/errors.py
+++ b/gooseberryquay/errors.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "AnswerNotKept",
+    "CallerLeft",
     "DeadlinePast",
     "DeadlineUnreachable",
     "EntryLeaving",
@@ -202,6 +203,13 @@
     status = 502
 
 
+class CallerLeft(Failure):
+    """Record that the caller closed its connection; nobody is answered with it."""
+
+    type = "caller_left"
+    status = 400
+
+
 class InternalError(Failure):
     """Report a fault of the entry itself."""
 
--- a/gooseberryquay/links/completion_api.py
+++ b/gooseberryquay/links/completion_api.py
@@ -6,7 +6,14 @@
 from result import Err, Ok, Result
 
 from gooseberryquay.contracts.service import Service, ServiceKind
-from gooseberryquay.errors import Failure, InternalError, Ran, UnknownModel, WrongWorkspace
+from gooseberryquay.errors import (
+    CallerLeft,
+    Failure,
+    InternalError,
+    Ran,
+    UnknownModel,
+    WrongWorkspace,
+)
 from gooseberryquay.ids import RequestId, ServiceId
 from gooseberryquay.links.caller_request import CallerContext
 from gooseberryquay.links.completion_request import (
@@ -20,6 +27,7 @@
 from gooseberryquay.links.http_server import Request, Response
 from gooseberryquay.links.refusal import error_event, refuse
 from gooseberryquay.links.request_log import RequestLog, RequestRecord
+from gooseberryquay.links.streaming_gateway import CallerGone
 from gooseberryquay.machines.work import Work
 from gooseberryquay.zones.configuration import Configuration
 
@@ -102,6 +110,9 @@
             failure = run().err()
             if failure is not None and sink.has_started:
                 sink.write(error_event(failure, context.request_id))
+        except CallerGone as gone:
+            failure = CallerLeft(str(gone), Ran.MAYBE)
+            raise
         finally:
             self._log.end(sink.record, failure)
         if failure is None or sink.has_started:
--- a/gooseberryquay/reports/tests/test_burn_report.py
+++ b/gooseberryquay/reports/tests/test_burn_report.py
@@ -2,7 +2,7 @@
 
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.contracts.settings import StatsdSettings
-from gooseberryquay.errors import InvalidRequest, Overloaded
+from gooseberryquay.errors import CallerLeft, InvalidRequest, Overloaded
 from gooseberryquay.ids import EntryId
 from gooseberryquay.links.platform_link import PlatformLink
 from gooseberryquay.reports.burn_report import build_burn_report
@@ -21,6 +21,7 @@
 
 def test_callers_own_mistake_is_not_counted():
     assert judge(make_record(failure=InvalidRequest("bad")), MODEL) == {}
+    assert judge(make_record(failure=CallerLeft("closed")), MODEL) == {}
 
 
 def test_refusal_under_load_breaks_the_promise_of_an_answer():
