--- a/gooseberryquay/contracts/settings.py
+++ b/gooseberryquay/contracts/settings.py
@@ -110,7 +110,9 @@
     reason: str
 
     def __str__(self) -> str:
-        return f"{self.file}: [{self.section}] {self.key} = {self.value!r}: {self.reason}"
+        section = f": [{self.section}]" if self.section else ""
+        setting = f" {self.key} = {self.value!r}" if self.key else ""
+        return f"{self.file}{section}{setting}: {self.reason}"
 
 
 class Settings(Model):
--- a/gooseberryquay/contracts/settings_file.py
+++ b/gooseberryquay/contracts/settings_file.py
@@ -75,12 +75,13 @@
     if overlay is not None:
         texts.append((str(overlay), Path(overlay)))
     contents = []
+    problems = []
     for name, path in texts:
         try:
             contents.append((name, path.read_text(encoding="utf-8")))
         except (OSError, UnicodeDecodeError) as error:
-            return Err([SettingsProblem(name, "", "", "", f"cannot be read: {error}")])
-    return parse_settings(*contents)
+            problems.append(SettingsProblem(name, "", "", "", f"cannot be read: {error}"))
+    return Err(problems) if problems else parse_settings(*contents)
 
 
 def parse_settings(
--- a/gooseberryquay/contracts/tests/test_settings_file.py
+++ b/gooseberryquay/contracts/tests/test_settings_file.py
@@ -73,5 +73,13 @@
     assert [each.section for each in problems] == ["workspace:more"]
 
 
-def test_missing_file_is_one_problem():
-    assert len(load_settings("no-such-file.ini").unwrap_err()) == 1
+def test_each_missing_file_is_a_problem_that_names_it():
+    problems = load_settings("no-base.ini", "no-overlay.ini").unwrap_err()
+    assert [str(each).partition(":")[0] for each in problems] == ["no-base.ini", "no-overlay.ini"]
+
+
+def test_problem_names_file_section_key_value_and_reason():
+    (problem,) = _problems_of(BASE.replace("weight = 2", "weight = 0"))
+    text = str(problem)
+    assert text.startswith("base.ini: [workspace:clerks] weight = '0': ")
+    assert "greater than or equal to 1" in text
