--- a/gooseberryquay/machines/choice.py
+++ b/gooseberryquay/machines/choice.py
@@ -182,7 +182,8 @@
 def _own_memory_share(decision: Decision, upstream: Upstream) -> float:
     """Give the memory share if every entry had as much work there as this one.
 
-    Unlike the report it is never late, so that entries which balance it don't herd.
+    Unlike the report it is never late, so that entries which balance it do not all choose the
+    same upstream.
     """
     report = upstream.report
     if report is None or report.kv_total_tokens == 0:
--- a/gooseberryquay/machines/cold_admission.py
+++ b/gooseberryquay/machines/cold_admission.py
@@ -1,4 +1,4 @@
-"""Share the little work that a cold upstream can bear among all entries."""
+"""Share the capacity of a cold upstream among all entries."""
 
 import random
 import threading
--- a/gooseberryquay/machines/cold_store.py
+++ b/gooseberryquay/machines/cold_store.py
@@ -70,7 +70,7 @@
         in_flight: int,
         own_in_flight: int,
     ) -> SlotAnswer:
-        """Add a slot if the upstream can bear it, given a report of its work in flight."""
+        """Add a slot if the upstream has capacity for it, given a report of its work in flight."""
         if not self._runs.is_listed(myself):
             return SlotFailure("the platform does not list this entry yet")
         for _ in range(MAX_CONFLICTS):
--- a/gooseberryquay/machines/tests/cold_builders.py
+++ b/gooseberryquay/machines/tests/cold_builders.py
@@ -91,7 +91,7 @@
 
 @dataclass
 class CountingEngine:
-    """Count what is in flight and how often a cold engine got more than it can bear."""
+    """Count what is in flight and how often a cold engine got more than its capacity."""
 
     cap: int
     is_cold: bool = True
--- a/gooseberryquay/standins/cold_start.py
+++ b/gooseberryquay/standins/cold_start.py
@@ -38,7 +38,7 @@
                 self._is_cold = False
 
     def is_over_capacity(self, in_flight: int, now_s: float) -> bool:
-        """Tell whether the engine is cold and has more in flight than it can bear."""
+        """Tell whether the engine is cold and has more in flight than its capacity."""
         return self.is_cold(now_s) and in_flight > self._settings.cold_capacity
 
     def is_crashing(self, in_flight: int, now_s: float) -> bool:
