Hold a key's runs back while a refusal rests on the testimony that it did not run

Cause: in an outage a refusal says "not run" when every live entry testifies so; an entry that had just testified could start the key before the refusal was given. Shown by test_key_does_not_run_between_the_testimony_and_the_refusal_that_rests_on_it: with the hold switched off it fails, now it passes.

--- a/gooseberryquay/postings/posting_desk.py
+++ b/gooseberryquay/postings/posting_desk.py
@@ -179,10 +179,9 @@
     def _run_claimed(
         self, posting: Posting, at: KeyLocation, token: ClaimToken, dispatch: Dispatch
     ) -> Result[Answered, Failure]:
-        if failure := self._check_after_claim(posting):
+        if failure := self._start_run(posting, at):
             self._record(at, Released(key=at.key, token=token))
             return Err(failure)
-        self._memory.note_run(at.key)
         match self._dispatch(token, dispatch):
             case AnsweredByUpstream() as answer:
                 answered = _answered(at, token, answer)
@@ -198,6 +197,11 @@
                 self._record(at, OutcomeLost(key=at.key, token=token))
                 return Err(UnknownOutcome(message, Ran.MAYBE))
 
+    def _start_run(self, posting: Posting, at: KeyLocation) -> Failure | None:
+        if not self._memory.start_run(at.key, posting.deadline_at_s):
+            return DeadlineUnreachable("the deadline passed before it could be sent", Ran.NO)
+        return self._check_after_claim(posting)
+
     def _check_after_claim(self, posting: Posting) -> Failure | None:
         """Check again what may have changed while this thread waited or was paused."""
         if time.monotonic() >= posting.deadline_at_s:
--- a/gooseberryquay/postings/run_memory.py
+++ b/gooseberryquay/postings/run_memory.py
@@ -26,6 +26,7 @@
         self._lock = threading.Lock()
         self._tried: OrderedDict[RecordKey, float] = OrderedDict()
         self._open: Counter[RecordKey] = Counter()
+        self._held_until_s: dict[RecordKey, float] = {}
         self._forgotten_at_s = 0.0
         self._started_at_s = time.time()
         self._members: dict[EntryId, Incarnation] = {}
@@ -44,14 +45,44 @@
             if not self._open[key]:
                 del self._open[key]
 
-    def note_run(self, key: RecordKey) -> None:
-        """Note that the key is about to be sent from here."""
+    def start_run(self, key: RecordKey, deadline_at_s: float) -> bool:
+        """Note that the key is about to be sent from here, once no testimony holds it.
+
+        False where the deadline, of the monotonic clock, comes first; nothing is noted then.
+        """
+        while True:
+            with self._lock:
+                held_s = self._held_until_s.get(key, 0.0) - time.monotonic()
+                if held_s <= 0:
+                    self._note_run(key)
+                    return True
+            if time.monotonic() + held_s >= deadline_at_s:
+                return False
+            time.sleep(held_s)
+
+    def _note_run(self, key: RecordKey) -> None:
+        self._tried.pop(key, None)
+        self._tried[key] = time.time()
+        while len(self._tried) > self._keys_max:
+            _, tried_at_s = self._tried.popitem(last=False)
+            self._forgotten_at_s = max(self._forgotten_at_s, tried_at_s)
+
+    def exclude_run(
+        self, key: RecordKey, created_at_s: float | None, own_open: int, hold_s: float
+    ) -> bool:
+        """Testify that the key was not run, and hold back its runs here for a time.
+
+        Without the hold a request for the same key could run before the refusal that rests on the
+        testimony has reached its caller.
+        """
         with self._lock:
-            self._tried.pop(key, None)
-            self._tried[key] = time.time()
-            while len(self._tried) > self._keys_max:
-                _, tried_at_s = self._tried.popitem(last=False)
-                self._forgotten_at_s = max(self._forgotten_at_s, tried_at_s)
+            if not self._can_exclude(key, created_at_s, own_open):
+                return False
+            now_s = time.monotonic()
+            for old in [each for each, until_s in self._held_until_s.items() if until_s < now_s]:
+                del self._held_until_s[old]
+            self._held_until_s[key] = now_s + hold_s
+            return True
 
     def observe(self, live: tuple[Peer, ...]) -> None:
         """Take in the members that are live now.
@@ -79,17 +110,16 @@
                 del self._gone_at_s[member]
                 self._gap_at_s = now_s
 
-    def can_exclude_run(self, key: RecordKey, created_at_s: float | None, own_open: int) -> bool:
+    def _can_exclude(self, key: RecordKey, created_at_s: float | None, own_open: int) -> bool:
         """Tell whether the key was neither sent from here nor by a member that went away.
 
         `own_open` is how many of the requests under way here are the one that asks.
         """
-        with self._lock:
-            if key in self._tried or self._open[key] > own_open:
-                return False
-            if self._gone_at_s:
-                return False
-            last_gap_s = max(self._forgotten_at_s, self._gap_at_s)
+        if key in self._tried or self._open[key] > own_open:
+            return False
+        if self._gone_at_s:
+            return False
+        last_gap_s = max(self._forgotten_at_s, self._gap_at_s)
         if created_at_s is None:
             return last_gap_s < time.time() - ABSENCE_MEMORY_S
         is_newer_than_this_entry = created_at_s >= self._started_at_s - START_MARGIN_S
--- a/gooseberryquay/postings/run_witness.py
+++ b/gooseberryquay/postings/run_witness.py
@@ -1,6 +1,7 @@
 """Find out from the live entries whether a key may have run, without the platform."""
 
 import threading
+import time
 from collections.abc import Callable
 
 from pydantic import BaseModel, ValidationError
@@ -19,6 +20,9 @@
 
 WITNESS_PATH = "/peer/claims/witness"
 OWN_REQUEST = 1
+# Every testimony is at most HOLD_S - DELIVERY_S old when the refusal starts on its way.
+HOLD_S = 2.0
+DELIVERY_S = 1.0
 OBSERVE_INTERVAL_S = 0.5
 
 
@@ -74,17 +78,19 @@
         others = [peer for peer in live if peer.id != self._peers.myself().id]
         if len(live) > self._settings.witness_peers_max:
             return Ran.MAYBE
+        started_at_s = time.monotonic()
         if not self._can_exclude(at, created_at_s, OWN_REQUEST):
             return Ran.MAYBE
         question = WitnessQuestion(at=at, created_at_s=created_at_s)
         is_excluded = all(self._ask(peer, question) for peer in others)
-        return Ran.NO if is_excluded else Ran.MAYBE
+        is_in_time = time.monotonic() - started_at_s <= HOLD_S - DELIVERY_S
+        return Ran.NO if is_excluded and is_in_time else Ran.MAYBE
 
     def _can_exclude(self, at: KeyLocation, created_at_s: float | None, own_open: int) -> bool:
         self._memory.observe(self._peers.live())
         if self._known_state(at).phase is not KeyPhase.FREE:
             return False
-        return self._memory.can_exclude_run(at.key, created_at_s, own_open)
+        return self._memory.exclude_run(at.key, created_at_s, own_open, HOLD_S)
 
     def _ask(self, peer: Peer, question: WitnessQuestion) -> bool:
         match self._peers.send(peer, WITNESS_PATH, question, self._settings.witness_timeout_s):
--- a/gooseberryquay/postings/tests/test_posting_desk.py
+++ b/gooseberryquay/postings/tests/test_posting_desk.py
@@ -1,4 +1,5 @@
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
@@ -281,3 +282,29 @@
         changed = PostingDesk(fleet.links[1], fleet.peers[1], other)
         assert run(changed, service, key).unwrap().body == b'{"run": 1}'
     assert service.runs[key] == 1
+
+
+def test_key_does_not_run_between_the_testimony_and_the_refusal_that_rests_on_it(service):
+    """A request for the same key starts at an entry that has just testified."""
+    with Fleet(2, owner_timeout_s=0.1) as fleet, ThreadPoolExecutor(1) as threads:
+        assert all(run(desk, service, build_key()).is_ok() for desk in fleet.desks)
+        key = build_key()
+        for link in fleet.links:
+            link.is_out = True
+        peers, sent = fleet.peers[0], []
+        ask = peers.send
+
+        def ask_then_run_elsewhere(to, path, message, timeout_s):
+            answer = ask(to, path, message, timeout_s)
+            if path == "/peer/claims/witness" and not sent:
+                fleet.links[1].is_out = False
+                sent.append(threads.submit(run, fleet.desks[1], service, key))
+                time.sleep(0.5)
+            return answer
+
+        peers.send = ask_then_run_elsewhere
+        refusal = run(fleet.desks[0], service, key, timeout_s=SHORT_S).unwrap_err()
+        assert refusal.ran is Ran.NO
+        assert service.runs[key] == 0
+        assert sent[0].result(TIMEOUT_S).is_ok()
+        assert service.runs[key] == 1
