--- a/gooseberryquay/standins/experiments/commands.py
+++ b/gooseberryquay/standins/experiments/commands.py
@@ -20,19 +20,22 @@
         self,
         load: float = 0.9,
         seeds: int = 1,
+        first_seed: int = 1,
         duration_s: float = 30.0,
         report_lag_s: float = 1.0,
         rules: str = ALL_RULES,
     ) -> None:
         """Print the brief's measures of each rule of upstream choice for each seed."""
         experiment = RuleExperiment(load, duration_s, report_lag_s)
-        for seed in range(1, seeds + 1):
+        for seed in range(first_seed, first_seed + seeds):
             for summary in experiment.run(_split(rules), seed):
                 print(describe_summary(summary), flush=True)
 
-    def zone(self, load: float = 0.7, seeds: int = 1, duration_s: float = 45.0) -> None:
+    def zone(
+        self, load: float = 0.7, seeds: int = 1, first_seed: int = 1, duration_s: float = 45.0
+    ) -> None:
         """Take a zone out and back under load and print what callers and engines saw."""
-        for seed in range(1, seeds + 1):
+        for seed in range(first_seed, first_seed + seeds):
             result = ZoneExperiment(load, duration_s).run(seed)
             print(describe_summary(result.summary))
             print(f"  arrivals in the zone from 3 s after it went out: {result.arrivals_while_out}")
