Say 'not run' only where no attempt may have run, and blame no request that was never sent

(2) A connection that was refused counted as a death with the request in flight: it became a crash suspect without having been sent, and 0.75 s went by with resumes of a generation that the engine never had.

Ruled out: postings; an undecided attempt at one is never followed by another.

Now an undecided attempt is kept beside later refusals, a request that was never sent is placed elsewhere at once, and its upstream gets no new work until it reports.

--- a/gooseberryquay/links/dispatch_outcome.py
+++ b/gooseberryquay/links/dispatch_outcome.py
@@ -4,7 +4,14 @@
 
 from gooseberryquay.errors import Failure
 
-__all__ = ["AnsweredByUpstream", "DispatchOutcome", "NotSent", "RefusedByUpstream", "Undecided"]
+__all__ = [
+    "AnsweredByUpstream",
+    "DispatchOutcome",
+    "NotSent",
+    "RefusedByUpstream",
+    "Undecided",
+    "join_attempts",
+]
 
 
 @dataclass(frozen=True)
@@ -39,3 +46,15 @@
 
 
 DispatchOutcome = AnsweredByUpstream | NotSent | RefusedByUpstream | Undecided
+
+
+def join_attempts(former: DispatchOutcome | None, latest: DispatchOutcome) -> DispatchOutcome:
+    """Give what is known of an operation after one more attempt.
+
+    An attempt that did not run proves nothing about an earlier one that may have.
+    """
+    match former, latest:
+        case Undecided(), NotSent() | RefusedByUpstream():
+            return former
+        case _:
+            return latest
--- a/gooseberryquay/links/generation_relay.py
+++ b/gooseberryquay/links/generation_relay.py
@@ -39,10 +39,14 @@
 
     DONE = "done"
     REFUSED = "refused"
+    UNREACHABLE = "unreachable"
     LOST = "lost"
     DIED = "died"
 
 
+MAYBE_RUN_ENDS = frozenset({_End.LOST, _End.DIED})
+
+
 @dataclass(frozen=True)
 class _Route:
     """Hold what following one generation at one engine needs."""
@@ -77,18 +81,20 @@
         A generation that was lost is run again only while the sink can forget what it has.
         """
         self._retries.saw_request(work.service)
+        may_have_run = False
         for attempt in range(1, MAX_ATTEMPTS + 1):
             match self._guard.place(work):
                 case Err(failure):
-                    return Err(failure)
+                    return Err(replace(failure, ran=Ran.MAYBE) if may_have_run else failure)
                 case Ok(placement):
                     end = self._run_placed(work, path, body, placement, sink)
             if end is _End.DONE:
                 return Ok(None)
+            may_have_run = may_have_run or end in MAYBE_RUN_ENDS
             if not sink.restart():
                 return Err(_lost())
             if attempt == MAX_ATTEMPTS or not self._retries.may_retry(work.service):
-                return Err(_failed(end))
+                return Err(_failed(may_have_run))
             time.sleep(self._retries.backoff_s(attempt))
             work = replace(work, excluded=work.excluded | {placement.upstream.id})
         raise AssertionError("the last attempt returns")
@@ -126,6 +132,8 @@
         route = _Route(link, generation, EventCheck(generation.id), sink, placement)
         priority = placement.priority
         opened = link.start(path, generation.id, priority, body, self._idle_timeout_s)
+        if not _was_sent(opened):
+            return _End.UNREACHABLE
         end = self._follow(route, opened)
         match end:
             case _End.DIED:
@@ -189,6 +197,14 @@
         route.placement.saw_report(refusal.report)
 
 
+def _was_sent(opened: Result[ReplyStream, OpenFailure]) -> bool:
+    match opened:
+        case Err((LinkBroken() | LinkTimeout()) as failure):
+            return failure.was_sent
+        case _:
+            return True
+
+
 def _end_of_link(failure: LinkFailure) -> _End:
     return _End.DIED if isinstance(failure, LinkBroken) else _End.LOST
 
@@ -201,6 +217,8 @@
             return Outcome.FINISHED
         case _End.REFUSED:
             return Outcome.REFUSED
+        case _End.UNREACHABLE:
+            return Outcome.UNREACHABLE
         case _End.LOST | _End.DIED:
             return Outcome.BROKEN
 
@@ -210,6 +228,6 @@
     return GenerationLost(message, ran=Ran.MAYBE, retry_after_s=RETRY_AFTER_S)
 
 
-def _failed(end: _End) -> Failure:
-    ran = Ran.NO if end is _End.REFUSED else Ran.MAYBE
+def _failed(may_have_run: bool) -> Failure:
+    ran = Ran.MAYBE if may_have_run else Ran.NO
     return UpstreamFailed("no upstream completed the request", ran, RETRY_AFTER_S)
--- a/gooseberryquay/links/service_caller.py
+++ b/gooseberryquay/links/service_caller.py
@@ -15,6 +15,7 @@
     NotSent,
     RefusedByUpstream,
     Undecided,
+    join_attempts,
 )
 from gooseberryquay.links.service_link import ServiceCall, ServiceLink
 from gooseberryquay.machines.retry_budget import RetryBudget
@@ -40,12 +41,12 @@
 
     def send(self, work: Work, call: ServiceCall) -> DispatchOutcome:
         """Try upstreams until one answers; stop where an operation may have run once."""
-        outcome: DispatchOutcome = NotSent(UpstreamFailed("no upstream was tried"))
+        known: DispatchOutcome = NotSent(UpstreamFailed("no upstream was tried"))
         self._retries.saw_request(work.service)
         for attempt in range(MAX_ATTEMPTS):
             match self._dispatcher.place(work):
                 case Err(failure):
-                    return outcome if isinstance(outcome, Undecided) else NotSent(failure)
+                    return join_attempts(known, NotSent(failure))
                 case Ok(placement):
                     pass
             upstream = placement.upstream.id
@@ -55,12 +56,13 @@
                 ending = _ending_of(outcome)
             finally:
                 placement.finish(ending)
+            known = join_attempts(known, outcome)
             is_last = attempt + 1 == MAX_ATTEMPTS
-            if is_last or not self._may_send_again(work, call, outcome):
-                return outcome
+            if is_last or not self._may_send_again(work, call, known):
+                return known
             time.sleep(self._retries.backoff_s(attempt + 1))
             work = replace(work, excluded=work.excluded | {upstream})
-        return outcome
+        return known
 
     def _send_to(self, upstream: UpstreamId, call: ServiceCall) -> DispatchOutcome:
         link = self._link_to(upstream)
--- a/gooseberryquay/links/service_link.py
+++ b/gooseberryquay/links/service_link.py
@@ -16,6 +16,7 @@
     NotSent,
     RefusedByUpstream,
     Undecided,
+    join_attempts,
 )
 from gooseberryquay.links.http_client import HttpClient, LinkFailure, ReplyStream
 
@@ -87,7 +88,7 @@
         self._replace_shared(client)
         if time.monotonic() >= deadline_at_s:
             return outcome
-        return self._send_alone(call, deadline_at_s)
+        return join_attempts(outcome, self._send_alone(call, deadline_at_s))
 
     def _replace_shared(self, failed: HttpClient) -> None:
         with self._lock:
--- /dev/null
+++ b/gooseberryquay/links/tests/test_generation_relay.py
@@ -0,0 +1,83 @@
+import socket
+import threading
+from contextlib import contextmanager, suppress
+
+from result import Err, Ok
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.contracts.settings import LimitSettings
+from gooseberryquay.errors import Overloaded, Ran
+from gooseberryquay.links.engine_link import EngineLink
+from gooseberryquay.links.generation_relay import GenerationRelay
+from gooseberryquay.links.tests.builders import (
+    EmptySink,
+    HeldPlacement,
+    ScriptedGuard,
+    build_declaration,
+    build_work,
+)
+from gooseberryquay.machines.retry_budget import RetryBudget
+from gooseberryquay.machines.work import Outcome
+from gooseberryquay.standins.process import find_free_port
+
+OVERLOADED = Err(Overloaded("no upstream may get this request", retry_after_s=1.0))
+UNAVAILABLE = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+
+
+@contextmanager
+def _engine(answer):
+    """Read each request, answer it where there is an answer, and close the connection."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve():
+        with suppress(OSError):
+            while True:
+                connection = listener.accept()[0]
+                connection.recv(65536)
+                connection.sendall(answer)
+                connection.close()
+
+    threading.Thread(target=serve, daemon=True).start()
+    yield Address(*listener.getsockname())
+    listener.close()
+
+
+def _generate(results):
+    links = {}
+    for placed in [each.unwrap() for each in results if each.is_ok()]:
+        links[placed.upstream.id] = EngineLink(placed.upstream)
+    guard = ScriptedGuard(list(results))
+    relay = GenerationRelay(guard, links.get, LimitSettings(), RetryBudget(1.0))
+    return relay.generate(build_work(), "/v1/completions", b"{}", EmptySink()), guard
+
+
+def _place_at(number, address):
+    return Ok(HeldPlacement(build_declaration(number, address)))
+
+
+def test_request_that_never_reached_a_dead_upstream_is_no_suspect_and_has_not_run():
+    closed = Address("127.0.0.1", find_free_port())
+    result, guard = _generate([_place_at(1, closed), OVERLOADED])
+    assert guard.died == []
+    assert guard.placed[0].outcome is Outcome.UNREACHABLE
+    assert result.unwrap_err().ran is Ran.NO
+
+
+def test_refusal_after_an_attempt_that_broke_off_does_not_say_not_run():
+    with _engine(b"") as address:
+        result, guard = _generate([_place_at(1, address), OVERLOADED])
+    assert guard.died == ["engine-1"]
+    assert result.unwrap_err().ran is Ran.MAYBE
+
+
+def test_last_attempt_refused_by_its_upstream_does_not_say_not_run_after_one_that_broke_off():
+    with _engine(b"") as broken, _engine(UNAVAILABLE) as busy:
+        places = [_place_at(1, broken)] + [_place_at(number, busy) for number in (2, 3, 4)]
+        result, _ = _generate(places)
+    assert result.unwrap_err().ran is Ran.MAYBE
+
+
+def test_request_refused_by_every_upstream_has_not_run():
+    with _engine(UNAVAILABLE) as busy:
+        result, _ = _generate([_place_at(number, busy) for number in (1, 2, 3, 4)])
+    assert result.unwrap_err().ran is Ran.NO
--- a/gooseberryquay/machines/dispatcher.py
+++ b/gooseberryquay/machines/dispatcher.py
@@ -31,7 +31,7 @@
 HEADS_TRIED = 4
 RETRY_AFTER_MIN_S = 1.0
 RETRY_AFTER_MAX_S = 60.0
-CERTAIN_ENDS = frozenset({Outcome.FINISHED, Outcome.REFUSED})
+CERTAIN_ENDS = frozenset({Outcome.FINISHED, Outcome.REFUSED, Outcome.UNREACHABLE})
 QUICK_PRIORITY = 0
 LONG_PRIORITY = 1
 
@@ -217,6 +217,8 @@
             if outcome is Outcome.FINISHED:
                 generated_tokens = placed.in_flight.generated_tokens
                 self._lengths.record(work.workspace, work.service, work.kind, generated_tokens)
+            if outcome is Outcome.UNREACHABLE:
+                placed.upstream_state.is_silent = True
             if placed.is_cold:
                 self._slots.give_back(placed.upstream, outcome in CERTAIN_ENDS)
             lane = self._lane(work.service)
--- a/gooseberryquay/machines/work.py
+++ b/gooseberryquay/machines/work.py
@@ -41,6 +41,7 @@
     FINISHED = "finished"
     CANCELLED = "cancelled"
     REFUSED = "refused"
+    UNREACHABLE = "unreachable"
     BROKEN = "broken"
 
 
--- a/gooseberryquay/standins/experiments/commands.py
+++ b/gooseberryquay/standins/experiments/commands.py
@@ -18,6 +18,7 @@
 
     def rules(
         self,
+        *,
         load: float = 0.9,
         seeds: int = 1,
         first_seed: int = 1,
