Know a zone's failure by every entry's deaths and by refused polls; let suspects wait for a place

Cause: a zone's failure was told by the entry's own requests alone. Where these were at one upstream of the zone, all of them stayed suspects, and those that found every other upstream taken by a suspect were refused at once: innocent requests, 'no upstream may get this request'.

Ruled out: a longer span, which sees no more upstreams.

Now deaths that other entries report and connections refused to polls or requests count too; a suspect waits for a place as long as for its first token; a request hit at two upstreams is never withdrawn, whichever entry saw the second death.

--- a/gooseberryquay/daemons/cluster.py
+++ b/gooseberryquay/daemons/cluster.py
@@ -12,7 +12,6 @@
 from gooseberryquay.machines.membership import Membership
 from gooseberryquay.machines.peer import Peer
 from gooseberryquay.machines.suspect_list import SuspectList
-from gooseberryquay.machines.suspect_reports import SuspectReports
 from gooseberryquay.zones.configuration import Configuration
 from gooseberryquay.zones.configuration_keeper import ConfigurationKeeper
 
@@ -44,7 +43,6 @@
         self.suspects = SuspectList(
             self.membership, self.platform, crash_count_max=settings.limits.crash_count_max
         )
-        self.suspect_reports = SuspectReports(self.suspects)
 
     def add_routes(self, router: Router) -> None:
         """Serve the other entries."""
@@ -57,11 +55,9 @@
         self.membership.start()
         self.keeper.start()
         self.suspects.start()
-        self.suspect_reports.start()
 
     def stop(self) -> None:
         """Leave the other entries."""
-        self.suspect_reports.stop()
         self.suspects.stop()
         self.keeper.stop()
         self.membership.stop()
--- a/gooseberryquay/daemons/dispatching.py
+++ b/gooseberryquay/daemons/dispatching.py
@@ -13,6 +13,8 @@
 from gooseberryquay.machines.load_poller import LoadPoller, ReportSink
 from gooseberryquay.machines.retry_budget import RetryBudget
 from gooseberryquay.machines.subset import SubsetRule
+from gooseberryquay.machines.suspect_reports import SuspectReports
+from gooseberryquay.machines.upstream_loss import UpstreamLosses
 from gooseberryquay.machines.upstream_table import UpstreamTable
 from gooseberryquay.reports.entry_status import UpstreamStatus
 
@@ -27,6 +29,8 @@
         subset = SubsetRule(myself.id, settings.choice.subset_size)
         self._table = table = UpstreamTable(cluster.configuration, subset)
         self.first_reports = FirstReports(table)
+        losses = UpstreamLosses(table, cluster.suspects)
+        self.suspect_reports = SuspectReports(cluster.suspects, losses.recent)
         self._cold = ColdAdmission(
             SlotStore(cluster.platform), lambda: _slot_holder(cluster), table
         )
@@ -71,9 +75,11 @@
         self._notices.start()
         self._poller.start()
         self._cold.start(self._cold_links)
+        self.suspect_reports.start()
 
     def stop(self) -> None:
         """Release slots and stop asking."""
+        self.suspect_reports.stop()
         self._cold.stop()
         self._notices.stop()
         self._poller.stop()
--- a/gooseberryquay/daemons/entry.py
+++ b/gooseberryquay/daemons/entry.py
@@ -77,7 +77,7 @@
     def _build_relay(self) -> GenerationRelay:
         links = UpstreamLinks(self._cluster.configuration, EngineLink)
         guard = SuspectGuard(
-            self._dispatching.dispatcher, self._cluster.suspects, self._cluster.suspect_reports
+            self._dispatching.dispatcher, self._cluster.suspects, self._dispatching.suspect_reports
         )
         return GenerationRelay(guard, links.link_to, self._limits, self._dispatching.retries)
 
--- a/gooseberryquay/daemons/tests/test_crash_suspects.py
+++ b/gooseberryquay/daemons/tests/test_crash_suspects.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from gooseberryquay.daemons.tests.builders import BackgroundStream, small_plan, stream, wait_until
+from gooseberryquay.daemons.tests.builders import BackgroundStream, small_plan, stream
 from gooseberryquay.standins.local_fleet import LocalFleet
 
 POISON = "please crash-the-engine now"
@@ -55,4 +55,5 @@
     again = [
         BackgroundStream(fleet.entry_addresses()[1], 20, prompt=f"note {number}") for number in hit
     ]
-    wait_until(lambda: all(each.result.is_done for each in again), 30.0)
+    ends = [each.join(30.0) for each in again]
+    assert [each.error for each in ends if not each.is_done] == []
--- a/gooseberryquay/links/suspect_guard.py
+++ b/gooseberryquay/links/suspect_guard.py
@@ -1,11 +1,12 @@
 """Keep requests that may crash upstreams apart from each other, or refuse them."""
 
+import time
 from dataclasses import replace
 
 from result import Err, Ok, Result
 
 from gooseberryquay.contracts.upstream import UpstreamDeclaration
-from gooseberryquay.errors import Failure, SuspectedCrash
+from gooseberryquay.errors import Failure, Overloaded, SuspectedCrash
 from gooseberryquay.machines.suspect_list import SuspectList
 from gooseberryquay.machines.suspect_messages import Verdict
 from gooseberryquay.machines.suspect_reports import SuspectReports
@@ -13,6 +14,9 @@
 
 __all__ = ["SuspectGuard"]
 
+SLOT_WAIT_S = 0.1
+RETRY_AFTER_S = 1.0
+
 
 class SuspectGuard:
     """Place requests as the list of crash suspects demands."""
@@ -25,14 +29,25 @@
         self._reports = reports
 
     def place(self, work: Work) -> Result[Placement, Failure]:
-        """Refuse a request that crashed too many upstreams; run other suspects apart."""
-        match self._suspects.verdict(work.fingerprint):
-            case Verdict.NORMAL:
-                return self._dispatcher.place(work)
-            case Verdict.REFUSED:
-                return Err(SuspectedCrash("upstreams that ran this request have crashed"))
-            case Verdict.ALONE:
-                return self._place_alone(work)
+        """Refuse a request that crashed too many upstreams; run other suspects apart.
+
+        A suspect waits for an upstream without one as long as it may wait for its first token.
+        """
+        give_up_at_s = min(time.monotonic() + work.first_token_s, work.deadline_at_s)
+        while True:
+            match self._suspects.verdict(work.fingerprint):
+                case Verdict.NORMAL:
+                    return self._dispatcher.place(work)
+                case Verdict.REFUSED:
+                    return Err(SuspectedCrash("upstreams that ran this request have crashed"))
+                case Verdict.ALONE:
+                    placed = self._place_alone(work)
+            if placed is not None:
+                return placed
+            if time.monotonic() >= give_up_at_s:
+                message = "every upstream that may get this request runs another crash suspect"
+                return Err(Overloaded(message, retry_after_s=RETRY_AFTER_S))
+            time.sleep(SLOT_WAIT_S)
 
     def upstream_died(self, upstream: UpstreamDeclaration, work: Work) -> None:
         """Count a death against a request that was in flight there."""
@@ -45,11 +60,13 @@
         else:
             self._suspects.release_slot(work.fingerprint)
 
-    def _place_alone(self, work: Work) -> Result[Placement, Failure]:
+    def _place_alone(self, work: Work) -> Result[Placement, Failure] | None:
+        """Place a suspect; None where every upstream that has room runs another one."""
+        first_excluded = work.excluded
         while True:
             match self._dispatcher.place(work):
                 case Err(failure):
-                    return Err(failure)
+                    return Err(failure) if work.excluded == first_excluded else None
                 case Ok(placement):
                     upstream = placement.upstream.id
             if self._suspects.take_slot(work.fingerprint, upstream):
--- a/gooseberryquay/machines/dispatcher.py
+++ b/gooseberryquay/machines/dispatcher.py
@@ -91,6 +91,7 @@
         with self._lock:
             upstream.is_silent = True
             if is_gone:
+                upstream.refused_connection(time.monotonic())
                 upstream.forget(time.monotonic())
 
     def saw_cold(self, upstream_id: UpstreamId) -> None:
@@ -218,7 +219,7 @@
                 generated_tokens = placed.in_flight.generated_tokens
                 self._lengths.record(work.workspace, work.service, work.kind, generated_tokens)
             if outcome is Outcome.UNREACHABLE:
-                placed.upstream_state.is_silent = True
+                placed.upstream_state.refused_connection(time.monotonic())
             if placed.is_cold:
                 self._slots.give_back(placed.upstream, outcome in CERTAIN_ENDS)
             lane = self._lane(work.service)
--- a/gooseberryquay/machines/suspect_list.py
+++ b/gooseberryquay/machines/suspect_list.py
@@ -105,6 +105,15 @@
             self._slots.release(record.fingerprint)
         self._spread.send_pending()
 
+    def is_hit_once(self, fingerprint: str) -> bool:
+        """Tell whether a request was in flight at no more than one death that counts."""
+        record = self._table.get(fingerprint)
+        return record is None or record.crash_count() <= 1
+
+    def death_ages_s(self) -> dict[UpstreamId, float]:
+        """Give how long ago each upstream died last, as any entry reported it."""
+        return self._table.death_ages_s()
+
     def finished(self, fingerprint: str) -> None:
         """Clear a request that ran to its end."""
         record = self._table.get(fingerprint)
--- a/gooseberryquay/machines/suspect_reports.py
+++ b/gooseberryquay/machines/suspect_reports.py
@@ -2,11 +2,12 @@
 
 import threading
 import time
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from gooseberryquay.contracts.upstream import UpstreamDeclaration
-from gooseberryquay.ids import UpstreamId, ZoneId
 from gooseberryquay.machines.suspect_list import SuspectList
+from gooseberryquay.machines.upstream_loss import UpstreamLoss
 
 __all__ = ["SuspectReports"]
 
@@ -20,9 +21,7 @@
     """Hold one request that was in flight at a dying upstream."""
 
     fingerprint: str
-    upstream: UpstreamId
-    zone: ZoneId
-    at_s: float
+    loss: UpstreamLoss
 
 
 class SuspectReports:
@@ -32,8 +31,14 @@
     request that was hit at two upstreams is never withdrawn.
     """
 
-    def __init__(self, suspects: SuspectList, span_s: float = ZONE_FAILURE_SPAN_S) -> None:
+    def __init__(
+        self,
+        suspects: SuspectList,
+        losses: Callable[[], Iterable[UpstreamLoss]],
+        span_s: float = ZONE_FAILURE_SPAN_S,
+    ) -> None:
         self._suspects = suspects
+        self._losses = losses
         self._span_s = span_s
         self._lock = threading.Lock()
         self._recent: list[_Hit] = []
@@ -49,34 +54,37 @@
 
     def upstream_died(self, upstream: UpstreamDeclaration, fingerprint: str) -> None:
         """Report that an upstream died with a request in flight."""
-        hit = _Hit(fingerprint, upstream.id, upstream.zone, time.monotonic())
+        loss = UpstreamLoss(upstream.id, upstream.zone, time.monotonic())
         with self._lock:
-            self._recent.append(hit)
+            self._recent.append(_Hit(fingerprint, loss))
         self._suspects.upstream_died(upstream.id, [fingerprint])
 
     def withdraw(self, now_s: float) -> None:
         """Clear requests hit once, by one death among several in a zone."""
+        if not self._recent:
+            return
+        losses = tuple(self._losses())
         with self._lock:
-            explained = [each for each in self._recent if self._is_explained(each, now_s)]
+            explained = [each for each in self._recent if self._is_explained(each, losses, now_s)]
             kept_s = 2 * self._span_s
             self._recent = [
                 each
                 for each in self._recent
-                if each not in explained and now_s - each.at_s <= kept_s
+                if each not in explained and now_s - each.loss.at_s <= kept_s
             ]
         for each in explained:
             self._suspects.finished(each.fingerprint)
 
-    def _is_explained(self, hit: _Hit, now_s: float) -> bool:
-        if now_s - hit.at_s < self._span_s:
+    def _is_explained(self, hit: _Hit, losses: tuple[UpstreamLoss, ...], now_s: float) -> bool:
+        if now_s - hit.loss.at_s < self._span_s or not self._suspects.is_hit_once(hit.fingerprint):
             return False
+        own_losses = [each.loss for each in self._recent]
         same_zone = {
             each.upstream
-            for each in self._recent
-            if each.zone == hit.zone and abs(each.at_s - hit.at_s) <= self._span_s
+            for each in (*own_losses, *losses)
+            if each.zone == hit.loss.zone and abs(each.at_s - hit.loss.at_s) <= self._span_s
         }
-        hit_at = {each.upstream for each in self._recent if each.fingerprint == hit.fingerprint}
-        return len(same_zone) >= ZONE_FAILURE_UPSTREAMS and len(hit_at) == 1
+        return len(same_zone) >= ZONE_FAILURE_UPSTREAMS
 
     def _run(self) -> None:
         while not self._stopped.wait(ROUND_S):
--- a/gooseberryquay/machines/suspect_table.py
+++ b/gooseberryquay/machines/suspect_table.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable, Iterable
 
+from gooseberryquay.ids import UpstreamId
 from gooseberryquay.machines.suspect_messages import SuspectRecord
 
 __all__ = ["SuspectTable"]
@@ -47,6 +48,15 @@
         with self._lock:
             return tuple(each for each in self._records.values() if not self._is_old(each))
 
+    def death_ages_s(self) -> dict[UpstreamId, float]:
+        """Give how long ago each upstream died last, the cleared deaths included."""
+        ages_s: dict[UpstreamId, float] = {}
+        for record in self.records():
+            for death in record.deaths:
+                age_s = self._clock() - death.at_s
+                ages_s[death.upstream] = min(age_s, ages_s.get(death.upstream, age_s))
+        return ages_s
+
     def _drop_surplus(self) -> None:
         """Drop old records, then cleared ones and those whose last death is longest ago."""
         kept = [each for each in self._records.values() if not self._is_old(each)]
--- a/gooseberryquay/machines/upstream.py
+++ b/gooseberryquay/machines/upstream.py
@@ -71,6 +71,7 @@
         self.token_gap_s = 0.0
         self.step_s = 0.0
         self.is_silent = False
+        self.gone_since_s: float | None = None
         self.ramp = WidthRamp()
         self._own_load: OwnLoad | None = None
         self._changes: deque[_Change] = deque(maxlen=MAX_LOGGED_CHANGES)
@@ -109,6 +110,7 @@
     def take_report(self, report: LoadReport, now_s: float) -> None:
         """Take in a report unless a newer one is known."""
         self.is_silent = False
+        self.gone_since_s = None
         measured_at_s = now_s - report.age_s
         if measured_at_s < self.reported_at_s:
             return
@@ -128,6 +130,12 @@
         self.reported_at_s = now_s
         self._turn(UpstreamView.COLD, now_s)
 
+    def refused_connection(self, now_s: float) -> None:
+        """Take it as silent since the first connection that it refused."""
+        self.is_silent = True
+        if self.gone_since_s is None:
+            self.gone_since_s = now_s
+
     def forget(self, now_s: float) -> None:
         """Drop what was reported, so that the condition is unknown again."""
         self._turn(UpstreamView.UNKNOWN, now_s)
--- /dev/null
+++ b/gooseberryquay/machines/upstream_loss.py
@@ -0,0 +1,45 @@
+"""Which upstreams died lately, by all that an entry knows."""
+
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from gooseberryquay.ids import UpstreamId, ZoneId
+from gooseberryquay.machines.suspect_list import SuspectList
+from gooseberryquay.machines.upstream_table import UpstreamTable
+
+__all__ = ["UpstreamLoss", "UpstreamLosses"]
+
+
+@dataclass(frozen=True)
+class UpstreamLoss:
+    """Hold when an upstream died; the time is of the monotonic clock."""
+
+    upstream: UpstreamId
+    zone: ZoneId
+    at_s: float
+
+
+class UpstreamLosses:
+    """Join the upstreams that refuse connections here with the deaths that entries report."""
+
+    def __init__(self, table: UpstreamTable, suspects: SuspectList) -> None:
+        self._table = table
+        self._suspects = suspects
+
+    def recent(self) -> tuple[UpstreamLoss, ...]:
+        """Give each loss that is still remembered."""
+        return (*self._gone_here(), *self._reported())
+
+    def _gone_here(self) -> Iterator[UpstreamLoss]:
+        for each in self._table.all_usable():
+            if each.gone_since_s is not None:
+                yield UpstreamLoss(each.declaration.id, each.declaration.zone, each.gone_since_s)
+
+    def _reported(self) -> Iterator[UpstreamLoss]:
+        declared = self._table.configuration().declaration.upstreams
+        now_s = time.monotonic()
+        for upstream, age_s in self._suspects.death_ages_s().items():
+            declaration = declared.get(upstream)
+            if declaration is not None:
+                yield UpstreamLoss(upstream, declaration.zone, now_s - age_s)
