Count every second sending against the retry budget and keep what may have run

A repeatable operation was sent twice to the same upstream at each attempt without asking the budget: 100 lookups whose answers broke off arrived 238 times. A generation or lookup that may have run was called not run where its retry was refused. Refusals for an unreachable deadline or connection had no Retry-After.

The load tool counts refusals without ran or Retry-After; the engine stand-in can refuse new generations.

--- a/gooseberryquay/links/generation_relay.py
+++ b/gooseberryquay/links/generation_relay.py
@@ -77,18 +77,21 @@
         A generation that was lost is run again only while the sink can forget what it has.
         """
         self._retries.saw_request(work.service)
+        ran = Ran.NO
         for attempt in range(1, MAX_ATTEMPTS + 1):
             match self._guard.place(work):
                 case Err(failure):
-                    return Err(failure)
+                    return Err(replace(failure, ran=ran) if ran is Ran.MAYBE else failure)
                 case Ok(placement):
                     end = self._run_placed(work, path, body, placement, sink)
             if end is _End.DONE:
                 return Ok(None)
             if not sink.restart():
                 return Err(_lost())
+            if end is not _End.REFUSED:
+                ran = Ran.MAYBE
             if attempt == MAX_ATTEMPTS or not self._retries.may_retry(work.service):
-                return Err(_failed(end))
+                return Err(UpstreamFailed("no upstream completed the request", ran, RETRY_AFTER_S))
             time.sleep(self._retries.backoff_s(attempt))
             work = replace(work, excluded=work.excluded | {placement.upstream.id})
         raise AssertionError("the last attempt returns")
@@ -208,8 +211,3 @@
 def _lost() -> Failure:
     message = "the generation ended before its last token and cannot be resumed"
     return GenerationLost(message, ran=Ran.MAYBE, retry_after_s=RETRY_AFTER_S)
-
-
-def _failed(end: _End) -> Failure:
-    ran = Ran.NO if end is _End.REFUSED else Ran.MAYBE
-    return UpstreamFailed("no upstream completed the request", ran, RETRY_AFTER_S)
--- a/gooseberryquay/links/service_caller.py
+++ b/gooseberryquay/links/service_caller.py
@@ -8,7 +8,7 @@
 
 from gooseberryquay.contracts.service import Repeat
 from gooseberryquay.errors import UpstreamFailed
-from gooseberryquay.ids import UpstreamId
+from gooseberryquay.ids import ServiceId, UpstreamId
 from gooseberryquay.links.dispatch_outcome import (
     AnsweredByUpstream,
     DispatchOutcome,
@@ -23,6 +23,7 @@
 __all__ = ["ServiceCaller"]
 
 MAX_ATTEMPTS = 4
+RETRY_AFTER_S = 1.0
 
 
 class ServiceCaller:
@@ -40,40 +41,44 @@
 
     def send(self, work: Work, call: ServiceCall) -> DispatchOutcome:
         """Try upstreams until one answers; stop where an operation may have run once."""
-        outcome: DispatchOutcome = NotSent(UpstreamFailed("no upstream was tried"))
+        undecided: Undecided | None = None
         self._retries.saw_request(work.service)
         for attempt in range(MAX_ATTEMPTS):
             match self._dispatcher.place(work):
                 case Err(failure):
-                    return outcome if isinstance(outcome, Undecided) else NotSent(failure)
+                    return undecided or NotSent(failure)
                 case Ok(placement):
                     pass
             upstream = placement.upstream.id
             ending = Outcome.CANCELLED
             try:
-                outcome = self._send_to(upstream, call)
+                outcome = self._send_to(upstream, work.service, call)
                 ending = _ending_of(outcome)
             finally:
                 placement.finish(ending)
+            if isinstance(outcome, AnsweredByUpstream):
+                return outcome
+            if isinstance(outcome, Undecided):
+                undecided = outcome
             is_last = attempt + 1 == MAX_ATTEMPTS
             if is_last or not self._may_send_again(work, call, outcome):
-                return outcome
+                return undecided or outcome
             time.sleep(self._retries.backoff_s(attempt + 1))
             work = replace(work, excluded=work.excluded | {upstream})
-        return outcome
+        raise AssertionError("the last attempt returns")
 
-    def _send_to(self, upstream: UpstreamId, call: ServiceCall) -> DispatchOutcome:
+    def _send_to(
+        self, upstream: UpstreamId, service: ServiceId, call: ServiceCall
+    ) -> DispatchOutcome:
         link = self._link_to(upstream)
         if link is None:
-            return NotSent(UpstreamFailed("the upstream is no longer declared"))
-        return link.send(call)
+            return NotSent(UpstreamFailed("the upstream is gone", retry_after_s=RETRY_AFTER_S))
+        return link.send(call, lambda: self._retries.may_retry(service))
 
     def _may_send_again(self, work: Work, call: ServiceCall, outcome: DispatchOutcome) -> bool:
         if time.monotonic() >= work.deadline_at_s:
             return False
         match outcome:
-            case AnsweredByUpstream():
-                return False
             case Undecided() if call.repeat is Repeat.NEVER:
                 return False
             case _:
--- a/gooseberryquay/links/service_link.py
+++ b/gooseberryquay/links/service_link.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from result import Err, Ok
@@ -24,6 +25,7 @@
 HTTP_UNAVAILABLE = 503
 DEFAULT_CONNECT_TIMEOUT_S = 0.5
 DEFAULT_IDLE_TIMEOUT_S = 5.0
+RETRY_AFTER_S = 1.0
 
 
 @dataclass(frozen=True)
@@ -59,14 +61,16 @@
         self._lock = threading.Lock()
         self._shared = self._new_client()
 
-    def send(self, call: ServiceCall) -> DispatchOutcome:
+    def send(
+        self, call: ServiceCall, may_send_again: Callable[[], bool] = lambda: True
+    ) -> DispatchOutcome:
         """Send an operation, twice where it may be repeated and the first link failed."""
         deadline_at_s = time.monotonic() + call.timeout_s
         match call.repeat:
             case Repeat.NEVER:
                 return self._send_alone(call, deadline_at_s)
             case Repeat.ALLOWED:
-                return self._send_repeatable(call, deadline_at_s)
+                return self._send_repeatable(call, deadline_at_s, may_send_again)
 
     def close(self) -> None:
         """Close all kept connections."""
@@ -79,15 +83,18 @@
         finally:
             client.close()
 
-    def _send_repeatable(self, call: ServiceCall, deadline_at_s: float) -> DispatchOutcome:
+    def _send_repeatable(
+        self, call: ServiceCall, deadline_at_s: float, may_send_again: Callable[[], bool]
+    ) -> DispatchOutcome:
         client = self._shared
         outcome = self._exchange(client, call, deadline_at_s)
         if not isinstance(outcome, Undecided):
             return outcome
         self._replace_shared(client)
-        if time.monotonic() >= deadline_at_s:
+        if time.monotonic() >= deadline_at_s or not may_send_again():
             return outcome
-        return self._send_alone(call, deadline_at_s)
+        again = self._send_alone(call, deadline_at_s)
+        return again if isinstance(again, AnsweredByUpstream) else outcome
 
     def _replace_shared(self, failed: HttpClient) -> None:
         with self._lock:
@@ -105,7 +112,7 @@
     ) -> DispatchOutcome:
         remaining_s = deadline_at_s - time.monotonic()
         if remaining_s <= 0:
-            return NotSent(UpstreamFailed("no time was left to send the operation", Ran.NO))
+            return _not_sent("no time was left to send the operation")
         opened = client.open(
             "POST",
             f"/operations/{call.operation}",
@@ -130,7 +137,11 @@
 def _outcome_of(failure: LinkFailure) -> DispatchOutcome:
     if failure.was_sent:
         return Undecided(failure.message)
-    return NotSent(UpstreamFailed(failure.message, Ran.NO))
+    return _not_sent(failure.message)
+
+
+def _not_sent(message: str) -> NotSent:
+    return NotSent(UpstreamFailed(message, Ran.NO, RETRY_AFTER_S))
 
 
 def _read_answer(stream: ReplyStream, call: ServiceCall, deadline_at_s: float) -> DispatchOutcome:
--- /dev/null
+++ b/gooseberryquay/links/tests/test_retries.py
@@ -0,0 +1,156 @@
+"""Retries of whole requests, with upstreams that fail as scripted."""
+
+import time
+
+import pytest
+from result import Err, Ok
+
+from gooseberryquay.contracts import Address
+from gooseberryquay.contracts.service import Repeat
+from gooseberryquay.contracts.settings import LimitSettings
+from gooseberryquay.errors import Overloaded, Ran, UpstreamFailed
+from gooseberryquay.links.dispatch_outcome import NotSent, RefusedByUpstream, Undecided
+from gooseberryquay.links.engine_link import EngineRefusal, GenerationUnknown
+from gooseberryquay.links.generation_relay import GenerationRelay
+from gooseberryquay.links.service_caller import ServiceCaller
+from gooseberryquay.links.service_link import ServiceCall, ServiceLink
+from gooseberryquay.machines.retry_budget import RetryBudget
+from gooseberryquay.machines.tests.choice_builders import build_upstream, build_work
+from gooseberryquay.standins.process import find_free_port
+from gooseberryquay.standins.service import ServiceSettings, ServiceStandIn
+from gooseberryquay.standins.service_messages import BreakAfterRun
+
+REFUSED = Err(EngineRefusal(503, None))
+LOST = Err(GenerationUnknown())
+LOOKUP = ServiceCall("find-lot", "request-1", b"{}", Repeat.ALLOWED, 10.0)
+
+
+class OnePlacement:
+    priority = 0
+
+    def __init__(self, number):
+        self.upstream = build_upstream(number)
+
+    def finish(self, outcome):
+        pass
+
+
+class Places:
+    """Give so many places, then refuse; stands for the dispatcher and for the guard."""
+
+    def __init__(self, count):
+        self._count = count
+        self.given = 0
+
+    def place(self, work):
+        if self.given == self._count:
+            return Err(Overloaded("full", retry_after_s=1.0))
+        self.given += 1
+        return Ok(OnePlacement(self.given))
+
+    def upstream_died(self, upstream, work):
+        pass
+
+    def ended(self, work, outcome):
+        pass
+
+
+class ScriptedEngine:
+    def __init__(self, *starts):
+        self._starts = list(starts)
+
+    def start(self, *_arguments):
+        return self._starts.pop(0)
+
+    def cancel(self, generation):
+        pass
+
+
+class EmptySink:
+    def restart(self):
+        return True
+
+
+def _generate(places, *starts, ratio=1.0):
+    engine = ScriptedEngine(*starts)
+    relay = GenerationRelay(places, lambda _: engine, LimitSettings(), RetryBudget(ratio))
+    return relay.generate(build_work(), "/v1/completions", b"", EmptySink()).unwrap_err()
+
+
+def _send(places, *outcomes):
+    class ScriptedLink:
+        def __init__(self):
+            self.outcomes = list(outcomes)
+
+        def send(self, call, may_send_again):
+            return self.outcomes.pop(0)
+
+    link = ScriptedLink()
+    return ServiceCaller(places, lambda _: link, RetryBudget(1.0)).send(build_work(), LOOKUP)
+
+
+@pytest.mark.parametrize("places", [1, 2])
+def test_generation_that_may_have_run_is_not_called_not_run_after_a_refused_retry(places):
+    failure = _generate(Places(places), LOST, REFUSED)
+    assert failure.ran is Ran.MAYBE
+    assert failure.retry_after_s == 1.0
+
+
+def test_generation_that_every_engine_refused_did_not_run():
+    failure = _generate(Places(2), REFUSED, REFUSED)
+    assert (failure.type, failure.ran) == ("overloaded", Ran.NO)
+    failure = _generate(Places(4), *[REFUSED] * 4)
+    assert (failure.type, failure.ran) == ("upstream_failed", Ran.NO)
+
+
+@pytest.mark.parametrize(
+    "again", [RefusedByUpstream("busy"), NotSent(UpstreamFailed("no connection"))]
+)
+def test_lookup_that_may_have_run_is_not_called_not_run_after_a_refused_retry(again):
+    assert isinstance(_send(Places(2), Undecided("broke off"), again), Undecided)
+    assert isinstance(_send(Places(2), again, again), NotSent)
+
+
+@pytest.fixture
+def service():
+    running = ServiceStandIn(ServiceSettings(0.0))
+    running.start()
+    yield running
+    running.stop()
+
+
+def _lookups(service, count, ratio):
+    link = ServiceLink(Address("127.0.0.1", service.port))
+    caller = ServiceCaller(Places(4 * count), lambda _: link, RetryBudget(ratio))
+    return [caller.send(build_work(), LOOKUP) for _ in range(count)]
+
+
+def test_brown_out_of_lookups_sends_no_second_time_beyond_the_budget(service):
+    service.apply_fault(BreakAfterRun(count=1000))
+    _lookups(service, 100, ratio=0.1)
+    assert service.counts().arrivals <= 120
+
+
+def test_lookup_is_sent_again_where_one_connection_broke(service):
+    service.apply_fault(BreakAfterRun(count=1))
+    (outcome,) = _lookups(service, 1, ratio=0.1)
+    assert outcome.status == 200
+
+
+def test_refused_connection_says_when_to_come_back():
+    link = ServiceLink(Address("127.0.0.1", find_free_port()))
+    outcome = link.send(LOOKUP)
+    assert isinstance(outcome, NotSent)
+    assert outcome.failure.retry_after_s > 0
+
+
+def test_deadline_bounds_retries():
+    work = build_work(deadline_at_s=time.monotonic() - 1.0)
+
+    class RefusingLink:
+        def send(self, call, may_send_again):
+            return RefusedByUpstream("busy")
+
+    places = Places(4)
+    ServiceCaller(places, lambda _: RefusingLink(), RetryBudget(1.0)).send(work, LOOKUP)
+    assert places.given == 1
--- a/gooseberryquay/machines/dispatcher.py
+++ b/gooseberryquay/machines/dispatcher.py
@@ -130,7 +130,10 @@
     def _early_refusal(self, lane: ServiceLane, waiter: Waiter, now_s: float) -> Failure | None:
         work = waiter.candidate.work
         if waiter.give_up_at_s <= now_s:
-            return DeadlineUnreachable("the deadline is too near for the expected length")
+            return DeadlineUnreachable(
+                "the deadline is too near for the expected length",
+                retry_after_s=RETRY_AFTER_MIN_S,
+            )
         if not any(each.declaration.id not in work.excluded for each in self._usable(work.service)):
             return self._overloaded(work.service, "no upstream may get this request")
         if len(lane.queue) >= self._queue_length_max:
--- a/gooseberryquay/machines/tests/test_dispatcher.py
+++ b/gooseberryquay/machines/tests/test_dispatcher.py
@@ -90,7 +90,7 @@
     _learn_length(dispatcher, 500)
     assert dispatcher.place(build_work()).is_ok()
     match dispatcher.place(build_work(deadline_at_s=time.monotonic() + 2.0)):
-        case Err(DeadlineUnreachable()):
+        case Err(DeadlineUnreachable(retry_after_s=1.0)):
             pass
         case other:
             raise AssertionError(other)
--- a/gooseberryquay/standins/batch.py
+++ b/gooseberryquay/standins/batch.py
@@ -45,6 +45,7 @@
         self.slow_factor = 1.0
         self.wrong_tokens = 0
         self.is_leaving = False
+        self.refuses_starts = False
         self._record()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -61,12 +62,13 @@
             self._changed.notify_all()
 
     def submit(self, request: GenerationRequest) -> Generation | None:
-        """Queue a new generation, or give None where the queue is full."""
+        """Queue a new generation, or give None where it is refused."""
         with self._changed:
             now_s = time.monotonic()
             self.counts.arrivals += 1
             self.counts.arrivals_while_leaving += self.is_leaving
-            if len(self.scheduler.waiting) >= self._settings.queue_max or self._is_stopped:
+            is_full = len(self.scheduler.waiting) >= self._settings.queue_max
+            if is_full or self.refuses_starts or self._is_stopped:
                 self.counts.refused += 1
                 return None
             generation = Generation(request, now_s)
--- a/gooseberryquay/standins/engine.py
+++ b/gooseberryquay/standins/engine.py
@@ -22,6 +22,7 @@
     EngineFault,
     Hang,
     Reclaim,
+    RefuseStarts,
     ReportLag,
     SlowDown,
     TurnCold,
@@ -102,6 +103,8 @@
                 self._has_reports = not is_on
             case SlowDown(factor=factor):
                 self._batch.slow_factor = factor
+            case RefuseStarts(is_on=is_on):
+                self._batch.refuses_starts = is_on
             case Reclaim(after_s=after_s):
                 self._batch.is_leaving = True
                 call_later(after_s, self.crash)
--- a/gooseberryquay/standins/engine_faults.py
+++ b/gooseberryquay/standins/engine_faults.py
@@ -10,6 +10,7 @@
     "EngineFault",
     "Hang",
     "Reclaim",
+    "RefuseStarts",
     "ReportLag",
     "SlowDown",
     "TurnCold",
@@ -46,6 +47,13 @@
     factor: float
 
 
+class RefuseStarts(BaseModel):
+    """Refuse new generations with status 503, or take them again."""
+
+    kind: Literal["refuse_starts"] = "refuse_starts"
+    is_on: bool = True
+
+
 class Reclaim(BaseModel):
     """Be leaving now and die after a time."""
 
@@ -74,7 +82,15 @@
 
 
 EngineFault = Annotated[
-    TurnCold | ReportLag | DropReports | SlowDown | Reclaim | Die | Hang | WrongGeneration,
+    TurnCold
+    | ReportLag
+    | DropReports
+    | SlowDown
+    | RefuseStarts
+    | Reclaim
+    | Die
+    | Hang
+    | WrongGeneration,
     Field(discriminator="kind"),
 ]
 _ADAPTER: TypeAdapter[EngineFault] = TypeAdapter(EngineFault)
--- a/gooseberryquay/standins/experiments/commands.py
+++ b/gooseberryquay/standins/experiments/commands.py
@@ -1,11 +1,17 @@
 """Commands of the experiments with whole fleets."""
 
+from gooseberryquay.standins.experiments.brown_out import (
+    BrownOut,
+    BrownOutExperiment,
+    BrownOutPlan,
+)
 from gooseberryquay.standins.experiments.rule_experiment import RuleExperiment, describe_summary
 from gooseberryquay.standins.experiments.zone_experiment import ZoneExperiment
 
 __all__ = ["ExperimentCommands"]
 
 ALL_RULES = "round_robin,least_in_flight,power_of_two,expected_memory"
+ALL_BROWN_OUTS = "engines_refuse,engines_hang,lookups_lost,lookups_hang"
 
 
 def _split(names: object) -> list[str]:
@@ -39,3 +45,10 @@
             print(f"  arrivals in the zone after its return: {result.arrivals_after_return}")
             print(f"  longest gap between tokens: {result.summary.token_gap.max_ms:.0f} ms")
             print(f"  refusals: {result.summary.refusals}  failures: {result.summary.failures}")
+
+    def brownout(self, kinds: str = ALL_BROWN_OUTS, seeds: int = 1) -> None:
+        """Let all upstreams of a service fail for 10 s and print the attempts that they counted."""
+        for kind in map(BrownOut, _split(kinds)):
+            for seed in range(1, seeds + 1):
+                result = BrownOutExperiment(BrownOutPlan(kind)).run(seed)
+                print(result.describe(kind), flush=True)
--- a/gooseberryquay/standins/load/model_call.py
+++ b/gooseberryquay/standins/load/model_call.py
@@ -67,9 +67,11 @@
             if response.status == HTTP_OK:
                 self._read(response)
             elif self._check.last_event_id:
-                self._check.error_type = read_refusal(response)
+                self._check.error_type = read_refusal(response).type
             else:
-                self.outcome.failure = read_refusal(response)
+                refusal = read_refusal(response)
+                self.outcome.failure = refusal.type
+                self.outcome.is_incomplete_refusal = not refusal.is_complete
                 self.outcome.end = CallEnd.REFUSED
 
     def _read(self, response: http.client.HTTPResponse) -> None:
--- a/gooseberryquay/standins/load/outcome.py
+++ b/gooseberryquay/standins/load/outcome.py
@@ -43,6 +43,7 @@
     resumes: int = 0
     retries: int = 0
     is_wrong_answer: bool = False
+    is_incomplete_refusal: bool = False
     counts: StreamCounts = field(default_factory=StreamCounts)
     lock: threading.Lock = field(default_factory=threading.Lock)
 
--- a/gooseberryquay/standins/load/plain_call.py
+++ b/gooseberryquay/standins/load/plain_call.py
@@ -54,7 +54,9 @@
             if response.status == HTTP_OK:
                 self._read(response)
             else:
-                self.outcome.failure = read_refusal(response)
+                refusal = read_refusal(response)
+                self.outcome.failure = refusal.type
+                self.outcome.is_incomplete_refusal = not refusal.is_complete
                 self.outcome.end = CallEnd.REFUSED
 
     def _read(self, response: http.client.HTTPResponse) -> None:
--- a/gooseberryquay/standins/load/refusal.py
+++ b/gooseberryquay/standins/load/refusal.py
@@ -1,10 +1,15 @@
 """Refusals as the load tool counts them."""
 
 import http.client
+from dataclasses import dataclass
 
 from pydantic import BaseModel, ValidationError
 
-__all__ = ["read_refusal"]
+from gooseberryquay.errors import Ran
+
+__all__ = ["Refusal", "read_refusal"]
+
+RETRY_AFTER_HEADER = "Retry-After"
 
 
 class _Error(BaseModel):
@@ -12,13 +17,24 @@
     ran: str = "unknown"
 
 
-class _Refusal(BaseModel):
+class _Body(BaseModel):
     error: _Error
 
 
-def read_refusal(response: http.client.HTTPResponse) -> str:
-    """Give the type of a refusal, or its HTTP status where it has none."""
+@dataclass(frozen=True)
+class Refusal:
+    """Hold a refusal's type, and whether it says if the request ran and when to come back."""
+
+    type: str
+    is_complete: bool
+
+
+def read_refusal(response: http.client.HTTPResponse) -> Refusal:
+    """Read a refusal; one without a type gets its HTTP status as type."""
     try:
-        return _Refusal.model_validate_json(response.read()).error.type
+        error = _Body.model_validate_json(response.read()).error
     except ValidationError:
-        return f"http_{response.status}"
+        return Refusal(f"http_{response.status}", is_complete=False)
+    says_ran = error.ran in {each.value for each in Ran}
+    has_retry_after = response.headers.get(RETRY_AFTER_HEADER, "").isdigit()
+    return Refusal(error.type, is_complete=says_ran and has_retry_after)
--- a/gooseberryquay/standins/load/snapshot.py
+++ b/gooseberryquay/standins/load/snapshot.py
@@ -25,6 +25,7 @@
     "duplicate_tokens",
     "foreign_tokens",
     "wrong_answers",
+    "incomplete_refusals",
     "unfinished",
     "not_started",
 )
--- a/gooseberryquay/standins/load/summary.py
+++ b/gooseberryquay/standins/load/summary.py
@@ -89,7 +89,8 @@
     """Hold everything measured of one variant.
 
     `stall_s` is the sum of all token gaps longer than `stall_gap_s`, each in whole length.
-    `start_lag` is how late the tool itself began the calls.
+    `start_lag` is how late the tool itself began the calls. An incomplete refusal does not say
+    whether the request ran, or not when to come back.
     """
 
     variant: str
@@ -112,6 +113,7 @@
     duplicate_tokens: int = 0
     foreign_tokens: int = 0
     wrong_answers: int = 0
+    incomplete_refusals: int = 0
     unfinished: int = 0
     not_started: int = 0
     upstreams: UpstreamSummary | None = None
@@ -135,7 +137,7 @@
         yield (
             f"  wrong                out_of_order={self.out_of_order_tokens} "
             f"duplicate={self.duplicate_tokens} foreign={self.foreign_tokens} "
-            f"answers={self.wrong_answers}"
+            f"answers={self.wrong_answers} incomplete_refusals={self.incomplete_refusals}"
         )
         yield (
             f"  other                resumes={self.resumes} unfinished={self.unfinished} "
--- a/gooseberryquay/standins/load/tally.py
+++ b/gooseberryquay/standins/load/tally.py
@@ -111,6 +111,7 @@
         second = self._second(outcome.finished_at_s)
         kind.deadline_misses += is_late
         self._summary.wrong_answers += outcome.is_wrong_answer
+        self._summary.incomplete_refusals += outcome.is_incomplete_refusal
         match outcome.end:
             case CallEnd.ANSWERED:
                 kind.answered += 1
