--- a/gooseberryquay/links/service_caller.py
+++ b/gooseberryquay/links/service_caller.py
@@ -8,7 +8,7 @@
 
 from gooseberryquay.contracts.service import Repeat
 from gooseberryquay.errors import UpstreamFailed
-from gooseberryquay.ids import UpstreamId
+from gooseberryquay.ids import ServiceId, UpstreamId
 from gooseberryquay.links.dispatch_outcome import (
     AnsweredByUpstream,
     DispatchOutcome,
@@ -24,6 +24,7 @@
 __all__ = ["ServiceCaller"]
 
 MAX_ATTEMPTS = 4
+RETRY_AFTER_S = 1.0
 
 
 class ServiceCaller:
@@ -52,7 +53,7 @@
             upstream = placement.upstream.id
             ending = Outcome.CANCELLED
             try:
-                outcome = self._send_to(upstream, call)
+                outcome = self._send_to(upstream, work.service, call)
                 ending = _ending_of(outcome)
             finally:
                 placement.finish(ending)
@@ -64,11 +65,13 @@
             work = replace(work, excluded=work.excluded | {upstream})
         return known
 
-    def _send_to(self, upstream: UpstreamId, call: ServiceCall) -> DispatchOutcome:
+    def _send_to(
+        self, upstream: UpstreamId, service: ServiceId, call: ServiceCall
+    ) -> DispatchOutcome:
         link = self._link_to(upstream)
         if link is None:
-            return NotSent(UpstreamFailed("the upstream is no longer declared"))
-        return link.send(call)
+            return NotSent(UpstreamFailed("the upstream is gone", retry_after_s=RETRY_AFTER_S))
+        return link.send(call, lambda: self._retries.may_retry(service))
 
     def _may_send_again(self, work: Work, call: ServiceCall, outcome: DispatchOutcome) -> bool:
         if time.monotonic() >= work.deadline_at_s:
