Free a refused key only after its refusal has been written

Cause: a claim whose run was not sent, was refused by the upstream or was too late was released before its caller was answered, and the answer waited for the release to be confirmed (up to record_timeout_s). In between, a request for the same key at another entry claimed and ran it, and the first one's refusal then said "not run". The same held for the release of an uncertain claim. It also held the refusal back while the platform was slow.

The refusal now goes out at once, and the release is handed to the HTTP server, which calls it when the answer has been written. It counts as unfinished until then, so a drain waits for it. Weighed: a hold of the next claimant for a time after a release; a pause of the refusing entry breaks it.

A repeat that comes before the release has landed gets unknown_outcome with a time to come back.

--- a/gooseberryquay/links/http_server.py
+++ b/gooseberryquay/links/http_server.py
@@ -11,7 +11,13 @@
 import cheroot.wsgi
 from pydantic import BaseModel
 
-from gooseberryquay.links.streaming_gateway import BodyWriter, StreamingGateway, writer_of
+from gooseberryquay.links.streaming_gateway import (
+    AfterAnswer,
+    BodyWriter,
+    StreamingGateway,
+    after_answer_of,
+    writer_of,
+)
 from gooseberryquay.links.thread_pool import GrowingThreadPool
 
 __all__ = ["HttpServer", "Request", "Response", "Router", "StreamOpener"]
@@ -38,7 +44,10 @@
 
 @dataclass(frozen=True)
 class Request:
-    """Hold one HTTP request; header names are lower case."""
+    """Hold one HTTP request; header names are lower case.
+
+    `after_answer` takes what is to be done once the answer has been written or its caller is gone.
+    """
 
     method: str
     path: str
@@ -46,6 +55,7 @@
     headers: dict[str, str]
     body: bytes
     open_stream: StreamOpener
+    after_answer: AfterAnswer
     path_values: dict[str, str] = field(default_factory=dict)
 
 
@@ -208,5 +218,11 @@
     has_body = environ.get("CONTENT_LENGTH") or environ.get("wsgi.input_terminated")
     body = environ["wsgi.input"].read() if has_body else b""
     return Request(
-        environ["REQUEST_METHOD"], environ["PATH_INFO"], query, headers, body, open_stream
+        environ["REQUEST_METHOD"],
+        environ["PATH_INFO"],
+        query,
+        headers,
+        body,
+        open_stream,
+        after_answer_of(environ),
     )
--- a/gooseberryquay/links/service_api.py
+++ b/gooseberryquay/links/service_api.py
@@ -37,6 +37,7 @@
 from gooseberryquay.links.request_log import RequestLog, RequestRecord
 from gooseberryquay.links.service_caller import ServiceCaller
 from gooseberryquay.links.service_link import ServiceCall
+from gooseberryquay.links.streaming_gateway import AfterAnswer
 from gooseberryquay.machines.work import Work
 from gooseberryquay.postings import Posting, PostingDesk
 from gooseberryquay.zones.configuration import Configuration
@@ -58,6 +59,7 @@
     body: bytes
     content_type: str
     key: IdempotencyKey | None
+    after_answer: AfterAnswer
     is_first_attempt: bool
 
     @property
@@ -111,7 +113,18 @@
         content_type = request.headers.get("content-type", "application/json")
         own_key = None if key is None else IdempotencyKey(key)
         is_first = is_first_attempt(request)
-        return Ok(_Call(context, service, operation, request.body, content_type, own_key, is_first))
+        return Ok(
+            _Call(
+                context,
+                service,
+                operation,
+                request.body,
+                content_type,
+                own_key,
+                request.after_answer,
+                is_first,
+            )
+        )
 
     def _check_key(self, repeat: Repeat, key: str | None) -> Failure | None:
         if key is None:
@@ -158,6 +171,7 @@
             key=call.key,
             body=call.body,
             deadline_at_s=call.deadline_at_s,
+            after_answer=call.after_answer,
             is_first_attempt=call.is_first_attempt,
         )
 
--- a/gooseberryquay/links/streaming_gateway.py
+++ b/gooseberryquay/links/streaming_gateway.py
@@ -1,16 +1,28 @@
 """Cheroot gateway that writes the chunks of a streamed answer straight to the socket."""
 
 import socket
+import threading
+from collections.abc import Callable
 from typing import Any, Protocol, cast
 
 import cheroot.wsgi
 
 from gooseberryquay.links.socket_timeout import set_write_timeout
 
-__all__ = ["BodyWriter", "CallerGone", "StreamingGateway", "writer_of"]
+__all__ = [
+    "AfterAnswer",
+    "BodyWriter",
+    "CallerGone",
+    "StreamingGateway",
+    "after_answer_of",
+    "writer_of",
+]
+
+AfterAnswer = Callable[[Callable[[], None]], None]
 
 WRITE_TIMEOUT_S = 30.0
 WRITER_KEY = "gooseberryquay.writer"
+AFTER_ANSWER_KEY = "gooseberryquay.after_answer"
 
 
 class CallerGone(ConnectionError):
@@ -35,11 +47,14 @@
     """Skip cheroot's buffered writer, which costs more than the write itself."""
 
     _socket: socket.socket | None = None
+    _after_answer: list[Callable[[], None]]
 
     def get_environ(self) -> Any:
         """Give the WSGI environment with the writer of this answer."""
         environ: dict[str, Any] = cast(Any, super()).get_environ()
         environ[WRITER_KEY] = self
+        self._after_answer = []
+        environ[AFTER_ANSWER_KEY] = self._after_answer.append
         return environ
 
     def respond(self) -> None:
@@ -49,6 +64,13 @@
         finally:
             if self._socket is not None:
                 self._socket.settimeout(self.req.server.timeout)
+            if self._after_answer:
+                threading.Thread(target=self._do_after_answer, daemon=True).start()
+
+    def _do_after_answer(self) -> None:
+        """Do what waited for the answer; the connection's next request does not wait for it."""
+        for action in self._after_answer:
+            action()
 
     def write(self, chunk: bytes) -> None:
         """Write content at once."""
@@ -89,3 +111,8 @@
 def writer_of(environ: dict[str, Any]) -> BodyWriter:
     """Give the writer of the answer that a WSGI environment belongs to."""
     return cast(BodyWriter, environ[WRITER_KEY])
+
+
+def after_answer_of(environ: dict[str, Any]) -> AfterAnswer:
+    """Give what takes actions to be done once the answer has been written."""
+    return cast(AfterAnswer, environ[AFTER_ANSWER_KEY])
--- a/gooseberryquay/machines/tests/test_cold_notice.py
+++ b/gooseberryquay/machines/tests/test_cold_notice.py
@@ -17,7 +17,15 @@
 
 
 def _post(path, body):
-    return Request("POST", path, {}, {}, body, open_stream=lambda _headers: None)
+    return Request(
+        "POST",
+        path,
+        {},
+        {},
+        body,
+        open_stream=lambda _headers: None,
+        after_answer=lambda _action: None,
+    )
 
 
 class DirectPeers:
--- a/gooseberryquay/postings/posting.py
+++ b/gooseberryquay/postings/posting.py
@@ -8,6 +8,7 @@
 
 from gooseberryquay.contracts.posting_settings import PostingSettings
 from gooseberryquay.ids import IdempotencyKey, OperationName, ServiceId, WorkspaceId
+from gooseberryquay.links.streaming_gateway import AfterAnswer
 from gooseberryquay.postings.records import RecordKey
 
 __all__ = ["KeyLocation", "LogName", "Posting", "locate", "timed_log"]
@@ -23,7 +24,9 @@
 class Posting:
     """Describe one request for an operation; the deadline is of the monotonic clock.
 
-    `is_first_attempt` is the caller's word that it has not sent this key before.
+    `after_answer` takes what is to be done once the answer has been written to the caller.
+    `is_first_attempt` is the caller's word that no other request with this key was sent before, nor
+    will be while this one is unanswered.
     """
 
     workspace: WorkspaceId
@@ -32,6 +35,7 @@
     key: IdempotencyKey
     body: bytes
     deadline_at_s: float
+    after_answer: AfterAnswer
     is_first_attempt: bool = False
 
     def record_key(self) -> RecordKey:
--- a/gooseberryquay/postings/posting_desk.py
+++ b/gooseberryquay/postings/posting_desk.py
@@ -138,7 +138,7 @@
             case Ok(state) if state.is_held_by(token):
                 return self._run_claimed(posting, at, token, dispatch)
             case Ok(state) if state.phase is KeyPhase.FREE:
-                return Err(PlatformUnavailable("the claim was made void", Ran.NO, RETRY_AFTER_S))
+                return Err(self._refuse_for_platform(posting, at, "the claim was made void"))
             case Ok(state):
                 return answer_repeat(posting, state, self._settings.running_s)
 
@@ -163,7 +163,8 @@
                 message = "too many keys without a creation time are kept; send UUIDv7 keys"
                 return UntimedKeysFull(message, self._ran_before(posting, at), RETRY_AFTER_S)
             case AppendUncertain():
-                self._backlog.add(at, Released(key=at.key, token=token))
+                released = Released(key=at.key, token=token)
+                self._do_after_answer(posting, lambda: self._backlog.add(at, released))
         return self._refuse_for_platform(posting, at, failure.message)
 
     def _refuse_for_platform(self, posting: Posting, at: KeyLocation, reason: str) -> Failure:
@@ -180,23 +181,46 @@
         self, posting: Posting, at: KeyLocation, token: ClaimToken, dispatch: Dispatch
     ) -> Result[Answered, Failure]:
         if failure := self._start_run(posting, at):
-            self._record(at, Released(key=at.key, token=token))
-            return Err(failure)
+            return self._release(posting, at, token, failure)
         match self._dispatch(token, dispatch):
             case AnsweredByUpstream() as answer:
                 answered = _answered(at, token, answer)
                 self._record(at, self._bounded(answered))
                 return Ok(answered)
             case NotSent(failure):
-                self._record(at, Released(key=at.key, token=token))
-                return Err(failure)
+                return self._release(posting, at, token, failure)
             case RefusedByUpstream(message, retry_after_s):
-                self._record(at, Released(key=at.key, token=token))
-                return Err(Overloaded(message, Ran.NO, retry_after_s))
+                refusal = Overloaded(message, Ran.NO, retry_after_s)
+                return self._release(posting, at, token, refusal)
             case Undecided(message):
                 self._record(at, OutcomeLost(key=at.key, token=token))
                 return Err(UnknownOutcome(message, Ran.MAYBE))
 
+    def _release(
+        self, posting: Posting, at: KeyLocation, token: ClaimToken, failure: Failure
+    ) -> Err[Failure]:
+        """Refuse, and free the key only once the refusal has been written.
+
+        Freed before that, the key could run elsewhere while the refusal still says that it did not.
+        """
+        released = Released(key=at.key, token=token)
+        self._do_after_answer(posting, lambda: self._record(at, released))
+        return Err(failure)
+
+    def _do_after_answer(self, posting: Posting, action: Callable[[], None]) -> None:
+        """Count an action as unfinished until the answer has been written and it is done."""
+        with self._lock:
+            self._running_count += 1
+
+        def finish() -> None:
+            try:
+                action()
+            finally:
+                with self._lock:
+                    self._running_count -= 1
+
+        posting.after_answer(finish)
+
     def _start_run(self, posting: Posting, at: KeyLocation) -> Failure | None:
         if not self._memory.start_run(at.key, posting.deadline_at_s):
             return DeadlineUnreachable("the deadline passed before it could be sent", Ran.NO)
--- a/gooseberryquay/postings/tests/builders.py
+++ b/gooseberryquay/postings/tests/builders.py
@@ -17,7 +17,7 @@
 from gooseberryquay.machines.peer import Peer
 from gooseberryquay.postings import Posting, PostingDesk, PostingSettings
 from gooseberryquay.postings.owned_claims import OwnedClaims
-from gooseberryquay.postings.records import Claimed
+from gooseberryquay.postings.records import Claimed, Released
 from gooseberryquay.standins.platform import PlatformStandIn
 
 TIMEOUT_S = 20.0
@@ -31,7 +31,8 @@
     return str(uuid.UUID(int=time_ms << 80 | 7 << 76 | (high & 0xFFF) << 64 | 2 << 62 | low))
 
 
-def build_posting(key=None, body=b"{}", timeout_s=TIMEOUT_S, **fields):
+def build_posting(key=None, body=b"{}", timeout_s=TIMEOUT_S, after_answer=None, **fields):
+    """Make a posting; without `after_answer` its answer counts as written at once."""
     return Posting(
         workspace="plant-1",
         service="ledger-app",
@@ -39,6 +40,7 @@
         key=key or build_key(),
         body=body,
         deadline_at_s=time.monotonic() + timeout_s,
+        after_answer=after_answer or (lambda action: action()),
         **fields,
     )
 
@@ -161,6 +163,18 @@
         return appended
 
 
+class ActsAfterRelease(OwnedClaims):
+    """Claims that do something as soon as a release is in the log."""
+
+    act = None
+
+    def append(self, at, record, deadline_at_s):
+        appended = super().append(at, record, deadline_at_s)
+        if isinstance(record, Released):
+            self.act()
+        return appended
+
+
 class CountingService:
     """Count runs of each key; `run` is a dispatch for a desk."""
 
--- a/gooseberryquay/postings/tests/test_posting_desk.py
+++ b/gooseberryquay/postings/tests/test_posting_desk.py
@@ -15,13 +15,20 @@
     RequestTooOld,
     UnknownOutcome,
     UntimedKeysFull,
+    UpstreamFailed,
+)
+from gooseberryquay.links.dispatch_outcome import (
+    AnsweredByUpstream,
+    NotSent,
+    RefusedByUpstream,
+    Undecided,
 )
-from gooseberryquay.links.dispatch_outcome import AnsweredByUpstream, RefusedByUpstream, Undecided
 from gooseberryquay.postings import PostingDesk
 from gooseberryquay.postings.owned_claims import choose_owner
 from gooseberryquay.postings.posting import locate
 from gooseberryquay.postings.tests.builders import (
     TIMEOUT_S,
+    ActsAfterRelease,
     CountingService,
     Fleet,
     PausedAfterClaim,
@@ -308,3 +315,62 @@
         assert service.runs[key] == 0
         assert sent[0].result(TIMEOUT_S).is_ok()
         assert service.runs[key] == 1
+
+
+def assert_key_is_held(fleet, service, key):
+    repeat = run(fleet.desks[1], service, key).unwrap_err()
+    assert isinstance(repeat, UnknownOutcome) and repeat.ran is Ran.MAYBE and repeat.retry_after_s
+    assert service.runs[key] == 0
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [NotSent(UpstreamFailed("no connection", Ran.NO)), RefusedByUpstream("busy")],
+    ids=["not sent", "refused"],
+)
+def test_key_does_not_run_between_its_release_and_the_refusal(service, outcome):
+    """A request at another entry runs the key as soon as it is free."""
+    key, to_do = build_key(), []
+    with Fleet(2) as fleet:
+        claims = ActsAfterRelease(fleet.links[0], fleet.peers[0], fleet.settings)
+        claims.act = lambda: run(fleet.desks[1], service, key)
+        desk = PostingDesk(fleet.links[0], fleet.peers[0], fleet.settings, claims)
+        posting = build_posting(key, after_answer=to_do.append)
+        refusal = desk.run_once(posting, service.dispatch("other", outcome)).unwrap_err()
+        assert refusal.ran is Ran.NO
+        assert_key_is_held(fleet, service, key)
+        assert desk.has_unfinished()
+        to_do.pop()()
+        assert service.runs[key] == 1
+        assert not to_do and not desk.has_unfinished()
+
+
+def test_key_whose_deadline_passed_does_not_run_before_the_refusal_is_written(service):
+    key, to_do = build_key(), []
+    with Fleet(2) as fleet:
+        paused = PausedAfterClaim(fleet.links[0], fleet.peers[0], fleet.settings)
+        desk = PostingDesk(fleet.links[0], fleet.peers[0], fleet.settings, paused)
+        late = run(desk, service, key, timeout_s=1.0, after_answer=to_do.append).unwrap_err()
+        assert isinstance(late, DeadlineUnreachable) and late.ran is Ran.NO
+        assert_key_is_held(fleet, service, key)
+        to_do.pop()()
+        assert run(fleet.desks[1], service, key).is_ok()
+
+
+def test_uncertain_claim_is_not_released_before_the_refusal_is_written(service):
+    key, to_do = build_key(), []
+    with Fleet(2) as fleet:
+        fleet.isolate_views()
+        first = fleet.links[0]
+        assert run(fleet.desks[0], service, build_key()).is_ok()
+        first.is_holding_next_write = True
+        posting = {"timeout_s": SHORT_S, "is_first_attempt": True, "after_answer": to_do.append}
+        refusal = run(fleet.desks[0], service, key, **posting).unwrap_err()
+        assert isinstance(refusal, PlatformUnavailable) and refusal.ran is Ran.NO
+        assert isinstance(first.land_held_write(), Ok)
+        first.is_out = False
+        assert not fleet.desks[0].close(SHORT_S)
+        assert_key_is_held(fleet, service, key)
+        to_do.pop()()
+        assert fleet.desks[0].close(TIMEOUT_S)
+        assert run(fleet.desks[1], service, key).is_ok()
--- a/gooseberryquay/standins/posting_fleet/node.py
+++ b/gooseberryquay/standins/posting_fleet/node.py
@@ -156,6 +156,7 @@
             key=IdempotencyKey(request.path_values["key"]),
             body=request.body,
             deadline_at_s=time.monotonic() + POSTING_TIMEOUT_S,
+            after_answer=request.after_answer,
         )
         match self._desk.run_once(posting, lambda token: self._dispatch(posting, token)):
             case Ok(answer):
