Treat a connection refused to a request as one refused to a poll

Cause: a poll that was refused made the upstream's condition unknown, a request that was refused only silent; one that came back cold would have been taken as warm until its first report.

--- a/gooseberryquay/machines/dispatcher.py
+++ b/gooseberryquay/machines/dispatcher.py
@@ -92,7 +92,6 @@
             upstream.is_silent = True
             if is_gone:
                 upstream.refused_connection(time.monotonic())
-                upstream.forget(time.monotonic())
 
     def saw_cold(self, upstream_id: UpstreamId) -> None:
         """Take an upstream as cold, as another entry has seen."""
--- a/gooseberryquay/machines/upstream.py
+++ b/gooseberryquay/machines/upstream.py
@@ -131,13 +131,10 @@
         self._turn(UpstreamView.COLD, now_s)
 
     def refused_connection(self, now_s: float) -> None:
-        """Take it as silent since the first connection that it refused."""
+        """Take it as gone since the first refusal; what was reported holds no longer."""
         self.is_silent = True
         if self.gone_since_s is None:
             self.gone_since_s = now_s
-
-    def forget(self, now_s: float) -> None:
-        """Drop what was reported, so that the condition is unknown again."""
         self._turn(UpstreamView.UNKNOWN, now_s)
         self.report = None
 
