Count all control traffic of an entry in one byte budget of 5 KB/s

Cause: membership, the reports of an outage and the polls each kept to a bound of their own, and the bounds sum to more than 5 KB/s.

Each use that can wait now sends only while a share of a common token bucket is left for the others; heartbeats, leaves and new configurations never wait.

Ruled out: a fixed rate for each part, one queue for all messages, and reports of an outage along with heartbeats (docs/design/control-traffic.md).

--- a/gooseberryquay/daemons/cluster.py
+++ b/gooseberryquay/daemons/cluster.py
@@ -8,6 +8,7 @@
 from gooseberryquay.ids import Incarnation, Revision
 from gooseberryquay.links.http_server import Router
 from gooseberryquay.links.platform_link import PlatformLink
+from gooseberryquay.machines.control_budget import ControlBudget
 from gooseberryquay.machines.member_messages import HeartbeatExtras
 from gooseberryquay.machines.membership import Membership
 from gooseberryquay.machines.peer import Peer
@@ -29,18 +30,25 @@
     """Keep one entry in step with the platform and with the other entries."""
 
     def __init__(self, settings: Settings, own: EntrySettings, platform: PlatformSettings) -> None:
+        self.budget = ControlBudget()
         self.platform = PlatformLink(platform.address)
         self.membership = Membership(
             _describe(own),
             seeds=_seeds_of(settings, own),
-            platform=self.platform,
+            platform=PlatformLink(platform.address, on_bytes=self.budget.spend),
+            budget=self.budget,
             extras=self._tell,
             on_extras=self._hear,
         )
         keeper_link = PlatformLink(
-            platform.address, KEEPER_CONNECT_TIMEOUT_S, KEEPER_READ_TIMEOUT_S
+            platform.address,
+            KEEPER_CONNECT_TIMEOUT_S,
+            KEEPER_READ_TIMEOUT_S,
+            self.budget.spend,
+        )
+        self.keeper = ConfigurationKeeper(
+            self.membership, keeper_link, settings.declaration, budget=self.budget
         )
-        self.keeper = ConfigurationKeeper(self.membership, keeper_link, settings.declaration)
         self.suspects = SuspectList(
             self.membership, self.platform, crash_count_max=settings.limits.crash_count_max
         )
--- a/gooseberryquay/daemons/dispatching.py
+++ b/gooseberryquay/daemons/dispatching.py
@@ -38,7 +38,7 @@
         )
         self._notices = ColdNotices(cluster.membership, self.dispatcher.saw_cold)
         sink = ReportSink(self.dispatcher.saw_report, self.dispatcher.saw_silence)
-        self._poller = LoadPoller(table, sink, settings.choice.poll_bytes_per_s)
+        self._poller = LoadPoller(table, sink, settings.choice.poll_bytes_per_s, cluster.budget)
         self._cold_links = ColdAdmissionLinks(
             fresh_report=self._poller.ask_now,
             entry_count=cluster.entry_count,
--- a/gooseberryquay/daemons/entry.py
+++ b/gooseberryquay/daemons/entry.py
@@ -12,7 +12,7 @@
 from gooseberryquay.links.engine_link import EngineLink
 from gooseberryquay.links.generation_relay import GenerationRelay
 from gooseberryquay.links.health_api import HealthApi
-from gooseberryquay.links.http_server import HttpServer, Router
+from gooseberryquay.links.http_server import HttpServer
 from gooseberryquay.links.in_flight import InFlight
 from gooseberryquay.links.request_log import RequestLog
 from gooseberryquay.links.service_api import ServiceApi
@@ -20,6 +20,7 @@
 from gooseberryquay.links.service_link import ServiceLink
 from gooseberryquay.links.suspect_guard import SuspectGuard
 from gooseberryquay.links.upstream_links import UpstreamLinks
+from gooseberryquay.machines.control_meter import MeteredRouter
 from gooseberryquay.postings import PostingDesk
 from gooseberryquay.reports.entry_status import EntryStatus
 
@@ -45,7 +46,7 @@
         self._reporting = Reporting(settings, self._cluster, self._gauges)
         self._log = RequestLog(self._reporting.sinks)
         caller_api = self._build_caller_api()
-        control_api = Router()
+        control_api = MeteredRouter(self._cluster.budget)
         health = HealthApi(self._state, self.status)
         health.add_routes(caller_api)
         health.add_routes(control_api)
--- a/gooseberryquay/links/platform_link.py
+++ b/gooseberryquay/links/platform_link.py
@@ -1,5 +1,6 @@
 """Client of the platform's object API."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from urllib.parse import quote
 
@@ -32,6 +33,8 @@
 HTTP_CONFLICT = 409
 STATUSES_OF_UNKNOWN_OUTCOME = (500, 502, 504)
 NO_VERSION = 0
+# Header bytes of one call and its answer.
+CALL_HEADER_BYTES = 300
 
 
 @dataclass(frozen=True)
@@ -69,12 +72,20 @@
 
 
 class PlatformLink:
-    """Read, write and watch objects of the platform; safe for use by many threads."""
+    """Read, write and watch objects of the platform; safe for use by many threads.
+
+    `on_bytes` is called with the bytes of each call and its answer.
+    """
 
     def __init__(
-        self, address: Address, connect_timeout_s: float = 0.5, read_timeout_s: float = 2.0
+        self,
+        address: Address,
+        connect_timeout_s: float = 0.5,
+        read_timeout_s: float = 2.0,
+        on_bytes: Callable[[int], None] = lambda _bytes: None,
     ) -> None:
         self._read_timeout_s = read_timeout_s
+        self._on_bytes = on_bytes
         self._client = HttpClient(address.host, address.port, connect_timeout_s, read_timeout_s)
 
     def read(self, key: str) -> Result[StoredObject | None, ReadFailure]:
@@ -105,25 +116,33 @@
         With an expected version the write is conditional; 0 means "must not exist".
         """
         body = WriteRequest(value=value, expected_version=expected_version).model_dump_json()
-        sent = self._client.send("PUT", f"/objects/{quote(key, safe='')}", body.encode())
+        sent = self._send("PUT", f"/objects/{quote(key, safe='')}", body.encode())
         return _read_write_answer(sent)
 
     def delete(self, key: str, expected_version: int) -> Result[int, WriteFailure]:
         """Delete an object at an expected version."""
         path = f"/objects/{quote(key, safe='')}?expected_version={expected_version}"
-        return _read_write_answer(self._client.send("DELETE", path))
+        return _read_write_answer(self._send("DELETE", path))
 
     def put_instance(self, entry: InstanceEntry) -> Result[None, WriteFailure]:
         """Add or replace an instance in the platform's list."""
         body = entry.model_dump_json().encode()
-        return _read_instance_answer(self._client.send("PUT", _instance_path(entry.id), body))
+        return _read_instance_answer(self._send("PUT", _instance_path(entry.id), body))
 
     def delete_instance(self, instance_id: str) -> Result[None, WriteFailure]:
         """Remove an instance from the platform's list."""
-        return _read_instance_answer(self._client.send("DELETE", _instance_path(instance_id)))
+        return _read_instance_answer(self._send("DELETE", _instance_path(instance_id)))
+
+    def _send(
+        self, method: str, path: str, body: bytes = b"", timeout_s: float | None = None
+    ) -> Result[Reply, LinkFailure]:
+        sent = self._client.send(method, path, body, read_timeout_s=timeout_s)
+        answer_bytes = len(sent.ok_value.body) if isinstance(sent, Ok) else 0
+        self._on_bytes(CALL_HEADER_BYTES + len(body) + answer_bytes)
+        return sent
 
     def _read(self, path: str, timeout_s: float | None) -> Result[Reply, ReadFailure]:
-        match self._client.send("GET", path, read_timeout_s=timeout_s):
+        match self._send("GET", path, timeout_s=timeout_s):
             case Err(failure):
                 return Err(PlatformUnreachable(failure.message))
             case Ok(Reply(status=status) as reply) if status in (HTTP_OK, HTTP_NO_CONTENT):
--- a/gooseberryquay/machines/load_poller.py
+++ b/gooseberryquay/machines/load_poller.py
@@ -11,9 +11,10 @@
 from gooseberryquay.contracts.upstream import UpstreamDeclaration
 from gooseberryquay.ids import UpstreamId
 from gooseberryquay.links.http_client import HttpClient, LinkFailure, Reply
+from gooseberryquay.machines.control_budget import ControlBudget, ControlUse
 from gooseberryquay.machines.load_budget import ByteBudget
 from gooseberryquay.machines.load_report import LoadReport, parse_load_report
-from gooseberryquay.machines.upstream import Upstream
+from gooseberryquay.machines.upstream import Upstream, UpstreamView
 from gooseberryquay.machines.upstream_table import UpstreamTable
 
 __all__ = ["LoadPoller", "ReportSink"]
@@ -22,6 +23,8 @@
 FRESH_ENOUGH_S = 0.5
 IDLE_WAIT_S = 0.1
 READ_TIMEOUT_S = 1.0
+# One poll in this time is about 0.5 KB/s.
+LONGEST_GAP_S = 0.7
 SILENT_AFTER_FAILURES = 2
 REQUEST_BYTES = 140
 HEADER_OVERHEAD_BYTES = 4
@@ -55,13 +58,25 @@
 
 
 class LoadPoller:
-    """Poll the upstreams of one entry; reports that ride on answers save polls."""
-
-    def __init__(self, table: UpstreamTable, sink: ReportSink, bytes_per_s: float) -> None:
+    """Poll the upstreams of one entry; reports that ride on answers save polls.
+
+    Polls give way to the other control traffic that shares `control`, but each upstream is asked
+    once at first, those that are not known to be warm give way last, and a few always go on.
+    """
+
+    def __init__(
+        self,
+        table: UpstreamTable,
+        sink: ReportSink,
+        bytes_per_s: float,
+        control: ControlBudget | None = None,
+    ) -> None:
         self._table = table
         self._sink = sink
         self._budget = ByteBudget(bytes_per_s)
+        self._control = control or ControlBudget()
         self._links: dict[UpstreamId, _Link] = {}
+        self._asked_at_s = 0.0
         self._lock = threading.Lock()
         self._stopped = threading.Event()
 
@@ -102,14 +117,26 @@
         now_s = time.monotonic()
         with self._lock:
             due = [each for each in usable if self._is_due(each, now_s)]
+            due = self._allowed(due, now_s)
             if not due:
                 return None
             oldest = min(due, key=self._last_heard_at_s)
             link = self._links[oldest.declaration.id]
             link.is_busy = True
-            link.asked_at_s = now_s
+            link.asked_at_s = self._asked_at_s = now_s
             return oldest
 
+    def _allowed(self, due: list[Upstream], now_s: float) -> list[Upstream]:
+        """Give those that may be asked while other control traffic needs its bytes."""
+        is_any_allowed = self._control.allows(ControlUse.POLL)
+        if is_any_allowed or now_s - self._asked_at_s >= LONGEST_GAP_S:
+            return due
+        has_room = self._control.allows(ControlUse.POLL_NEEDED)
+        return [each for each in due if self._is_first(each) or (has_room and _is_needed(each))]
+
+    def _is_first(self, upstream: Upstream) -> bool:
+        return self._links[upstream.declaration.id].asked_at_s == 0.0
+
     def _is_due(self, upstream: Upstream, now_s: float) -> bool:
         link = self._link_to(upstream)
         return not link.is_busy and now_s - self._last_heard_at_s(upstream) > FRESH_ENOUGH_S
@@ -137,7 +164,7 @@
             link.is_busy = False
 
     def _take_reply(self, upstream_id: UpstreamId, link: _Link, reply: Reply) -> LoadReport | None:
-        self._budget.spend(REQUEST_BYTES + _reply_bytes(reply), time.monotonic())
+        self._spend(REQUEST_BYTES + _reply_bytes(reply))
         report = parse_load_report(reply.body) if reply.status == HTTP_OK else None
         if report is not None:
             link.failures = 0
@@ -145,13 +172,21 @@
         return report
 
     def _take_failure(self, upstream_id: UpstreamId, link: _Link, failure: LinkFailure) -> None:
-        self._budget.spend(REQUEST_BYTES, time.monotonic())
+        self._spend(REQUEST_BYTES)
         link.replace_connection()
         link.failures += 1
         is_gone = not failure.was_sent
         if is_gone or link.failures >= SILENT_AFTER_FAILURES:
             self._sink.saw_silence(upstream_id, is_gone)
 
+    def _spend(self, spent_bytes: int) -> None:
+        self._budget.spend(spent_bytes, time.monotonic())
+        self._control.spend(spent_bytes)
+
+
+def _is_needed(upstream: Upstream) -> bool:
+    return upstream.is_silent or upstream.view is not UpstreamView.WARM
+
 
 def _reply_bytes(reply: Reply) -> int:
     header_bytes = sum(
--- a/gooseberryquay/machines/member_changes.py
+++ b/gooseberryquay/machines/member_changes.py
@@ -10,6 +10,7 @@
 __all__ = ["ChangeQueue"]
 
 MAX_CHANGES_PER_MESSAGE = 6
+FEW_CHANGES_PER_MESSAGE = 2
 SENDS_PER_DECADE = 6
 
 
@@ -31,12 +32,13 @@
         with self._lock:
             self._changes[record.id] = _Change(record)
 
-    def next_batch(self, members: int) -> tuple[MemberRecord, ...]:
+    def next_batch(self, members: int, *, is_short: bool = False) -> tuple[MemberRecord, ...]:
         """Give the changes for one message, the least sent first."""
+        most = FEW_CHANGES_PER_MESSAGE if is_short else MAX_CHANGES_PER_MESSAGE
         limit = SENDS_PER_DECADE * math.ceil(math.log10(members + 2))
         with self._lock:
             ordered = sorted(self._changes.values(), key=lambda change: change.sent)
-            batch = ordered[:MAX_CHANGES_PER_MESSAGE]
+            batch = ordered[:most]
             for change in batch:
                 change.sent += 1
                 if change.sent >= limit:
--- a/gooseberryquay/machines/member_exchange.py
+++ b/gooseberryquay/machines/member_exchange.py
@@ -1,6 +1,7 @@
 """One exchange of heartbeats with another entry."""
 
 import logging
+import math
 import time
 from collections.abc import Callable
 
@@ -11,6 +12,7 @@
 from gooseberryquay.ids import EntryId
 from gooseberryquay.links.http_client import Reply
 from gooseberryquay.links.http_server import Request, Response
+from gooseberryquay.machines.control_budget import ControlBudget, ControlUse
 from gooseberryquay.machines.member_changes import ChangeQueue
 from gooseberryquay.machines.member_messages import (
     Heartbeat,
@@ -61,6 +63,7 @@
         timing: MembershipTiming,
         guard: PauseGuard,
         hooks: ExtrasHooks,
+        budget: ControlBudget,
     ) -> None:
         self._table = table
         self._changes = changes
@@ -68,6 +71,7 @@
         self._timing = timing
         self._guard = guard
         self._hooks = hooks
+        self._budget = budget
         self._next_pull_s = 0.0
 
     def probe(self, to: Address, target: MemberRecord | None) -> EntryId | None:
@@ -86,22 +90,27 @@
                     pass
         return None
 
-    def pull(self, to: Address) -> None:
-        """Read another entry's whole member list."""
+    def pull(self, to: Address) -> bool:
+        """Read another entry's whole member list; tell whether it was given."""
         sent = self._links.send(to, "GET", MEMBERS_PATH, b"", self._timing.relay_timeout_s)
         match sent:
             case Ok(Reply(status=status, body=answer)) if status == HTTP_OK:
                 self._take_list(answer)
+                return True
             case _:
                 log.info("member list not read", extra={"peer": str(to)})
+                return False
 
     def pull_if_different(self, to: Address, digest: str) -> None:
         """Read a member list that differs, but seldom."""
         now_s = time.monotonic()
         if digest == self._table.digest or now_s < self._next_pull_s:
             return
+        if not self._budget.allows(ControlUse.MEMBER_LIST):
+            return
         self._next_pull_s = now_s + self._timing.pull_interval_s(len(self._table.live()))
-        self.pull(to)
+        if not self.pull(to):
+            self._next_pull_s = now_s + self._timing.period_s
 
     def answer_heartbeat(self, request: Request) -> Response:
         """Take in another entry's heartbeat and answer with the own."""
@@ -115,16 +124,21 @@
         return Response(body=self._build(newer).encode())
 
     def answer_members(self, _request: Request) -> Response:
-        """Give all members believed present, or 503 after a pause."""
+        """Give all members believed present, or 503 after a pause or in a mass change."""
         if self._guard.is_overdue():
             return Response(status=HTTP_UNAVAILABLE)
+        wait_s = self._budget.wait_s(ControlUse.MEMBER_LIST)
+        if wait_s > 0:
+            headers = {"Retry-After": str(math.ceil(wait_s))}
+            return Response(status=HTTP_UNAVAILABLE, headers=headers)
         members = (self._table.myself, *self._table.present())
         return Response(body=MemberList(members=members).encode())
 
     def _build(self, receiver: MemberRecord | None) -> Heartbeat:
         changes: tuple[MemberRecord, ...] = ()
         if not self._guard.is_overdue():
-            changes = self._changes.next_batch(len(self._table.live()))
+            is_short = not self._budget.allows(ControlUse.MEMBER_CHANGES)
+            changes = self._changes.next_batch(len(self._table.live()), is_short=is_short)
         return Heartbeat(
             sender=self._table.myself,
             receiver=receiver,
--- a/gooseberryquay/machines/member_seeds.py
+++ b/gooseberryquay/machines/member_seeds.py
@@ -32,8 +32,9 @@
     def join(self) -> None:
         """Find out about a former run of this entry, then join through any entry that answers."""
         for address in self._missing()[:MAX_JOIN_ATTEMPTS]:
-            if self._exchange.probe(address, None) is not None:
-                self._exchange.pull(address)
+            if self._exchange.probe(address, None) is None:
+                continue
+            if self._exchange.pull(address):
                 return
 
     def contact_missing(self) -> None:
--- a/gooseberryquay/machines/membership.py
+++ b/gooseberryquay/machines/membership.py
@@ -13,6 +13,7 @@
 from gooseberryquay.links.http_client import LinkFailure, Reply
 from gooseberryquay.links.http_server import Router
 from gooseberryquay.links.platform_messages import InstanceState
+from gooseberryquay.machines.control_budget import ControlBudget
 from gooseberryquay.machines.member_changes import ChangeQueue
 from gooseberryquay.machines.member_directory import InstanceDirectory, MemberDirectory
 from gooseberryquay.machines.member_exchange import (
@@ -57,11 +58,13 @@
         on_extras: Callable[[Peer, HeartbeatExtras], None] = lambda _peer, _extras: None,
         rng: random.Random | None = None,
         links: PeerLinks | None = None,
+        budget: ControlBudget | None = None,
     ) -> None:
         self._timing = timing or MembershipTiming()
         self._rng = rng or random.Random()
         self._changes = ChangeQueue()
-        self._links = links or PeerLinks()
+        budget = budget or ControlBudget()
+        self._links = links or PeerLinks(budget)
         self._guard = PauseGuard(self._timing.pause_s())
         self._table = MemberTable(_record_of(myself), self._changes, self._timing)
         hooks = ExtrasHooks(extras, on_extras)
@@ -72,6 +75,7 @@
             timing=self._timing,
             guard=self._guard,
             hooks=hooks,
+            budget=budget,
         )
         self._prober = MemberProber(
             self._table, self._exchange, self._links, timing=self._timing, rng=self._rng
@@ -175,11 +179,11 @@
         if present:
             self._submit(self._exchange.pull, self._rng.choice(present).control_address)
 
-    def _submit(self, task: Callable[..., None], *arguments: Address) -> None:
+    def _submit(self, task: Callable[..., object], *arguments: Address) -> None:
         self._tasks.submit(_run_logged, task, *arguments)
 
 
-def _run_logged(task: Callable[..., None], *arguments: Address) -> None:
+def _run_logged(task: Callable[..., object], *arguments: Address) -> None:
     try:
         task(*arguments)
     except Exception:
--- a/gooseberryquay/machines/peer_links.py
+++ b/gooseberryquay/machines/peer_links.py
@@ -5,11 +5,13 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from result import Err, Result
+from result import Err, Ok, Result
 from urllib3.util import SKIP_HEADER
 
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.links.http_client import HttpClient, LinkFailure, LinkTimeout, Reply
+from gooseberryquay.machines.control_budget import ControlBudget
+from gooseberryquay.machines.control_meter import count_exchange
 
 __all__ = ["PeerLinks"]
 
@@ -27,7 +29,8 @@
 class PeerLinks:
     """Send to each address through its own pool; replace a pool whose connection timed out."""
 
-    def __init__(self) -> None:
+    def __init__(self, budget: ControlBudget | None = None) -> None:
+        self._budget = budget or ControlBudget()
         self._links: dict[Address, _Link] = {}
         self._lock = threading.Lock()
 
@@ -38,10 +41,12 @@
         client = self._client_for(to, timeout_s)
         sent = client.send(method, path, body, SHORT_HEADERS, read_timeout_s=timeout_s)
         match sent:
-            case Err(LinkTimeout()):
-                self._drop(to, client)
-            case _:
-                pass
+            case Ok(reply):
+                count_exchange(self._budget, path, body, reply)
+            case Err(failure):
+                count_exchange(self._budget, path, body, None)
+                if isinstance(failure, LinkTimeout):
+                    self._drop(to, client)
         return sent
 
     def close_idle(self) -> None:
--- a/gooseberryquay/machines/tests/member_builders.py
+++ b/gooseberryquay/machines/tests/member_builders.py
@@ -10,6 +10,7 @@
 from gooseberryquay.ids import EntryId, Incarnation, ServiceId, UpstreamId, ZoneId
 from gooseberryquay.links.http_client import LinkTimeout
 from gooseberryquay.links.http_server import HttpServer, Router
+from gooseberryquay.machines.control_budget import CONTROL_BYTES_PER_S, ControlBudget
 from gooseberryquay.machines.member_timing import MembershipTiming
 from gooseberryquay.machines.membership import Membership
 from gooseberryquay.machines.peer import Peer
@@ -45,13 +46,15 @@
     pull_min_s=0.5,
 )
 PATIENCE_S = 40.0
+# These members run their periods ten times as fast as entries do.
+FAST_BYTES_PER_S = 10 * CONTROL_BYTES_PER_S
 
 
 class CuttableLinks(PeerLinks):
     """Peer links on which single addresses can be made silent."""
 
-    def __init__(self):
-        super().__init__()
+    def __init__(self, budget=None):
+        super().__init__(budget)
         self.cut = set()
 
     def send(self, to, method, path, body, timeout_s):
@@ -65,7 +68,8 @@
 
     def __init__(self, name, seeds=(), incarnation=1, **options):
         self.suspects = None
-        self.links = CuttableLinks()
+        options.setdefault("budget", ControlBudget(FAST_BYTES_PER_S))
+        self.links = CuttableLinks(options["budget"])
         self.router = Router()
         self.server = HttpServer("127.0.0.1", 0, self.router)
         self.server.start()
--- /dev/null
+++ b/gooseberryquay/machines/tests/test_control_budget.py
@@ -0,0 +1,87 @@
+import pytest
+
+from gooseberryquay.machines.control_budget import ControlBudget, ControlUse
+from gooseberryquay.machines.load_poller import LONGEST_GAP_S
+
+TARGET_BYTES_PER_S = 5000
+TARGET_BURST_S = 10
+RUN_S = 300
+STEP_S = 0.25
+ROUNDING_S = 1e-6
+MESSAGES_PER_S = 4
+MESSAGE_BYTES = 263
+RECORD_BYTES = 87
+CONFIGURATION_BYTES_PER_S = 800
+LIST_BYTES = 41_700
+POLL_BYTES = 340
+EXCHANGE_BYTES = 900
+
+
+class Clock:
+    """Stand still until it is told the time."""
+
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def budget(clock):
+    return ControlBudget(TARGET_BYTES_PER_S, clock)
+
+
+def _allowed(budget):
+    return {use for use in ControlUse if budget.allows(use)}
+
+
+def test_uses_give_way_one_after_the_other_and_return(budget, clock):
+    order = []
+    while allowed := _allowed(budget):
+        order.append(len(allowed))
+        budget.spend(100)
+    assert sorted(set(order), reverse=True) == [5, 4, 3, 2, 1]
+    clock.now_s += budget.wait_s(ControlUse.MEMBER_CHANGES) + ROUNDING_S
+    assert _allowed(budget) == {ControlUse.MEMBER_CHANGES, ControlUse.POLL_NEEDED}
+    clock.now_s += budget.wait_s(ControlUse.POLL) + ROUNDING_S
+    assert _allowed(budget) == set(ControlUse)
+
+
+def test_one_large_read_does_not_stop_the_rest_for_longer_than_the_debt_and_the_burst(
+    budget, clock
+):
+    budget.spend(790_000)
+    assert budget.wait_s(ControlUse.POLL) <= 1.5 * TARGET_BURST_S
+
+
+def test_mass_change_in_an_outage_with_polls_and_lists_stays_within_the_target(budget, clock):
+    """Model one entry of 480 with the sizes that its messages have on the wire."""
+    spent_bytes = 0
+
+    def spend(count):
+        nonlocal spent_bytes
+        spent_bytes += count
+        budget.spend(count)
+
+    next_sketch_s = next_list_s = polled_at_s = clock.now_s
+    while clock.now_s < 100.0 + RUN_S:
+        clock.now_s += STEP_S
+        changes = 6 if budget.allows(ControlUse.MEMBER_CHANGES) else 2
+        spend(MESSAGES_PER_S * STEP_S * (MESSAGE_BYTES + changes * RECORD_BYTES))
+        spend(CONFIGURATION_BYTES_PER_S * STEP_S)
+        if clock.now_s >= next_sketch_s:
+            next_sketch_s += 0.5 if budget.allows(ControlUse.OUTAGE_REPEAT) else 1.0
+            spend(2 * EXCHANGE_BYTES)
+        if clock.now_s >= next_list_s and budget.allows(ControlUse.MEMBER_LIST):
+            next_list_s = clock.now_s + 36.0
+            spend(LIST_BYTES)
+        if budget.allows(ControlUse.POLL) or clock.now_s - polled_at_s >= LONGEST_GAP_S:
+            polled_at_s = clock.now_s
+            spend(POLL_BYTES)
+    assert spent_bytes <= TARGET_BYTES_PER_S * (RUN_S + TARGET_BURST_S)
--- /dev/null
+++ b/gooseberryquay/machines/tests/test_control_meter.py
@@ -0,0 +1,45 @@
+import pytest
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.links.http_server import HttpServer, Response
+from gooseberryquay.machines.control_budget import ControlBudget, ControlUse
+from gooseberryquay.machines.control_meter import MeteredRouter
+from gooseberryquay.machines.peer_links import PeerLinks
+
+HALF = 25_000
+
+
+@pytest.fixture
+def budgets():
+    return ControlBudget(), ControlBudget()
+
+
+@pytest.fixture
+def exchange(budgets):
+    """Send a body to another process's router that answers with as many bytes."""
+    sender, server_budget = budgets
+    router = MeteredRouter(server_budget)
+    for path in ("/heartbeat", "/peer/claims"):
+        router.add("POST", path, lambda request: Response(body=request.body))
+    server = HttpServer("127.0.0.1", 0, router)
+    server.start()
+    links = PeerLinks(sender)
+
+    def send(path):
+        body = b"x" * HALF
+        to = Address("127.0.0.1", server.port)
+        return links.send(to, "POST", path, body, timeout_s=5.0)
+
+    yield send
+    links.close()
+    server.stop()
+
+
+def test_exchange_is_counted_with_its_answer_at_both_ends(exchange, budgets):
+    exchange("/heartbeat").unwrap()
+    assert not any(each.allows(ControlUse.MEMBER_CHANGES) for each in budgets)
+
+
+def test_claims_of_postings_are_not_control(exchange, budgets):
+    exchange("/peer/claims").unwrap()
+    assert all(each.allows(ControlUse.POLL) for each in budgets)
--- a/gooseberryquay/machines/tests/test_load_poller.py
+++ b/gooseberryquay/machines/tests/test_load_poller.py
@@ -5,6 +5,7 @@
 
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.links.http_server import HttpServer, Response, Router
+from gooseberryquay.machines.control_budget import ControlBudget
 from gooseberryquay.machines.load_poller import LoadPoller, ReportSink
 from gooseberryquay.machines.load_report import LoadReport
 from gooseberryquay.machines.tests.choice_builders import (
@@ -61,7 +62,7 @@
     reporting.server.stop()
 
 
-def _build_poller(ports, bytes_per_s):
+def _build_poller(ports, bytes_per_s, control=None):
     declared = [
         build_upstream(number, address=Address("127.0.0.1", port))
         for number, port in enumerate(ports)
@@ -70,11 +71,11 @@
     table.usable(SERVICE)
     listener = Listener(table)
     sink = ReportSink(listener.saw_report, listener.saw_silence)
-    return LoadPoller(table, sink, bytes_per_s), listener
+    return LoadPoller(table, sink, bytes_per_s, control), listener
 
 
-def _start_poller(ports, bytes_per_s=2000):
-    poller, listener = _build_poller(ports, bytes_per_s)
+def _start_poller(ports, bytes_per_s=2000, control=None):
+    poller, listener = _build_poller(ports, bytes_per_s, control)
     poller.start()
     return poller, listener
 
@@ -107,6 +108,66 @@
     assert 0 < upstream.asked <= (200 * (elapsed_s + 10.0)) / smallest_poll_bytes + 4
 
 
+@pytest.fixture
+def short_poller():
+    """Give a poller whose control bytes are used up, as the budget's clock stands still."""
+    control = ControlBudget(clock=lambda: 0.0)
+    control.spend(1_000_000)
+    poller, listener = _build_poller([find_free_port()] * 3, bytes_per_s=2000, control=control)
+    yield poller, listener, control
+
+
+def _pick(poller):
+    """Pick as if all that was asked before had answered."""
+    picked = poller._pick()
+    for link in poller._links.values():
+        link.is_busy = False
+    return picked and picked.declaration.id
+
+
+def _let_pass(poller, listener, asked_s_ago, heard_s_ago):
+    """Let time pass since the last poll and since the last reports."""
+    now_s = time.monotonic()
+    poller._asked_at_s = now_s - asked_s_ago
+    for number in range(3):
+        state = listener.table.find(f"engine-{number}")
+        state.take_report(LoadReport(), now_s)
+        state.received_at_s = now_s - heard_s_ago
+        poller._links[f"engine-{number}"].asked_at_s = now_s - heard_s_ago
+
+
+def test_every_upstream_is_asked_once_however_short_bytes_are(short_poller):
+    poller, _listener, _control = short_poller
+    assert sorted(_pick(poller) for _ in range(3)) == ["engine-0", "engine-1", "engine-2"]
+
+
+def test_polls_of_warm_upstreams_give_way_but_for_one_now_and_then(short_poller):
+    poller, listener, _control = short_poller
+    for _ in range(3):
+        _pick(poller)
+    _let_pass(poller, listener, asked_s_ago=-100.0, heard_s_ago=10.0)
+    assert _pick(poller) is None
+    _let_pass(poller, listener, asked_s_ago=1.0, heard_s_ago=10.0)
+    allowed_since_s = poller._asked_at_s
+    assert _pick(poller) is not None
+    assert poller._asked_at_s > allowed_since_s
+
+
+def test_polls_of_an_upstream_not_known_to_be_warm_give_way_last(short_poller):
+    poller, listener, _ = short_poller
+    poller._control = control = ControlBudget(clock=lambda: 0.0)
+    for _ in range(3):
+        _pick(poller)
+    _let_pass(poller, listener, asked_s_ago=-100.0, heard_s_ago=10.0)
+    listener.table.find("engine-1").forget(time.monotonic())
+    control.spend(30_000)
+    assert _pick(poller) == "engine-1"
+    poller._asked_at_s += 100.0
+    poller._links["engine-1"].asked_at_s -= 10.0
+    control.spend(20_000)
+    assert _pick(poller) is None
+
+
 def test_upstream_whose_report_is_oldest_is_asked_first():
     poller, listener = _build_poller([find_free_port()] * 4, bytes_per_s=2000)
     now_s = time.monotonic()
--- a/gooseberryquay/machines/tests/test_membership.py
+++ b/gooseberryquay/machines/tests/test_membership.py
@@ -6,10 +6,11 @@
 from gooseberryquay.ids import Revision
 from gooseberryquay.links.platform_link import PlatformLink
 from gooseberryquay.links.platform_messages import InstanceState
+from gooseberryquay.machines.control_budget import ControlBudget
 from gooseberryquay.machines.member_changes import ChangeQueue
-from gooseberryquay.machines.member_messages import HeartbeatExtras, MemberList
+from gooseberryquay.machines.member_messages import HeartbeatExtras, MemberList, MemberRecord
 from gooseberryquay.machines.member_pause import PauseGuard
-from gooseberryquay.machines.tests.member_builders import FAST, wait_until
+from gooseberryquay.machines.tests.member_builders import FAST, a_peer, wait_until
 from gooseberryquay.standins.process import find_free_port
 
 
@@ -138,3 +139,54 @@
         ages_s = {each.confirmed_age_s for each in received}
         assert None in ages_s
         assert all(age_s > 3.0 for age_s in ages_s if age_s is not None)
+
+
+def test_member_short_of_bytes_gives_no_list_and_says_when(fleet):
+    budget = ControlBudget()
+    member = fleet("entry-0", budget=budget)
+    budget.spend(30_000)
+    answer = urllib3.request("GET", f"http://{member.address}/members", retries=False)
+    assert answer.status == 503
+    assert 1 <= int(answer.headers["Retry-After"]) <= 2
+
+
+def test_joining_entry_reads_the_list_of_another_seed_when_one_gives_none(fleet):
+    short = ControlBudget()
+    first = fleet("entry-0", budget=short)
+    second = fleet("entry-1", first)
+    wait_until(lambda: first.names() == second.names() == ["entry-0", "entry-1"])
+    wait_until(lambda: first.membership._changes.count() == 0)
+    short.spend(10_000_000)
+    joined = [fleet(f"entry-{number}", first, second) for number in range(2, 6)]
+    assert all("entry-1" in each.names() for each in joined)
+
+
+def test_few_changes_go_along_while_bytes_are_short():
+    changes = ChangeQueue()
+    for number in range(9):
+        changes.add(MemberRecord(**dict(a_peer(f"entry-{number}"))))
+    assert len(changes.next_batch(9, is_short=True)) == 2
+    assert len(changes.next_batch(9)) == 6
+
+
+def test_entry_short_of_bytes_tells_few_changes_and_reads_no_list(fleet, monkeypatch):
+    budget = ControlBudget()
+    exchange = fleet("entry-0", budget=budget).membership._exchange
+    read = []
+    monkeypatch.setattr(exchange, "pull", lambda address: read.append(address) or True)
+    for number in range(1, 10):
+        exchange._changes.add(MemberRecord(**dict(a_peer(f"entry-{number}"))))
+    budget.spend(1_000_000)
+    exchange.pull_if_different(Address("127.0.0.1", 1), "another digest")
+    assert len(exchange._build(None).changes) == 2
+    assert not read
+
+
+def test_list_that_was_refused_is_asked_for_again_soon(fleet, monkeypatch):
+    exchange = fleet("entry-0").membership._exchange
+    asked = []
+    monkeypatch.setattr(exchange, "pull", lambda address: bool(asked.append(address)))
+    wait_until(
+        lambda: exchange.pull_if_different(Address("127.0.0.1", 1), "other") or len(asked) == 2
+    )
+    assert exchange._next_pull_s <= time.monotonic() + FAST.period_s
--- a/gooseberryquay/standins/keeper_node.py
+++ b/gooseberryquay/standins/keeper_node.py
@@ -160,7 +160,7 @@
         self.link = SeverableLink(self._platform, 0.3, PLATFORM_TIMEOUT_S)
         self.cut_off(cut_from)
         self.keeper = ConfigurationKeeper(
-            self.peers, self.link, self._base, self._timing, self._chooser
+            self.peers, self.link, self._base, timing=self._timing, chooser=self._chooser
         )
         self.keeper.add_routes(self._router)
         self._router.add("POST", HEARTBEAT_PATH, self._answer_heartbeat)
--- a/gooseberryquay/standins/member.py
+++ b/gooseberryquay/standins/member.py
@@ -7,8 +7,10 @@
 
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.ids import EntryId, Incarnation, ZoneId
-from gooseberryquay.links.http_server import HttpServer, Request, Response, Router
+from gooseberryquay.links.http_server import HttpServer, Request, Response
 from gooseberryquay.links.platform_link import PlatformLink
+from gooseberryquay.machines.control_budget import ControlBudget
+from gooseberryquay.machines.control_meter import MeteredRouter
 from gooseberryquay.machines.member_directory import InstanceDirectory
 from gooseberryquay.machines.member_timing import MembershipTiming
 from gooseberryquay.machines.membership import Membership
@@ -47,10 +49,11 @@
         seeds: tuple[Address, ...],
         directory: InstanceDirectory | None,
         timing: MembershipTiming,
+        budget: ControlBudget,
     ) -> None:
         self._bytes = ByteCount()
         self._bytes.install()
-        self._router = Router()
+        self._router = MeteredRouter(budget)
         self._router.add("GET", REPORT_PATH, self._report)
         self._router.add("GET", COST_PATH, self._cost)
         self._server = HttpServer(address.host, address.port, self._router)
@@ -61,7 +64,9 @@
             zone=ZoneId("zone"),
             control_address=Address(address.host, self._server.port),
         )
-        self._membership = Membership(myself, seeds=seeds, platform=directory, timing=timing)
+        self._membership = Membership(
+            myself, seeds=seeds, platform=directory, timing=timing, budget=budget
+        )
         self._membership.add_routes(self._router)
 
     def start(self) -> None:
--- a/gooseberryquay/standins/member_commands.py
+++ b/gooseberryquay/standins/member_commands.py
@@ -3,7 +3,10 @@
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.daemons.serving import serve_until_signal
 from gooseberryquay.ids import EntryId
+from gooseberryquay.machines.control_budget import CONTROL_BYTES_PER_S, ControlBudget
 from gooseberryquay.machines.member_timing import MembershipTiming
+from gooseberryquay.standins.control_experiment import ControlExperiment
+from gooseberryquay.standins.control_node import ControlNode
 from gooseberryquay.standins.member import MemberStandIn, platform_directory
 from gooseberryquay.standins.member_experiment import MemberExperiment
 from gooseberryquay.standins.paused_holder import run_paused_holder
@@ -20,6 +23,24 @@
         """Run COUNT members as processes and print their cost and how fast they converge."""
         MemberExperiment(count, seconds, speed).run()
 
+    def measure_control(self, count: int, seconds: float = 60.0, settle_s: float = 60.0) -> None:
+        """Run COUNT nodes as processes and print what all their control traffic comes to."""
+        ControlExperiment(count, seconds, settle_s).run()
+
+    def serve_control(
+        self, id: str, port: int, seed_ports: str, platform_port: int, load_port: int
+    ) -> None:
+        """Serve one node with control traffic only until it gets SIGTERM."""
+        serve_until_signal(
+            ControlNode(
+                EntryId(id),
+                port,
+                seed_ports=tuple(int(each) for each in str(seed_ports).split("-")),
+                platform_port=platform_port,
+                load_port=load_port,
+            )
+        )
+
     def paused_holder(
         self, platform_port: int, upstream_port: int, lease_s: float, has_alarm: bool = False
     ) -> None:
@@ -47,5 +68,6 @@
                 seeds=seeds,
                 directory=platform_directory(platform),
                 timing=MembershipTiming().scaled(1 / speed),
+                budget=ControlBudget(speed * CONTROL_BYTES_PER_S),
             )
         )
--- a/gooseberryquay/zones/configuration_keeper.py
+++ b/gooseberryquay/zones/configuration_keeper.py
@@ -6,6 +6,7 @@
 from gooseberryquay.ids import EntryId, Revision
 from gooseberryquay.links.http_server import Router
 from gooseberryquay.links.platform_link import PlatformLink
+from gooseberryquay.machines.control_budget import ControlBudget
 from gooseberryquay.machines.peer import Peer, Peers
 from gooseberryquay.zones.configuration import Configuration
 from gooseberryquay.zones.configuration_held import HeldConfiguration
@@ -26,8 +27,10 @@
         peers: Peers,
         platform: PlatformLink,
         base: Declaration,
+        *,
         timing: KeeperTiming | None = None,
         chooser: random.Random | None = None,
+        budget: ControlBudget | None = None,
     ) -> None:
         self._timing = timing or KeeperTiming()
         chooser = chooser or random.Random()
@@ -58,6 +61,7 @@
             timing=self._timing,
             chooser=chooser,
             on_report=self._ask_platform,
+            budget=budget or ControlBudget(),
         )
 
     def start(self) -> None:
--- a/gooseberryquay/zones/outage_sketch.py
+++ b/gooseberryquay/zones/outage_sketch.py
@@ -8,7 +8,7 @@
 from gooseberryquay.contracts.fields import Model
 from gooseberryquay.ids import EntryId
 
-__all__ = ["OutageRound", "OutageSketch"]
+__all__ = ["ROUND_S", "OutageRound", "OutageSketch"]
 
 SKETCH_BITS = 1024
 ROUND_S = 6.0
--- a/gooseberryquay/zones/outage_spread.py
+++ b/gooseberryquay/zones/outage_spread.py
@@ -10,21 +10,27 @@
 from gooseberryquay.ids import EntryId
 from gooseberryquay.links.http_client import Reply
 from gooseberryquay.links.http_server import Request, Response, Router
+from gooseberryquay.machines.control_budget import ControlBudget, ControlUse
 from gooseberryquay.machines.peer import Peers
 from gooseberryquay.zones.configuration_held import HeldConfiguration
 from gooseberryquay.zones.configuration_messages import OUTAGE_PATH, OutageExchange
 from gooseberryquay.zones.keeper_timing import KeeperTiming
+from gooseberryquay.zones.outage_sketch import ROUND_S
 from gooseberryquay.zones.platform_reachability import PlatformReachability
 
 __all__ = ["OutageSpread"]
 
 HTTP_OK = 200
 SEND_INTERVAL_S = 0.5
+SLOW_INTERVAL_S = 1.0
 
 
 class OutageSpread:
     """Exchange reports with a peer twice a second while this entry cannot reach the platform.
 
+    After the first round, in which the outage has to become known everywhere, once a second is
+    enough to keep it known, and is all that is sent while the budget is needed by others.
+
     `on_report` is called when a member reports an outage that was not known here.
     """
 
@@ -37,6 +43,7 @@
         timing: KeeperTiming,
         chooser: random.Random,
         on_report: Callable[[], None],
+        budget: ControlBudget,
     ) -> None:
         self._peers = peers
         self._held = held
@@ -44,6 +51,8 @@
         self._timing = timing
         self._chooser = chooser
         self._on_report = on_report
+        self._budget = budget
+        self._began_at_s: float | None = None
         self._is_stopped = threading.Event()
 
     def start(self) -> None:
@@ -68,10 +77,21 @@
             self._on_report()
 
     def _run(self) -> None:
-        while not self._is_stopped.wait(SEND_INTERVAL_S):
+        while not self._is_stopped.wait(self._interval_s(time.monotonic())):
             if self._reachability.is_unreachable():
                 self._exchange()
 
+    def _interval_s(self, now_s: float) -> float:
+        if not self._reachability.is_unreachable():
+            self._began_at_s = None
+            return SEND_INTERVAL_S
+        if self._began_at_s is None:
+            self._began_at_s = now_s
+        is_first_round = now_s - self._began_at_s < ROUND_S
+        if is_first_round or self._budget.allows(ControlUse.OUTAGE_REPEAT):
+            return SEND_INTERVAL_S
+        return SLOW_INTERVAL_S
+
     def _exchange(self) -> None:
         myself = self._peers.myself().id
         others = [peer for peer in self._peers.live() if peer.id != myself]
--- /dev/null
+++ b/gooseberryquay/zones/tests/test_outage_spread.py
@@ -0,0 +1,59 @@
+import random
+
+import pytest
+
+from gooseberryquay.ids import EntryId
+from gooseberryquay.machines.control_budget import ControlBudget
+from gooseberryquay.zones.configuration_held import HeldConfiguration
+from gooseberryquay.zones.keeper_timing import KeeperTiming
+from gooseberryquay.zones.outage_sketch import ROUND_S
+from gooseberryquay.zones.outage_spread import OutageSpread
+from gooseberryquay.zones.platform_reachability import PlatformReachability
+
+
+@pytest.fixture
+def budget():
+    # Standing still, it is not filled again.
+    return ControlBudget(clock=lambda: 0.0)
+
+
+@pytest.fixture
+def reachability():
+    return PlatformReachability(EntryId("entry-0"), member_memory_s=600.0)
+
+
+@pytest.fixture
+def spread(reachability, budget):
+    return OutageSpread(
+        peers=None,
+        held=HeldConfiguration(),
+        reachability=reachability,
+        timing=KeeperTiming(),
+        chooser=random.Random(1),
+        on_report=lambda: None,
+        budget=budget,
+    )
+
+
+def test_reports_of_an_outage_give_way_only_after_the_first_round(spread, reachability, budget):
+    budget.spend(1_000_000)
+    reachability.mark(is_unreachable=True)
+    first_s = [spread._interval_s(100.0 + step) for step in range(int(ROUND_S))]
+    later_s = spread._interval_s(101.0 + ROUND_S)
+    assert set(first_s) == {0.5} and later_s == 1.0
+
+
+def test_next_outage_is_told_fast_again(spread, reachability, budget):
+    budget.spend(1_000_000)
+    for began_at_s in (100.0, 200.0):
+        reachability.mark(is_unreachable=True)
+        assert spread._interval_s(began_at_s) == 0.5
+        assert spread._interval_s(began_at_s + 2 * ROUND_S) == 1.0
+        reachability.mark(is_unreachable=False)
+        spread._interval_s(began_at_s + 3 * ROUND_S)
+
+
+def test_reports_go_on_fast_where_bytes_are_left(spread, reachability):
+    reachability.mark(is_unreachable=True)
+    spread._interval_s(100.0)
+    assert spread._interval_s(101.0 + ROUND_S) == 0.5
