Tell the configuration keeper of entries that leave in order

Cause: `ConfigurationKeeper.heard_leaving` was called by nobody, so an entry that left counted among the members for ten minutes where an outage is judged.

Membership now tells once of each run that it first holds leaving or left, after it has let go of its table's lock, and the composition root passes that on. Removals are not told: a removed entry may be on the other side of a cut.

Ruled out: forgetting members that `live()` no longer lists, which is what lets the smaller side of a cut take itself for the whole. The listing of members now happens under the keeper's lock, as else a listing from before the leave could put the leaver back.

--- a/gooseberryquay/daemons/cluster.py
+++ b/gooseberryquay/daemons/cluster.py
@@ -5,7 +5,7 @@
 from gooseberryquay.contracts.declaration import Declaration
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.contracts.settings import EntrySettings, PlatformSettings, Settings
-from gooseberryquay.ids import Incarnation, Revision
+from gooseberryquay.ids import EntryId, Incarnation, Revision
 from gooseberryquay.links.http_server import Router
 from gooseberryquay.links.platform_link import PlatformLink
 from gooseberryquay.machines.control_budget import ControlBudget
@@ -39,6 +39,7 @@
             budget=self.budget,
             extras=self._tell,
             on_extras=self._hear,
+            on_leave=self._hear_leave,
         )
         keeper_link = PlatformLink(
             platform.address,
@@ -99,6 +100,9 @@
         if extras.platform_unreachable:
             self.keeper.heard_platform_unreachable(peer.id)
 
+    def _hear_leave(self, entry: EntryId) -> None:
+        self.keeper.heard_leaving(entry)
+
 
 def _describe(own: EntrySettings) -> Peer:
     incarnation = Incarnation(int(time.time() * MS_PER_S))
--- a/gooseberryquay/daemons/tests/test_cluster.py
+++ b/gooseberryquay/daemons/tests/test_cluster.py
@@ -90,6 +90,16 @@
         time.sleep(0.05)
 
 
+def test_entry_that_leaves_in_order_counts_no_longer_where_an_outage_is_judged(nodes):
+    first, second, leaver = nodes
+    everybody = ["entry-0", "entry-1", "entry-2"]
+    _wait_until(lambda: second.counted_members(first) == everybody)
+    _wait_until(lambda: first.counted_members(second) == everybody)
+    leaver.cluster.membership.announce_leave()
+    _wait_until(lambda: second.counted_members(first) == ["entry-0", "entry-1"])
+    _wait_until(lambda: first.counted_members(second) == ["entry-0", "entry-1"])
+
+
 def test_peer_messages_and_configuration_reads_draw_on_one_budget(nodes, monkeypatch):
     budget = nodes[0].cluster.budget
     spent = []
--- a/gooseberryquay/machines/member_table.py
+++ b/gooseberryquay/machines/member_table.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections import deque
 from collections.abc import Callable
 
 import xxhash
@@ -15,6 +16,7 @@
 __all__ = ["MemberTable"]
 
 MAX_REMEMBERED = 512
+ORDERLY_STATES = frozenset({MemberState.LEAVING, MemberState.LEFT})
 
 
 class MemberTable:
@@ -26,11 +28,14 @@
         changes: ChangeQueue,
         timing: MembershipTiming,
         clock: Callable[[], float] = time.monotonic,
+        on_leave: Callable[[EntryId], None] = lambda _entry: None,
     ) -> None:
         self._myself = myself
         self._changes = changes
         self._timing = timing
         self._clock = clock
+        self._on_leave = on_leave
+        self._leavers: deque[EntryId] = deque()
         self._records: dict[EntryId, MemberRecord] = {}
         self._suspected_until_s: dict[EntryId, float] = {}
         self._removed_at_s: dict[EntryId, float] = {}
@@ -83,6 +88,10 @@
 
     def merge(self, record: MemberRecord, *, is_news: bool = True) -> None:
         """Take in a record from another member; news is sent on with heartbeats."""
+        self._merge(record, is_news=is_news)
+        self._tell_leavers()
+
+    def _merge(self, record: MemberRecord, *, is_news: bool) -> None:
         with self._lock:
             if record.id == self._myself.id:
                 self._merge_about_myself(record)
@@ -154,6 +163,7 @@
         self._note_change()
 
     def _store(self, record: MemberRecord, *, is_news: bool = True) -> None:
+        self._note_leaver(self._records.get(record.id), record)
         self._records[record.id] = record
         self._suspected_until_s.pop(record.id, None)
         self._removed_at_s.pop(record.id, None)
@@ -165,6 +175,21 @@
             self._changes.add(record)
         self._note_change()
 
+    def _note_leaver(self, held: MemberRecord | None, record: MemberRecord) -> None:
+        was_leaving = held is not None and held.incarnation == record.incarnation
+        was_leaving = was_leaving and held is not None and held.state in ORDERLY_STATES
+        if record.state in ORDERLY_STATES and not was_leaving:
+            self._leavers.append(record.id)
+
+    def _tell_leavers(self) -> None:
+        """Tell of leavers without the lock, as the listener may ask this table."""
+        while self._leavers:
+            try:
+                leaver = self._leavers.popleft()
+            except IndexError:
+                return
+            self._on_leave(leaver)
+
     def _suspicion_end_s(self) -> float:
         return self._clock() + self._timing.suspicion_for_s(len(self.live()))
 
--- a/gooseberryquay/machines/membership.py
+++ b/gooseberryquay/machines/membership.py
@@ -10,6 +10,7 @@
 from result import Result
 
 from gooseberryquay.contracts.fields import Address
+from gooseberryquay.ids import EntryId
 from gooseberryquay.links.http_client import LinkFailure, Reply
 from gooseberryquay.links.http_server import Router
 from gooseberryquay.links.platform_messages import InstanceState
@@ -44,7 +45,7 @@
     """Know the live entries and send messages to them.
 
     `seeds` are control addresses of entries that may run. `on_extras` is called with what other
-    entries tell, on the threads of heartbeats.
+    entries tell, on the threads of heartbeats, and `on_leave` once for each that leaves in order.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         rng: random.Random | None = None,
         links: PeerLinks | None = None,
         budget: ControlBudget | None = None,
+        on_leave: Callable[[EntryId], None] = lambda _entry: None,
     ) -> None:
         self._timing = timing or MembershipTiming()
         self._rng = rng or random.Random()
@@ -66,7 +68,9 @@
         budget = budget or ControlBudget()
         self._links = links or PeerLinks(budget)
         self._guard = PauseGuard(self._timing.pause_s())
-        self._table = MemberTable(_record_of(myself), self._changes, self._timing)
+        self._table = MemberTable(
+            _record_of(myself), self._changes, self._timing, on_leave=on_leave
+        )
         hooks = ExtrasHooks(extras, on_extras)
         self._exchange = MemberExchange(
             self._table,
--- a/gooseberryquay/zones/configuration_watch.py
+++ b/gooseberryquay/zones/configuration_watch.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from gooseberryquay.contracts.declaration import Declaration
+from gooseberryquay.ids import EntryId
 from gooseberryquay.links.platform_link import PlatformLink, ReadFailure
 from gooseberryquay.links.platform_messages import StoredObject
 from gooseberryquay.machines.peer import Peers
@@ -82,7 +83,7 @@
     def _run(self) -> None:
         self._spread.ask_peers()
         while not self._is_stopped.is_set():
-            self._reachability.see_members(peer.id for peer in self._peers.live())
+            self._reachability.see_members(self._live_ids)
             if self._is_watcher():
                 self._ask(self._timing.watch_timeout_s)
             elif self._is_due():
@@ -91,6 +92,9 @@
             else:
                 self._hurried.wait(MAX_IDLE_WAIT_S)
 
+    def _live_ids(self) -> tuple[EntryId, ...]:
+        return tuple(peer.id for peer in self._peers.live())
+
     def _is_watcher(self) -> bool:
         watchers = choose_watchers(self._peers.live(), self._timing.watcher_count)
         return self._peers.myself().id in watchers
--- a/gooseberryquay/zones/platform_reachability.py
+++ b/gooseberryquay/zones/platform_reachability.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from gooseberryquay.ids import EntryId
 from gooseberryquay.zones.outage_sketch import OutageRound, OutageSketch
@@ -25,11 +25,14 @@
         self._sketch = OutageSketch()
         self._is_unreachable = False
 
-    def see_members(self, members: Iterable[EntryId]) -> None:
-        """Record members that are there now."""
+    def see_members(self, members: Callable[[], Iterable[EntryId]]) -> None:
+        """Record members that are there now.
+
+        They are listed under the lock, so that none is put back after it was forgotten.
+        """
         now_s = time.monotonic()
         with self._lock:
-            self._members.update(dict.fromkeys(members, now_s))
+            self._members.update(dict.fromkeys(members(), now_s))
             oldest_s = now_s - self._member_memory_s
             self._members = {each: at_s for each, at_s in self._members.items() if at_s >= oldest_s}
             self._members[self._myself] = now_s
--- a/gooseberryquay/zones/tests/test_outage_spread.py
+++ b/gooseberryquay/zones/tests/test_outage_spread.py
@@ -1,4 +1,5 @@
 import random
+import threading
 
 import pytest
 
@@ -57,3 +58,17 @@
     reachability.mark(is_unreachable=True)
     spread._interval_s(100.0)
     assert spread._interval_s(101.0 + ROUND_S) == 0.5
+
+
+def test_member_that_leaves_while_members_are_listed_is_not_put_back(reachability):
+    leaver = EntryId("entry-1")
+    leaving = threading.Thread(target=reachability.forget_member, args=(leaver,))
+
+    def list_members():
+        leaving.start()
+        leaving.join(timeout=0.2)
+        return [leaver]
+
+    reachability.see_members(list_members)
+    leaving.join()
+    assert reachability.members() == (EntryId("entry-0"),)
