--- a/gooseberryquay/zones/configuration_document.py
+++ b/gooseberryquay/zones/configuration_document.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "CURRENT_KEY",
+    "SNAPSHOT_PREFIX",
     "ConfigurationDocument",
     "SnapshotReference",
     "changes_between",
@@ -17,6 +18,7 @@
 ]
 
 CURRENT_KEY = "config/current"
+SNAPSHOT_PREFIX = "config/snapshot-"
 # A character is at most four bytes, so that a chunk is always under 1 MB.
 CHUNK_CHARACTERS = 250_000
 MAX_TAIL_CHANGES = 32
@@ -33,7 +35,7 @@
 
     def chunk_keys(self) -> tuple[str, ...]:
         """Give the keys of the chunks, in order."""
-        stem = f"config/snapshot-{self.revision}-{self.change_id}"
+        stem = f"{SNAPSHOT_PREFIX}{self.revision}-{self.change_id}"
         return tuple(f"{stem}-{index}" for index in range(self.chunk_count))
 
 
--- a/gooseberryquay/zones/configuration_store.py
+++ b/gooseberryquay/zones/configuration_store.py
@@ -42,6 +42,7 @@
 
 DEFAULT_DECIDE_TIMEOUT_S = 5.0
 READ_ATTEMPTS = 3
+SNAPSHOTS_PER_SWEEP = 16
 FIRST_REVISION = Revision(1)
 NO_REVISION = Revision(0)
 MUST_NOT_EXIST = 0
@@ -61,11 +62,16 @@
     """Read the configuration and change it by conditional writes; safe for many threads."""
 
     def __init__(
-        self, link: PlatformLink, decide_timeout_s: float = DEFAULT_DECIDE_TIMEOUT_S
+        self,
+        link: PlatformLink,
+        decide_timeout_s: float = DEFAULT_DECIDE_TIMEOUT_S,
+        snapshots_per_sweep: int = SNAPSHOTS_PER_SWEEP,
     ) -> None:
         self._link = link
         self._snapshots = SnapshotObjects(link)
-        self._write = ConfigurationWrite(link, self._snapshots, decide_timeout_s)
+        self._write = ConfigurationWrite(
+            link, self._snapshots, decide_timeout_s, snapshots_per_sweep
+        )
 
     def read(self) -> Result[StoredConfiguration, ConfigurationFailure]:
         """Read the newest accepted configuration."""
--- a/gooseberryquay/zones/configuration_write.py
+++ b/gooseberryquay/zones/configuration_write.py
@@ -28,6 +28,7 @@
     ConfigurationUnavailable,
 )
 from gooseberryquay.zones.snapshot_objects import SnapshotObjects
+from gooseberryquay.zones.snapshot_sweep import SnapshotSweep
 
 __all__ = ["ConfigurationWrite", "Draft"]
 
@@ -56,11 +57,17 @@
     """Commit drafts, at most one of which wins for each revision."""
 
     def __init__(
-        self, link: PlatformLink, snapshots: SnapshotObjects, decide_timeout_s: float
+        self,
+        link: PlatformLink,
+        snapshots: SnapshotObjects,
+        decide_timeout_s: float,
+        snapshots_per_sweep: int,
     ) -> None:
         self._link = link
         self._snapshots = snapshots
         self._decide_timeout_s = decide_timeout_s
+        self._snapshots_per_sweep = snapshots_per_sweep
+        self._sweep = SnapshotSweep(link)
 
     def commit(self, draft: Draft) -> Result[Configuration, ConfigurationFailure]:
         """Write a draft's own snapshot first, then the document that refers to it."""
@@ -105,9 +112,17 @@
             case Ok(_):
                 for reference in draft.retired:
                     self._snapshots.delete(reference)
+                if self._is_sweep_due(draft):
+                    self._sweep.run(draft.document)
             case Err(ConfigurationConflict()) if draft.own_snapshot is not None:
                 self._snapshots.delete(draft.own_snapshot)
 
+    def _is_sweep_due(self, draft: Draft) -> bool:
+        """Choose by the change id, which is random, as a sweep reads every chunk."""
+        if draft.own_snapshot is None:
+            return False
+        return int(draft.accepted.change_id, 16) % self._snapshots_per_sweep == 0
+
 
 def _give_up(
     draft: Draft, message: str, has_unknown_write: bool
