--- a/gooseberryquay/daemons/cluster.py
+++ b/gooseberryquay/daemons/cluster.py
@@ -5,9 +5,10 @@
 from gooseberryquay.contracts.declaration import Declaration
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.contracts.settings import EntrySettings, PlatformSettings, Settings
-from gooseberryquay.ids import Incarnation, Revision
+from gooseberryquay.ids import EntryId, Incarnation, Revision
 from gooseberryquay.links.http_server import Router
 from gooseberryquay.links.platform_link import PlatformLink
+from gooseberryquay.machines.control_budget import ControlBudget
 from gooseberryquay.machines.member_messages import HeartbeatExtras
 from gooseberryquay.machines.membership import Membership
 from gooseberryquay.machines.peer import Peer
@@ -28,18 +29,26 @@
     """Keep one entry in step with the platform and with the other entries."""
 
     def __init__(self, settings: Settings, own: EntrySettings, platform: PlatformSettings) -> None:
+        self.budget = ControlBudget()
         self.platform = PlatformLink(platform.address)
         self.membership = Membership(
             _describe(own),
             seeds=_seeds_of(settings, own),
-            platform=self.platform,
+            platform=PlatformLink(platform.address, on_bytes=self.budget.spend),
+            budget=self.budget,
             extras=self._tell,
             on_extras=self._hear,
+            on_leave=self._hear_leave,
         )
         keeper_link = PlatformLink(
-            platform.address, KEEPER_CONNECT_TIMEOUT_S, KEEPER_READ_TIMEOUT_S
+            platform.address,
+            KEEPER_CONNECT_TIMEOUT_S,
+            KEEPER_READ_TIMEOUT_S,
+            self.budget.spend,
+        )
+        self.keeper = ConfigurationKeeper(
+            self.membership, keeper_link, settings.declaration, budget=self.budget
         )
-        self.keeper = ConfigurationKeeper(self.membership, keeper_link, settings.declaration)
         self.suspects = SuspectList(
             self.membership, self.platform, crash_count_max=settings.limits.crash_count_max
         )
@@ -87,6 +96,9 @@
         if extras.platform_unreachable:
             self.keeper.heard_platform_unreachable(peer.id)
 
+    def _hear_leave(self, entry: EntryId) -> None:
+        self.keeper.heard_leaving(entry)
+
 
 def _describe(own: EntrySettings) -> Peer:
     incarnation = Incarnation(int(time.time() * MS_PER_S))
--- a/gooseberryquay/machines/membership.py
+++ b/gooseberryquay/machines/membership.py
@@ -10,9 +10,11 @@
 from result import Result
 
 from gooseberryquay.contracts.fields import Address
+from gooseberryquay.ids import EntryId
 from gooseberryquay.links.http_client import LinkFailure, Reply
 from gooseberryquay.links.http_server import Router
 from gooseberryquay.links.platform_messages import InstanceState
+from gooseberryquay.machines.control_budget import ControlBudget
 from gooseberryquay.machines.member_changes import ChangeQueue
 from gooseberryquay.machines.member_directory import InstanceDirectory, MemberDirectory
 from gooseberryquay.machines.member_exchange import (
@@ -43,7 +45,7 @@
     """Know the live entries and send messages to them.
 
     `seeds` are control addresses of entries that may run. `on_extras` is called with what other
-    entries tell, on the threads of heartbeats.
+    entries tell, on the threads of heartbeats, and `on_leave` once for each that leaves in order.
     """
 
     def __init__(
@@ -57,13 +59,18 @@
         on_extras: Callable[[Peer, HeartbeatExtras], None] = lambda _peer, _extras: None,
         rng: random.Random | None = None,
         links: PeerLinks | None = None,
+        budget: ControlBudget | None = None,
+        on_leave: Callable[[EntryId], None] = lambda _entry: None,
     ) -> None:
         self._timing = timing or MembershipTiming()
         self._rng = rng or random.Random()
         self._changes = ChangeQueue()
-        self._links = links or PeerLinks()
+        budget = budget or ControlBudget()
+        self._links = links or PeerLinks(budget)
         self._guard = PauseGuard(self._timing.pause_s())
-        self._table = MemberTable(_record_of(myself), self._changes, self._timing)
+        self._table = MemberTable(
+            _record_of(myself), self._changes, self._timing, on_leave=on_leave
+        )
         hooks = ExtrasHooks(extras, on_extras)
         self._exchange = MemberExchange(
             self._table,
@@ -72,6 +79,7 @@
             timing=self._timing,
             guard=self._guard,
             hooks=hooks,
+            budget=budget,
         )
         self._prober = MemberProber(
             self._table, self._exchange, self._links, timing=self._timing, rng=self._rng
@@ -175,11 +183,11 @@
         if present:
             self._submit(self._exchange.pull, self._rng.choice(present).control_address)
 
-    def _submit(self, task: Callable[..., None], *arguments: Address) -> None:
+    def _submit(self, task: Callable[..., object], *arguments: Address) -> None:
         self._tasks.submit(_run_logged, task, *arguments)
 
 
-def _run_logged(task: Callable[..., None], *arguments: Address) -> None:
+def _run_logged(task: Callable[..., object], *arguments: Address) -> None:
     try:
         task(*arguments)
     except Exception:
