--- a/gooseberryquay/machines/tests/test_load_poller.py
+++ b/gooseberryquay/machines/tests/test_load_poller.py
@@ -159,7 +159,7 @@
     for _ in range(3):
         _pick(poller)
     _let_pass(poller, listener, asked_s_ago=-100.0, heard_s_ago=10.0)
-    listener.table.find("engine-1").forget(time.monotonic())
+    listener.table.find("engine-1").refused_connection(time.monotonic())
     control.spend(30_000)
     assert _pick(poller) == "engine-1"
     poller._asked_at_s += 100.0
