Close further ways to a "not run" that is not true

Found by reading every place that says it: - a later send that was refused hid an earlier one that may have run (service link and caller, for operations that may be repeated) - an entry that was restarted testified for keys without a creation time, and for keys of callers whose clock is ahead, that its earlier run may have sent - an entry that the asking one does not know yet was not asked; an entry that knows it now objects - a key used with another body was called not run, also where it had run or the body still could - a claim was refused as over the bound of untimed keys for a key that was not in the log yet - refusals given before the records are looked at (unknown workspace, service or header) said "not run" of keys that may have run under another configuration

A refusal for a full log now rests on the log alone, which was read and takes no new key; it no longer asks the entries. The builders' clock skew is 0, since entries that have just started can testify for no key with the default of 60 s; no assertion changed.

--- a/gooseberryquay/daemons/tests/test_caller_api.py
+++ b/gooseberryquay/daemons/tests/test_caller_api.py
@@ -105,6 +105,22 @@
     assert (got, _assert_typed(got, data)["type"]) == (status, error_type)
 
 
+@pytest.mark.parametrize(
+    ("path", "headers"),
+    [
+        (POST_PATH, {"X-Workspace": "stranger"}),
+        ("/services/x/y", {}),
+        (POST_PATH, {"X-Work-Kind": "a b"}),
+    ],
+)
+def test_key_that_may_have_run_under_another_configuration_is_not_said_to_be_not_run(
+    address, path, headers
+):
+    repeat = call(address, path, {}, key="moved", **headers)
+    first = call(address, path, {}, key="moved", **headers, **{"X-Retry-Count": "0"})
+    assert (repeat.error["ran"], first.error["ran"]) == ("maybe", "no")
+
+
 def test_key_of_a_silly_length_is_refused(address):
     refused = call(address, POST_PATH, {}, key="k" * 201)
     assert (refused.status, refused.error["type"]) == (400, "idempotency_key_required")
--- a/gooseberryquay/links/caller_api.py
+++ b/gooseberryquay/links/caller_api.py
@@ -2,14 +2,11 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import replace
-from http import HTTPStatus
 from typing import Protocol
 
 from result import Err, Ok
 
 from gooseberryquay.errors import (
-    DeadlinePast,
     EntryLeaving,
     Failure,
     InternalError,
@@ -21,7 +18,7 @@
 from gooseberryquay.ids import RequestId
 from gooseberryquay.links.caller_request import (
     CallerContext,
-    is_first_attempt,
+    doubt_earlier_run,
     read_context,
     request_id_of,
 )
@@ -80,10 +77,10 @@
         request_id = request_id_of(request)
         failure = self._check(request)
         if failure is not None:
-            return refuse(_state_run(failure, request), request_id)
+            return refuse(doubt_earlier_run(failure, request), request_id)
         match read_context(request, request_id, self._configuration()):
             case Err(failure):
-                return refuse(_state_run(failure, request), request_id)
+                return refuse(doubt_earlier_run(failure, request), request_id)
             case Ok(context):
                 return self._call(answer, request, context)
 
@@ -113,15 +110,3 @@
         failure = NotFound(f"no such path or method: {request.method} {request.path[:200]}")
         refused = refuse(failure, request_id_of(request))
         return Response(status, refused.body, headers=refused.headers)
-
-
-def _state_run(failure: Failure, request: Request) -> Failure:
-    """Say "maybe" where an earlier request with the same key may have run.
-
-    The records of keys are not looked at before a request is taken in.
-    """
-    is_repeat = "idempotency-key" in request.headers and not is_first_attempt(request)
-    is_temporary = failure.status == HTTPStatus.SERVICE_UNAVAILABLE
-    if is_repeat and (is_temporary or isinstance(failure, DeadlinePast)):
-        return replace(failure, ran=Ran.MAYBE)
-    return failure
--- a/gooseberryquay/links/caller_request.py
+++ b/gooseberryquay/links/caller_request.py
@@ -3,16 +3,22 @@
 import re
 import secrets
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from result import Err, Ok, Result
 
-from gooseberryquay.errors import DeadlinePast, Failure, InvalidRequest, UnknownWorkspace
+from gooseberryquay.errors import DeadlinePast, Failure, InvalidRequest, Ran, UnknownWorkspace
 from gooseberryquay.ids import RequestId, WorkKind, WorkspaceId
 from gooseberryquay.links.http_server import Request
 from gooseberryquay.zones.configuration import Configuration
 
-__all__ = ["CallerContext", "is_first_attempt", "read_context", "request_id_of"]
+__all__ = [
+    "CallerContext",
+    "doubt_earlier_run",
+    "is_first_attempt",
+    "read_context",
+    "request_id_of",
+]
 
 REQUEST_ID_PATTERN = re.compile(r"[\x21-\x7e]{1,128}")
 KIND_PATTERN = re.compile(r"[A-Za-z0-9_.-]{1,64}")
@@ -46,6 +52,16 @@
     return request.headers.get("x-retry-count") == FIRST_RETRY_COUNT
 
 
+def doubt_earlier_run(failure: Failure, request: Request) -> Failure:
+    """Say "maybe" where an earlier request with the same key may have run.
+
+    The records of keys are not looked at before a request is taken in, and the earlier one may have
+    been sent with other headers, under another configuration or to an entry with another one.
+    """
+    is_repeat = "idempotency-key" in request.headers and not is_first_attempt(request)
+    return replace(failure, ran=Ran.MAYBE) if is_repeat else failure
+
+
 def read_context(
     request: Request, request_id: RequestId, configuration: Configuration
 ) -> Result[CallerContext, Failure]:
--- a/gooseberryquay/links/dispatch_outcome.py
+++ b/gooseberryquay/links/dispatch_outcome.py
@@ -37,5 +37,9 @@
 
     message: str
 
+    def after(self, later: "DispatchOutcome") -> "DispatchOutcome":
+        """Give the outcome where the operation was sent once more: only an answer settles it."""
+        return later if isinstance(later, AnsweredByUpstream) else self
+
 
 DispatchOutcome = AnsweredByUpstream | NotSent | RefusedByUpstream | Undecided
--- a/gooseberryquay/links/service_api.py
+++ b/gooseberryquay/links/service_api.py
@@ -24,7 +24,11 @@
     ServiceId,
     WorkKind,
 )
-from gooseberryquay.links.caller_request import CallerContext, is_first_attempt
+from gooseberryquay.links.caller_request import (
+    CallerContext,
+    doubt_earlier_run,
+    is_first_attempt,
+)
 from gooseberryquay.links.dispatch_outcome import (
     AnsweredByUpstream,
     DispatchOutcome,
@@ -95,7 +99,7 @@
         """Answer one call of one operation."""
         match self._read(request, context):
             case Err(failure):
-                return refuse(failure, context.request_id)
+                return refuse(doubt_earlier_run(failure, request), context.request_id)
             case Ok(call):
                 return self._run(call)
 
--- a/gooseberryquay/links/service_caller.py
+++ b/gooseberryquay/links/service_caller.py
@@ -51,10 +51,11 @@
             upstream = placement.upstream.id
             ending = Outcome.CANCELLED
             try:
-                outcome = self._send_to(upstream, call)
-                ending = _ending_of(outcome)
+                sent = self._send_to(upstream, call)
+                ending = _ending_of(sent)
             finally:
                 placement.finish(ending)
+            outcome = outcome.after(sent) if isinstance(outcome, Undecided) else sent
             is_last = attempt + 1 == MAX_ATTEMPTS
             if is_last or not self._may_send_again(work, call, outcome):
                 return outcome
--- a/gooseberryquay/links/service_link.py
+++ b/gooseberryquay/links/service_link.py
@@ -87,7 +87,7 @@
         self._replace_shared(client)
         if time.monotonic() >= deadline_at_s:
             return outcome
-        return self._send_alone(call, deadline_at_s)
+        return outcome.after(self._send_alone(call, deadline_at_s))
 
     def _replace_shared(self, failed: HttpClient) -> None:
         with self._lock:
--- a/gooseberryquay/links/tests/test_service_link.py
+++ b/gooseberryquay/links/tests/test_service_link.py
@@ -78,6 +78,13 @@
         assert len(opened) == 2
 
 
+def test_refusal_after_a_send_that_may_have_run_stays_undecided():
+    refusal = HEAD.format(503, "request-1", 2) + "no"
+    with serving("", refusal) as (link, opened):
+        assert isinstance(link.send(build_call(Repeat.ALLOWED)), Undecided)
+        assert len(opened) == 2
+
+
 def test_refusal_by_the_upstream_is_told_apart():
     refusal = HEAD.format(503, "request-1", 0).replace("\r\n\r\n", "\r\nRetry-After: 3\r\n\r\n")
     with serving(refusal) as (link, _):
--- a/gooseberryquay/postings/claim_log.py
+++ b/gooseberryquay/postings/claim_log.py
@@ -154,7 +154,7 @@
         for each in batch:
             key = each.record.key
             if self._is_over_bound(each.record, len(states)):
-                if self._confirmed_at_s >= each.queued_at_s:
+                if self._is_full() and self._confirmed_at_s >= each.queued_at_s:
                     self._finish(each, Err(KeysFull("no more untimed keys can be kept")))
                 continue
             state = states.get(key, self._copy.index.state(key))
@@ -170,6 +170,10 @@
             return False
         return len(self._copy.index) + added_count >= self._keys_max
 
+    def _is_full(self) -> bool:
+        """Tell whether the log itself holds all the keys that it may, which it then keeps."""
+        return self._keys_max is not None and len(self._copy.index) >= self._keys_max
+
     def _settle_without_write(self, batch: list[_Pending], started_at_s: float) -> bool:
         """Answer from the copy where it is final or as new as the question."""
         old = [each for each in batch if not self._is_current(each)]
--- a/gooseberryquay/postings/posting_answer.py
+++ b/gooseberryquay/postings/posting_answer.py
@@ -25,7 +25,8 @@
 def answer_repeat(posting: Posting, state: KeyState, running_s: float) -> Result[Answered, Failure]:
     """Answer a request whose key an earlier one holds; a claim may run for `running_s`."""
     if state.fingerprint != posting.fingerprint():
-        return Err(IdempotencyKeyReused("the key was used with a different body", Ran.NO))
+        ran = Ran.YES if state.phase is KeyPhase.ANSWERED else Ran.MAYBE
+        return Err(IdempotencyKeyReused("the key was used with a different body", ran))
     match state:
         case KeyState(phase=KeyPhase.ANSWERED, answer=Answered(is_kept=True) as answer):
             return Ok(answer)
--- a/gooseberryquay/postings/posting_desk.py
+++ b/gooseberryquay/postings/posting_desk.py
@@ -161,7 +161,8 @@
         match failure:
             case KeysFull():
                 message = "too many keys without a creation time are kept; send UUIDv7 keys"
-                return UntimedKeysFull(message, self._ran_before(posting, at), RETRY_AFTER_S)
+                # The log was read, does not hold the key and takes no new one from anybody.
+                return UntimedKeysFull(message, Ran.NO, RETRY_AFTER_S)
             case AppendUncertain():
                 released = Released(key=at.key, token=token)
                 self._do_after_answer(posting, lambda: self._backlog.add(at, released))
--- a/gooseberryquay/postings/run_memory.py
+++ b/gooseberryquay/postings/run_memory.py
@@ -113,14 +113,14 @@
     def _can_exclude(self, key: RecordKey, created_at_s: float | None, own_open: int) -> bool:
         """Tell whether the key was neither sent from here nor by a member that went away.
 
+        A key without a creation time may have been sent before anything that is remembered.
         `own_open` is how many of the requests under way here are the one that asks.
         """
         if key in self._tried or self._open[key] > own_open:
             return False
-        if self._gone_at_s:
+        if self._gone_at_s or created_at_s is None:
             return False
+        # The caller's clock may be ahead of the one that the other times are from.
+        earliest_s = created_at_s - self._clock_skew_s
         last_gap_s = max(self._forgotten_at_s, self._gap_at_s)
-        if created_at_s is None:
-            return last_gap_s < time.time() - ABSENCE_MEMORY_S
-        is_newer_than_this_entry = created_at_s >= self._started_at_s - START_MARGIN_S
-        return is_newer_than_this_entry and last_gap_s < created_at_s - self._clock_skew_s
+        return earliest_s >= self._started_at_s - START_MARGIN_S and last_gap_s < earliest_s
--- a/gooseberryquay/postings/run_witness.py
+++ b/gooseberryquay/postings/run_witness.py
@@ -9,6 +9,7 @@
 
 from gooseberryquay.contracts.posting_settings import PostingSettings
 from gooseberryquay.errors import Ran
+from gooseberryquay.ids import EntryId
 from gooseberryquay.links.http_client import Reply
 from gooseberryquay.links.http_server import Request, Response, Router
 from gooseberryquay.machines.peer import Peer, Peers
@@ -27,10 +28,11 @@
 
 
 class WitnessQuestion(BaseModel):
-    """Ask whether an entry can exclude that a key has run."""
+    """Ask whether an entry can exclude that a key has run; `asked` are all that are asked."""
 
     at: KeyLocation
     created_at_s: float | None
+    asked: frozenset[EntryId]
 
 
 class WitnessAnswer(BaseModel):
@@ -81,7 +83,8 @@
         started_at_s = time.monotonic()
         if not self._can_exclude(at, created_at_s, OWN_REQUEST):
             return Ran.MAYBE
-        question = WitnessQuestion(at=at, created_at_s=created_at_s)
+        asked = frozenset(peer.id for peer in live)
+        question = WitnessQuestion(at=at, created_at_s=created_at_s, asked=asked)
         is_excluded = all(self._ask(peer, question) for peer in others)
         is_in_time = time.monotonic() - started_at_s <= HOLD_S - DELIVERY_S
         return Ran.NO if is_excluded and is_in_time else Ran.MAYBE
@@ -104,7 +107,10 @@
             question = WitnessQuestion.model_validate_json(request.body)
         except ValidationError:
             return Response(status=400)
-        can_exclude = self._can_exclude(question.at, question.created_at_s, 0)
+        is_everybody_asked = all(peer.id in question.asked for peer in self._peers.live())
+        can_exclude = is_everybody_asked and self._can_exclude(
+            question.at, question.created_at_s, 0
+        )
         return Response.of(WitnessAnswer(can_exclude=can_exclude))
 
 
--- a/gooseberryquay/postings/tests/builders.py
+++ b/gooseberryquay/postings/tests/builders.py
@@ -48,6 +48,8 @@
 def build_settings(**fields):
     defaults = {
         "write_interval_s": 0.0,
+        # Entries of tests have just started; with a skew they could testify for no key yet.
+        "clock_skew_s": 0.0,
         "claim_timeout_s": TIMEOUT_S,
         "record_timeout_s": TIMEOUT_S,
         "witness_timeout_s": TIMEOUT_S,
@@ -90,6 +92,7 @@
     def __init__(self, port):
         super().__init__(Address("127.0.0.1", port))
         self.is_out = False
+        self.is_read_only = False
         self.lost_answers = 0
         self.held_write = None
         self.is_holding_next_write = False
@@ -101,7 +104,7 @@
         return super().read(key)
 
     def write(self, key, value, expected_version=None):
-        if self.is_out:
+        if self.is_out or self.is_read_only:
             return Err(PlatformUnreachable("outage"))
         if self.is_holding_next_write:
             self.is_holding_next_write = False
--- a/gooseberryquay/postings/tests/test_posting_desk.py
+++ b/gooseberryquay/postings/tests/test_posting_desk.py
@@ -183,6 +183,22 @@
         assert run(fleet.desks[0], service, key).is_ok()
         reused = run(fleet.desks[0], service, key, body=b'{"kg": 2}').unwrap_err()
     assert isinstance(reused, IdempotencyKeyReused) and service.runs[key] == 1
+    assert reused.ran is Ran.YES
+
+
+def test_key_under_way_with_another_body_is_not_said_to_be_not_run(service):
+    """A request with the other body may run as soon as the holder frees the key."""
+    key, reused = build_key(), []
+    with Fleet(2) as fleet:
+
+        def reuse():
+            answer = run(fleet.desks[1], service, key, body=b'{"kg": 2}')
+            reused.append(answer.unwrap_err())
+
+        refusing = service.dispatch("other", RefusedByUpstream("busy"), before=reuse)
+        assert fleet.desks[0].run_once(build_posting(key), refusing).unwrap_err().ran is Ran.NO
+        assert isinstance(reused[0], IdempotencyKeyReused) and reused[0].ran is Ran.MAYBE
+        assert run(fleet.desks[1], service, key, body=b'{"kg": 2}').is_ok()
 
 
 def test_key_older_than_the_horizon_is_not_said_to_be_not_run(service):
@@ -374,3 +390,33 @@
         to_do.pop()()
         assert fleet.desks[0].close(TIMEOUT_S)
         assert run(fleet.desks[1], service, key).is_ok()
+
+
+def restart(fleet, number):
+    """Give the desk of a new run of an entry, which remembers nothing."""
+    return PostingDesk(fleet.links[number], fleet.peers[number], fleet.settings)
+
+
+@pytest.mark.parametrize("is_timed", [True, False])
+def test_key_that_an_earlier_run_of_an_entry_may_have_sent_is_not_excluded(service, is_timed):
+    """The caller's clock is ahead, or the key carries no time."""
+    key = build_key(age_s=-30.0) if is_timed else "weight-17"
+    with Fleet(1, clock_skew_s=60.0) as fleet:
+        assert run(fleet.desks[0], service, key).is_ok()
+        desk = restart(fleet, 0)
+        fleet.links[0].is_out = True
+        refusal = run(desk, service, key, timeout_s=SHORT_S).unwrap_err()
+        assert isinstance(refusal, PlatformUnavailable) and refusal.ran is Ran.MAYBE
+
+
+def test_key_that_ran_at_an_entry_not_known_here_yet_is_not_excluded(service):
+    with Fleet(3, owner_timeout_s=0.1) as fleet:
+        key = build_key()
+        asking, _, joined = fleet.peers
+        asking.all_live = fleet.members[:2]
+        joined.all_live = [joined.myself()]
+        assert run(fleet.desks[2], service, key).is_ok()
+        for link in fleet.links:
+            link.is_out = True
+        refusal = run(fleet.desks[0], service, key, timeout_s=SHORT_S).unwrap_err()
+        assert refusal.ran is Ran.MAYBE
