Prove the bound on slots at a cold cap of 1

Cause of the gap: in the load of eight entries a slot is nearly always in use while the others look, so the report of the engine's work alone keeps them out at cap 1, also with the bound on slots switched off. The two new tests take that report away: an entry is overtaken between its read and its write, and an entry only ever gets reports that were measured just before the holder's request began.

--- a/gooseberryquay/machines/tests/test_cold_cap.py
+++ b/gooseberryquay/machines/tests/test_cold_cap.py
@@ -1,12 +1,16 @@
 import random
+import threading
 import time
 
 import pytest
 
 from gooseberryquay.machines.cold_record import AdmissionRecord
+from gooseberryquay.machines.cold_store import SlotGranted, SlotStore
 from gooseberryquay.machines.tests.cold_builders import (
+    SETTLE_S,
     CountingEngine,
     MemoryPlatform,
+    TestEntry,
     load_until,
     start_entries,
     wait_until,
@@ -70,3 +74,71 @@
     assert engine.exceeded == 0
     engine.end()
     sent_warm.finish(Outcome.FINISHED)
+
+
+class OvertakenPlatform(MemoryPlatform):
+    """Let another writer in before the first write."""
+
+    overtake = None
+
+    def write(self, key, value, expected_version=None):
+        overtake, self.overtake = self.overtake, None
+        if overtake:
+            overtake()
+        return super().write(key, value, expected_version)
+
+
+def test_entry_that_is_overtaken_on_the_way_to_the_only_slot_gets_none():
+    """Both have read that the slot is free, and both have seen the engine without work."""
+    platform = OvertakenPlatform()
+    first, second = (TestEntry(name, 1, platform, CountingEngine(1)) for name in ("a", "b"))
+
+    def acquire(entry):
+        return SlotStore(platform).acquire(entry.upstream, entry.holder, 0, 0)
+
+    platform.overtake = lambda: acquire(first)
+    assert acquire(second) == SlotGranted(0)
+    assert _read_record(platform).holders == (first.holder,)
+
+
+class LateReader(TestEntry):
+    """Entry whose every report is out of date: work begins just after it was measured."""
+
+    other = None
+    placed = None
+    settled_polls = 0
+    settled_at_s = float("inf")
+    lock = threading.Lock()
+
+    def poll(self):
+        with self.lock:
+            return self._poll()
+
+    def _poll(self):
+        if self.placed:
+            self.engine.end()
+            self.placed.finish(Outcome.FINISHED)
+            self.placed = None
+        report = super().poll()
+        if self.other:
+            self.settled_polls += time.monotonic() > self.settled_at_s
+            self.placed = self.other.wait_for_place()
+            self.engine.begin()
+        return report
+
+
+def test_entry_that_sees_no_work_gets_no_slot_while_another_holds_the_only_one(platform):
+    engine = CountingEngine(1)
+    holder = TestEntry("entry-0", 1, platform, engine).start()
+    holder.wait_for_place().finish(Outcome.FINISHED)
+    late = LateReader("entry-1", 1, platform, engine)
+    late.other = holder
+    late.start()
+    late.settled_at_s = time.monotonic() + SETTLE_S
+    while late.settled_polls < 3:
+        assert late.place().is_err()
+    assert late.admission.held(late.upstream.id) == 0
+    late.other = None
+    late.poll()
+    late.wait_for_place()
+    assert engine.peak == 1
