Say when to come back in every refusal that frees a key

A refusal of a posting that was not sent, or that its upstream refused without a time, named none. Since the key is freed after the refusal, a repeat at once would find it held. Switched off: both cases of test_key_does_not_run_between_its_release_and_the_refusal fail.

--- a/gooseberryquay/postings/posting_desk.py
+++ b/gooseberryquay/postings/posting_desk.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 from result import Err, Ok, Result
 
@@ -203,10 +204,11 @@
         """Refuse, and free the key only once the refusal has been written.
 
         Freed before that, the key could run elsewhere while the refusal still says that it did not.
+        The time to come back leaves room for the release to land.
         """
         released = Released(key=at.key, token=token)
         self._do_after_answer(posting, lambda: self._record(at, released))
-        return Err(failure)
+        return Err(replace(failure, retry_after_s=failure.retry_after_s or RETRY_AFTER_S))
 
     def _do_after_answer(self, posting: Posting, action: Callable[[], None]) -> None:
         """Count an action as unfinished until the answer has been written and it is done."""
--- a/gooseberryquay/postings/tests/test_posting_desk.py
+++ b/gooseberryquay/postings/tests/test_posting_desk.py
@@ -353,7 +353,7 @@
         desk = PostingDesk(fleet.links[0], fleet.peers[0], fleet.settings, claims)
         posting = build_posting(key, after_answer=to_do.append)
         refusal = desk.run_once(posting, service.dispatch("other", outcome)).unwrap_err()
-        assert refusal.ran is Ran.NO
+        assert refusal.ran is Ran.NO and refusal.retry_after_s
         assert_key_is_held(fleet, service, key)
         assert desk.has_unfinished()
         to_do.pop()()
