--- a/gooseberryquay/links/streaming_gateway.py
+++ b/gooseberryquay/links/streaming_gateway.py
@@ -1,28 +1,20 @@
-"""Cheroot gateway that writes the chunks of a streamed answer straight to the socket."""
+"""Cheroot gateway that hands requests over without WSGI and writes straight to the socket."""
 
 import socket
 import threading
-from collections.abc import Callable
-from typing import Any, Protocol, cast
+from collections.abc import Callable, Iterator
+from typing import Any, Protocol
 
-import cheroot.wsgi
+from cheroot.server import Gateway
 
 from gooseberryquay.links.socket_timeout import set_write_timeout
 
-__all__ = [
-    "AfterAnswer",
-    "BodyWriter",
-    "CallerGone",
-    "StreamingGateway",
-    "after_answer_of",
-    "writer_of",
-]
+__all__ = ["HEADER_CODING", "AfterAnswer", "BodyWriter", "CallerGone", "StreamingGateway"]
 
 AfterAnswer = Callable[[Callable[[], None]], None]
 
 WRITE_TIMEOUT_S = 30.0
-WRITER_KEY = "gooseberryquay.writer"
-AFTER_ANSWER_KEY = "gooseberryquay.after_answer"
+HEADER_CODING = "latin-1"
 
 
 class CallerGone(ConnectionError):
@@ -43,42 +35,65 @@
         """Write one whole chunk with its framing, where the answer is chunked."""
 
 
-class StreamingGateway(cheroot.wsgi.Gateway_10):
-    """Skip cheroot's buffered writer, which costs more than the write itself."""
+class StreamingGateway(Gateway):
+    """Skip WSGI and cheroot's buffered writer, which cost more than the write itself."""
 
-    _socket: socket.socket | None = None
-    _after_answer: list[Callable[[], None]]
-
-    def get_environ(self) -> Any:
-        """Give the WSGI environment with the writer of this answer."""
-        environ: dict[str, Any] = cast(Any, super()).get_environ()
-        environ[WRITER_KEY] = self
-        self._after_answer = []
-        environ[AFTER_ANSWER_KEY] = self._after_answer.append
-        return environ
+    def __init__(self, request: Any, answer: Callable[["StreamingGateway"], None]) -> None:
+        super().__init__(request)
+        self._answer = answer
+        self._socket: socket.socket | None = None
+        self._has_started = False
+        self._after_answer: list[Callable[[], None]] = []
 
     def respond(self) -> None:
         """Answer one request and leave the socket's timeout as it was."""
         try:
-            super().respond()
+            self._answer(self)
         finally:
             if self._socket is not None:
                 self._socket.settimeout(self.req.server.timeout)
             if self._after_answer:
                 threading.Thread(target=self._do_after_answer, daemon=True).start()
 
+    def after_answer(self, action: Callable[[], None]) -> None:
+        """Have an action done once the answer has been written or its caller is gone."""
+        self._after_answer.append(action)
+
     def _do_after_answer(self) -> None:
         """Do what waited for the answer; the connection's next request does not wait for it."""
         for action in self._after_answer:
             action()
 
+    def start(self, status_line: str, headers: list[tuple[str, str]]) -> None:
+        """Set the status and the headers, which go out with the first bytes of the body."""
+        if self._has_started:
+            raise RuntimeError("an answer may start only once")
+        self._has_started = True
+        self.req.status = status_line.encode(HEADER_CODING)
+        for name, value in headers:
+            pair = (name.encode(HEADER_CODING), value.encode(HEADER_CODING))
+            self.req.outheaders.append(pair)
+
+    def write_all(self, body: bytes | Iterator[bytes]) -> None:
+        """Write a body after `start`, and close an iterator that can be closed."""
+        try:
+            for chunk in [body] if isinstance(body, bytes) else body:
+                if chunk:
+                    self.write(chunk)
+        finally:
+            self.req.ensure_headers_sent()
+            close = getattr(body, "close", None)
+            if close is not None:
+                close()
+
     def write(self, chunk: bytes) -> None:
         """Write content at once."""
-        if self.remaining_bytes_out is None and self.is_chunked:
-            self.write_raw_chunk(b"%x\r\n%b\r\n" % (len(chunk), chunk))
-            return
         try:
-            super().write(chunk)
+            head = self._take_head()
+            if self.req.chunked_write:
+                self.write_raw_chunk(b"%b%x\r\n%b\r\n" % (head, len(chunk), chunk))
+            else:
+                self.req.conn.wfile.write(head + chunk)
         except OSError as error:
             raise CallerGone(str(error)) from error
 
@@ -101,18 +116,20 @@
             raise CallerGone(str(error)) from error
         return bool(self.req.chunked_write)
 
+    def _take_head(self) -> bytes:
+        """Give the status line and the headers, once."""
+        if self.req.sent_headers:
+            return b""
+        writer = self.req.conn.wfile
+        writer.hold()
+        try:
+            self.req.ensure_headers_sent()
+        finally:
+            head: bytes = writer.release()
+        return head
+
     def _open_socket(self) -> socket.socket:
         opened: socket.socket = self.req.conn.socket
         set_write_timeout(opened, WRITE_TIMEOUT_S)
         self._socket = opened
         return opened
-
-
-def writer_of(environ: dict[str, Any]) -> BodyWriter:
-    """Give the writer of the answer that a WSGI environment belongs to."""
-    return cast(BodyWriter, environ[WRITER_KEY])
-
-
-def after_answer_of(environ: dict[str, Any]) -> AfterAnswer:
-    """Give what takes actions to be done once the answer has been written."""
-    return cast(AfterAnswer, environ[AFTER_ANSWER_KEY])
