Withdraw a claim that came second, so that a late copy cannot close its key

Three requests race; the owner is slower than its timeout, so a loser appends its claim itself, learns that it came second and is answered unknown_outcome. The owner's copy of the losing claim lands after the holder, which sent nothing, has released the key: it then holds the key, and nobody runs or releases it.

A request that finds the key claimed by another now appends a release of its own claim. Since every such repeat adds a void token, 32 of them are kept for a key instead of 8.

--- a/gooseberryquay/postings/claim_index.py
+++ b/gooseberryquay/postings/claim_index.py
@@ -15,7 +15,7 @@
 
 __all__ = ["FREE", "ClaimIndex", "KeyPhase", "KeyState", "next_state"]
 
-VOID_TOKENS_MAX = 8
+VOID_TOKENS_MAX = 32
 
 
 class KeyPhase(Enum):
--- a/gooseberryquay/postings/posting_desk.py
+++ b/gooseberryquay/postings/posting_desk.py
@@ -141,8 +141,18 @@
             case Ok(state) if state.phase is KeyPhase.FREE:
                 return Err(self._refuse_for_platform(posting, at, "the claim was made void"))
             case Ok(state):
+                self._withdraw(at, token, state)
                 return answer_repeat(posting, state, self._settings.running_s)
 
+    def _withdraw(self, at: KeyLocation, token: ClaimToken, state: KeyState) -> None:
+        """Make a claim void that came second, so that a late copy of it cannot hold the key.
+
+        A slow owner may still append it once the holder has released the key, and nobody would run
+        or release it then.
+        """
+        if state.phase is KeyPhase.CLAIMED:
+            self._backlog.add(at, Released(key=at.key, token=token))
+
     def _claim(
         self, posting: Posting, at: KeyLocation, token: ClaimToken
     ) -> Result[KeyState, AppendFailure]:
--- a/gooseberryquay/postings/tests/test_posting_desk.py
+++ b/gooseberryquay/postings/tests/test_posting_desk.py
@@ -23,6 +23,7 @@
     RefusedByUpstream,
     Undecided,
 )
+from gooseberryquay.links.http_client import LinkTimeout
 from gooseberryquay.postings import PostingDesk
 from gooseberryquay.postings.owned_claims import choose_owner
 from gooseberryquay.postings.posting import locate
@@ -420,3 +421,35 @@
             link.is_out = True
         refusal = run(fleet.desks[0], service, key, timeout_s=SHORT_S).unwrap_err()
         assert refusal.ran is Ran.MAYBE
+
+
+def test_claim_that_came_second_and_lands_late_does_not_close_the_key(service):
+    """The owner is slow: it appends the claim of an answered request once the key is free."""
+    with Fleet(2) as fleet:
+        key = build_key()
+        while (
+            choose_owner(locate(build_posting(key), fleet.settings).shard, tuple(fleet.members)).id
+            != "entry-1"
+        ):
+            key = build_key()
+        peers, held = fleet.peers[0], []
+        send = peers.send
+
+        def hold_first(*arguments):
+            if held:
+                return send(*arguments)
+            held.append(arguments)
+            return Err(LinkTimeout("too slow", was_sent=True))
+
+        def come_second():
+            second = run(fleet.desks[0], service, key).unwrap_err()
+            assert isinstance(second, UnknownOutcome)
+
+        peers.send = hold_first
+        refusing = service.dispatch("other", RefusedByUpstream("busy"), before=come_second)
+        refused = fleet.desks[1].run_once(build_posting(key), refusing).unwrap_err()
+        assert isinstance(refused, Overloaded)
+        assert fleet.desks[0].close(TIMEOUT_S)
+        assert send(*held[0]).is_ok()
+        assert run(fleet.desks[1], service, key).is_ok()
+    assert service.runs[key] == 1
