Forget the reports of upstreams that were away, and add an experiment on cold zones

Cause: while a zone is out nobody polls its engines, and when it came back the entries chose them by the report from before, so that cold engines were taken as warm. Part of that was the stand-in: an idle engine that nobody asked recorded no state, and showed its first caller the warm state of long ago as one second old.

Now an upstream that comes back into use is of unknown condition until a new report.

--- a/gooseberryquay/machines/tests/test_dispatcher.py
+++ b/gooseberryquay/machines/tests/test_dispatcher.py
@@ -55,6 +55,21 @@
     assert zone not in chosen
 
 
+def test_upstreams_of_a_returned_zone_wait_for_a_report_as_they_may_be_cold():
+    held = _held()
+    dispatcher = build_dispatcher(held)
+    inside = held.value
+    zone = inside.declaration.upstreams["engine-0"].zone
+    held.value = inside.model_copy(update={"revision": 2, "zone_states": {zone: ZoneState.OUT}})
+    assert dispatcher.place(build_work()).is_ok()
+    held.value = inside.model_copy(update={"revision": 3})
+    chosen = {dispatcher.place(build_work()).unwrap().upstream.zone for _ in range(20)}
+    assert zone not in chosen
+    dispatcher.saw_report("engine-0", WARM)
+    chosen = {dispatcher.place(build_work()).unwrap().upstream.zone for _ in range(20)}
+    assert zone in chosen
+
+
 def test_zone_out_takes_effect_on_what_is_queued():
     held = _held(count=2, in_flight_max=1)
     dispatcher = build_dispatcher(held, ChoiceSettings(queue_patience=20.0))
--- a/gooseberryquay/machines/upstream.py
+++ b/gooseberryquay/machines/upstream.py
@@ -71,7 +71,7 @@
 class Upstream:
     """Hold one upstream's declaration, report, own work and observed speed.
 
-    The caller serialises all calls but `saw_gap`.
+    The caller serialises all calls but `saw_gap` and `forget`.
     """
 
     def __init__(self, declaration: UpstreamDeclaration) -> None:
@@ -195,10 +195,11 @@
     def _count_terms(self, sharing_entries: float) -> LoadTerms:
         own_count = len(self.work)
         spread = _spread(sharing_entries)
-        if self.report is None:
+        report = self.report
+        if report is None:
             in_flight = float(own_count * sharing_entries)
         else:
-            reported = self.report.in_flight + self.report.queued
+            reported = report.in_flight + report.queued
             in_flight = max(float(own_count), reported + self._changed_count * spread)
         return LoadTerms(
             sharing_entries=sharing_entries,
--- a/gooseberryquay/machines/upstream_table.py
+++ b/gooseberryquay/machines/upstream_table.py
@@ -1,6 +1,7 @@
 """Upstream states of one entry, kept in step with the configuration."""
 
 import threading
+import time
 from collections.abc import Callable
 
 from gooseberryquay.contracts.upstream import UpstreamDeclaration
@@ -15,11 +16,18 @@
 class UpstreamTable:
     """Give the upstreams that the configuration in force allows; safe for use by many threads."""
 
-    def __init__(self, configuration: Callable[[], Configuration], subset: SubsetRule) -> None:
+    def __init__(
+        self,
+        configuration: Callable[[], Configuration],
+        subset: SubsetRule,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._clock = clock
         self.configuration = configuration
         self._subset = subset
         self._upstreams: dict[UpstreamId, Upstream] = {}
         self._usable: dict[ServiceId, tuple[Upstream, ...]] = {}
+        self._last_usable: dict[ServiceId, frozenset[Upstream]] = {}
         self._parts: dict[ServiceId, float] = {}
         self._in_force: Configuration | None = None
         self._lock = threading.Lock()
@@ -34,6 +42,7 @@
                 allowed = configuration.usable_upstreams(service)
                 chosen = self._subset.choose(allowed)
                 found = tuple(self._state_of(each) for each in chosen)
+                self._forget_returned(service, found)
                 self._usable[service] = found
                 self._parts[service] = len(chosen) / max(1, len(allowed))
             return found
@@ -63,6 +72,14 @@
         for gone in [each for each in self._upstreams if each not in declared]:
             del self._upstreams[gone]
 
+    def _forget_returned(self, service: ServiceId, found: tuple[Upstream, ...]) -> None:
+        """Forget the reports of upstreams that were away, as nobody asked them meanwhile."""
+        before = self._last_usable.get(service, frozenset())
+        for upstream in found:
+            if upstream not in before:
+                upstream.forget(self._clock())
+        self._last_usable[service] = frozenset(found)
+
     def _state_of(self, declaration: UpstreamDeclaration) -> Upstream:
         state = self._upstreams.get(declaration.id)
         if state is None or state.declaration.address != declaration.address:
--- a/gooseberryquay/standins/batch.py
+++ b/gooseberryquay/standins/batch.py
@@ -132,6 +132,8 @@
             while not self._is_stopped and self.scheduler.in_flight == 0:
                 self._changed.wait(IDLE_WAIT_S)
                 self._sweep(time.monotonic())
+                # An idle engine turns cold and warm by time alone.
+                self._record()
             return not self._is_stopped
 
     def _begin_step(self) -> float:
--- a/gooseberryquay/standins/experiments/commands.py
+++ b/gooseberryquay/standins/experiments/commands.py
@@ -5,6 +5,7 @@
     BrownOutExperiment,
     BrownOutPlan,
 )
+from gooseberryquay.standins.experiments.ramp_experiment import RampExperiment
 from gooseberryquay.standins.experiments.rule_experiment import RuleExperiment, describe_summary
 from gooseberryquay.standins.experiments.zone_experiment import ZoneExperiment
 
@@ -52,3 +53,17 @@
             for seed in range(1, seeds + 1):
                 result = BrownOutExperiment(BrownOutPlan(kind)).run(seed)
                 print(result.describe(kind), flush=True)
+
+    def ramp(
+        self,
+        caps: str = "1,2,3,4",
+        load: float = 0.5,
+        cold_s: float = 10.0,
+        seeds: int = 1,
+        duration_s: float = 45.0,
+    ) -> None:
+        """Bring a zone of cold engines back and print the time until it carries its share."""
+        for cap in map(int, _split([caps] if isinstance(caps, int) else caps)):
+            for seed in range(1, seeds + 1):
+                result = RampExperiment(cap, load, cold_s, duration_s).run(seed)
+                print(result.describe(cap, cold_s), flush=True)
--- a/gooseberryquay/standins/tests/test_engine.py
+++ b/gooseberryquay/standins/tests/test_engine.py
@@ -6,7 +6,13 @@
 from gooseberryquay.links.http_client import HttpClient, LinkTimeout
 from gooseberryquay.machines.load_report import UpstreamCondition, parse_load_report
 from gooseberryquay.standins.engine import EngineStandIn
-from gooseberryquay.standins.engine_faults import Hang, Reclaim, TurnCold, WrongGeneration
+from gooseberryquay.standins.engine_faults import (
+    Hang,
+    Reclaim,
+    RefuseStarts,
+    TurnCold,
+    WrongGeneration,
+)
 from gooseberryquay.standins.engine_settings import EngineSettings
 from gooseberryquay.standins.generation import token_text
 from gooseberryquay.standins.tests.builders import (
@@ -213,3 +219,20 @@
     assert chunks[-1].choices[0].finish_reason == "stop"
     whole = client.completions.create(model="m", prompt="check lot 7", extra_body=extra)
     assert whole.choices[0].text.startswith("t0.")
+
+
+def test_idle_engine_that_nobody_asks_records_that_it_turned_cold(start_engine):
+    engine, _ = start_engine()
+    engine.apply_fault(TurnCold(cold_s=60.0))
+    recorded = engine._batch.reports._recorded
+    wait_until(lambda: recorded[-1][1].condition is UpstreamCondition.COLD)
+
+
+def test_refused_starts_run_nothing_until_the_fault_ends(start_engine):
+    engine, client = start_engine()
+    engine.apply_fault(RefuseStarts())
+    assert client.send("POST", "/v1/completions", body_of(5)).unwrap().status == 503
+    engine.apply_fault(RefuseStarts(is_on=False))
+    assert client.send("POST", "/v1/completions", body_of(5)).unwrap().status == 200
+    counts = engine.counts()
+    assert (counts.arrivals, counts.refused, len(counts.runs)) == (2, 1, 1)
