--- a/gooseberryquay/machines/upstream.py
+++ b/gooseberryquay/machines/upstream.py
@@ -71,7 +71,7 @@
 class Upstream:
     """Hold one upstream's declaration, report, own work and observed speed.
 
-    The caller serialises all calls but `saw_gap`.
+    The caller serialises all calls but `saw_gap` and `forget`.
     """
 
     def __init__(self, declaration: UpstreamDeclaration) -> None:
@@ -172,6 +172,10 @@
         self.is_silent = True
         if self.gone_since_s is None:
             self.gone_since_s = now_s
+        self.forget(now_s)
+
+    def forget(self, now_s: float) -> None:
+        """Drop what was reported, so that the condition is unknown again."""
         self._turn(UpstreamView.UNKNOWN, now_s)
         self.report = None
         self._terms = None
@@ -205,10 +209,11 @@
     def _count_terms(self, sharing_entries: float) -> LoadTerms:
         own_count = len(self.work)
         spread = _spread(sharing_entries)
-        if self.report is None:
+        report = self.report
+        if report is None:
             in_flight = float(own_count * sharing_entries)
         else:
-            reported = self.report.in_flight + self.report.queued
+            reported = report.in_flight + report.queued
             in_flight = max(float(own_count), reported + self._changed_count * spread)
         return LoadTerms(
             sharing_entries=sharing_entries,
