Keep an entry that left from being brought back by a peer's list of members

Cause: a pull's list of members was taken in as seen, so two entries that each had heard of a leave could give the leaver back to each other while they had no configuration; the test of the leave at the composition root failed once that way of several runs. The cause was read from the code, not traced.

Members that are known here to have left are now taken in again only once membership holds them live.

Switched off once: the new test failed.

--- a/gooseberryquay/zones/configuration_spread.py
+++ b/gooseberryquay/zones/configuration_spread.py
@@ -175,7 +175,7 @@
         self._held.apply(reply.changes, reply.version)
         self._held.confirm(reply.revision, reply.confirmed_age_s + round_trip_s)
         if reply.members:
-            self._reachability.see_members(lambda: reply.members)
+            self._reachability.hear_of_members(reply.members)
 
     def _answer_push(self, request: Request) -> Response:
         message = _parse(PushChanges, request.body)
--- a/gooseberryquay/zones/platform_reachability.py
+++ b/gooseberryquay/zones/platform_reachability.py
@@ -21,6 +21,7 @@
         self._myself = myself
         self._member_memory_s = member_memory_s
         self._lock = threading.Lock()
+        self._left_at_s: dict[EntryId, float] = {}
         self._members: dict[EntryId, float] = {myself: time.monotonic()}
         self._sketch = OutageSketch()
         self._is_unreachable = False
@@ -32,15 +33,28 @@
         """
         now_s = time.monotonic()
         with self._lock:
-            self._members.update(dict.fromkeys(members(), now_s))
+            seen = tuple(members())
+            self._members.update(dict.fromkeys(seen, now_s))
+            for member in seen:
+                self._left_at_s.pop(member, None)
             oldest_s = now_s - self._member_memory_s
             self._members = {each: at_s for each, at_s in self._members.items() if at_s >= oldest_s}
             self._members[self._myself] = now_s
 
+    def hear_of_members(self, members: Iterable[EntryId]) -> None:
+        """Record members that a peer knows, but for those that are known here to have left."""
+        now_s = time.monotonic()
+        oldest_s = now_s - self._member_memory_s
+        with self._lock:
+            left = {each: at_s for each, at_s in self._left_at_s.items() if at_s >= oldest_s}
+            self._left_at_s = left
+            self._members.update({each: now_s for each in members if each not in left})
+
     def forget_member(self, member: EntryId) -> None:
         """Stop counting a member that left in order."""
         with self._lock:
             self._members.pop(member, None)
+            self._left_at_s[member] = time.monotonic()
 
     def members(self) -> tuple[EntryId, ...]:
         """Give the members that count."""
--- a/gooseberryquay/zones/tests/test_outage_spread.py
+++ b/gooseberryquay/zones/tests/test_outage_spread.py
@@ -72,3 +72,13 @@
     reachability.see_members(list_members)
     leaving.join()
     assert reachability.members() == (EntryId("entry-0"),)
+
+
+def test_peer_that_has_not_heard_of_a_leave_does_not_bring_the_leaver_back(reachability):
+    leaver, other = EntryId("entry-1"), EntryId("entry-2")
+    reachability.see_members(lambda: [leaver])
+    reachability.forget_member(leaver)
+    reachability.hear_of_members([leaver, other])
+    assert set(reachability.members()) == {EntryId("entry-0"), other}
+    reachability.see_members(lambda: [leaver])
+    assert leaver in reachability.members()
