Let polls of silent upstreams leave room for member lists

Cause: such polls gave way only below a fifth of the burst, lists below half. With 128 nodes in a mass change in an outage 28 of the new nodes did not hold all members two and a half minutes after, with 1 to 7 s to wait for a list. That the polls took the bytes is inferred from the levels.

The share is now 0.6, above lists.

--- a/gooseberryquay/machines/control_budget.py
+++ b/gooseberryquay/machines/control_budget.py
@@ -19,9 +19,10 @@
 
     POLL = 0.9
     OUTAGE_REPEAT = 0.75
+    # Above lists, as upstreams may stay silent for long.
+    POLL_NEEDED = 0.6
     MEMBER_LIST = 0.5
     MEMBER_CHANGES = 0.25
-    POLL_NEEDED = 0.2
 
 
 class ControlBudget:
