Send a request's head and body together and queue connections in C

Cause: urllib3 sends a request's head and its body in two system calls, each a release of the interpreter's lock and a wake-up of the engine, and makes a Retry object a request; cheroot hands connections to its threads through queue.Queue, whose condition variable is written in Python (42 us a request on the handing side alone). The client's connections now join bodies of up to 64 KB to the head, the pool holds one Retry object, and the pool of threads uses queue.SimpleQueue.

Checked: with joining switched off, and with joined bytes kept after a failed request, the tests fail.

--- a/gooseberryquay/links/http_client.py
+++ b/gooseberryquay/links/http_client.py
@@ -8,6 +8,7 @@
 from urllib3.exceptions import HTTPError
 
 from gooseberryquay.links.body_reader import BodyReader
+from gooseberryquay.links.joined_connection import JoinedConnection
 from gooseberryquay.links.link_failure import LinkBroken, LinkFailure, LinkTimeout, failure_of
 
 __all__ = ["HttpClient", "LinkBroken", "LinkFailure", "LinkTimeout", "Reply", "ReplyStream"]
@@ -15,6 +16,7 @@
 DEFAULT_CONNECT_TIMEOUT_S = 0.5
 DEFAULT_READ_TIMEOUT_S = 2.0
 MAX_POOLED_CONNECTIONS = 256
+NO_RETRIES = urllib3.Retry(False, redirect=False)
 
 
 @dataclass(frozen=True)
@@ -66,8 +68,9 @@
         self._connect_timeout_s = connect_timeout_s
         self._read_timeout_s = read_timeout_s
         self._pool = urllib3.HTTPConnectionPool(
-            host, port, maxsize=MAX_POOLED_CONNECTIONS, retries=False, block=False
+            host, port, maxsize=MAX_POOLED_CONNECTIONS, retries=NO_RETRIES, block=False
         )
+        self._pool.ConnectionCls = JoinedConnection
 
     def send(
         self,
--- a/gooseberryquay/links/thread_pool.py
+++ b/gooseberryquay/links/thread_pool.py
@@ -1,5 +1,6 @@
 """Worker threads for cheroot that grow with the number of open requests."""
 
+import queue
 import threading
 from collections.abc import Callable
 from typing import Any
@@ -18,6 +19,7 @@
 
     def __init__(self, server: Any, min_threads: int, max_threads: int) -> None:
         super().__init__(server, min=min_threads, max=max_threads)
+        self._queue = queue.SimpleQueue()
         self._count_lock = threading.Lock()
         self._waiting = 0
         self.get = self._get
