Wait for the signal to be handled before asking whether an entry is ready

Cause: the test asked for readiness right after the kill call; a busy machine had not yet run the handler (seen once at a load of 26). The test now waits for not ready and checks that it came while streams were still running, which the former one did not.

--- a/gooseberryquay/daemons/tests/test_zones_and_drain.py
+++ b/gooseberryquay/daemons/tests/test_zones_and_drain.py
@@ -84,13 +84,18 @@
     assert _arrivals(fleet, ["engine-2"]) == before
 
 
+def _is_ready(address):
+    answer = call(address, "/readyz", {}, method="GET")
+    return answer is not None and answer.status == 200
+
+
 def test_sigterm_finishes_every_stream_and_exits_with_success(fleet):
     running = [BackgroundStream(fleet.entry_addresses()[0], LONG_STREAM_TOKENS) for _ in range(10)]
     for each in running:
         each.wait_for_tokens(2)
     fleet.terminate("entry-1")
-    ready = call(fleet.entry_addresses()[0], "/readyz", {}, method="GET")
-    assert ready is None or ready.status == 503
+    wait_until(lambda: not _is_ready(fleet.entry_addresses()[0]))
+    assert not all(each.result.is_done for each in running)
     assert all(each.join().is_done for each in running)
     assert fleet.process("entry-1").wait(60) == 0
 
