--- a/gooseberryquay/links/generation_relay.py
+++ b/gooseberryquay/links/generation_relay.py
@@ -150,7 +150,7 @@
             match opened:
                 case Err(EngineRefusal() as refusal):
                     _note_report(route, refusal)
-                    return _End.REFUSED
+                    return _End.REFUSED if refusal.is_not_run else _End.LOST
                 case Err(GenerationUnknown()):
                     return _End.LOST
                 case Err((LinkBroken() | LinkTimeout()) as failure):
--- a/gooseberryquay/links/tests/test_generation_relay.py
+++ b/gooseberryquay/links/tests/test_generation_relay.py
@@ -20,6 +20,7 @@
 from gooseberryquay.standins.process import find_free_port
 
 OVERLOADED = Err(Overloaded("no upstream may get this request", retry_after_s=1.0))
+FAILED = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
 UNAVAILABLE = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -80,3 +81,10 @@
     with _engine(UNAVAILABLE) as busy:
         result, _ = _generate([_place_at(number, busy) for number in (1, 2, 3, 4)])
     assert result.unwrap_err().ran is Ran.NO
+
+
+def test_request_that_failed_within_its_upstream_may_have_run():
+    with _engine(FAILED) as failing:
+        result, guard = _generate([_place_at(1, failing), OVERLOADED])
+    assert guard.placed[0].outcome is Outcome.BROKEN
+    assert result.unwrap_err().ran is Ran.MAYBE
