--- /dev/null
+++ b/gooseberryquay/daemons/tests/test_engine_brown_out.py
@@ -0,0 +1,14 @@
+"""Engines that fail or hang for a while, under open-loop load and with real processes."""
+
+import pytest
+
+from gooseberryquay.daemons.tests.brown_out_builders import assert_brown_out_is_not_amplified
+from gooseberryquay.standins.experiments.brown_out import BrownOut
+
+ENGINE_KINDS = [each for each in BrownOut if each.is_of_engines]
+
+
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize("kind", ENGINE_KINDS)
+def test_brown_out_is_not_amplified_and_every_refusal_is_complete(kind):
+    assert_brown_out_is_not_amplified(kind)
--- a/gooseberryquay/links/streaming_gateway.py
+++ b/gooseberryquay/links/streaming_gateway.py
@@ -80,8 +80,8 @@
             for chunk in [body] if isinstance(body, bytes) else body:
                 if chunk:
                     self.write(chunk)
-        finally:
             self.req.ensure_headers_sent()
+        finally:
             close = getattr(body, "close", None)
             if close is not None:
                 close()
