Count a refused resume as a generation that may have run

Cause, found in the read-through: a refusal by the engine ended a generation as 'not run' also where the generation had been sent before and only its resume was refused; the caller of a whole answer could then be told 'ran: no'. Only the answer to the first sending is a refusal now, which also takes three special cases out of the loop over connections.

Before -> after: the new test gives 'no' with the modules before, 'maybe' now; links' tests pass. A 404 and a timeout that nothing used are gone.

--- a/gooseberryquay/links/engine_link.py
+++ b/gooseberryquay/links/engine_link.py
@@ -14,9 +14,8 @@
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
-NOT_RUN_STATUSES = frozenset({400, 401, 403, 404, 405, 411, 413, 415, 422, 429, 503})
+NOT_RUN_STATUSES = frozenset({400, 401, 403, 405, 411, 413, 415, 422, 429, 503})
 CANCEL_TIMEOUT_S = 1.0
-RESUME_TIMEOUT_S = 2.0
 
 
 @dataclass(frozen=True)
@@ -28,7 +27,7 @@
 
     @property
     def is_not_run(self) -> bool:
-        """Tell whether the status says that the request was not run."""
+        """Tell whether the status says that a new request was not run."""
         return self.status in NOT_RUN_STATUSES
 
 
--- a/gooseberryquay/links/generation_relay.py
+++ b/gooseberryquay/links/generation_relay.py
@@ -132,8 +132,10 @@
         route = _Route(link, generation, EventCheck(generation.id), sink, placement)
         priority = placement.priority
         opened = link.start(path, generation.id, priority, body, self._idle_timeout_s)
-        if not _was_sent(opened):
-            return _End.UNREACHABLE
+        refused = _refusal_of(opened)
+        if refused is not None:
+            _note_report(route, opened)
+            return refused
         end = self._follow(route, opened)
         match end:
             case _End.DIED:
@@ -143,15 +145,16 @@
         return end
 
     def _follow(self, route: _Route, opened: Result[ReplyStream, OpenFailure]) -> _End:
-        """Pass on events from connection after connection until the generation ends."""
+        """Pass on events from connection after connection until the generation ends.
+
+        The engine has the generation by now, so that a refusal no longer says that it did not run.
+        """
         failed_opens = 0
         quiet_since_s = time.monotonic()
         while True:
             match opened:
-                case Err(EngineRefusal() as refusal):
-                    _note_report(route, refusal)
-                    return _End.REFUSED if refusal.is_not_run else _End.LOST
-                case Err(GenerationUnknown()):
+                case Err(EngineRefusal() | GenerationUnknown()):
+                    _note_report(route, opened)
                     return _End.LOST
                 case Err((LinkBroken() | LinkTimeout()) as failure):
                     failed_opens += 1
@@ -192,17 +195,24 @@
         return is_done
 
 
-def _note_report(route: _Route, refusal: EngineRefusal) -> None:
-    if refusal.report is not None and route.placement is not None:
-        route.placement.saw_report(refusal.report)
+def _note_report(route: _Route, opened: Result[ReplyStream, OpenFailure]) -> None:
+    match opened:
+        case Err(EngineRefusal(report=report)) if report is not None:
+            if route.placement is not None:
+                route.placement.saw_report(report)
+        case _:
+            pass
 
 
-def _was_sent(opened: Result[ReplyStream, OpenFailure]) -> bool:
+def _refusal_of(opened: Result[ReplyStream, OpenFailure]) -> _End | None:
+    """Give the end of a generation that its engine certainly never had, or None."""
     match opened:
-        case Err((LinkBroken() | LinkTimeout()) as failure):
-            return failure.was_sent
+        case Err(EngineRefusal(is_not_run=True)):
+            return _End.REFUSED
+        case Err(LinkBroken(was_sent=False) | LinkTimeout(was_sent=False)):
+            return _End.UNREACHABLE
         case _:
-            return True
+            return None
 
 
 def _end_of_link(failure: LinkFailure) -> _End:
--- a/gooseberryquay/links/tests/test_generation_relay.py
+++ b/gooseberryquay/links/tests/test_generation_relay.py
@@ -1,6 +1,7 @@
 import socket
 import threading
 from contextlib import contextmanager, suppress
+from itertools import chain, repeat
 
 from result import Err, Ok
 
@@ -25,13 +26,13 @@
 
 
 @contextmanager
-def _engine(answer):
-    """Read each request, answer it where there is an answer, and close the connection."""
+def _engine(*answers):
+    """Read each request, give it the next answer, the last one for ever, and close."""
     listener = socket.create_server(("127.0.0.1", 0))
 
     def serve():
         with suppress(OSError):
-            while True:
+            for answer in chain(answers, repeat(answers[-1])):
                 connection = listener.accept()[0]
                 connection.recv(65536)
                 connection.sendall(answer)
@@ -88,3 +89,10 @@
         result, guard = _generate([_place_at(1, failing), OVERLOADED])
     assert guard.placed[0].outcome is Outcome.BROKEN
     assert result.unwrap_err().ran is Ran.MAYBE
+
+
+def test_generation_whose_resume_is_refused_may_have_run():
+    with _engine(b"", UNAVAILABLE) as address:
+        result, guard = _generate([_place_at(1, address), OVERLOADED])
+    assert guard.placed[0].outcome is Outcome.BROKEN
+    assert result.unwrap_err().ran is Ran.MAYBE
