Mend names, a test that could not fail and tries that asked too often

Read-through. test_iterator_body_is_chunked_and_closed passed without the closing, as a generator ends by being read; its body now has a close of its own. A suspect that waits for a place tried ten times a second, each try asking the owner of every upstream: the pause now doubles. Paths that count as control stood in a list that nothing compared with those served: a test does now. Names: allow_for_earlier_run, is_enough, leaving entries; join_attempts takes no None.

--- a/gooseberryquay/daemons/entry.py
+++ b/gooseberryquay/daemons/entry.py
@@ -43,7 +43,7 @@
         )
         self._in_flight = InFlight()
         self._state = DrainableState(
-            self._cluster.is_configured, self._dispatching.first_reports.are_in
+            self._cluster.is_configured, self._dispatching.first_reports.is_enough
         )
         self._reporting = Reporting(settings, self._cluster, self._gauges)
         self._log = RequestLog(self._reporting.sinks)
--- a/gooseberryquay/daemons/tests/test_cluster.py
+++ b/gooseberryquay/daemons/tests/test_cluster.py
@@ -7,9 +7,9 @@
 from gooseberryquay.contracts.settings import EntrySettings, PlatformSettings, Settings
 from gooseberryquay.daemons.cluster import Cluster
 from gooseberryquay.daemons.dispatching import Dispatching
-from gooseberryquay.links.http_server import HttpServer
+from gooseberryquay.links.http_server import HttpServer, Router
 from gooseberryquay.machines.control_budget import ControlBudget
-from gooseberryquay.machines.control_meter import MeteredRouter
+from gooseberryquay.machines.control_meter import CONTROL_PATHS, MeteredRouter
 from gooseberryquay.standins.platform import PlatformStandIn
 from gooseberryquay.standins.process import find_free_port
 from gooseberryquay.zones.configuration_messages import PULL_PATH, PullReply, PullRequest
@@ -125,3 +125,25 @@
     monkeypatch.setattr(ControlBudget, "spend", lambda _budget, count: spent.append(count))
     start_nodes("entry-0")
     _wait_until(lambda: len(spent) > 4)
+
+
+class PathList(Router):
+    """Remember the paths that are served."""
+
+    def __init__(self):
+        super().__init__()
+        self.paths = []
+
+    def add(self, method, path, handler):
+        self.paths.append(path)
+        super().add(method, path, handler)
+
+
+def test_every_path_between_entries_but_those_of_postings_is_counted_as_control(nodes):
+    served = PathList()
+    nodes[0].cluster.add_routes(served)
+    Dispatching(nodes[0].settings, nodes[0].cluster).add_routes(served)
+    assert served.paths
+    assert [each for each in served.paths if not each.startswith(CONTROL_PATHS)] == []
+    unused = [each for each in CONTROL_PATHS if not any(p.startswith(each) for p in served.paths)]
+    assert unused == []
--- a/gooseberryquay/links/caller_api.py
+++ b/gooseberryquay/links/caller_api.py
@@ -18,7 +18,7 @@
 from gooseberryquay.ids import RequestId
 from gooseberryquay.links.caller_request import (
     CallerContext,
-    doubt_earlier_run,
+    allow_for_earlier_run,
     read_context,
     request_id_of,
 )
@@ -77,10 +77,10 @@
         request_id = request_id_of(request)
         failure = self._check(request)
         if failure is not None:
-            return refuse(doubt_earlier_run(failure, request), request_id)
+            return refuse(allow_for_earlier_run(failure, request), request_id)
         match read_context(request, request_id, self._configuration()):
             case Err(failure):
-                return refuse(doubt_earlier_run(failure, request), request_id)
+                return refuse(allow_for_earlier_run(failure, request), request_id)
             case Ok(context):
                 return self._call(answer, request, context)
 
--- a/gooseberryquay/links/caller_request.py
+++ b/gooseberryquay/links/caller_request.py
@@ -14,7 +14,7 @@
 
 __all__ = [
     "CallerContext",
-    "doubt_earlier_run",
+    "allow_for_earlier_run",
     "is_first_attempt",
     "read_context",
     "request_id_of",
@@ -52,7 +52,7 @@
     return request.headers.get("x-retry-count") == FIRST_RETRY_COUNT
 
 
-def doubt_earlier_run(failure: Failure, request: Request) -> Failure:
+def allow_for_earlier_run(failure: Failure, request: Request) -> Failure:
     """Say "maybe" where an earlier request with the same key may have run.
 
     The records of keys are not looked at before a request is taken in, and the earlier one may have
--- a/gooseberryquay/links/dispatch_outcome.py
+++ b/gooseberryquay/links/dispatch_outcome.py
@@ -48,7 +48,7 @@
 DispatchOutcome = AnsweredByUpstream | NotSent | RefusedByUpstream | Undecided
 
 
-def join_attempts(former: DispatchOutcome | None, latest: DispatchOutcome) -> DispatchOutcome:
+def join_attempts(former: DispatchOutcome, latest: DispatchOutcome) -> DispatchOutcome:
     """Give what is known of an operation after one more attempt.
 
     An attempt that did not run proves nothing about an earlier one that may have.
--- a/gooseberryquay/links/service_api.py
+++ b/gooseberryquay/links/service_api.py
@@ -26,7 +26,7 @@
 )
 from gooseberryquay.links.caller_request import (
     CallerContext,
-    doubt_earlier_run,
+    allow_for_earlier_run,
     is_first_attempt,
 )
 from gooseberryquay.links.dispatch_outcome import (
@@ -99,7 +99,7 @@
         """Answer one call of one operation."""
         match self._read(request, context):
             case Err(failure):
-                return refuse(doubt_earlier_run(failure, request), context.request_id)
+                return refuse(allow_for_earlier_run(failure, request), context.request_id)
             case Ok(call):
                 return self._run(call)
 
--- a/gooseberryquay/links/suspect_guard.py
+++ b/gooseberryquay/links/suspect_guard.py
@@ -14,7 +14,7 @@
 
 __all__ = ["SuspectGuard"]
 
-SLOT_WAIT_S = 0.1
+FIRST_SLOT_WAIT_S = 0.1
 RETRY_AFTER_S = 1.0
 
 
@@ -34,6 +34,7 @@
         A suspect waits for an upstream without one as long as it may wait for its first token.
         """
         give_up_at_s = min(time.monotonic() + work.first_token_s, work.deadline_at_s)
+        wait_s = FIRST_SLOT_WAIT_S
         while True:
             match self._suspects.verdict(work.fingerprint):
                 case Verdict.NORMAL:
@@ -47,7 +48,9 @@
             if time.monotonic() >= give_up_at_s:
                 message = "every upstream that may get this request runs another crash suspect"
                 return Err(Overloaded(message, retry_after_s=RETRY_AFTER_S))
-            time.sleep(SLOT_WAIT_S)
+            # Each try asks the owner of every upstream, so that tries become fewer.
+            time.sleep(min(wait_s, max(0.0, give_up_at_s - time.monotonic())))
+            wait_s *= 2.0
 
     def upstream_died(self, upstream: UpstreamDeclaration, work: Work) -> None:
         """Count a death against a request that was in flight there."""
--- a/gooseberryquay/links/tests/test_http_server.py
+++ b/gooseberryquay/links/tests/test_http_server.py
@@ -15,6 +15,23 @@
 ANSWER_TIMEOUT_S = 20.0
 
 
+class ClosableBody:
+    """Give chunks; unlike a generator it isn't closed by being read to its end."""
+
+    def __init__(self, *chunks: bytes) -> None:
+        self._chunks = iter(chunks)
+        self.is_closed = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        return next(self._chunks)
+
+    def close(self) -> None:
+        self.is_closed = True
+
+
 @contextmanager
 def _serve(handler: Callable[[Request], Response]) -> Iterator[int]:
     router = Router()
@@ -59,18 +76,11 @@
 
 
 def test_iterator_body_is_chunked_and_closed() -> None:
-    closed: list[bool] = []
-
-    def body() -> Iterator[bytes]:
-        try:
-            yield from (b"ab", b"", b"c")
-        finally:
-            closed.append(True)
-
-    with _serve(lambda _request: Response(body=body())) as port:
+    body = ClosableBody(b"ab", b"", b"c")
+    with _serve(lambda _request: Response(body=body)) as port:
         answers = _exchange(port, LAST_GET)
     assert answers.endswith(b"\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")
-    assert closed == [True]
+    assert body.is_closed
 
 
 def test_reader_tells_buffered_bytes_without_waiting() -> None:
--- a/gooseberryquay/machines/control_meter.py
+++ b/gooseberryquay/machines/control_meter.py
@@ -4,7 +4,7 @@
 from gooseberryquay.links.http_server import Request, Response, Router
 from gooseberryquay.machines.control_budget import ControlBudget
 
-__all__ = ["MeteredRouter", "count_exchange"]
+__all__ = ["CONTROL_PATHS", "MeteredRouter", "count_exchange"]
 
 # Claims of postings share the links but are work, not control.
 CONTROL_PATHS = ("/heartbeat", "/members", "/suspects", "/peer/config/", "/peer/cold-upstream")
--- a/gooseberryquay/machines/first_reports.py
+++ b/gooseberryquay/machines/first_reports.py
@@ -21,19 +21,19 @@
         self._table = table
         self._patience_s = patience_s
         self._waiting_since_s: float | None = None
-        self._are_in = False
+        self._is_enough = False
 
-    def are_in(self) -> bool:
+    def is_enough(self) -> bool:
         """Tell whether enough reports have come, or have been waited for long enough."""
-        if not self._are_in:
+        if not self._is_enough:
             now_s = time.monotonic()
             if self._waiting_since_s is None:
                 self._waiting_since_s = now_s
             is_late = now_s - self._waiting_since_s > self._patience_s
-            self._are_in = is_late or self._are_enough_heard()
-        return self._are_in
+            self._is_enough = is_late or self._has_enough_of_each()
+        return self._is_enough
 
-    def _are_enough_heard(self) -> bool:
+    def _has_enough_of_each(self) -> bool:
         services = self._table.configuration().declaration.services
         return all(_has_enough_heard(self._table.usable(each)) for each in services)
 
--- a/gooseberryquay/machines/member_table.py
+++ b/gooseberryquay/machines/member_table.py
@@ -35,7 +35,7 @@
         self._timing = timing
         self._clock = clock
         self._on_leave = on_leave
-        self._leavers: deque[EntryId] = deque()
+        self._leaving: deque[EntryId] = deque()
         self._records: dict[EntryId, MemberRecord] = {}
         self._suspected_until_s: dict[EntryId, float] = {}
         self._removed_at_s: dict[EntryId, float] = {}
@@ -89,7 +89,7 @@
     def merge(self, record: MemberRecord, *, is_news: bool = True) -> None:
         """Take in a record from another member; news is sent on with heartbeats."""
         self._merge(record, is_news=is_news)
-        self._tell_leavers()
+        self._tell_leaving()
 
     def _merge(self, record: MemberRecord, *, is_news: bool) -> None:
         with self._lock:
@@ -163,7 +163,7 @@
         self._note_change()
 
     def _store(self, record: MemberRecord, *, is_news: bool = True) -> None:
-        self._note_leaver(self._records.get(record.id), record)
+        self._note_leaving(self._records.get(record.id), record)
         self._records[record.id] = record
         self._suspected_until_s.pop(record.id, None)
         self._removed_at_s.pop(record.id, None)
@@ -175,20 +175,21 @@
             self._changes.add(record)
         self._note_change()
 
-    def _note_leaver(self, held: MemberRecord | None, record: MemberRecord) -> None:
-        was_leaving = held is not None and held.incarnation == record.incarnation
-        was_leaving = was_leaving and held is not None and held.state in ORDERLY_STATES
-        if record.state in ORDERLY_STATES and not was_leaving:
-            self._leavers.append(record.id)
+    def _note_leaving(self, held: MemberRecord | None, record: MemberRecord) -> None:
+        if record.state not in ORDERLY_STATES:
+            return
+        is_same_run = held is not None and held.incarnation == record.incarnation
+        if held is None or not is_same_run or held.state not in ORDERLY_STATES:
+            self._leaving.append(record.id)
 
-    def _tell_leavers(self) -> None:
-        """Tell of leavers without the lock, as the listener may ask this table."""
-        while self._leavers:
+    def _tell_leaving(self) -> None:
+        """Tell of leaving entries without the lock, as the listener may ask this table."""
+        while self._leaving:
             try:
-                leaver = self._leavers.popleft()
+                entry = self._leaving.popleft()
             except IndexError:
                 return
-            self._on_leave(leaver)
+            self._on_leave(entry)
 
     def _suspicion_end_s(self) -> float:
         return self._clock() + self._timing.suspicion_for_s(len(self.live()))
--- a/gooseberryquay/machines/tests/test_first_reports.py
+++ b/gooseberryquay/machines/tests/test_first_reports.py
@@ -21,20 +21,20 @@
     first = FirstReports(table)
     upstreams = table.usable(SERVICE)
     for heard, upstream in enumerate(upstreams[:HEARD_PER_SERVICE]):
-        assert not first.are_in(), heard
+        assert not first.is_enough(), heard
         upstream.take_report(LoadReport(), time.monotonic())
-    assert first.are_in()
+    assert first.is_enough()
 
 
 def test_silent_upstreams_are_not_waited_for():
     table = _table(2)
     for upstream in table.usable(SERVICE):
         upstream.is_silent = True
-    assert FirstReports(table).are_in()
+    assert FirstReports(table).is_enough()
 
 
 def test_missing_reports_are_waited_for_a_bounded_time():
     first = FirstReports(_table(2), patience_s=0.05)
-    assert not first.are_in()
+    assert not first.is_enough()
     time.sleep(0.1)
-    assert first.are_in()
+    assert first.is_enough()
