Keep output lengths in the histogram library again

Cause: dictionaries of our own, rounded by hand, had replaced it for speed; a histogram is what a well-kept library is there for, also a slower one. What made it dear stays away: histograms that nobody used and a count of the total at each record.

--- a/gooseberryquay/machines/length_estimate.py
+++ b/gooseberryquay/machines/length_estimate.py
@@ -2,18 +2,20 @@
 
 from array import array
 from bisect import bisect_right
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass
 from math import inf
 from typing import NamedTuple
 
+from hdrh.histogram import HdrHistogram
+
 from gooseberryquay.ids import ServiceId, WorkKind, WorkspaceId
 
 __all__ = ["MIN_REMAINING_TOKENS", "LengthCount", "LengthCurve", "LengthEstimator", "LengthSpan"]
 
 MAX_LENGTH_TOKENS = 131_072
-SIGNIFICANT_BITS = 5
+SIGNIFICANT_DIGITS = 1
 MAX_KEYS = 1024
 MIN_RECORDS = 12
 RECORDS_PER_GENERATION = 256
@@ -102,20 +104,20 @@
     """Keep two generations of records, so that old ones fade."""
 
     def __init__(self) -> None:
-        self._older: Counter[int] = Counter()
-        self._newer: Counter[int] = Counter()
+        self._older: HdrHistogram | None = None
+        self._newer = _new_histogram()
         self._newer_count = 0
         self._since_refresh = 0
         self.count = 0
         self._curve: LengthCurve | None = None
 
     def record(self, length_tokens: int) -> None:
-        self._newer[_round_up(min(MAX_LENGTH_TOKENS, max(1, length_tokens)))] += 1
+        self._newer.record_value(min(MAX_LENGTH_TOKENS, max(1, length_tokens)))
         self._newer_count += 1
         self.count += 1
         self._since_refresh += 1
         if self._newer_count >= RECORDS_PER_GENERATION:
-            self._older, self._newer, self._newer_count = self._newer, Counter(), 0
+            self._older, self._newer, self._newer_count = self._newer, _new_histogram(), 0
         if self._since_refresh >= RECORDS_PER_REFRESH:
             self._curve = None
 
@@ -126,14 +128,20 @@
         return self._curve
 
     def _compute_curve(self) -> LengthCurve:
-        merged = self._older + self._newer
-        return LengthCurve([LengthCount(float(each), merged[each]) for each in sorted(merged)])
-
-
-def _round_up(length_tokens: int) -> int:
-    """Give the highest length that has the same leading bits."""
-    dropped_bits = max(0, length_tokens.bit_length() - SIGNIFICANT_BITS)
-    return length_tokens | ((1 << dropped_bits) - 1)
+        merged = _new_histogram()
+        merged.add(self._newer)
+        if self._older is not None:
+            merged.add(self._older)
+        return LengthCurve(
+            [
+                LengthCount(float(each.value_iterated_to), each.count_at_value_iterated_to)
+                for each in merged.get_recorded_iterator()
+            ]
+        )
+
+
+def _new_histogram() -> HdrHistogram:
+    return HdrHistogram(1, MAX_LENGTH_TOKENS, SIGNIFICANT_DIGITS)
 
 
 class LengthEstimator:
