Give the upstream stand-ins one server part and the load tool's calls one base

Read-through: start, stop, port, sudden end, faults and counts stood twice in the stand-ins of engines and plain services; four fields and the noting of refusals twice in the calls of the load tool.

--- a/gooseberryquay/standins/engine.py
+++ b/gooseberryquay/standins/engine.py
@@ -1,15 +1,12 @@
 """Stand-in for the supplier's model engine, served over HTTP."""
 
-import os
 import random
-import threading
 
 from pydantic import ValidationError
 
 from gooseberryquay.ids import GenerationId
 from gooseberryquay.links.http_server import (
     EVENT_STREAM_TYPE,
-    HttpServer,
     Request,
     Response,
     Router,
@@ -36,14 +33,14 @@
 from gooseberryquay.standins.generation_request import read_generation_request
 from gooseberryquay.standins.later import call_later
 from gooseberryquay.standins.token_events import ApiKind
+from gooseberryquay.standins.upstream_stand_in import UpstreamStandIn
 
 __all__ = ["EngineStandIn"]
 
-CRASH_STATUS = 70
 REPORT_HEADER = "X-Engine-Load"
 
 
-class EngineStandIn:
+class EngineStandIn(UpstreamStandIn):
     """Serve generations from a simulated batch; dies as a whole process if told to."""
 
     def __init__(
@@ -54,7 +51,6 @@
         is_own_process: bool = False,
     ) -> None:
         self._settings = settings
-        self._is_own_process = is_own_process
         self._randomness = random.Random(settings.seed)
         self._events = CacheEventLog(
             settings.event_lag_s, settings.event_drop_ratio, random.Random(settings.seed + 1)
@@ -62,31 +58,17 @@
         self._batch = DecodingBatch(settings, self._events, self.crash)
         self._orders = OrderBook(settings, self._batch.counts)
         self._has_reports = True
-        self.has_crashed = threading.Event()
-        self._server = HttpServer(host, port, self._build_router())
+        super().__init__(host, port, is_own_process)
 
     def start(self) -> None:
         """Serve in the background."""
         self._batch.start()
-        self._server.start()
+        super().start()
 
     def stop(self) -> None:
         """Stop serving."""
         self._batch.stop()
-        self._server.stop()
-
-    def crash(self) -> None:
-        """Die at once: the process if it is the engine's own, else the server."""
-        if self._is_own_process:
-            os._exit(CRASH_STATUS)
-        if not self.has_crashed.is_set():
-            self.has_crashed.set()
-            threading.Thread(target=self.stop, daemon=True).start()
-
-    @property
-    def port(self) -> int:
-        """Give the bound TCP port."""
-        return self._server.port
+        super().stop()
 
     def counts(self) -> EngineCounts:
         """Give what was counted since the start."""
@@ -116,8 +98,7 @@
             case WrongGeneration(tokens=tokens):
                 self._batch.wrong_tokens = tokens
 
-    def _build_router(self) -> Router:
-        router = Router()
+    def _add_routes(self, router: Router) -> None:
         router.add("POST", "/v1/completions", self._complete)
         router.add("POST", "/v1/chat/completions", self._chat)
         router.add("GET", "/generations/{id}", self._resume)
@@ -125,9 +106,6 @@
         router.add("GET", "/load", self._load)
         router.add("POST", "/orders", self._order)
         router.add("GET", "/events", self._list_events)
-        router.add("POST", "/standin/faults", self._fault)
-        router.add("GET", "/standin/counts", self._count)
-        return router
 
     def _complete(self, request: Request) -> Response:
         return self._generate(request, ApiKind.COMPLETION)
@@ -192,16 +170,8 @@
     def _list_events(self, request: Request) -> Response:
         return Response.of(self._events.read(int(request.query.get("after", "0"))))
 
-    def _fault(self, request: Request) -> Response:
-        try:
-            fault = parse_engine_fault(request.body)
-        except ValidationError:
-            return Response(status=400)
-        self.apply_fault(fault)
-        return Response(body=b"{}")
-
-    def _count(self, _request: Request) -> Response:
-        return Response.of(self.counts())
+    def _take_fault(self, body: bytes) -> None:
+        self.apply_fault(parse_engine_fault(body))
 
     def _report_headers(self) -> dict[str, str]:
         if not self._has_reports:
--- a/gooseberryquay/standins/load/model_call.py
+++ b/gooseberryquay/standins/load/model_call.py
@@ -5,6 +5,7 @@
 import time
 
 from gooseberryquay.standins.load.arrivals import Arrival, LoadPlan
+from gooseberryquay.standins.load.call import Call
 from gooseberryquay.standins.load.outcome import CallEnd, CallOutcome
 from gooseberryquay.standins.load.refusal import read_refusal
 from gooseberryquay.standins.load.run_clock import RunClock
@@ -21,7 +22,7 @@
 US_PER_S = 1_000_000
 
 
-class ModelCall:
+class ModelCall(Call):
     """Read one generation to its end."""
 
     def __init__(
@@ -32,13 +33,10 @@
         clock: RunClock,
         late_gap_s: float,
     ) -> None:
-        self._plan = plan
-        self._arrival = arrival
-        self._sender = sender
-        self._clock = clock
+        super().__init__(plan, arrival, sender, clock)
         self._late_gap_us = late_gap_s * US_PER_S
         self._check = StreamCheck()
-        self.outcome = CallOutcome(arrival, counts=self._check.counts)
+        self.outcome.counts = self._check.counts
 
     def run(self) -> CallOutcome:
         """Make the call, resuming it on another entry as long as it has begun."""
@@ -69,10 +67,7 @@
             elif self._check.last_event_id:
                 self._check.error_type = read_refusal(response).type
             else:
-                refusal = read_refusal(response)
-                self.outcome.failure = refusal.type
-                self.outcome.is_incomplete_refusal = not refusal.is_complete
-                self.outcome.end = CallEnd.REFUSED
+                self._note_refusal(response)
 
     def _read(self, response: http.client.HTTPResponse) -> None:
         check = self._check
--- a/gooseberryquay/standins/load/plain_call.py
+++ b/gooseberryquay/standins/load/plain_call.py
@@ -4,8 +4,8 @@
 import json
 
 from gooseberryquay.standins.load.arrivals import Arrival, CallKind, LoadPlan
+from gooseberryquay.standins.load.call import Call
 from gooseberryquay.standins.load.outcome import CallEnd, CallOutcome
-from gooseberryquay.standins.load.refusal import read_refusal
 from gooseberryquay.standins.load.run_clock import RunClock
 from gooseberryquay.standins.load.sender import CallFailure, Sender
 
@@ -15,7 +15,7 @@
 HTTP_OK = 200
 
 
-class PlainCall:
+class PlainCall(Call):
     """Post or look up one record."""
 
     def __init__(
@@ -26,12 +26,8 @@
         clock: RunClock,
         key: str,
     ) -> None:
-        self._plan = plan
-        self._arrival = arrival
-        self._sender = sender
-        self._clock = clock
+        super().__init__(plan, arrival, sender, clock)
         self._key = key
-        self.outcome = CallOutcome(arrival)
 
     def run(self) -> CallOutcome:
         """Make the call; a broken one is repeated on another entry."""
@@ -54,10 +50,7 @@
             if response.status == HTTP_OK:
                 self._read(response)
             else:
-                refusal = read_refusal(response)
-                self.outcome.failure = refusal.type
-                self.outcome.is_incomplete_refusal = not refusal.is_complete
-                self.outcome.end = CallEnd.REFUSED
+                self._note_refusal(response)
 
     def _read(self, response: http.client.HTTPResponse) -> None:
         answer = json.loads(response.read())
--- a/gooseberryquay/standins/load/run.py
+++ b/gooseberryquay/standins/load/run.py
@@ -7,6 +7,7 @@
 
 from gooseberryquay.standins.load.arrivals import Arrival, LoadPlan, plan_arrivals
 from gooseberryquay.standins.load.balancer import Balancer
+from gooseberryquay.standins.load.call import Call
 from gooseberryquay.standins.load.model_call import ModelCall
 from gooseberryquay.standins.load.plain_call import PlainCall
 from gooseberryquay.standins.load.run_clock import RunClock
@@ -100,9 +101,7 @@
             else:
                 tally.not_started()
 
-    def _new_call(
-        self, sender: Sender, variant: Variant, arrival: Arrival
-    ) -> ModelCall | PlainCall:
+    def _new_call(self, sender: Sender, variant: Variant, arrival: Arrival) -> Call:
         if arrival.kind.is_generation():
             return ModelCall(self._plan, arrival, sender, self._clock, self._options.late_gap_s)
         key = f"{variant.name}-{self._run_number}-{arrival.number}"
@@ -122,5 +121,5 @@
                 print(f"{self.elapsed_s():6.1f} s  {states}", file=sys.stderr, flush=True)
 
 
-def _make(call: ModelCall | PlainCall, tally: Tally) -> None:
+def _make(call: Call, tally: Tally) -> None:
     tally.finished(call.run())
--- a/gooseberryquay/standins/service.py
+++ b/gooseberryquay/standins/service.py
@@ -1,13 +1,12 @@
 """Stand-in for a plain service that counts how often each request ran."""
 
-import os
 import threading
 import time
 from dataclasses import dataclass
 
 from pydantic import BaseModel, ValidationError
 
-from gooseberryquay.links.http_server import HttpServer, Request, Response, Router
+from gooseberryquay.links.http_server import Request, Response, Router
 from gooseberryquay.machines.load_report import LoadReport
 from gooseberryquay.standins.connection_break import broken_body
 from gooseberryquay.standins.later import call_later
@@ -24,11 +23,10 @@
     TruncateAnswers,
     parse_service_fault,
 )
+from gooseberryquay.standins.upstream_stand_in import UpstreamStandIn
 
 __all__ = ["ServiceSettings", "ServiceStandIn"]
 
-CRASH_STATUS = 70
-
 
 @dataclass(frozen=True)
 class ServiceSettings:
@@ -44,7 +42,7 @@
 CountedFault = CrossAnswers | DelayAnswers | BreakAfterRun | TruncateAnswers | RefuseBeforeRun
 
 
-class ServiceStandIn:
+class ServiceStandIn(UpstreamStandIn):
     """Run operations, count each key's runs, and misbehave as told."""
 
     def __init__(
@@ -55,28 +53,18 @@
         is_own_process: bool = False,
     ) -> None:
         self._settings = settings
-        self._is_own_process = is_own_process
         self._lock = threading.Lock()
         self._counts = ServiceCounts()
         self._in_flight = 0
         self._faults: list[CountedFault] = []
         self._unpaused = threading.Event()
         self._unpaused.set()
-        self._server = HttpServer(host, port, self._build_router())
-
-    def start(self) -> None:
-        """Serve in the background."""
-        self._server.start()
+        super().__init__(host, port, is_own_process)
 
     def stop(self) -> None:
         """Stop serving."""
         self._unpaused.set()
-        self._server.stop()
-
-    @property
-    def port(self) -> int:
-        """Give the bound TCP port."""
-        return self._server.port
+        super().stop()
 
     def counts(self) -> ServiceCounts:
         """Give what was counted since the start."""
@@ -90,18 +78,14 @@
                 self._unpaused.clear()
                 call_later(duration_s, self._unpaused.set)
             case ServiceDies():
-                self._die()
+                self.crash()
             case _:
                 with self._lock:
                     self._faults += [fault] * fault.count
 
-    def _build_router(self) -> Router:
-        router = Router()
+    def _add_routes(self, router: Router) -> None:
         router.add("POST", "/operations/{operation}", self._operate)
         router.add("GET", "/load", self._load)
-        router.add("POST", "/standin/faults", self._fault)
-        router.add("GET", "/standin/counts", self._count)
-        return router
 
     def _operate(self, request: Request) -> Response:
         self._unpaused.wait()
@@ -150,21 +134,8 @@
         self._unpaused.wait()
         return Response.of(LoadReport(in_flight=self._in_flight))
 
-    def _fault(self, request: Request) -> Response:
-        try:
-            fault = parse_service_fault(request.body)
-        except ValidationError:
-            return Response(status=400)
-        self.apply_fault(fault)
-        return Response(body=b"{}")
-
-    def _count(self, _request: Request) -> Response:
-        return Response.of(self.counts())
-
-    def _die(self) -> None:
-        if self._is_own_process:
-            os._exit(CRASH_STATUS)
-        call_later(0.0, self.stop)
+    def _take_fault(self, body: bytes) -> None:
+        self.apply_fault(parse_service_fault(body))
 
 
 def _read_reference(body: bytes) -> str:
