--- /dev/null
+++ b/gooseberryquay/contracts/node_settings.py
@@ -0,0 +1,35 @@
+"""Settings of an entry whose instance belongs to a platform."""
+
+from dataclasses import dataclass
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.ids import EntryId, ZoneId
+
+__all__ = ["NodeBounds", "NodeSettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class NodeBounds:
+    """Hold the time bounds that the operators promise."""
+
+    drain_s: float
+    grace_s: float
+    config_apply_s: float
+    evacuation_s: float
+    retry_ratio: float
+    retry_allowance: float
+    address_reuse_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Hold what an entry learns from its instance's settings file."""
+
+    id: EntryId
+    zone: ZoneId
+    caller_address: Address
+    readiness_address: Address
+    control_address: Address | None
+    seeds: tuple[Address, ...]
+    store_address: Address
+    bounds: NodeBounds
--- /dev/null
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -0,0 +1,163 @@
+"""Composition root of an entry on the users' platform."""
+
+import random
+import threading
+import time
+
+from gooseberryquay.contracts.node_settings import NodeSettings
+from gooseberryquay.links.connection_pool import ConnectionPool
+from gooseberryquay.links.forwarding_server import ForwardingServer
+from gooseberryquay.links.http_client import HttpClient
+from gooseberryquay.links.http_server import HttpServer
+from gooseberryquay.links.keep_alive import PROBE_OPTIONS
+from gooseberryquay.machines.retry_budget import RetryBudget
+from gooseberryquay.platform.documents import read_routing, read_upstream
+from gooseberryquay.platform.engine_calls import EngineCalls
+from gooseberryquay.platform.front import Front
+from gooseberryquay.platform.readiness import readiness_router
+from gooseberryquay.platform.store import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    EVACUATION_KIND,
+    UPSTREAM_KIND,
+    StoreKind,
+)
+from gooseberryquay.serving.active_generation import ActiveGenerations
+from gooseberryquay.serving.call_flow import CallFlow
+from gooseberryquay.serving.cold_rate import ColdRate
+from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.generation_flow import GenerationFlow
+from gooseberryquay.serving.generation_queue import GenerationQueue
+from gooseberryquay.serving.list_readers import UpstreamListReader, ZoneListReader
+from gooseberryquay.serving.migration import Migration
+from gooseberryquay.serving.object_watch import ObjectWatch
+from gooseberryquay.serving.placement import NoPeers, Placement
+from gooseberryquay.serving.request_counters import RequestCounters
+from gooseberryquay.serving.request_path import RequestPath
+from gooseberryquay.serving.route import RoutingTable
+from gooseberryquay.serving.routing_keeper import RoutingKeeper
+from gooseberryquay.serving.upstream_book import UpstreamBook
+from gooseberryquay.serving.upstream_load import LoadTable
+
+__all__ = ["PlatformEntry"]
+
+CONNECT_TIMEOUT_S = 0.6
+IDLE_LIMIT_S = 4.0
+STORE_CONNECT_TIMEOUT_S = 1.0
+HEADER_BYTES_MAX = 64 * 1024
+BODY_BYTES_MAX = 4 * 1024 * 1024
+WATCH_PAUSE_S = 0.03
+OUTAGE_GRACE_S = 2.0
+# The balancer looks once a second and gives up after two misses.
+LEAVE_NOTICE_S = 2.5
+EXIT_MARGIN_S = 0.5
+
+
+class PlatformEntry:
+    """Wire the parts of one entry, start them and drain them."""
+
+    def __init__(self, settings: NodeSettings, log: DecisionLog) -> None:
+        self._settings = settings
+        self._log = log
+        source = random.Random()
+        self._book = UpstreamBook()
+        self._loads = LoadTable()
+        self._routing = RoutingKeeper(CONFIGURATION_NAME, read_routing, log)
+        peers = NoPeers()
+        placement = Placement(
+            self._book,
+            self._loads,
+            peers,
+            ColdRate(peers.entry_count),
+            self._routing.current,
+            settings.zone,
+            source,
+        )
+        self._counters = RequestCounters()
+        path = self._build_path(placement, source)
+        self._is_leaving = threading.Event()
+        front = Front(path.serve)
+        self._caller_server = ForwardingServer(
+            *settings.caller_address, front.forward, HEADER_BYTES_MAX, BODY_BYTES_MAX
+        )
+        self._readiness_server = HttpServer(
+            *settings.readiness_address, readiness_router(self.is_ready), min_threads=1
+        )
+        self._watches = self._build_watches()
+
+    def _build_path(self, placement: Placement, source: random.Random) -> RequestPath:
+        calls = EngineCalls(ConnectionPool(CONNECT_TIMEOUT_S, IDLE_LIMIT_S))
+        retries = RetryBudget(self._settings.bounds.retry_ratio)
+        active = ActiveGenerations()
+        migration = Migration(calls, placement, self._loads, active, self._log)
+        queue = GenerationQueue(placement, self._loads)
+        self._book.on_leaving(migration.upstream_leaving)
+        self._book.on_change(queue.changed)
+        generation_flow = GenerationFlow(
+            calls, placement, queue, self._loads, retries, active, migration, self._log
+        )
+        call_flow = CallFlow(calls, placement, self._loads, retries, self._log)
+        return RequestPath(
+            self._routing, call_flow, generation_flow, self._counters, self._log, source
+        )
+
+    def _build_watches(self) -> list[ObjectWatch]:
+        upstreams = UpstreamListReader(self._book, read_upstream, self._log, OUTAGE_GRACE_S)
+        zones = ZoneListReader(self._book, self._log)
+        self._routing.on_change(self._take_limits)
+        readers = {
+            CONFIGURATION_KIND: self._routing,
+            UPSTREAM_KIND: upstreams,
+            EVACUATION_KIND: zones,
+        }
+        return [
+            ObjectWatch(
+                kind,
+                StoreKind(self._store_client(), kind),
+                reader,
+                self._log,
+                WATCH_PAUSE_S,
+                OUTAGE_GRACE_S,
+            )
+            for kind, reader in readers.items()
+        ]
+
+    def _store_client(self) -> HttpClient:
+        return HttpClient(
+            *self._settings.store_address,
+            connect_timeout_s=STORE_CONNECT_TIMEOUT_S,
+            socket_options=PROBE_OPTIONS,
+        )
+
+    def _take_limits(self, table: RoutingTable) -> None:
+        limits = table.limits
+        self._caller_server.bound(limits.header_bytes_max, limits.body_bytes_max)
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send new connections."""
+        return self._routing.current() is not None and not self._is_leaving.is_set()
+
+    def start(self) -> None:
+        """Follow the store and begin to serve."""
+        for watch in self._watches:
+            watch.start()
+        self._readiness_server.start()
+        self._caller_server.start()
+        self._log.lifecycle("started", zone=self._settings.zone)
+
+    def drain(self) -> None:
+        """Turn new connections away, let open requests end, then return."""
+        began_at_s = time.monotonic()
+        self._log.lifecycle("draining")
+        self._is_leaving.set()
+        self._caller_server.close_connections_after_answers()
+        time.sleep(LEAVE_NOTICE_S)
+        left_s = self._settings.bounds.grace_s - EXIT_MARGIN_S - LEAVE_NOTICE_S
+        is_idle = self._counters.wait_until_none(max(0.0, left_s))
+        took_s = time.monotonic() - began_at_s
+        self._log.lifecycle("stopped", took_s=round(took_s, 2), is_idle=is_idle)
+
+    @property
+    def port(self) -> int:
+        """Give the bound TCP port for callers."""
+        return self._caller_server.port
--- /dev/null
+++ b/gooseberryquay/links/forwarding_server.py
@@ -0,0 +1,37 @@
+"""HTTP server for requests that are passed on as they came."""
+
+from collections.abc import Callable
+from typing import Any
+
+from gooseberryquay.links.http_server import HttpServer, Router
+from gooseberryquay.links.streaming_gateway import StreamingGateway
+from gooseberryquay.links.strict_request import StrictConnection
+
+__all__ = ["ForwardingServer", "Forwarder"]
+
+Forwarder = Callable[[StreamingGateway], None]
+
+MIN_THREADS = 4
+
+
+class ForwardingServer(HttpServer):
+    """Hand each parsed request to a forwarder, which writes the whole answer itself."""
+
+    def __init__(
+        self, host: str, port: int, forward: Forwarder, header_bytes_max: int, body_bytes_max: int
+    ) -> None:
+        super().__init__(
+            host, port, Router(), max_body_bytes=body_bytes_max, min_threads=MIN_THREADS
+        )
+        self._forward = forward
+        self._server.ConnectionClass = StrictConnection
+        self._server.max_request_header_size = header_bytes_max
+
+    def _answer(self, gateway: StreamingGateway) -> None:
+        self._forward(gateway)
+
+    def bound(self, header_bytes_max: int, body_bytes_max: int) -> None:
+        """Set what new requests may contain at most."""
+        server: Any = self._server
+        server.max_request_header_size = header_bytes_max
+        server.max_request_body_size = body_bytes_max
--- a/gooseberryquay/links/http_server.py
+++ b/gooseberryquay/links/http_server.py
@@ -134,6 +134,7 @@
         router: Router,
         max_threads: int = 2048,
         max_body_bytes: int = MAX_BODY_BYTES,
+        min_threads: int = MIN_THREADS,
     ) -> None:
         threading.stack_size(STACK_BYTES)
         self._router = router
@@ -142,7 +143,7 @@
         self._server.timeout = KEEP_ALIVE_TIMEOUT_S
         self._server.shutdown_timeout = SHUTDOWN_TIMEOUT_S
         self._server.ConnectionClass = ServerConnection
-        self._server.requests = GrowingThreadPool(self._server, MIN_THREADS, max_threads)
+        self._server.requests = GrowingThreadPool(self._server, min_threads, max_threads)
         self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.max_request_body_size = max_body_bytes
         self._server.keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTIONS
@@ -170,7 +171,7 @@
         return int(self._server.bind_addr[1])
 
     def _open_gateway(self, request: Any) -> StreamingGateway:
-        return StreamingGateway(request, self._answer)
+        return StreamingGateway(request, self._answer, self._is_closing_connections.is_set)
 
     def _answer(self, gateway: StreamingGateway) -> None:
         def open_stream(content_type: str, headers: dict[str, str]) -> BodyWriter:
@@ -192,7 +193,7 @@
         self, content_type: str, headers: dict[str, str], is_closing: bool = False
     ) -> list[tuple[str, str]]:
         pairs = [("Content-Type", content_type), *headers.items()]
-        if is_closing or self._is_closing_connections.is_set():
+        if is_closing:
             pairs.append(("Connection", "close"))
         return pairs
 
--- /dev/null
+++ b/gooseberryquay/links/keep_alive.py
@@ -0,0 +1,25 @@
+"""Probes by which the kernel finds out that the other side of a connection is silent."""
+
+import socket
+
+__all__ = ["NO_DELAY", "PROBE_OPTIONS", "SocketOption", "keep_probing"]
+
+PROBE_IDLE_S = 1
+PROBE_INTERVAL_S = 1
+PROBES_MAX = 2
+
+SocketOption = tuple[int, int, int]
+
+NO_DELAY: SocketOption = (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+PROBE_OPTIONS: tuple[SocketOption, ...] = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES_MAX),
+)
+
+
+def keep_probing(connection: socket.socket) -> None:
+    """Have a silent connection closed by the kernel."""
+    for option in PROBE_OPTIONS:
+        connection.setsockopt(*option)
--- a/gooseberryquay/links/streaming_gateway.py
+++ b/gooseberryquay/links/streaming_gateway.py
@@ -1,5 +1,6 @@
 """Cheroot gateway that hands requests over without WSGI and writes straight to the socket."""
 
+import contextlib
 import socket
 import threading
 from collections.abc import Callable, Iterator
@@ -38,9 +39,15 @@
 class StreamingGateway(Gateway):
     """Skip WSGI and cheroot's buffered writer, which cost more than the write itself."""
 
-    def __init__(self, request: Any, answer: Callable[["StreamingGateway"], None]) -> None:
+    def __init__(
+        self,
+        request: Any,
+        answer: Callable[["StreamingGateway"], None],
+        is_closing: Callable[[], bool] = lambda: False,
+    ) -> None:
         super().__init__(request)
         self._answer = answer
+        self._is_closing = is_closing
         self._socket: socket.socket | None = None
         self._has_started = False
         self._after_answer: list[Callable[[], None]] = []
@@ -69,6 +76,8 @@
         if self._has_started:
             raise RuntimeError("an answer may start only once")
         self._has_started = True
+        if self._is_closing():
+            self.req.close_connection = True
         self.req.status = status_line.encode(HEADER_CODING)
         for name, value in headers:
             pair = (name.encode(HEADER_CODING), value.encode(HEADER_CODING))
@@ -86,6 +95,20 @@
             if close is not None:
                 close()
 
+    def abort(self) -> None:
+        """Break the connection, so that an answer cannot look complete."""
+        self.req.close_connection = True
+        self.req.chunked_write = False
+        self.req.sent_headers = True
+        with contextlib.suppress(OSError):
+            self.req.conn.socket.shutdown(socket.SHUT_RDWR)
+
+    @property
+    def connection(self) -> socket.socket:
+        """Give the connection that the request came on."""
+        opened: socket.socket = self.req.conn.socket
+        return opened
+
     def write(self, chunk: bytes) -> None:
         """Write content at once."""
         try:
--- /dev/null
+++ b/gooseberryquay/links/strict_request.py
@@ -0,0 +1,101 @@
+"""Parsing of requests that are to be passed on byte for byte."""
+
+from typing import Any
+
+from cheroot.server import HeaderReader, HTTPRequest
+
+from gooseberryquay.links.socket_files import ServerConnection
+
+__all__ = ["BodyIncomplete", "StrictConnection", "read_whole_body"]
+
+BAD_REQUEST = "400 Bad Request"
+TOKEN_CHARACTERS = frozenset(
+    b"!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+)
+SINGLE_HEADERS = frozenset({b"Content-Length", b"Host", b"Transfer-Encoding"})
+
+
+class BodyIncomplete(ValueError):
+    """Report a body that ended before its declared length or is not framed as declared."""
+
+
+class _HeaderPairs(dict[bytes, bytes]):
+    """Hold headers by name and also in their order, repeated ones included."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.pairs: list[tuple[bytes, bytes]] = []
+
+    def __setitem__(self, name: bytes, value: bytes) -> None:
+        if name in SINGLE_HEADERS and name in self:
+            raise ValueError("a header that must be single is repeated")
+        super().__setitem__(name, value)
+
+
+class _StrictHeaderReader(HeaderReader):  # type: ignore[misc]
+    """Refuse folded lines and malformed names, which two servers may read differently."""
+
+    def __call__(self, rfile: Any, headers: _HeaderPairs) -> _HeaderPairs:
+        """Read all headers of one request; errors are `ValueError`."""
+        while (line := rfile.readline()) != b"\r\n":
+            if not line.endswith(b"\r\n"):
+                raise ValueError("a header line has no end")
+            name, separator, value = line[:-2].partition(b":")
+            if not separator or not name or not TOKEN_CHARACTERS.issuperset(name):
+                raise ValueError("a header name is malformed")
+            value = value.strip(b" \t")
+            if b"\r" in value or b"\n" in value or b"\0" in value:
+                raise ValueError("a header value is malformed")
+            headers[name.title()] = value
+            headers.pairs.append((name, value))
+        return headers
+
+
+class StrictRequest(HTTPRequest):  # type: ignore[misc]
+    """Parse a request and refuse what could be read in two ways."""
+
+    header_reader = _StrictHeaderReader()
+
+    def read_request_headers(self) -> bool:
+        """Read the headers; False once a refusal was sent."""
+        self.inheaders = _HeaderPairs()
+        if not super().read_request_headers():
+            self.close_connection = True
+            return False
+        length = self.inheaders.get(b"Content-Length")
+        coding = self.inheaders.get(b"Transfer-Encoding")
+        if length is not None and (coding is not None or not length.isdigit()):
+            return self._refuse("the length of the body is ambiguous")
+        if coding is not None and coding.lower() != b"chunked":
+            return self._refuse("the transfer coding is not supported")
+        if b"Host" not in self.inheaders:
+            return self._refuse("there is no host")
+        tokens = self.inheaders.get(b"Connection", b"").lower().split(b",")
+        if b"close" in (each.strip() for each in tokens):
+            self.close_connection = True
+        return True
+
+    def _refuse(self, message: str) -> bool:
+        self.close_connection = True
+        self.simple_response(BAD_REQUEST, message)
+        return False
+
+
+class StrictConnection(ServerConnection):
+    """Hold one connection whose requests are parsed strictly."""
+
+    RequestHandlerClass = StrictRequest
+
+
+def read_whole_body(request: Any) -> bytes:
+    """Read the body of a request; errors are `BodyIncomplete`."""
+    length = request.inheaders.get(b"Content-Length")
+    if length is None and not request.chunked_read:
+        return b""
+    try:
+        body: bytes = request.rfile.read()
+    except (ValueError, IndexError) as error:
+        raise BodyIncomplete(str(error)) from error
+    if length is not None and len(body) != int(length):
+        raise BodyIncomplete("the body ended before its length")
+    return body
--- /dev/null
+++ b/gooseberryquay/links/upstream_connection.py
@@ -0,0 +1,231 @@
+"""One kept HTTP connection to an upstream, with its answers checked for framing."""
+
+import select
+import socket
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+
+import h11
+from result import Err, Ok, Result
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.links.caller_watch import CallerWatch, wait_readable
+from gooseberryquay.links.keep_alive import keep_probing
+from gooseberryquay.links.link_failure import LinkBroken, LinkFailure, LinkTimeout
+
+__all__ = ["AnswerHead", "BodyEnd", "BodyPart", "CallerLeft", "UpstreamConnection"]
+
+READ_BYTES = 64 * 1024
+SEND_STEP_BYTES = 64 * 1024
+MS_PER_S = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Hold the status and the headers of an answer; names are lower case."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    is_chunked: bool = False
+
+    def value(self, name: str) -> str | None:
+        """Give the first value of a header."""
+        for each, value in self.headers:
+            if each == name:
+                return value
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class BodyPart:
+    """Hold a part of a body."""
+
+    content: bytes
+
+
+class BodyEnd(Enum):
+    """Say how a whole body ended."""
+
+    FRAMED = "framed"
+    CLOSED = "closed"
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """Report that the caller left while its answer was awaited."""
+
+
+@dataclass
+class UpstreamConnection:
+    """Send one request at a time and read its answer; used by one thread at a time."""
+
+    address: Address
+    connect_timeout_s: float
+    idle_limit_s: float
+    used_at_s: float = 0.0
+    answers: int = 0
+    is_reusable: bool = False
+    _socket: socket.socket | None = None
+    _machine: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
+    _request: list[h11.Event] = field(default_factory=list)
+    _was_sent_whole: bool = True
+
+    def connect(self, timeout_s: float) -> LinkFailure | None:
+        """Open the connection; a failure proves that nothing was sent."""
+        limit_s = min(self.connect_timeout_s, timeout_s)
+        try:
+            opened = socket.create_connection(self.address, limit_s)
+        except TimeoutError as error:
+            return LinkTimeout(str(error), was_sent=False)
+        except OSError as error:
+            return LinkBroken(str(error), was_sent=False)
+        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        keep_probing(opened)
+        self._socket = opened
+        return None
+
+    def is_idle_sound(self) -> bool:
+        """Tell whether a kept connection is open, with nothing unread on it."""
+        if self._socket is None or time.monotonic() - self.used_at_s > self.idle_limit_s:
+            return False
+        poller = select.poll()
+        poller.register(self._socket, select.POLLIN)
+        return not poller.poll(0)
+
+    def send(
+        self, method: str, target: str, headers: Sequence[tuple[str, str]], body: bytes,
+        until_s: float,
+    ) -> LinkFailure | None:  # fmt: skip
+        """Send a request; an answer that comes before its end ends the sending."""
+        assert self._socket is not None
+        if self.answers:
+            self._machine.start_next_cycle()
+        self.is_reusable = False
+        request: list[h11.Event] = [
+            h11.Request(method=method, target=target, headers=list(headers)),
+        ]
+        if body:
+            request.append(h11.Data(data=body))
+        request.append(h11.EndOfMessage())
+        self._request = request
+        data = b"".join(self._machine.send(each) or b"" for each in request)
+        try:
+            self._was_sent_whole = self._send_all(data, until_s)
+        except TimeoutError as error:
+            return LinkTimeout(str(error), was_sent=True)
+        except OSError as error:
+            return LinkBroken(str(error), was_sent=True)
+        return None
+
+    def _send_all(self, data: bytes, until_s: float) -> bool:
+        assert self._socket is not None
+        self._socket.setblocking(False)
+        view = memoryview(data)
+        while view:
+            try:
+                view = view[self._socket.send(view[:SEND_STEP_BYTES]) :]
+                continue
+            except BlockingIOError:
+                pass
+            poller = select.poll()
+            poller.register(self._socket, select.POLLIN | select.POLLOUT)
+            ready = poller.poll(max(0.0, (until_s - time.monotonic()) * MS_PER_S))
+            if not ready:
+                raise TimeoutError("the upstream does not read the request")
+            if ready[0][1] & select.POLLIN and not ready[0][1] & select.POLLOUT:
+                return False
+        return True
+
+    def read_head(
+        self, caller: CallerWatch, until_s: float
+    ) -> Result[AnswerHead, LinkFailure | CallerLeft]:
+        """Wait for the head of the answer."""
+        while True:
+            match self._next_event(caller, until_s):
+                case Err(failure):
+                    return Err(failure)
+                case Ok(h11.Response() as response):
+                    return Ok(_head_of(response))
+                case Ok(h11.InformationalResponse()):
+                    continue
+                case Ok(other):
+                    return Err(LinkBroken(f"{type(other).__name__} before an answer", True))
+
+    def read_body(
+        self, caller: CallerWatch, until_s: float
+    ) -> Result[BodyPart | BodyEnd, LinkFailure | CallerLeft]:
+        """Wait for the next part of the body or its end."""
+        match self._next_event(caller, until_s):
+            case Err(failure):
+                return Err(failure)
+            case Ok(h11.Data(data=data)):
+                return Ok(BodyPart(bytes(data)))
+            case Ok(h11.EndOfMessage()):
+                return Ok(self._end())
+            case Ok(other):
+                return Err(LinkBroken(f"{type(other).__name__} within a body", True))
+
+    def expect_another(self) -> None:
+        """Await one more answer to the same request, after one that belongs to another."""
+        leftover, is_closed = self._machine.trailing_data
+        self._machine = h11.Connection(h11.CLIENT)
+        for each in self._request:
+            self._machine.send(each)
+        if leftover:
+            self._machine.receive_data(leftover)
+        if is_closed:
+            self._machine.receive_data(b"")
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.is_reusable = False
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def _end(self) -> BodyEnd:
+        self.answers += 1
+        self.used_at_s = time.monotonic()
+        is_closing = self._machine.their_state is not h11.DONE
+        has_trailing = bool(self._machine.trailing_data[0])
+        self.is_reusable = self._was_sent_whole and not is_closing and not has_trailing
+        return BodyEnd.CLOSED if self._machine.trailing_data[1] else BodyEnd.FRAMED
+
+    def _next_event(
+        self, caller: CallerWatch, until_s: float
+    ) -> Result[h11.Event, LinkFailure | CallerLeft]:
+        assert self._socket is not None
+        try:
+            while True:
+                event = self._machine.next_event()
+                if isinstance(event, h11.Event):
+                    return Ok(event)
+                if event is h11.PAUSED:
+                    return Err(LinkBroken("bytes after the end of the answer", True))
+                if not wait_readable(self._socket, caller, until_s):
+                    return Err(LinkTimeout("no answer in time", was_sent=True))
+                if caller.has_left():
+                    return Err(CallerLeft())
+                self._machine.receive_data(self._receive())
+        except h11.RemoteProtocolError as error:
+            return Err(LinkBroken(str(error), was_sent=True))
+        except OSError as error:
+            return Err(LinkBroken(str(error), was_sent=True))
+
+    def _receive(self) -> bytes:
+        assert self._socket is not None
+        try:
+            return self._socket.recv(READ_BYTES)
+        except BlockingIOError:
+            # The caller's connection was the readable one.
+            raise ConnectionAbortedError("woken without data") from None
+
+
+def _head_of(response: h11.Response) -> AnswerHead:
+    headers = tuple((name.decode(), value.decode("latin-1")) for name, value in response.headers)
+    is_chunked = any(
+        name == "transfer-encoding" and "chunked" in value.lower() for name, value in headers
+    )
+    return AnswerHead(response.status_code, headers, is_chunked)
--- /dev/null
+++ b/gooseberryquay/platform/documents.py
@@ -0,0 +1,202 @@
+"""Documents that the operator and the upstreams write into the platform's store."""
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from gooseberryquay.contracts.fields import parse_address
+from gooseberryquay.ids import ServiceId, UpstreamId, WorkspaceId, ZoneId
+from gooseberryquay.serving.object_source import StoredObject
+from gooseberryquay.serving.route import (
+    CallLimits,
+    Destination,
+    EngineTerms,
+    Route,
+    RouteKind,
+    RoutingTable,
+    ServiceTerms,
+    Workspace,
+)
+from gooseberryquay.serving.upstream_record import UpstreamRecord, UpstreamState
+
+__all__ = ["read_routing", "read_upstream"]
+
+MS_PER_S = 1000.0
+BITS_PER_BYTE = 8.0
+BYTES_PER_MB = 1e6
+KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAMING,
+}
+
+
+class _Document(BaseModel):
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+
+class _Split(_Document):
+    service: str
+    weight: float
+
+
+class _Route(_Document):
+    name: str
+    host: str
+    path_prefix: str
+    route_kind: str
+    timeout_ms: float
+    # The time within which an answer is worth its full credit.
+    goal_ms: float = 1000.0
+    priority: int = 0
+    service: str | None = None
+    split: list[_Split] = Field(default_factory=list)
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_target_ms: float | None = None
+
+
+class _Engine(_Document):
+    slots: int
+    # Tokens of memory, not bytes.
+    kv_capacity: int
+    kv_bytes: float = 0.0
+    link_mbps: float = 0.0
+    moves: bool = False
+    backups: bool = False
+    # Tokens in one event of a stream.
+    stride: int = 1
+    handle_s: float = 5.0
+
+
+class _Service(_Document):
+    name: str
+    max_conns: int = 1000
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+    engine: _Engine | None = None
+
+
+class _Limits(_Document):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Tenant(_Document):
+    name: str
+    api_keys: list[str]
+    priority: int = 0
+
+
+class _Configuration(_Document):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = Field(default_factory=_Limits)
+    tenants: list[_Tenant] = Field(default_factory=list)
+
+
+class _Server(_Document):
+    service: str
+    address: str
+    zone: str
+    slots: int = 1
+    state: str
+    cold_left_ms: float = 0.0
+    # Unix time of the start: an upstream that starts again under its id knows nothing of before.
+    born: int | None = None
+
+
+def read_routing(stored: StoredObject) -> RoutingTable | None:
+    """Read a configuration, or None where it is malformed."""
+    try:
+        document = _Configuration.model_validate(stored.content)
+        return RoutingTable(
+            version=document.version,
+            routes=tuple(_route_of(each) for each in document.routes),
+            services={ServiceId(each.name): _service_of(each) for each in document.services},
+            workspaces={
+                key: Workspace(WorkspaceId(tenant.name), tenant.priority)
+                for tenant in document.tenants
+                for key in tenant.api_keys
+            },
+            limits=_limits_of(document.limits),
+        )
+    except (ValidationError, KeyError, ValueError):
+        return None
+
+
+def read_upstream(stored: StoredObject) -> UpstreamRecord | None:
+    """Read an upstream's entry, or None where it names none to use."""
+    try:
+        document = _Server.model_validate(stored.content)
+        return UpstreamRecord(
+            id=UpstreamId(stored.name),
+            service=ServiceId(document.service),
+            address=parse_address(document.address),
+            zone=ZoneId(document.zone),
+            slots=max(1, document.slots),
+            state=UpstreamState(document.state),
+            cold_left_s=max(0.0, document.cold_left_ms / MS_PER_S),
+            born_ms=document.born,
+        )
+    except (ValidationError, ValueError):
+        return None
+
+
+def _route_of(document: _Route) -> Route:
+    destinations = tuple(
+        Destination(ServiceId(each.service), each.weight) for each in document.split
+    )
+    if document.service is not None:
+        destinations = (Destination(ServiceId(document.service), 1.0),)
+    if not destinations:
+        raise ValueError(f"route {document.name} has no service")
+    return Route(
+        name=document.name,
+        host=document.host,
+        path_prefix=document.path_prefix,
+        kind=KINDS[document.route_kind],
+        timeout_s=document.timeout_ms / MS_PER_S,
+        goal_s=document.goal_ms / MS_PER_S,
+        priority=document.priority,
+        destinations=destinations,
+        attempts_max=max(1, document.max_attempts),
+        is_public=document.public,
+        is_resumable=document.resumable,
+        event_gap_s=None if document.gap_target_ms is None else document.gap_target_ms / MS_PER_S,
+    )
+
+
+def _service_of(document: _Service) -> ServiceTerms:
+    engine = document.engine
+    return ServiceTerms(
+        id=ServiceId(document.name),
+        connections_max=document.max_conns,
+        cold_s=document.cold_s,
+        cold_requests_per_s=document.cold_per_s,
+        engine=_engine_of(engine) if engine is not None else None,
+    )
+
+
+def _engine_of(document: _Engine) -> EngineTerms:
+    return EngineTerms(
+        slots=document.slots,
+        memory_tokens=document.kv_capacity,
+        bytes_per_token=document.kv_bytes,
+        link_bytes_per_s=document.link_mbps * BYTES_PER_MB / BITS_PER_BYTE,
+        can_move=document.moves,
+        can_back_up=document.backups,
+        tokens_per_event=max(1, document.stride),
+        handle_lifetime_s=document.handle_s,
+    )
+
+
+def _limits_of(document: _Limits) -> CallLimits:
+    return CallLimits(
+        header_bytes_max=document.max_header_bytes,
+        body_bytes_max=document.max_body_bytes,
+        header_timeout_s=document.header_timeout_ms / MS_PER_S,
+        idle_timeout_s=document.idle_timeout_ms / MS_PER_S,
+    )
--- /dev/null
+++ b/gooseberryquay/platform/engine_calls.py
@@ -0,0 +1,264 @@
+"""Calls to the platform's engines and services."""
+
+import json
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.ids import RequestId
+from gooseberryquay.links.caller_watch import CallerWatch, SilentCaller
+from gooseberryquay.links.connection_pool import ConnectionPool
+from gooseberryquay.links.link_failure import LinkFailure, LinkTimeout
+from gooseberryquay.links.upstream_connection import (
+    AnswerHead,
+    BodyEnd,
+    BodyPart,
+    CallerLeft,
+    UpstreamConnection,
+)
+from gooseberryquay.platform import names
+from gooseberryquay.serving.call import Call, HeaderPair
+from gooseberryquay.serving.ports import (
+    CopyHandle,
+    LoadHint,
+    MovedCopy,
+    MoveFailure,
+    MoveRefusal,
+    NotSent,
+    SendTerms,
+    Undecided,
+)
+from gooseberryquay.serving.upstream_record import UpstreamRecord
+
+__all__ = ["EngineCalls"]
+
+MS_PER_S = 1000.0
+OTHER_ANSWERS_MAX = 4
+HTTP_MISDIRECTED = 421
+FREE_TIMEOUT_S = 1.0
+
+
+@dataclass
+class EngineAnswer:
+    """Read one answer of an engine."""
+
+    status: int
+    headers: Sequence[HeaderPair]
+    is_not_run: bool
+    is_other_instance: bool
+    load: LoadHint | None
+    connection: UpstreamConnection
+    pool: ConnectionPool
+
+    def read(
+        self, caller: CallerWatch, until_s: float
+    ) -> Result[BodyPart | BodyEnd, Undecided | CallerLeft]:
+        """Wait for the next part of the body."""
+        match self.connection.read_body(caller, until_s):
+            case Err(CallerLeft() as left):
+                return Err(left)
+            case Err(failure):
+                return Err(_undecided(failure))
+            case Ok(part):
+                return Ok(part)
+
+    def close(self) -> None:
+        """Break off, which ends the engine's work on the request."""
+        self.connection.close()
+
+    def finish(self) -> None:
+        """Keep the connection for other requests."""
+        self.pool.give_back(self.connection)
+
+
+class EngineCalls:
+    """Send requests to engines and services, and copy the memory of generations."""
+
+    def __init__(self, pool: ConnectionPool) -> None:
+        self._pool = pool
+
+    def open(
+        self, upstream: UpstreamRecord, call: Call, terms: SendTerms, caller: CallerWatch
+    ) -> Result[EngineAnswer, NotSent | Undecided | CallerLeft]:
+        """Send a request and wait for the head of its answer."""
+        match self._connect(upstream.address, terms):
+            case Err(failure):
+                return Err(NotSent(failure.message))
+            case Ok(connection):
+                pass
+        headers = _request_headers(upstream, call, terms)
+        failed = connection.send(call.method, call.target, headers, call.body, terms.until_s)
+        if failed is not None:
+            connection.close()
+            return Err(_undecided(failed))
+        return self._read_answer(connection, call, terms, caller)
+
+    def move(
+        self, source: UpstreamRecord, id: RequestId, target: Address, is_final: bool, until_s: float
+    ) -> Result[MovedCopy, MoveFailure]:
+        """Copy a running generation's memory to another engine, and stop it if it is final."""
+        body = json.dumps({"id": id, "target": str(target), "final": is_final}).encode()
+        answer = self._call(source.address, "POST", names.MOVE_PATH, body, until_s)
+        match answer:
+            case Err(_):
+                return Err(MoveFailure(MoveRefusal.FAILED))
+            case Ok((status, content)):
+                return _read_copy(source.address, status, content)
+
+    def free_copy(self, holder: Address, handle: CopyHandle) -> None:
+        """Free a copy that is not used."""
+        path = names.HANDLE_PATH + handle.name
+        self._call(holder, "DELETE", path, b"", time.monotonic() + FREE_TIMEOUT_S)
+
+    def _connect(
+        self, address: Address, terms: SendTerms
+    ) -> Result[UpstreamConnection, LinkFailure]:
+        if not terms.needs_new_connection:
+            kept = self._pool.take(address)
+            if kept is not None:
+                return Ok(kept)
+        connection = self._pool.new(address)
+        failure = connection.connect(max(0.0, terms.until_s - time.monotonic()))
+        return Ok(connection) if failure is None else Err(failure)
+
+    def _read_answer(
+        self, connection: UpstreamConnection, call: Call, terms: SendTerms, caller: CallerWatch
+    ) -> Result[EngineAnswer, NotSent | Undecided | CallerLeft]:
+        for _ in range(OTHER_ANSWERS_MAX):
+            match connection.read_head(caller, terms.until_s):
+                case Err(CallerLeft() as left):
+                    connection.close()
+                    return Err(left)
+                case Err(failure):
+                    connection.close()
+                    return Err(_undecided(failure))
+                case Ok(head):
+                    pass
+            owner = head.value(names.ATTEMPT_ID)
+            if owner is None or owner == call.id:
+                return Ok(_answer_of(head, connection, self._pool))
+            if not _skip_body(connection, caller, terms.until_s):
+                break
+            connection.expect_another()
+        connection.close()
+        return Err(Undecided("the upstream answered another request"))
+
+    def _call(
+        self, address: Address, method: str, target: str, body: bytes, until_s: float
+    ) -> Result[tuple[int, bytes], LinkFailure | CallerLeft]:
+        """Make a call that is no caller's request, and read the whole answer."""
+        connection = self._pool.take(address)
+        if connection is None:
+            connection = self._pool.new(address)
+            failed = connection.connect(max(0.0, until_s - time.monotonic()))
+            if failed is not None:
+                return Err(failed)
+        headers = [("host", str(address)), ("content-length", str(len(body)))]
+        if body:
+            headers.append(("content-type", "application/json"))
+        failed = connection.send(method, target, headers, body, until_s)
+        if failed is not None:
+            connection.close()
+            return Err(failed)
+        nobody = SilentCaller()
+        match connection.read_head(nobody, until_s):
+            case Err(failure):
+                connection.close()
+                return Err(failure)
+            case Ok(head):
+                pass
+        content = bytearray()
+        while True:
+            match connection.read_body(nobody, until_s):
+                case Err(failure):
+                    connection.close()
+                    return Err(failure)
+                case Ok(BodyPart(part)):
+                    content += part
+                case Ok(BodyEnd()):
+                    self._pool.give_back(connection)
+                    return Ok((head.status, bytes(content)))
+
+
+def _request_headers(
+    upstream: UpstreamRecord, call: Call, terms: SendTerms
+) -> list[tuple[str, str]]:
+    left_ms = max(1, int((min(terms.until_s, call.deadline_at_s) - time.monotonic()) * MS_PER_S))
+    headers = [("host", call.host), *call.headers]
+    headers.append((names.DEADLINE_MS, str(left_ms)))
+    headers.append((names.EXPECT_INSTANCE, upstream.id))
+    if call.body or call.method not in {"GET", "HEAD", "DELETE"}:
+        headers.append(("content-length", str(len(call.body))))
+    if terms.workspace is not None:
+        headers.append((names.TENANT, terms.workspace))
+    if terms.priority is not None:
+        headers.append((names.PRIORITY, str(terms.priority)))
+    if terms.backup is not None:
+        headers.append((names.BACKUP, str(terms.backup)))
+    if terms.continuation is None:
+        if call.resume_after is not None:
+            headers.append((names.LAST_EVENT_ID, call.resume_after))
+        return headers
+    if terms.continuation.last_event_id is not None:
+        headers.append((names.LAST_EVENT_ID, terms.continuation.last_event_id))
+    copy = terms.continuation.copy
+    if copy is not None:
+        headers.append((names.CONTINUE_FROM, f"{copy.source}/{copy.name}"))
+    return headers
+
+
+def _answer_of(
+    head: AnswerHead, connection: UpstreamConnection, pool: ConnectionPool
+) -> EngineAnswer:
+    is_marked = head.value(names.NOT_EXECUTED) is not None
+    is_other = head.status == HTTP_MISDIRECTED
+    kept = tuple(pair for pair in head.headers if pair[0] not in names.HOP_HEADERS)
+    load = _load_of(head.value(names.INSTANCE_LOAD))
+    return EngineAnswer(head.status, kept, is_marked or is_other, is_other, load, connection, pool)
+
+
+def _load_of(text: str | None) -> LoadHint | None:
+    try:
+        running, waiting, slots = (int(each) for each in (text or "").split(","))
+    except ValueError:
+        return None
+    return LoadHint(running, waiting, slots)
+
+
+def _skip_body(connection: UpstreamConnection, caller: CallerWatch, until_s: float) -> bool:
+    while True:
+        match connection.read_body(caller, until_s):
+            case Err(_):
+                return False
+            case Ok(BodyEnd()):
+                return True
+            case Ok(BodyPart()):
+                continue
+
+
+def _undecided(failure: LinkFailure) -> Undecided:
+    return Undecided(failure.message, isinstance(failure, LinkTimeout))
+
+
+def _read_copy(source: Address, status: int, content: bytes) -> Result[MovedCopy, MoveFailure]:
+    try:
+        document = json.loads(content) if content else {}
+        name = document.get("handle")
+        events = int(document.get("created", 0))
+    except (ValueError, TypeError, AttributeError):
+        return Err(MoveFailure(MoveRefusal.FAILED))
+    handle = CopyHandle(source, str(name)) if name is not None else None
+    match status:
+        case 200 if handle is not None:
+            return Ok(MovedCopy(handle, events))
+        case 404:
+            return Err(MoveFailure(MoveRefusal.UNKNOWN_RUN))
+        case 409:
+            return Err(MoveFailure(MoveRefusal.IN_PROGRESS))
+        case 503:
+            return Err(MoveFailure(MoveRefusal.NO_ROOM, handle))
+        case _:
+            return Err(MoveFailure(MoveRefusal.FAILED, handle))
--- /dev/null
+++ b/gooseberryquay/platform/front.py
@@ -0,0 +1,168 @@
+"""Requests of the platform's clients and the answers to them."""
+
+import time
+from collections.abc import Callable, Mapping, Sequence
+from http import HTTPStatus
+
+from gooseberryquay.ids import RequestId
+from gooseberryquay.links.caller_watch import CallerWatch, SocketWatch
+from gooseberryquay.links.streaming_gateway import HEADER_CODING, StreamingGateway
+from gooseberryquay.links.strict_request import BodyIncomplete, read_whole_body
+from gooseberryquay.platform import names
+from gooseberryquay.serving.call import Call, GenerationDemand, HeaderPair, PromptPart
+from gooseberryquay.serving.ports import RequestAnswer
+
+__all__ = ["Front"]
+
+MS_PER_S = 1000.0
+DEADLINE_DEFAULT_S = 60.0
+BEARER = "bearer "
+
+Serve = Callable[[Call, CallerWatch, RequestAnswer], None]
+
+
+class Front:
+    """Decode requests, have them served and encode what is answered."""
+
+    def __init__(self, serve: Serve) -> None:
+        self._serve = serve
+
+    def forward(self, gateway: StreamingGateway) -> None:
+        """Serve one request that was parsed."""
+        arrived_at_s = time.monotonic()
+        answer = _GatewayAnswer(gateway)
+        pairs = [
+            (name.decode(HEADER_CODING).lower(), value.decode(HEADER_CODING))
+            for name, value in gateway.req.inheaders.pairs
+        ]
+        headers = dict(pairs)
+        try:
+            body = read_whole_body(gateway.req)
+            answer.request_id = headers.get(names.ATTEMPT_ID)
+            call = _call_of(gateway, pairs, headers, body, arrived_at_s)
+        except BodyIncomplete:
+            answer.abort()
+            return
+        except ValueError as error:
+            answer.send(HTTPStatus.BAD_REQUEST, [("content-type", "text/plain")], _text(error))
+            return
+        self._serve(call, SocketWatch(gateway.connection), answer)
+
+
+class _GatewayAnswer:
+    """Write an answer through the server's gateway."""
+
+    def __init__(self, gateway: StreamingGateway) -> None:
+        self._gateway = gateway
+        self.request_id: str | None = None
+
+    def send(self, status: int, headers: Sequence[HeaderPair], body: bytes) -> None:
+        """Send a whole answer."""
+        kept = [pair for pair in headers if pair[0] != "content-length"]
+        if self.request_id is not None and all(name != names.ATTEMPT_ID for name, _ in kept):
+            kept.append((names.ATTEMPT_ID, self.request_id))
+        self._gateway.start(_status_line(status), [*kept, ("Content-Length", str(len(body)))])
+        self._gateway.write_all(body)
+
+    def start_stream(self, status: int, headers: Sequence[HeaderPair]) -> None:
+        """Set the head, which goes out with the first part of the body."""
+        self._gateway.start(_status_line(status), list(headers))
+
+    def write(self, content: bytes) -> None:
+        """Send a part of the body at once."""
+        self._gateway.write(content)
+
+    def end_stream(self) -> None:
+        """Leave the end of the body to the server, which marks it as complete."""
+
+    def abort(self) -> None:
+        """Break the connection."""
+        self._gateway.abort()
+
+
+def _call_of(
+    gateway: StreamingGateway,
+    pairs: Sequence[HeaderPair],
+    headers: Mapping[str, str],
+    body: bytes,
+    arrived_at_s: float,
+) -> Call:
+    target = gateway.req.uri.decode(HEADER_CODING)
+    if any(character <= " " or character == "\x7f" for character in target):
+        raise ValueError("the target holds a control character")
+    request_id = headers.get(names.ATTEMPT_ID, "")
+    if not request_id:
+        raise ValueError("there is no attempt id")
+    hop_names = names.HOP_HEADERS | _named_by_connection(headers)
+    passed_on = tuple(
+        pair
+        for pair in pairs
+        if pair[0] not in hop_names
+        and pair[0] not in names.SYSTEM_HEADERS
+        and pair[0] not in {"host", names.LAST_EVENT_ID}
+    )
+    return Call(
+        id=RequestId(request_id),
+        method=gateway.req.method.decode(HEADER_CODING),
+        target=target,
+        host=headers["host"],
+        path=target.partition("?")[0],
+        key=_key_of(headers.get("authorization")),
+        headers=passed_on,
+        body=body,
+        arrived_at_s=arrived_at_s,
+        deadline_at_s=arrived_at_s + _deadline_s(headers.get(names.DEADLINE_MS)),
+        resume_after=headers.get(names.LAST_EVENT_ID),
+        demand=_demand_of(headers),
+    )
+
+
+def _named_by_connection(headers: Mapping[str, str]) -> frozenset[str]:
+    named = headers.get("connection", "").lower().split(",")
+    return frozenset(each.strip() for each in named) - {names.ATTEMPT_ID}
+
+
+def _key_of(authorization: str | None) -> str | None:
+    if authorization is None or not authorization.lower().startswith(BEARER):
+        return None
+    return authorization[len(BEARER) :].strip()
+
+
+def _deadline_s(text: str | None) -> float:
+    if text is None:
+        return DEADLINE_DEFAULT_S
+    try:
+        return max(0.0, float(text) / MS_PER_S)
+    except ValueError:
+        raise ValueError("the deadline is not a number") from None
+
+
+def _demand_of(headers: Mapping[str, str]) -> GenerationDemand | None:
+    usage = headers.get(names.TOKEN_USAGE)
+    if usage is None:
+        return None
+    try:
+        prompt_tokens, output_tokens_max = (int(each) for each in usage.split(","))
+        parts = tuple(_part_of(each) for each in headers.get(names.PREFIX, "").split(",") if each)
+        hint = headers.get(names.LENGTH_HINT)
+        hint_tokens = int(float(hint)) if hint else None
+    except ValueError:
+        raise ValueError("the size of the generation is malformed") from None
+    model = headers.get(names.MODEL, "")
+    return GenerationDemand(model, prompt_tokens, output_tokens_max, hint_tokens, parts)
+
+
+def _part_of(text: str) -> PromptPart:
+    name, _, tokens = text.strip().rpartition(":")
+    return PromptPart(name, int(tokens))
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
+
+
+def _text(error: ValueError) -> bytes:
+    return f"{error}\n".encode()
--- /dev/null
+++ b/gooseberryquay/platform/names.py
@@ -0,0 +1,85 @@
+"""Header and path names of the platform."""
+
+__all__ = [
+    "ATTEMPT_ID",
+    "BACKUP",
+    "COLD_MS",
+    "CONTINUE_FROM",
+    "DEADLINE_MS",
+    "EXPECT_INSTANCE",
+    "HANDLE_PATH",
+    "HOP_HEADERS",
+    "INSTANCE_ID",
+    "INSTANCE_LOAD",
+    "LAST_EVENT_ID",
+    "LENGTH_HINT",
+    "MODEL",
+    "MOVE_PATH",
+    "NOT_EXECUTED",
+    "PREFIX",
+    "PRIORITY",
+    "READY_PATH",
+    "REPORT_PATH",
+    "RETRY_AFTER",
+    "SYSTEM_HEADERS",
+    "TENANT",
+    "TOKEN_USAGE",
+]
+
+# A caller's own id for one attempt: a client's retry carries another.
+ATTEMPT_ID = "x-attempt-id"
+DEADLINE_MS = "x-deadline-ms"
+MODEL = "x-model"
+# Prompt tokens and the most output tokens, not tokens that were used.
+TOKEN_USAGE = "x-token-usage"
+PREFIX = "x-prompt-prefix"
+LENGTH_HINT = "x-length-hint"
+LAST_EVENT_ID = "last-event-id"
+RETRY_AFTER = "retry-after"
+NOT_EXECUTED = "x-not-executed"
+INSTANCE_ID = "x-instance-id"
+# Running and waiting requests and slots.
+INSTANCE_LOAD = "x-instance-load"
+COLD_MS = "x-cold-ms"
+EXPECT_INSTANCE = "x-expect-instance"
+TENANT = "x-tenant"
+PRIORITY = "x-request-priority"
+BACKUP = "x-kv-backup"
+# Names the holder of a generation's memory as IP:PORT/HANDLE.
+CONTINUE_FROM = "kv-from"
+
+SYSTEM_HEADERS = frozenset(
+    {
+        EXPECT_INSTANCE,
+        TENANT,
+        PRIORITY,
+        BACKUP,
+        CONTINUE_FROM,
+        DEADLINE_MS,
+        "authorization",
+        "kv-fetch",
+        "x-expect-version",
+        "x-hold",
+        "x-pin-ms",
+    }
+)
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+READY_PATH = "/api/readyz"
+REPORT_PATH = "/api/report"
+MOVE_PATH = "/api/kv-move"
+HANDLE_PATH = "/api/kv-handle/"
--- /dev/null
+++ b/gooseberryquay/platform/store.py
@@ -0,0 +1,123 @@
+"""Calls to the platform's store of objects."""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+from urllib.parse import quote, urlencode
+
+from result import Err, Ok, Result
+
+from gooseberryquay.links.http_client import HttpClient, Reply
+from gooseberryquay.serving.object_source import (
+    Changes,
+    Listing,
+    SourceFailure,
+    StoredObject,
+)
+
+__all__ = [
+    "CONFIGURATION_KIND",
+    "CONFIGURATION_NAME",
+    "EVACUATION_KIND",
+    "UPSTREAM_KIND",
+    "StoreKind",
+]
+
+OBJECTS_PATH = "/api/objects/"
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+# Entries of engines and services, each under its id.
+UPSTREAM_KIND = "servers"
+# Zones to which nothing more is to be sent.
+EVACUATION_KIND = "evacuations"
+HTTP_OK = 200
+HTTP_GONE = 410
+MS_PER_S = 1000.0
+LIST_TIMEOUT_S = 2.0
+WATCH_SLACK_S = 3.0
+PAGES_MAX = 200
+
+
+class StoreKind:
+    """List and watch the objects of one kind."""
+
+    def __init__(self, client: HttpClient, kind: str) -> None:
+        self._client = client
+        self._path = OBJECTS_PATH + quote(kind)
+
+    def list(self) -> Result[Listing, SourceFailure]:
+        """Give all objects, page by page."""
+        found: list[StoredObject] = []
+        after: str | None = None
+        revision: int | None = None
+        for _ in range(PAGES_MAX):
+            match self._get({} if after is None else {"after": after}, LIST_TIMEOUT_S):
+                case Err(failure):
+                    return Err(failure)
+                case Ok(document):
+                    pass
+            try:
+                page = [_object_of(each, is_deleted=False) for each in document["items"]]
+                at = int(document["at"])
+            except (KeyError, TypeError, ValueError):
+                return Err(SourceFailure.MALFORMED)
+            found.extend(each for each in page if each is not None)
+            # Watching from the first page's revision misses nothing that later pages lack.
+            revision = at if revision is None else min(revision, at)
+            if not document.get("has_more") or not page or page[-1] is None:
+                return Ok(Listing(tuple(found), revision))
+            after = page[-1].name
+        return Err(SourceFailure.MALFORMED)
+
+    def watch(self, revision: int, wait_s: float) -> Result[Changes, SourceFailure]:
+        """Wait for changes after a revision."""
+        query = {"watch": revision, "wait_ms": int(wait_s * MS_PER_S)}
+        match self._get(query, wait_s + WATCH_SLACK_S):
+            case Err(failure):
+                return Err(failure)
+            case Ok(document):
+                pass
+        try:
+            changed = [
+                _object_of(each["object"], bool(each["deleted"])) for each in document["events"]
+            ]
+            at = int(document["at"])
+        except (KeyError, TypeError, ValueError):
+            return Err(SourceFailure.MALFORMED)
+        return Ok(Changes(tuple(each for each in changed if each is not None), at))
+
+    def _get(
+        self, query: Mapping[str, Any], timeout_s: float
+    ) -> Result[dict[str, Any], SourceFailure]:
+        path = f"{self._path}?{urlencode(query)}" if query else self._path
+        match self._client.send("GET", path, read_timeout_s=timeout_s):
+            case Err(_):
+                return Err(SourceFailure.UNREACHABLE)
+            case Ok(Reply(status=status, body=body)):
+                pass
+        if status == HTTP_GONE:
+            return Err(SourceFailure.HISTORY_GONE)
+        if status != HTTP_OK:
+            return Err(SourceFailure.REFUSED)
+        try:
+            document = json.loads(body)
+        except ValueError:
+            return Err(SourceFailure.MALFORMED)
+        return Ok(document) if isinstance(document, dict) else Err(SourceFailure.MALFORMED)
+
+
+def _object_of(document: Any, is_deleted: bool) -> StoredObject | None:
+    """Read one object; what cannot be named is left out."""
+    if not isinstance(document, dict) or not isinstance(document.get("metadata"), dict):
+        return None
+    metadata = document["metadata"]
+    name, revision = metadata.get("name"), metadata.get("revision")
+    if not isinstance(name, str):
+        return None
+    spec = document.get("spec")
+    return StoredObject(
+        name=name,
+        revision=revision if isinstance(revision, int) else 0,
+        content=spec if isinstance(spec, dict) else None,
+        is_deleted=is_deleted,
+    )
--- /dev/null
+++ b/gooseberryquay/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Serving path from a request's arrival to its final answer, free of any protocol's names."""
--- /dev/null
+++ b/gooseberryquay/serving/call_flow.py
@@ -0,0 +1,204 @@
+"""Carry a plain call to an upstream and its whole answer back."""
+
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from result import Err, Ok
+
+from gooseberryquay.ids import UpstreamId
+from gooseberryquay.links.upstream_connection import BodyEnd, BodyPart, CallerLeft
+from gooseberryquay.machines.retry_budget import RetryBudget
+from gooseberryquay.serving.accepted import AcceptedRequest
+from gooseberryquay.serving.call import HeaderPair
+from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.placement import Placement
+from gooseberryquay.serving.ports import (
+    NotSent,
+    OpenAnswer,
+    SendTerms,
+    Undecided,
+    UpstreamCalls,
+)
+from gooseberryquay.serving.refusal import Refusal, RefusalReason
+from gooseberryquay.serving.upstream_book import KnownUpstream
+from gooseberryquay.serving.upstream_load import LoadTable, Run
+
+__all__ = ["CallFlow"]
+
+PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+SERVER_ERROR = 500
+AVOID_S = 0.5
+FIRST_ATTEMPT_SHARE = 0.4
+BUSY_PAUSE_S = 0.02
+RETRY_AFTER_S = 0.3
+ANSWER_BYTES_MAX = 64 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """Hold an answer that was read to its end."""
+
+    status: int
+    headers: Sequence[HeaderPair]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """Report an attempt that certainly has not run."""
+
+    reason: str
+    is_busy: bool
+
+
+@dataclass(frozen=True, slots=True)
+class MayHaveRun:
+    """Report an attempt whose answer was lost."""
+
+    reason: str
+
+
+Attempt = WholeAnswer | NotRun | MayHaveRun | CallerLeft
+
+
+class CallFlow:
+    """Serve requests of routes without streams."""
+
+    def __init__(
+        self,
+        calls: UpstreamCalls,
+        placement: Placement,
+        loads: LoadTable,
+        retries: RetryBudget,
+        log: DecisionLog,
+    ) -> None:
+        self._calls = calls
+        self._placement = placement
+        self._loads = loads
+        self._retries = retries
+        self._log = log
+
+    def serve(self, request: AcceptedRequest) -> Refusal | WholeAnswer | CallerLeft:
+        """Try upstreams until one has answered or no other may be tried."""
+        self._retries.saw_request(request.service)
+        excluded: set[UpstreamId] = set()
+        runs = 0
+        failed: WholeAnswer | None = None
+        last_reason = "no upstream takes new work"
+        is_first = True
+        while time.monotonic() < request.until_s:
+            if not is_first and not self._retries.may_retry(request.service):
+                last_reason += "; the retry budget is spent"
+                break
+            known = self._placement.choose_for_call(request.service, excluded)
+            if known is None or not self._placement.take_cold(known):
+                break
+            is_first = False
+            attempt = self._attempt(request, known, runs)
+            self._log_attempt(request, known, attempt)
+            match attempt:
+                case CallerLeft():
+                    return attempt
+                case NotRun(reason, is_busy):
+                    last_reason = reason
+                    if is_busy:
+                        time.sleep(BUSY_PAUSE_S)
+                case MayHaveRun(reason):
+                    last_reason = reason
+                    runs += 1
+                case WholeAnswer(status) if status < SERVER_ERROR:
+                    return attempt
+                case WholeAnswer():
+                    failed = attempt
+                    runs += 1
+            if runs and (not request.route.may_repeat or runs >= request.route.attempts_max):
+                break
+            excluded.add(known.record.id)
+            if not self._placement.has_any(request.service, excluded):
+                excluded = {known.record.id} if runs else set()
+        return failed or _refusal(request, runs, last_reason)
+
+    def _attempt(self, request: AcceptedRequest, known: KnownUpstream, runs: int) -> Attempt:
+        upstream = known.record
+        run = Run(request.call.id, upstream.id, time.monotonic())
+        workspace = request.workspace.id if request.workspace is not None else None
+        terms = SendTerms(workspace, self._attempt_until_s(request, runs))
+        self._loads.start(run)
+        try:
+            match self._calls.open(upstream, request.call, terms, request.caller):
+                case Err(CallerLeft() as left):
+                    return left
+                case Err(NotSent(reason)):
+                    self._loads.saw_failure(upstream.id, AVOID_S)
+                    return NotRun(reason, is_busy=False)
+                case Err(Undecided(reason)):
+                    self._loads.saw_failure(upstream.id, AVOID_S)
+                    return MayHaveRun(reason)
+                case Ok(answer):
+                    return self._read(request, known, answer, terms.until_s)
+        finally:
+            self._loads.end(run)
+
+    def _read(
+        self, request: AcceptedRequest, known: KnownUpstream, answer: OpenAnswer, until_s: float
+    ) -> Attempt:
+        if answer.load is not None:
+            self._loads.saw_hint(known.record.id, answer.load)
+        body = bytearray()
+        while True:
+            match answer.read(request.caller, until_s):
+                case Ok(BodyPart(content)):
+                    body += content
+                    if len(body) > ANSWER_BYTES_MAX:
+                        answer.close()
+                        return MayHaveRun("the answer is too long")
+                case Ok(BodyEnd()):
+                    answer.finish()
+                    break
+                case Err(failure):
+                    answer.close()
+                    if isinstance(failure, CallerLeft):
+                        return failure
+                    if answer.is_not_run:
+                        return NotRun("the upstream refused the request", is_busy=True)
+                    self._loads.saw_failure(known.record.id, AVOID_S)
+                    return MayHaveRun(failure.reason)
+        if answer.is_not_run:
+            return NotRun("the upstream refused the request", not answer.is_other_instance)
+        if answer.status in PROMISES_NOT_RUN and not request.route.may_repeat:
+            return MayHaveRun(f"status {answer.status} without proof that it has not run")
+        if answer.status < SERVER_ERROR:
+            self._loads.saw_success(known.record.id)
+        return WholeAnswer(answer.status, answer.headers, bytes(body))
+
+    def _attempt_until_s(self, request: AcceptedRequest, runs: int) -> float:
+        """Leave time for one more attempt where there may be one."""
+        if not request.route.may_repeat or runs + 1 >= request.route.attempts_max:
+            return request.until_s
+        left_s = request.until_s - time.monotonic()
+        span_s = max(request.route.goal_s, FIRST_ATTEMPT_SHARE * left_s)
+        return min(request.until_s, time.monotonic() + span_s)
+
+    def _log_attempt(
+        self, request: AcceptedRequest, known: KnownUpstream, attempt: Attempt
+    ) -> None:
+        if isinstance(attempt, WholeAnswer) and attempt.status < SERVER_ERROR:
+            return
+        self._log.request(
+            "attempt failed",
+            request.call.id,
+            upstream=known.record.id,
+            upstream_state=known.record.state.value,
+            outcome=type(attempt).__name__,
+            detail=str(getattr(attempt, "reason", getattr(attempt, "status", ""))),
+        )
+
+
+def _refusal(request: AcceptedRequest, runs: int, reason: str) -> Refusal:
+    is_late = time.monotonic() >= request.until_s
+    if runs:
+        code = RefusalReason.TIMED_OUT if is_late else RefusalReason.OUTCOME_UNKNOWN
+        return Refusal(code, reason)
+    code = RefusalReason.DEADLINE_PAST if is_late else RefusalReason.NOT_RUN
+    return Refusal(code, reason, RETRY_AFTER_S)
--- /dev/null
+++ b/gooseberryquay/serving/decision_log.py
@@ -0,0 +1,109 @@
+"""One structured line for each decision, bounded in volume and never waiting for its reader."""
+
+import logging
+import logging.handlers
+import queue
+import sys
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from pythonjsonlogger.json import JsonFormatter
+
+from gooseberryquay.ids import EntryId, RequestId
+
+__all__ = ["DecisionLog", "set_up_decision_log"]
+
+FIELDS = "%(asctime)s %(levelname)s %(message)s"
+QUEUED_LINES_MAX = 2000
+LINES_PER_S = 60.0
+BURST_LINES = 240.0
+
+
+class _BoundedHandler(logging.handlers.QueueHandler):
+    """Drop lines while the writer is behind."""
+
+    def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
+        return record
+
+    def enqueue(self, record: logging.LogRecord) -> None:
+        try:
+            self.queue.put_nowait(record)
+        except queue.Full:
+            DROPPED["queue full"] += 1
+
+
+DROPPED: Counter[str] = Counter()
+
+
+def set_up_decision_log(entry: EntryId) -> logging.Logger:
+    """Write lines to standard output from a thread of its own."""
+    writer = logging.StreamHandler(sys.stdout)
+    writer.setFormatter(JsonFormatter(FIELDS, static_fields={"entry": entry}))
+    lines: queue.Queue[logging.LogRecord] = queue.Queue(QUEUED_LINES_MAX)
+    listener = logging.handlers.QueueListener(lines, writer)
+    listener.start()
+    logger = logging.getLogger("gooseberryquay.decisions")
+    logger.handlers = [_BoundedHandler(lines)]
+    logger.propagate = False
+    logger.setLevel(logging.INFO)
+    return logger
+
+
+class DecisionLog:
+    """Write lines of a few kinds, each limited in rate, and count what is left out."""
+
+    def __init__(
+        self,
+        logger: logging.Logger | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._logger = logger
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._left: dict[str, float] = {}
+        self._filled_at_s: dict[str, float] = {}
+        self._omitted: Counter[str] = Counter()
+
+    def lifecycle(self, event: str, **fields: Any) -> None:
+        """Write a start, a stop or a reload, which is never left out."""
+        self._write(event, {"kind": "lifecycle", **fields})
+
+    def dependency(self, name: str, part: str, *, is_lost: bool, **fields: Any) -> None:
+        """Write that a dependency was lost or regained."""
+        event = "dependency lost" if is_lost else "dependency regained"
+        self._write(event, {"kind": "dependency", "dependency": name, "part": part, **fields})
+
+    def belief(self, event: str, **fields: Any) -> None:
+        """Write a change of what this process believes."""
+        self._limited("belief", event, fields)
+
+    def request(self, event: str, request: RequestId, **fields: Any) -> None:
+        """Write a decision about one request."""
+        self._limited("request", event, {"request": request, **fields})
+
+    def failure(self, event: str, request: RequestId, **fields: Any) -> None:
+        """Write the end of a request that failed; it has a limit of its own."""
+        self._limited("failure", event, {"request": request, **fields})
+
+    def _limited(self, kind: str, event: str, fields: dict[str, Any]) -> None:
+        with self._lock:
+            now_s = self._clock()
+            passed_s = now_s - self._filled_at_s.get(kind, now_s)
+            left = min(BURST_LINES, self._left.get(kind, BURST_LINES) + passed_s * LINES_PER_S)
+            self._filled_at_s[kind] = now_s
+            if left < 1.0:
+                self._left[kind] = left
+                self._omitted[kind] += 1
+                return
+            self._left[kind] = left - 1.0
+            omitted = self._omitted.pop(kind, 0)
+        if omitted:
+            fields = {**fields, "omitted_before": omitted}
+        self._write(event, {"kind": kind, **fields})
+
+    def _write(self, event: str, fields: dict[str, Any]) -> None:
+        if self._logger is not None:
+            self._logger.info(event, extra=fields)
--- /dev/null
+++ b/gooseberryquay/serving/migration.py
@@ -0,0 +1,168 @@
+"""Move running generations away from engines that leave."""
+
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from gooseberryquay.ids import UpstreamId
+from gooseberryquay.serving.active_generation import (
+    ActiveGeneration,
+    ActiveGenerations,
+    Copy,
+    MoveState,
+)
+from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.placement import EngineNeed, Placement
+from gooseberryquay.serving.ports import MovedCopy, MoveFailure, MoveRefusal, UpstreamCalls
+from gooseberryquay.serving.upstream_book import KnownUpstream
+from gooseberryquay.serving.upstream_load import LoadTable, Run
+
+__all__ = ["Migration"]
+
+QUICK_COPY_S = 0.06
+STOP_AFTER_S = 0.9
+COPY_TIMEOUT_S = 3.0
+RETRY_PAUSE_S = 0.05
+TARGETS_MAX = 4
+MOVE_SPAN_S = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Target:
+    known: KnownUpstream
+    run: Run
+
+
+class Migration:
+    """Copy memory while a generation runs on, then stop it and let its relay go on elsewhere."""
+
+    def __init__(
+        self,
+        calls: UpstreamCalls,
+        placement: Placement,
+        loads: LoadTable,
+        active: ActiveGenerations,
+        log: DecisionLog,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._calls = calls
+        self._placement = placement
+        self._loads = loads
+        self._active = active
+        self._log = log
+        self._clock = clock
+
+    def upstream_leaving(self, upstream: UpstreamId) -> None:
+        """Begin to move every generation that runs at an upstream."""
+        for active in self._active.at(upstream):
+            self.begin(active)
+
+    def begin(self, active: ActiveGeneration) -> None:
+        """Begin to move one generation in the background."""
+        engine = self._placement.engine_terms(active.request.service)
+        if engine is None or not engine.can_move:
+            return
+        with active.changed:
+            if active.state is not MoveState.STAYING or active.is_ended:
+                return
+            active.state = MoveState.COPYING
+        threading.Thread(target=self._move, args=(active,), daemon=True).start()
+
+    def _move(self, active: ActiveGeneration) -> None:
+        began_at_s = self._clock()
+        tried: set[UpstreamId] = {active.known.record.id}
+        while len(tried) <= TARGETS_MAX and not self._is_over(active, began_at_s):
+            target = self._choose_target(active, tried)
+            if target is None:
+                time.sleep(RETRY_PAUSE_S)
+                continue
+            tried.add(target.known.record.id)
+            if self._move_to(active, target, began_at_s):
+                return
+            if active.copy is None:
+                self._loads.end(target.run)
+        if active.state is not MoveState.STAYING:
+            active.set_state(MoveState.FAILED)
+
+    def _is_over(self, active: ActiveGeneration, began_at_s: float) -> bool:
+        if active.is_ended or active.state is MoveState.STAYING:
+            return True
+        return self._clock() - began_at_s > MOVE_SPAN_S
+
+    def _choose_target(self, active: ActiveGeneration, tried: set[UpstreamId]) -> _Target | None:
+        run = active.run
+        need = EngineNeed(run.held_tokens, max(0.0, run.expected_tokens - run.generated_tokens))
+        known = self._placement.choose_engine(active.request.service, need, tried)
+        if known is None:
+            return None
+        moved = Run(
+            run.id,
+            known.record.id,
+            self._clock(),
+            run.prompt_tokens,
+            run.expected_tokens,
+            run.generated_tokens,
+        )
+        self._loads.start(moved)
+        return _Target(known, moved)
+
+    def _move_to(self, active: ActiveGeneration, target: _Target, began_at_s: float) -> bool:
+        """Copy until little is left, then stop the run; False if another target is needed."""
+        while not self._is_over(active, began_at_s):
+            started_at_s = self._clock()
+            match self._copy(active, target, is_final=False):
+                case Ok(copy):
+                    active.set_copy(Copy(target.known, copy.handle, target.run, copy.events))
+                    took_s = self._clock() - started_at_s
+                    is_late = self._clock() - began_at_s > STOP_AFTER_S
+                    if took_s < QUICK_COPY_S or is_late:
+                        return self._stop(active, target)
+                case Err(MoveFailure(MoveRefusal.UNKNOWN_RUN | MoveRefusal.IN_PROGRESS)):
+                    time.sleep(RETRY_PAUSE_S)
+                case Err(failure):
+                    self._note(active, target, "copy refused", failure)
+                    return False
+        return False
+
+    def _stop(self, active: ActiveGeneration, target: _Target) -> bool:
+        active.set_state(MoveState.STOPPING)
+        match self._copy(active, target, is_final=True):
+            case Ok(copy):
+                active.set_copy(Copy(target.known, copy.handle, target.run, copy.events))
+                self._log.request(
+                    "generation moved",
+                    active.request.call.id,
+                    source=active.known.record.id,
+                    upstream=target.known.record.id,
+                    events=copy.events,
+                )
+                active.set_state(MoveState.STOPPED)
+            case Err(failure):
+                self._note(active, target, "stop refused", failure)
+                if failure.handle is not None:
+                    kept = Copy(active.known, failure.handle, active.run, 0)
+                    active.set_copy(kept)
+                active.set_state(MoveState.FAILED)
+        return True
+
+    def _copy(
+        self, active: ActiveGeneration, target: _Target, is_final: bool
+    ) -> Result[MovedCopy, MoveFailure]:
+        until_s = self._clock() + COPY_TIMEOUT_S
+        source = active.known.record
+        address = target.known.record.address
+        return self._calls.move(source, active.request.call.id, address, is_final, until_s)
+
+    def _note(
+        self, active: ActiveGeneration, target: _Target, event: str, failure: MoveFailure
+    ) -> None:
+        self._log.request(
+            event,
+            active.request.call.id,
+            source=active.known.record.id,
+            upstream=target.known.record.id,
+            reason=failure.refusal.value,
+        )
--- /dev/null
+++ b/gooseberryquay/serving/object_source.py
@@ -0,0 +1,55 @@
+"""Objects of one kind in the platform's store, listed and watched."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, Protocol
+
+from result import Result
+
+__all__ = ["Changes", "Listing", "ObjectSource", "SourceFailure", "StoredObject"]
+
+
+class SourceFailure(Enum):
+    """Say why a list or a watch brought nothing."""
+
+    HISTORY_GONE = "history gone"
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
+    MALFORMED = "malformed"
+
+
+@dataclass(frozen=True, slots=True)
+class StoredObject:
+    """Hold one object; its content is untyped until its reader has checked it."""
+
+    name: str
+    revision: int
+    content: Mapping[str, Any] | None
+    is_deleted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """Hold all objects of a kind as of a revision."""
+
+    objects: tuple[StoredObject, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Hold the changes of a kind up to a revision."""
+
+    objects: tuple[StoredObject, ...]
+    revision: int
+
+
+class ObjectSource(Protocol):
+    """List and watch the objects of one kind."""
+
+    def list(self) -> Result[Listing, SourceFailure]:
+        """Give all objects."""
+
+    def watch(self, revision: int, wait_s: float) -> Result[Changes, SourceFailure]:
+        """Wait for changes after a revision; there are none when the time is up."""
--- /dev/null
+++ b/gooseberryquay/serving/object_watch.py
@@ -0,0 +1,125 @@
+"""Follow the objects of one kind through outages of the platform's store."""
+
+import random
+import threading
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from result import Err, Ok
+
+from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.object_source import (
+    Listing,
+    ObjectSource,
+    SourceFailure,
+    StoredObject,
+)
+
+__all__ = ["ObjectReader", "ObjectWatch"]
+
+WATCH_WAIT_S = 20.0
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 1.0
+
+
+class ObjectReader(Protocol):
+    """Take in what the store holds of one kind."""
+
+    def read_listing(self, listing: Listing, is_after_outage: bool) -> None:
+        """Take in all objects."""
+
+    def read_change(self, changed: StoredObject, is_after_outage: bool) -> None:
+        """Take in one changed or deleted object."""
+
+
+class ObjectWatch:
+    """Keep one reader up to date in a thread of its own."""
+
+    def __init__(
+        self,
+        kind: str,
+        source: ObjectSource,
+        reader: ObjectReader,
+        log: DecisionLog,
+        pause_s: float,
+        outage_grace_s: float,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._kind = kind
+        self._source = source
+        self._reader = reader
+        self._log = log
+        self._pause_s = pause_s
+        self._outage_grace_s = outage_grace_s
+        self._clock = clock
+        self._revision: int | None = None
+        self._failures = 0
+        self._regained_at_s: float | None = None
+        self.confirmed_at_s: float | None = None
+        self._stopped = threading.Event()
+
+    def start(self) -> None:
+        """Follow in the background."""
+        threading.Thread(target=self._run, name=f"watch-{self._kind}", daemon=True).start()
+
+    def stop(self) -> None:
+        """End after the call in progress."""
+        self._stopped.set()
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            wait_s = self.step()
+            if wait_s > 0.0:
+                self._stopped.wait(wait_s)
+
+    def step(self) -> float:
+        """Make one call and give the pause before the next."""
+        if self._revision is None:
+            return self._read_list()
+        return self._read_changes(self._revision)
+
+    def _read_list(self) -> float:
+        match self._source.list():
+            case Err(failure):
+                return self._failed(failure)
+            case Ok(listing):
+                self._succeeded()
+                self._reader.read_listing(listing, self._is_after_outage())
+                self._revision = listing.revision
+                return 0.0
+
+    def _read_changes(self, revision: int) -> float:
+        match self._source.watch(revision, WATCH_WAIT_S):
+            case Err(failure):
+                return self._failed(failure)
+            case Ok(changes):
+                self._succeeded()
+                for changed in changes.objects:
+                    self._reader.read_change(changed, self._is_after_outage())
+                self._revision = max(revision, changes.revision)
+                return self._pause_s
+
+    def _is_after_outage(self) -> bool:
+        if self._regained_at_s is None:
+            return False
+        return self._clock() - self._regained_at_s < self._outage_grace_s
+
+    def _succeeded(self) -> None:
+        now_s = self._clock()
+        self.confirmed_at_s = now_s
+        if self._failures:
+            self._regained_at_s = now_s
+            self._log.dependency("store", self._kind, is_lost=False, failures=self._failures)
+        self._failures = 0
+
+    def _failed(self, failure: SourceFailure) -> float:
+        if failure is SourceFailure.HISTORY_GONE:
+            self._log.belief("history gone", kind=self._kind, revision=self._revision)
+            self._revision = None
+            return 0.0
+        self._failures += 1
+        if self._failures == 1:
+            self._log.dependency("store", self._kind, is_lost=True, reason=failure.value)
+        ceiling_s = min(RETRY_MAX_S, RETRY_MIN_S * 2.0 ** min(self._failures, 8))
+        return random.uniform(ceiling_s / 2.0, ceiling_s)
--- /dev/null
+++ b/gooseberryquay/serving/placement.py
@@ -0,0 +1,195 @@
+"""Choose an upstream for one request."""
+
+import random
+import time
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+from typing import Protocol
+
+from gooseberryquay.ids import ServiceId, UpstreamId, ZoneId
+from gooseberryquay.serving.cold_rate import ColdRate
+from gooseberryquay.serving.route import EngineTerms, RoutingTable
+from gooseberryquay.serving.upstream_book import KnownUpstream, UpstreamBook
+from gooseberryquay.serving.upstream_load import LoadTable, Run
+
+__all__ = ["EngineNeed", "NoPeers", "PeerLoad", "PeerLoads", "Placement"]
+
+OTHER_ZONE_LOAD = 0.5
+HINT_TRUST_S = 1.0
+GROWTH_SHARE = 0.6
+MEMORY_SHARE_MAX = 0.95
+CROWDING_WEIGHT = 0.3
+OTHER_ZONE_SCORE = 0.02
+NOISE_SCORE = 0.02
+AVOIDED_SCORE = 10.0
+COLD_SCORE = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """Sum up the requests of all other entries at one upstream."""
+
+    runs: int
+    held_tokens: float
+    growth_tokens: float
+
+
+class PeerLoads(Protocol):
+    """Give what other entries have in flight."""
+
+    def of(self, upstream: UpstreamId) -> PeerLoad:
+        """Give the load of others at one upstream."""
+
+    def entry_count(self) -> int:
+        """Give the number of live entries, this one included."""
+
+
+class NoPeers:
+    """Stand for entries that do not tell each other their load."""
+
+    def of(self, upstream: UpstreamId) -> PeerLoad:
+        """Give no load."""
+        return PeerLoad(0, 0.0, 0.0)
+
+    def entry_count(self) -> int:
+        """Count this entry alone."""
+        return 1
+
+
+@dataclass(frozen=True, slots=True)
+class EngineNeed:
+    """Describe what a generation needs of an engine."""
+
+    prompt_tokens: int
+    expected_tokens: float
+
+    @property
+    def planned_tokens(self) -> float:
+        """Give the memory to keep free for it."""
+        return self.prompt_tokens + GROWTH_SHARE * self.expected_tokens
+
+
+class Placement:
+    """Choose by own load, the load that peers tell and the hints of upstreams."""
+
+    def __init__(
+        self,
+        book: UpstreamBook,
+        loads: LoadTable,
+        peers: PeerLoads,
+        cold: ColdRate,
+        routing: Callable[[], RoutingTable | None],
+        zone: ZoneId,
+        source: random.Random,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._book = book
+        self._loads = loads
+        self._peers = peers
+        self._cold = cold
+        self._routing = routing
+        self._zone = zone
+        self._random = source
+        self._clock = clock
+
+    def choose_for_call(
+        self, service: ServiceId, excluded: Collection[UpstreamId]
+    ) -> KnownUpstream | None:
+        """Choose for a plain call the upstream with the fewest requests for each slot."""
+        best: KnownUpstream | None = None
+        best_score = float("inf")
+        now_s = self._clock()
+        for known in self._candidates(service, excluded, now_s):
+            load = self._loads.of(known.record.id)
+            others = max(
+                load.others(now_s, HINT_TRUST_S), float(self._peers.of(known.record.id).runs)
+            )
+            score = (len(load.runs) + others) / max(1, known.record.slots)
+            score += NOISE_SCORE * self._random.random()
+            if known.record.zone != self._zone:
+                score += OTHER_ZONE_LOAD / max(1, known.record.slots)
+            if load.avoided_until_s > now_s:
+                score += AVOIDED_SCORE
+            if score < best_score:
+                best, best_score = known, score
+        return best
+
+    def choose_engine(
+        self, service: ServiceId, need: EngineNeed, excluded: Collection[UpstreamId]
+    ) -> KnownUpstream | None:
+        """Choose for a generation the engine with the most memory to spare, if it fits in."""
+        engine = self.engine_terms(service)
+        if engine is None:
+            return self.choose_for_call(service, excluded)
+        best: KnownUpstream | None = None
+        best_score = float("inf")
+        now_s = self._clock()
+        for known in self._candidates(service, excluded, now_s):
+            score = self._engine_score(known, engine, need, now_s)
+            if score is not None and score < best_score:
+                best, best_score = known, score
+        return best
+
+    def engine_terms(self, service: ServiceId) -> EngineTerms | None:
+        """Give what is declared of a service's engines."""
+        routing = self._routing()
+        terms = routing.services.get(service) if routing is not None else None
+        return terms.engine if terms is not None else None
+
+    def take_cold(self, known: KnownUpstream) -> bool:
+        """Count a request against the rate of a cold upstream; True if it may be sent."""
+        if known.cold_until_s <= self._clock():
+            return True
+        return self._cold.take(known.record.id, self._cold_rate(known))
+
+    def has_any(self, service: ServiceId, excluded: Collection[UpstreamId]) -> bool:
+        """Tell whether any upstream may get the request at all."""
+        return any(each.record.id not in excluded for each in self._book.usable(service))
+
+    def _candidates(
+        self, service: ServiceId, excluded: Collection[UpstreamId], now_s: float
+    ) -> list[KnownUpstream]:
+        found = []
+        for known in self._book.usable(service):
+            if known.record.id in excluded:
+                continue
+            if known.cold_until_s > now_s:
+                if not self._cold.may_send(known.record.id, self._cold_rate(known)):
+                    continue
+            found.append(known)
+        return found
+
+    def _cold_rate(self, known: KnownUpstream) -> float:
+        routing = self._routing()
+        terms = routing.services.get(known.record.service) if routing is not None else None
+        if terms is None or terms.cold_requests_per_s <= 0.0:
+            return float("inf")
+        return terms.cold_requests_per_s
+
+    def _engine_score(
+        self, known: KnownUpstream, engine: EngineTerms, need: EngineNeed, now_s: float
+    ) -> float | None:
+        load = self._loads.of(known.record.id)
+        peer = self._peers.of(known.record.id)
+        planned = need.planned_tokens + peer.held_tokens + GROWTH_SHARE * peer.growth_tokens
+        runs = 1 + peer.runs
+        for run in list(load.runs.values()):
+            planned += _planned(run)
+            runs += 1
+        memory_share = planned / max(1, engine.memory_tokens)
+        if memory_share > MEMORY_SHARE_MAX or runs > engine.slots:
+            return None
+        score = memory_share + CROWDING_WEIGHT * runs / max(1, engine.slots)
+        score += NOISE_SCORE * self._random.random()
+        if known.record.zone != self._zone:
+            score += OTHER_ZONE_SCORE
+        if known.cold_until_s > now_s:
+            score += COLD_SCORE
+        if load.avoided_until_s > now_s:
+            score += AVOIDED_SCORE
+        return score
+
+
+def _planned(run: Run) -> float:
+    remaining = max(0.0, run.expected_tokens - run.generated_tokens)
+    return run.held_tokens + GROWTH_SHARE * remaining
--- /dev/null
+++ b/gooseberryquay/serving/refusal.py
@@ -0,0 +1,60 @@
+"""Final answers of this entry's own, with what they promise."""
+
+import json
+from dataclasses import dataclass
+from enum import Enum
+
+from gooseberryquay.serving.call import HeaderPair
+
+__all__ = ["Refusal", "RefusalReason"]
+
+JSON_TYPE = "application/json"
+
+
+class RefusalReason(Enum):
+    """Say why a request has no answer of an upstream, with its status.
+
+    Statuses 408, 421, 429 and 503 promise that the request has not run and never will.
+    """
+
+    NO_CONFIGURATION = ("no_configuration", 503)
+    NOT_FOUND = ("not_found", 404)
+    UNKNOWN_KEY = ("unknown_key", 401)
+    BAD_REQUEST = ("bad_request", 400)
+    NO_UPSTREAM = ("no_upstream", 503)
+    OVERLOADED = ("overloaded", 503)
+    DEADLINE_PAST = ("deadline_past", 503)
+    NOT_RUN = ("not_run", 503)
+    CRASHES_UPSTREAMS = ("crashes_upstreams", 502)
+    OUTCOME_UNKNOWN = ("outcome_unknown", 502)
+    TIMED_OUT = ("timed_out", 504)
+
+    def __init__(self, code: str, status: int) -> None:
+        self.code = code
+        self.status = status
+
+    @property
+    def says_not_run(self) -> bool:
+        """Tell whether the answer promises that the request has not run."""
+        return self.status in {408, 421, 429, 503}
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Hold one final answer of this entry."""
+
+    reason: RefusalReason
+    message: str
+    retry_after_s: float | None = None
+
+    def headers(self) -> list[HeaderPair]:
+        """Give the headers of the answer."""
+        headers = [("content-type", JSON_TYPE)]
+        if self.retry_after_s is not None and self.reason.says_not_run:
+            headers.append(("retry-after", f"{self.retry_after_s:.2f}"))
+        return headers
+
+    def body(self) -> bytes:
+        """Give the body of the answer."""
+        error = {"type": self.reason.code, "message": self.message}
+        return json.dumps({"error": error}).encode()
--- /dev/null
+++ b/gooseberryquay/serving/request_counters.py
@@ -0,0 +1,64 @@
+"""Counters and latency histograms of requests, served as text."""
+
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from gooseberryquay.serving.route import RouteKind
+
+__all__ = ["RequestCounters"]
+
+LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 40.0)
+REFUSED_KIND = "none"
+
+
+class RequestCounters:
+    """Count requests by kind and outcome; safe for use by many threads."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._ended = Counter(
+            "requests_ended", "Requests by outcome", ("kind", "outcome"), registry=self.registry
+        )
+        self._latency = Histogram(
+            "request_duration_seconds",
+            "Time from arrival to the final answer",
+            ("kind",),
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self._gauge = Gauge("requests_in_flight", "Open requests", registry=self.registry)
+        self._count = 0
+        self._changed = threading.Condition()
+
+    @contextmanager
+    def in_flight(self) -> Iterator[None]:
+        """Count a request in while it is open."""
+        self._add(1)
+        try:
+            yield
+        finally:
+            self._add(-1)
+
+    def wait_until_none(self, timeout_s: float) -> bool:
+        """Wait until no request is open; False if some still are."""
+        with self._changed:
+            return self._changed.wait_for(lambda: self._count == 0, timeout_s)
+
+    def saw_end(self, kind: RouteKind | None, outcome: str, took_s: float) -> None:
+        """Count the end of a request."""
+        label = kind.value if kind is not None else REFUSED_KIND
+        self._ended.labels(label, outcome).inc()
+        self._latency.labels(label).observe(took_s)
+
+    def text(self) -> bytes:
+        """Give all metrics in the text format."""
+        return generate_latest(self.registry)
+
+    def _add(self, change: int) -> None:
+        with self._changed:
+            self._count += change
+            self._gauge.set(self._count)
+            self._changed.notify_all()
--- /dev/null
+++ b/gooseberryquay/serving/request_path.py
@@ -0,0 +1,142 @@
+"""Decide on each request's arrival, have it served and account for its end."""
+
+import random
+import time
+
+from gooseberryquay.ids import WorkspaceId
+from gooseberryquay.links.caller_watch import CallerWatch
+from gooseberryquay.links.streaming_gateway import CallerGone
+from gooseberryquay.links.upstream_connection import CallerLeft
+from gooseberryquay.serving.accepted import AcceptedRequest
+from gooseberryquay.serving.call import Call
+from gooseberryquay.serving.call_flow import CallFlow, WholeAnswer
+from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.generation_flow import GenerationFlow
+from gooseberryquay.serving.ports import RequestAnswer, RoutingSource
+from gooseberryquay.serving.refusal import Refusal, RefusalReason
+from gooseberryquay.serving.request_counters import RequestCounters
+from gooseberryquay.serving.route import Route, RouteKind, RoutingTable, Workspace
+
+__all__ = ["RequestPath"]
+
+NOT_READY_RETRY_AFTER_S = 0.5
+
+
+class RequestPath:
+    """Serve one request at a time for each calling thread."""
+
+    def __init__(
+        self,
+        routing: RoutingSource,
+        call_flow: CallFlow,
+        generation_flow: GenerationFlow,
+        counters: RequestCounters,
+        log: DecisionLog,
+        source: random.Random,
+    ) -> None:
+        self._routing = routing
+        self._call_flow = call_flow
+        self._generation_flow = generation_flow
+        self._counters = counters
+        self._log = log
+        self._random = source
+
+    def serve(self, call: Call, caller: CallerWatch, answer: RequestAnswer) -> None:
+        """Serve a request to its final answer."""
+        with self._counters.in_flight():
+            accepted = self._accept(call, caller, answer)
+            if isinstance(accepted, Refusal):
+                self._refuse(call, None, answer, accepted)
+                return
+            try:
+                self._serve_accepted(accepted)
+            except CallerGone:
+                self._finish(accepted, "caller left")
+
+    def _accept(
+        self, call: Call, caller: CallerWatch, answer: RequestAnswer
+    ) -> AcceptedRequest | Refusal:
+        routing = self._routing.current()
+        if routing is None:
+            reason = RefusalReason.NO_CONFIGURATION
+            return Refusal(reason, "no configuration was read yet", NOT_READY_RETRY_AFTER_S)
+        route = routing.route_of(call.host, call.path)
+        if route is None:
+            return Refusal(RefusalReason.NOT_FOUND, f"no route in version {routing.version}")
+        workspace = self._workspace_of(routing, route, call)
+        if isinstance(workspace, Refusal):
+            return workspace
+        until_s = min(call.deadline_at_s, call.arrived_at_s + route.timeout_s)
+        service = route.pick_service(self._random)
+        return AcceptedRequest(
+            call, route, service, workspace, routing.version, until_s, caller, answer
+        )
+
+    def _workspace_of(
+        self, routing: RoutingTable, route: Route, call: Call
+    ) -> Workspace | Refusal | None:
+        if not routing.workspaces:
+            return None
+        workspace = routing.workspace_of(call.key) if call.key is not None else None
+        if workspace is None and not route.is_public:
+            return Refusal(RefusalReason.UNKNOWN_KEY, f"unknown key in version {routing.version}")
+        return workspace
+
+    def _serve_accepted(self, request: AcceptedRequest) -> None:
+        match request.route.kind:
+            case RouteKind.STREAMING:
+                end = self._generation_flow.serve(request)
+            case RouteKind.IDEMPOTENT | RouteKind.NON_IDEMPOTENT:
+                end = self._call_flow.serve(request)
+        match end:
+            case None:
+                self._finish(request, "streamed")
+            case WholeAnswer(status, headers, body):
+                request.answer.send(status, headers, body)
+                self._finish(request, f"answered {status}")
+            case Refusal():
+                self._refuse(request.call, request, request.answer, end)
+            case CallerLeft():
+                self._finish(request, "caller left")
+                request.answer.abort()
+
+    def _finish(self, request: AcceptedRequest, outcome: str) -> None:
+        took_s = time.monotonic() - request.call.arrived_at_s
+        self._counters.saw_end(request.route.kind, outcome, took_s)
+        self._log.request(
+            "request ended",
+            request.call.id,
+            route=request.route.name,
+            service=request.service,
+            workspace=_id_of(request.workspace),
+            version=request.version,
+            outcome=outcome,
+            took_ms=round(took_s * 1000.0),
+        )
+
+    def _refuse(
+        self,
+        call: Call,
+        request: AcceptedRequest | None,
+        answer: RequestAnswer,
+        refusal: Refusal,
+    ) -> None:
+        took_s = time.monotonic() - call.arrived_at_s
+        kind = request.route.kind if request is not None else None
+        self._counters.saw_end(kind, refusal.reason.code, took_s)
+        self._log.failure(
+            "request refused",
+            call.id,
+            route=request.route.name if request is not None else None,
+            version=request.version if request is not None else None,
+            reason=refusal.reason.code,
+            detail=refusal.message,
+            status=refusal.reason.status,
+            retry_after_s=refusal.retry_after_s,
+            took_ms=round(took_s * 1000.0),
+        )
+        answer.send(refusal.reason.status, refusal.headers(), refusal.body())
+
+
+def _id_of(workspace: Workspace | None) -> WorkspaceId | None:
+    return workspace.id if workspace is not None else None
--- /dev/null
+++ b/gooseberryquay/serving/route.py
@@ -0,0 +1,143 @@
+"""Routes, services and keys of one configuration version."""
+
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+from gooseberryquay.ids import ServiceId, WorkspaceId
+
+__all__ = [
+    "CallLimits",
+    "Destination",
+    "EngineTerms",
+    "Route",
+    "RouteKind",
+    "RoutingTable",
+    "ServiceTerms",
+    "Workspace",
+]
+
+
+class RouteKind(Enum):
+    """Say what may be done with the requests of a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    STREAMING = "streaming"
+
+
+@dataclass(frozen=True, slots=True)
+class Destination:
+    """Name a service with its share of a route's requests."""
+
+    service: ServiceId
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Describe the requests of one host and path prefix."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    timeout_s: float
+    goal_s: float
+    priority: int
+    destinations: tuple[Destination, ...]
+    attempts_max: int
+    is_public: bool
+    is_resumable: bool
+    event_gap_s: float | None
+
+    @property
+    def may_repeat(self) -> bool:
+        """Tell whether a request may run a second time, a stream from its last event on."""
+        match self.kind:
+            case RouteKind.IDEMPOTENT:
+                return True
+            case RouteKind.NON_IDEMPOTENT:
+                return False
+            case RouteKind.STREAMING:
+                return self.is_resumable
+
+    def pick_service(self, source: random.Random) -> ServiceId:
+        """Draw a service by weight."""
+        if len(self.destinations) == 1:
+            return self.destinations[0].service
+        weights = [each.weight for each in self.destinations]
+        return source.choices(self.destinations, weights)[0].service
+
+
+@dataclass(frozen=True, slots=True)
+class EngineTerms:
+    """Describe the model engines of a service."""
+
+    slots: int
+    memory_tokens: int
+    bytes_per_token: float
+    link_bytes_per_s: float
+    can_move: bool
+    can_back_up: bool
+    tokens_per_event: int
+    handle_lifetime_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceTerms:
+    """Describe a service."""
+
+    id: ServiceId
+    connections_max: int
+    cold_s: float
+    cold_requests_per_s: float
+    engine: EngineTerms | None
+
+
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """Name the workspace of a key; the lowest priority number goes first."""
+
+    id: WorkspaceId
+    priority: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallLimits:
+    """Bound what a caller may send."""
+
+    header_bytes_max: int
+    body_bytes_max: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclass(frozen=True)
+class RoutingTable:
+    """Hold one configuration version; an empty `workspaces` means that no key is asked for."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[ServiceId, ServiceTerms]
+    workspaces: Mapping[str, Workspace]
+    limits: CallLimits
+    _by_host: dict[str, list[Route]] = field(default_factory=dict, compare=False)
+
+    def __post_init__(self) -> None:
+        for route in self.routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda each: len(each.path_prefix), reverse=True)
+
+    def route_of(self, host: str, path: str) -> Route | None:
+        """Find the route of the longest prefix."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def workspace_of(self, key: str) -> Workspace | None:
+        """Find the workspace that holds a key."""
+        return self.workspaces.get(key)
--- /dev/null
+++ b/gooseberryquay/serving/upstream_load.py
@@ -0,0 +1,124 @@
+"""Own requests in flight at each upstream, and what upstreams say of theirs."""
+
+import threading
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from gooseberryquay.ids import RequestId, UpstreamId
+from gooseberryquay.serving.ports import LoadHint
+
+__all__ = ["LoadTable", "Run", "UpstreamLoad"]
+
+
+@dataclass
+class Run:
+    """Hold one request in flight at an upstream."""
+
+    id: RequestId
+    upstream: UpstreamId
+    started_at_s: float
+    prompt_tokens: int = 0
+    expected_tokens: float = 0.0
+    generated_tokens: int = 0
+    copies: int = 0
+
+    @property
+    def held_tokens(self) -> int:
+        """Give the memory held now."""
+        return self.prompt_tokens + self.generated_tokens
+
+    @property
+    def peak_tokens(self) -> float:
+        """Give the memory expected at the end."""
+        return self.prompt_tokens + max(self.expected_tokens, float(self.generated_tokens))
+
+
+@dataclass
+class UpstreamLoad:
+    """Hold what is known of one upstream's load."""
+
+    runs: dict[RequestId, Run] = field(default_factory=dict)
+    hint: LoadHint | None = None
+    hinted_at_s: float = 0.0
+    own_at_hint: int = 0
+    failures: int = 0
+    avoided_until_s: float = 0.0
+
+    def others(self, now_s: float, trust_s: float) -> float:
+        """Give the number of other entries' requests, by the newest hint."""
+        if self.hint is None:
+            return 0.0
+        age_s = now_s - self.hinted_at_s
+        if age_s > trust_s:
+            return 0.0
+        count = self.hint.running + self.hint.waiting - self.own_at_hint
+        return max(0.0, count * (1.0 - age_s / trust_s))
+
+
+class LoadTable:
+    """Count requests in flight; safe for use by many threads."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._loads: dict[UpstreamId, UpstreamLoad] = {}
+        self._lock = threading.Lock()
+
+    def of(self, upstream: UpstreamId) -> UpstreamLoad:
+        """Give the load of an upstream."""
+        with self._lock:
+            return self._loads.setdefault(upstream, UpstreamLoad())
+
+    def start(self, run: Run) -> None:
+        """Count a request in."""
+        with self._lock:
+            self._loads.setdefault(run.upstream, UpstreamLoad()).runs[run.id] = run
+
+    def end(self, run: Run) -> None:
+        """Count a request out."""
+        with self._lock:
+            load = self._loads.get(run.upstream)
+            if load is not None:
+                load.runs.pop(run.id, None)
+
+    def runs_at(self, upstream: UpstreamId) -> list[Run]:
+        """Give the own requests in flight at an upstream."""
+        with self._lock:
+            load = self._loads.get(upstream)
+            return list(load.runs.values()) if load is not None else []
+
+    def saw_hint(self, upstream: UpstreamId, hint: LoadHint) -> None:
+        """Take in an upstream's own count."""
+        with self._lock:
+            load = self._loads.setdefault(upstream, UpstreamLoad())
+            load.hint = hint
+            load.hinted_at_s = self._clock()
+            load.own_at_hint = len(load.runs)
+
+    def saw_success(self, upstream: UpstreamId) -> None:
+        """Forget earlier failures."""
+        with self._lock:
+            load = self._loads.setdefault(upstream, UpstreamLoad())
+            load.failures = 0
+            load.avoided_until_s = 0.0
+
+    def saw_failure(self, upstream: UpstreamId, avoid_s: float) -> None:
+        """Avoid an upstream, longer with each failure in a row."""
+        with self._lock:
+            load = self._loads.setdefault(upstream, UpstreamLoad())
+            load.failures += 1
+            span_s = avoid_s * min(8, 2 ** (load.failures - 1))
+            load.avoided_until_s = self._clock() + span_s
+
+    def forget(self, keep: Iterable[UpstreamId]) -> None:
+        """Drop upstreams that are no longer listed and have no requests."""
+        kept = set(keep)
+        with self._lock:
+            for upstream in [each for each in self._loads if each not in kept]:
+                if not self._loads[upstream].runs:
+                    del self._loads[upstream]
+
+    def in_flight(self) -> int:
+        """Give the number of own requests in flight."""
+        with self._lock:
+            return sum(len(each.runs) for each in self._loads.values())
--- /dev/null
+++ b/gooseberryquay/serving/upstream_record.py
@@ -0,0 +1,30 @@
+"""Upstreams as the list of upstreams announces them."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.ids import ServiceId, UpstreamId, ZoneId
+
+__all__ = ["UpstreamRecord", "UpstreamState"]
+
+
+class UpstreamState(Enum):
+    """Say whether an upstream takes new work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamRecord:
+    """Describe one incarnation of an upstream; `cold_left_s` is as of the announcement."""
+
+    id: UpstreamId
+    service: ServiceId
+    address: Address
+    zone: ZoneId
+    slots: int
+    state: UpstreamState
+    cold_left_s: float
+    born_ms: int | None
