--- a/gooseberryquay/contracts/node_settings.py
+++ b/gooseberryquay/contracts/node_settings.py
@@ -29,7 +29,7 @@
     zone: ZoneId
     caller_address: Address
     readiness_address: Address
-    control_address: Address | None
+    control_address: Address
     seeds: tuple[Address, ...]
     store_address: Address
     bounds: NodeBounds
--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -5,11 +5,14 @@
 import time
 
 from gooseberryquay.contracts.node_settings import NodeSettings
+from gooseberryquay.ids import Incarnation
 from gooseberryquay.links.connection_pool import ConnectionPool
 from gooseberryquay.links.forwarding_server import ForwardingServer
 from gooseberryquay.links.http_client import HttpClient
-from gooseberryquay.links.http_server import HttpServer
+from gooseberryquay.links.http_server import HttpServer, Router
 from gooseberryquay.links.keep_alive import PROBE_OPTIONS
+from gooseberryquay.machines.membership import Membership
+from gooseberryquay.machines.peer import Peer
 from gooseberryquay.machines.retry_budget import RetryBudget
 from gooseberryquay.platform.documents import read_routing, read_upstream
 from gooseberryquay.platform.engine_calls import EngineCalls
@@ -30,8 +33,9 @@
 from gooseberryquay.serving.generation_queue import GenerationQueue
 from gooseberryquay.serving.list_readers import UpstreamListReader, ZoneListReader
 from gooseberryquay.serving.migration import Migration
-from gooseberryquay.serving.object_watch import ObjectWatch
-from gooseberryquay.serving.placement import NoPeers, Placement
+from gooseberryquay.serving.object_watch import ObjectReader, ObjectWatch
+from gooseberryquay.serving.peer_loads import PeerLoadExchange
+from gooseberryquay.serving.placement import Placement
 from gooseberryquay.serving.request_counters import RequestCounters
 from gooseberryquay.serving.request_path import RequestPath
 from gooseberryquay.serving.route import RoutingTable
@@ -51,6 +55,7 @@
 # The balancer looks once a second and gives up after two misses.
 LEAVE_NOTICE_S = 2.5
 EXIT_MARGIN_S = 0.5
+MS_PER_S = 1000.0
 
 
 class PlatformEntry:
@@ -63,15 +68,16 @@
         self._book = UpstreamBook()
         self._loads = LoadTable()
         self._routing = RoutingKeeper(CONFIGURATION_NAME, read_routing, log)
-        peers = NoPeers()
+        self._membership = Membership(_describe(settings), seeds=settings.seeds)
+        self._peers = PeerLoadExchange(self._loads, self._membership)
         placement = Placement(
-            self._book,
-            self._loads,
-            peers,
-            ColdRate(peers.entry_count),
-            self._routing.current,
-            settings.zone,
-            source,
+            book=self._book,
+            loads=self._loads,
+            peers=self._peers,
+            cold=ColdRate(self._peers.entry_count),
+            routing=self._routing.current,
+            zone=settings.zone,
+            source=source,
         )
         self._counters = RequestCounters()
         path = self._build_path(placement, source)
@@ -83,41 +89,64 @@
         self._readiness_server = HttpServer(
             *settings.readiness_address, readiness_router(self.is_ready), min_threads=1
         )
+        self._control_server = HttpServer(
+            *settings.control_address, self._control_router(), min_threads=2
+        )
         self._watches = self._build_watches()
 
     def _build_path(self, placement: Placement, source: random.Random) -> RequestPath:
         calls = EngineCalls(ConnectionPool(CONNECT_TIMEOUT_S, IDLE_LIMIT_S))
         retries = RetryBudget(self._settings.bounds.retry_ratio)
         active = ActiveGenerations()
-        migration = Migration(calls, placement, self._loads, active, self._log)
+        migration = Migration(
+            calls=calls, placement=placement, loads=self._loads, active=active, log=self._log
+        )
         queue = GenerationQueue(placement, self._loads)
         self._book.on_leaving(migration.upstream_leaving)
         self._book.on_change(queue.changed)
         generation_flow = GenerationFlow(
-            calls, placement, queue, self._loads, retries, active, migration, self._log
+            calls=calls,
+            placement=placement,
+            queue=queue,
+            loads=self._loads,
+            retries=retries,
+            active=active,
+            migration=migration,
+            log=self._log,
         )
         call_flow = CallFlow(calls, placement, self._loads, retries, self._log)
         return RequestPath(
-            self._routing, call_flow, generation_flow, self._counters, self._log, source
+            routing=self._routing,
+            call_flow=call_flow,
+            generation_flow=generation_flow,
+            counters=self._counters,
+            log=self._log,
+            source=source,
         )
 
+    def _control_router(self) -> Router:
+        router = Router()
+        self._membership.add_routes(router)
+        self._peers.add_routes(router)
+        return router
+
     def _build_watches(self) -> list[ObjectWatch]:
         upstreams = UpstreamListReader(self._book, read_upstream, self._log, OUTAGE_GRACE_S)
         zones = ZoneListReader(self._book, self._log)
         self._routing.on_change(self._take_limits)
-        readers = {
+        readers: dict[str, ObjectReader] = {
             CONFIGURATION_KIND: self._routing,
             UPSTREAM_KIND: upstreams,
             EVACUATION_KIND: zones,
         }
         return [
             ObjectWatch(
-                kind,
-                StoreKind(self._store_client(), kind),
-                reader,
-                self._log,
-                WATCH_PAUSE_S,
-                OUTAGE_GRACE_S,
+                kind=kind,
+                source=StoreKind(self._store_client(), kind),
+                reader=reader,
+                log=self._log,
+                pause_s=WATCH_PAUSE_S,
+                outage_grace_s=OUTAGE_GRACE_S,
             )
             for kind, reader in readers.items()
         ]
@@ -141,6 +170,9 @@
         """Follow the store and begin to serve."""
         for watch in self._watches:
             watch.start()
+        self._control_server.start()
+        self._membership.start()
+        self._peers.start()
         self._readiness_server.start()
         self._caller_server.start()
         self._log.lifecycle("started", zone=self._settings.zone)
@@ -150,6 +182,7 @@
         began_at_s = time.monotonic()
         self._log.lifecycle("draining")
         self._is_leaving.set()
+        self._membership.announce_leave()
         self._caller_server.close_connections_after_answers()
         time.sleep(LEAVE_NOTICE_S)
         left_s = self._settings.bounds.grace_s - EXIT_MARGIN_S - LEAVE_NOTICE_S
@@ -161,3 +194,12 @@
     def port(self) -> int:
         """Give the bound TCP port for callers."""
         return self._caller_server.port
+
+
+def _describe(settings: NodeSettings) -> Peer:
+    return Peer(
+        id=settings.id,
+        incarnation=Incarnation(int(time.time() * MS_PER_S)),
+        zone=settings.zone,
+        control_address=settings.control_address,
+    )
--- a/gooseberryquay/links/http_server.py
+++ b/gooseberryquay/links/http_server.py
@@ -132,6 +132,7 @@
         host: str,
         port: int,
         router: Router,
+        *,
         max_threads: int = 2048,
         max_body_bytes: int = MAX_BODY_BYTES,
         min_threads: int = MIN_THREADS,
--- a/gooseberryquay/links/strict_request.py
+++ b/gooseberryquay/links/strict_request.py
@@ -32,11 +32,12 @@
         super().__setitem__(name, value)
 
 
-class _StrictHeaderReader(HeaderReader):  # type: ignore[misc]
+class _StrictHeaderReader(HeaderReader):
     """Refuse folded lines and malformed names, which two servers may read differently."""
 
-    def __call__(self, rfile: Any, headers: _HeaderPairs) -> _HeaderPairs:
+    def __call__(self, rfile: Any, hdict: Any = None) -> Any:
         """Read all headers of one request; errors are `ValueError`."""
+        headers: _HeaderPairs = hdict
         while (line := rfile.readline()) != b"\r\n":
             if not line.endswith(b"\r\n"):
                 raise ValueError("a header line has no end")
@@ -51,7 +52,7 @@
         return headers
 
 
-class StrictRequest(HTTPRequest):  # type: ignore[misc]
+class StrictRequest(HTTPRequest):
     """Parse a request and refuse what could be read in two ways."""
 
     header_reader = _StrictHeaderReader()
@@ -59,7 +60,7 @@
     def read_request_headers(self) -> bool:
         """Read the headers; False once a refusal was sent."""
         self.inheaders = _HeaderPairs()
-        if not super().read_request_headers():
+        if not super().read_request_headers():  # type: ignore[no-untyped-call]
             self.close_connection = True
             return False
         length = self.inheaders.get(b"Content-Length")
--- a/gooseberryquay/platform/engine_calls.py
+++ b/gooseberryquay/platform/engine_calls.py
@@ -58,10 +58,8 @@
     ) -> Result[BodyPart | BodyEnd, Undecided | CallerLeft]:
         """Wait for the next part of the body."""
         match self.connection.read_body(caller, until_s):
-            case Err(CallerLeft() as left):
-                return Err(left)
             case Err(failure):
-                return Err(_undecided(failure))
+                return Err(_left_or_undecided(failure))
             case Ok(part):
                 return Ok(part)
 
@@ -129,12 +127,9 @@
     ) -> Result[EngineAnswer, NotSent | Undecided | CallerLeft]:
         for _ in range(OTHER_ANSWERS_MAX):
             match connection.read_head(caller, terms.until_s):
-                case Err(CallerLeft() as left):
-                    connection.close()
-                    return Err(left)
                 case Err(failure):
                     connection.close()
-                    return Err(_undecided(failure))
+                    return Err(_left_or_undecided(failure))
                 case Ok(head):
                     pass
             owner = head.value(names.ATTEMPT_ID)
@@ -243,6 +238,10 @@
     return Undecided(failure.message, isinstance(failure, LinkTimeout))
 
 
+def _left_or_undecided(failure: LinkFailure | CallerLeft) -> Undecided | CallerLeft:
+    return failure if isinstance(failure, CallerLeft) else _undecided(failure)
+
+
 def _read_copy(source: Address, status: int, content: bytes) -> Result[MovedCopy, MoveFailure]:
     try:
         document = json.loads(content) if content else {}
--- a/gooseberryquay/platform/settings_file.py
+++ b/gooseberryquay/platform/settings_file.py
@@ -23,7 +23,6 @@
     "bounds.retry_allowance": "50",
     "bounds.reuse_after_s": "2",
     "seeds": "",
-    "listen.control_plane": "",
 }
 
 
@@ -50,13 +49,12 @@
 
 
 def _settings_of(values: Mapping[str, str]) -> NodeSettings:
-    control = values["listen.control_plane"]
     return NodeSettings(
         id=EntryId(values["node_name"]),
         zone=ZoneId(values["zone"]),
         caller_address=parse_address(values["listen.frontend"]),
         readiness_address=parse_address(values["listen.readiness"]),
-        control_address=parse_address(control) if control else None,
+        control_address=parse_address(values["listen.control_plane"]),
         seeds=_addresses(values["seeds"]),
         store_address=parse_address(values["platform.address"]),
         bounds=NodeBounds(
--- a/gooseberryquay/serving/call_flow.py
+++ b/gooseberryquay/serving/call_flow.py
@@ -126,20 +126,26 @@
         terms = SendTerms(workspace, self._attempt_until_s(request, runs))
         self._loads.start(run)
         try:
-            match self._calls.open(upstream, request.call, terms, request.caller):
-                case Err(CallerLeft() as left):
-                    return left
-                case Err(NotSent(reason)):
-                    self._loads.saw_failure(upstream.id, AVOID_S)
-                    return NotRun(reason, is_busy=False)
-                case Err(Undecided(reason)):
-                    self._loads.saw_failure(upstream.id, AVOID_S)
-                    return MayHaveRun(reason)
-                case Ok(answer):
-                    return self._read(request, known, answer, terms.until_s)
+            opened = self._calls.open(upstream, request.call, terms, request.caller)
+            if isinstance(opened, Ok):
+                return self._read(request, known, opened.ok_value, terms.until_s)
+            return self._failed_open(known, opened.err_value)
         finally:
             self._loads.end(run)
 
+    def _failed_open(
+        self, known: KnownUpstream, failure: NotSent | Undecided | CallerLeft
+    ) -> Attempt:
+        match failure:
+            case CallerLeft():
+                return failure
+            case NotSent(reason):
+                self._loads.saw_failure(known.record.id, AVOID_S)
+                return NotRun(reason, is_busy=False)
+            case Undecided(reason):
+                self._loads.saw_failure(known.record.id, AVOID_S)
+                return MayHaveRun(reason)
+
     def _read(
         self, request: AcceptedRequest, known: KnownUpstream, answer: OpenAnswer, until_s: float
     ) -> Attempt:
--- a/gooseberryquay/serving/migration.py
+++ b/gooseberryquay/serving/migration.py
@@ -41,6 +41,7 @@
 
     def __init__(
         self,
+        *,
         calls: UpstreamCalls,
         placement: Placement,
         loads: LoadTable,
@@ -95,7 +96,9 @@
     def _choose_target(self, active: ActiveGeneration, tried: set[UpstreamId]) -> _Target | None:
         run = active.run
         need = EngineNeed(run.held_tokens, max(0.0, run.expected_tokens - run.generated_tokens))
-        known = self._placement.choose_engine(active.request.service, need, tried)
+        known = self._placement.choose_move_target(
+            active.request.service, need, tried, active.known.record.zone
+        )
         if known is None:
             return None
         moved = Run(
--- a/gooseberryquay/serving/object_watch.py
+++ b/gooseberryquay/serving/object_watch.py
@@ -38,6 +38,7 @@
 
     def __init__(
         self,
+        *,
         kind: str,
         source: ObjectSource,
         reader: ObjectReader,
--- a/gooseberryquay/serving/placement.py
+++ b/gooseberryquay/serving/placement.py
@@ -20,6 +20,7 @@
 MEMORY_SHARE_MAX = 0.95
 CROWDING_WEIGHT = 0.3
 OTHER_ZONE_SCORE = 0.02
+MOVE_OTHER_ZONE_SCORE = 1.0
 NOISE_SCORE = 0.02
 AVOIDED_SCORE = 10.0
 COLD_SCORE = 0.3
@@ -69,11 +70,20 @@
         return self.prompt_tokens + GROWTH_SHARE * self.expected_tokens
 
 
+@dataclass(frozen=True, slots=True)
+class ZonePreference:
+    """Prefer the engines of one zone by so much in the score."""
+
+    zone: ZoneId
+    other_zone_score: float
+
+
 class Placement:
     """Choose by own load, the load that peers tell and the hints of upstreams."""
 
     def __init__(
         self,
+        *,
         book: UpstreamBook,
         loads: LoadTable,
         peers: PeerLoads,
@@ -118,6 +128,27 @@
         self, service: ServiceId, need: EngineNeed, excluded: Collection[UpstreamId]
     ) -> KnownUpstream | None:
         """Choose for a generation the engine with the most memory to spare, if it fits in."""
+        preference = ZonePreference(self._zone, OTHER_ZONE_SCORE)
+        return self._choose_engine(service, need, excluded, preference)
+
+    def choose_move_target(
+        self,
+        service: ServiceId,
+        need: EngineNeed,
+        excluded: Collection[UpstreamId],
+        source_zone: ZoneId,
+    ) -> KnownUpstream | None:
+        """Choose an engine to move a generation to, near its source, as links are slow between."""
+        preference = ZonePreference(source_zone, MOVE_OTHER_ZONE_SCORE)
+        return self._choose_engine(service, need, excluded, preference)
+
+    def _choose_engine(
+        self,
+        service: ServiceId,
+        need: EngineNeed,
+        excluded: Collection[UpstreamId],
+        preference: ZonePreference,
+    ) -> KnownUpstream | None:
         engine = self.engine_terms(service)
         if engine is None:
             return self.choose_for_call(service, excluded)
@@ -125,7 +156,7 @@
         best_score = float("inf")
         now_s = self._clock()
         for known in self._candidates(service, excluded, now_s):
-            score = self._engine_score(known, engine, need, now_s)
+            score = self._engine_score(known, engine, need, preference, now_s)
             if score is not None and score < best_score:
                 best, best_score = known, score
         return best
@@ -153,10 +184,10 @@
         for known in self._book.usable(service):
             if known.record.id in excluded:
                 continue
-            if known.cold_until_s > now_s:
-                if not self._cold.may_send(known.record.id, self._cold_rate(known)):
-                    continue
-            found.append(known)
+            if known.cold_until_s <= now_s or self._cold.may_send(
+                known.record.id, self._cold_rate(known)
+            ):
+                found.append(known)
         return found
 
     def _cold_rate(self, known: KnownUpstream) -> float:
@@ -167,7 +198,12 @@
         return terms.cold_requests_per_s
 
     def _engine_score(
-        self, known: KnownUpstream, engine: EngineTerms, need: EngineNeed, now_s: float
+        self,
+        known: KnownUpstream,
+        engine: EngineTerms,
+        need: EngineNeed,
+        preference: ZonePreference,
+        now_s: float,
     ) -> float | None:
         load = self._loads.of(known.record.id)
         peer = self._peers.of(known.record.id)
@@ -181,8 +217,8 @@
             return None
         score = memory_share + CROWDING_WEIGHT * runs / max(1, engine.slots)
         score += NOISE_SCORE * self._random.random()
-        if known.record.zone != self._zone:
-            score += OTHER_ZONE_SCORE
+        if known.record.zone != preference.zone:
+            score += preference.other_zone_score
         if known.cold_until_s > now_s:
             score += COLD_SCORE
         if load.avoided_until_s > now_s:
--- a/gooseberryquay/serving/request_path.py
+++ b/gooseberryquay/serving/request_path.py
@@ -27,6 +27,7 @@
 
     def __init__(
         self,
+        *,
         routing: RoutingSource,
         call_flow: CallFlow,
         generation_flow: GenerationFlow,
@@ -83,6 +84,7 @@
         return workspace
 
     def _serve_accepted(self, request: AcceptedRequest) -> None:
+        end: WholeAnswer | Refusal | CallerLeft | None
         match request.route.kind:
             case RouteKind.STREAMING:
                 end = self._generation_flow.serve(request)
@@ -91,9 +93,9 @@
         match end:
             case None:
                 self._finish(request, "streamed")
-            case WholeAnswer(status, headers, body):
-                request.answer.send(status, headers, body)
-                self._finish(request, f"answered {status}")
+            case WholeAnswer():
+                request.answer.send(end.status, end.headers, end.body)
+                self._finish(request, f"answered {end.status}")
             case Refusal():
                 self._refuse(request.call, request, request.answer, end)
             case CallerLeft():
--- a/gooseberryquay/serving/upstream_load.py
+++ b/gooseberryquay/serving/upstream_load.py
@@ -87,6 +87,15 @@
             load = self._loads.get(upstream)
             return list(load.runs.values()) if load is not None else []
 
+    def all_runs(self) -> dict[UpstreamId, list[Run]]:
+        """Give the own requests in flight by upstream, where there are any."""
+        with self._lock:
+            return {
+                upstream: list(load.runs.values())
+                for upstream, load in self._loads.items()
+                if load.runs
+            }
+
     def saw_hint(self, upstream: UpstreamId, hint: LoadHint) -> None:
         """Take in an upstream's own count."""
         with self._lock:
