--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -1,7 +1,6 @@
 """Composition root of an entry on the users' platform."""
 
 import random
-import threading
 import time
 
 from gooseberryquay.contracts.node_settings import NodeSettings
@@ -31,6 +30,7 @@
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.generation_flow import GenerationFlow
 from gooseberryquay.serving.generation_queue import GenerationQueue
+from gooseberryquay.serving.leave_state import LeaveState
 from gooseberryquay.serving.list_readers import UpstreamListReader, ZoneListReader
 from gooseberryquay.serving.migration import Migration
 from gooseberryquay.serving.object_watch import ObjectReader, ObjectWatch
@@ -80,8 +80,8 @@
             source=source,
         )
         self._counters = RequestCounters()
+        self._leave = LeaveState()
         path = self._build_path(placement, source)
-        self._is_leaving = threading.Event()
         front = Front(path.serve)
         self._caller_server = ForwardingServer(
             *settings.caller_address, front.forward, HEADER_BYTES_MAX, BODY_BYTES_MAX
@@ -117,6 +117,7 @@
         call_flow = CallFlow(calls, placement, self._loads, retries, self._log)
         return RequestPath(
             routing=self._routing,
+            leave=self._leave,
             call_flow=call_flow,
             generation_flow=generation_flow,
             counters=self._counters,
@@ -164,7 +165,7 @@
 
     def is_ready(self) -> bool:
         """Tell whether the balancer may send new connections."""
-        return self._routing.current() is not None and not self._is_leaving.is_set()
+        return self._routing.current() is not None and not self._leave.is_leaving
 
     def start(self) -> None:
         """Follow the store and begin to serve."""
@@ -181,12 +182,12 @@
         """Turn new connections away, let open requests end, then return."""
         began_at_s = time.monotonic()
         self._log.lifecycle("draining")
-        self._is_leaving.set()
+        grace_s = self._settings.bounds.grace_s - EXIT_MARGIN_S
+        self._leave.begin(LEAVE_NOTICE_S, grace_s)
         self._membership.announce_leave()
         self._caller_server.close_connections_after_answers()
         time.sleep(LEAVE_NOTICE_S)
-        left_s = self._settings.bounds.grace_s - EXIT_MARGIN_S - LEAVE_NOTICE_S
-        is_idle = self._counters.wait_until_none(max(0.0, left_s))
+        is_idle = self._counters.wait_until_none(max(0.0, grace_s - LEAVE_NOTICE_S))
         took_s = time.monotonic() - began_at_s
         self._log.lifecycle("stopped", took_s=round(took_s, 2), is_idle=is_idle)
 
--- a/gooseberryquay/serving/active_generation.py
+++ b/gooseberryquay/serving/active_generation.py
@@ -26,12 +26,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Copy:
-    """Hold the newest copy of a generation's memory, where it lies and its run there."""
+    """Hold the newest copy of a generation's memory, where it lies and its run there.
+
+    A source that has stopped the run keeps its memory for a while, too.
+    """
 
     holder: KnownUpstream
     handle: CopyHandle
     run: Run
-    events: int
+    stopped_source: KnownUpstream | None = None
+
+    def at_source(self, run: Run) -> "Copy | None":
+        """Give the memory that the stopped source keeps, where there is one."""
+        if self.stopped_source is None:
+            return None
+        return Copy(self.stopped_source, self.handle, run)
 
 
 @dataclass(eq=False)
--- a/gooseberryquay/serving/generation_flow.py
+++ b/gooseberryquay/serving/generation_flow.py
@@ -144,16 +144,14 @@
         )
         continuation = Continuation(progress.last_id, None) if progress.is_started else None
         self._active.add(active)
+        copy: Copy | None = None
         try:
             for _ in range(MOVES_MAX):
                 outcome = self._run_once(active, progress, attempts, continuation)
-                if isinstance(outcome, NotSent) and continuation is not None:
-                    outcome = StreamEnd.BROKEN
-                if outcome is not StreamEnd.BROKEN:
-                    return outcome
-                copy = active.take_copy(MOVE_WAIT_S)
+                copy = self._copy_to_go_on_from(active, copy, outcome)
                 if copy is None:
-                    return outcome
+                    was_running = continuation is not None and isinstance(outcome, NotSent)
+                    return StreamEnd.BROKEN if was_running else outcome
                 self._go_on_at(active, copy)
                 continuation = Continuation(progress.last_id, copy.handle)
             return StreamEnd.BROKEN
@@ -163,6 +161,18 @@
             self._drop_copy(active)
             self._queue.changed()
 
+    def _copy_to_go_on_from(
+        self, active: ActiveGeneration, used: Copy | None, outcome: Outcome
+    ) -> Copy | None:
+        """Give where a generation that broke off may go on, or None."""
+        match outcome:
+            case StreamEnd.BROKEN:
+                return active.take_copy(MOVE_WAIT_S)
+            case NotSent() if used is not None:
+                return used.at_source(active.run)
+            case _:
+                return None
+
     def _tokens_per_event(self, request: AcceptedRequest) -> int:
         engine = self._placement.engine_terms(request.service)
         return engine.tokens_per_event if engine is not None else 1
--- a/gooseberryquay/serving/migration.py
+++ b/gooseberryquay/serving/migration.py
@@ -114,11 +114,11 @@
 
     def _move_to(self, active: ActiveGeneration, target: _Target, began_at_s: float) -> bool:
         """Copy until little is left, then stop the run; False if another target is needed."""
-        while not self._is_over(active, began_at_s):
+        while not target.known.is_leaving and not self._is_over(active, began_at_s):
             started_at_s = self._clock()
             match self._copy(active, target, is_final=False):
                 case Ok(copy):
-                    active.set_copy(Copy(target.known, copy.handle, target.run, copy.events))
+                    active.set_copy(Copy(target.known, copy.handle, target.run))
                     took_s = self._clock() - started_at_s
                     is_late = self._clock() - began_at_s > STOP_AFTER_S
                     if took_s < QUICK_COPY_S or is_late:
@@ -134,7 +134,7 @@
         active.set_state(MoveState.STOPPING)
         match self._copy(active, target, is_final=True):
             case Ok(copy):
-                active.set_copy(Copy(target.known, copy.handle, target.run, copy.events))
+                active.set_copy(Copy(target.known, copy.handle, target.run, active.known))
                 self._log.request(
                     "generation moved",
                     active.request.call.id,
@@ -146,7 +146,7 @@
             case Err(failure):
                 self._note(active, target, "stop refused", failure)
                 if failure.handle is not None:
-                    kept = Copy(active.known, failure.handle, active.run, 0)
+                    kept = Copy(active.known, failure.handle, active.run)
                     active.set_copy(kept)
                 active.set_state(MoveState.FAILED)
         return True
--- a/gooseberryquay/serving/refusal.py
+++ b/gooseberryquay/serving/refusal.py
@@ -18,6 +18,7 @@
     """
 
     NO_CONFIGURATION = ("no_configuration", 503)
+    ENTRY_LEAVING = ("entry_leaving", 503)
     NOT_FOUND = ("not_found", 404)
     UNKNOWN_KEY = ("unknown_key", 401)
     BAD_REQUEST = ("bad_request", 400)
--- a/gooseberryquay/serving/request_path.py
+++ b/gooseberryquay/serving/request_path.py
@@ -12,6 +12,7 @@
 from gooseberryquay.serving.call_flow import CallFlow, WholeAnswer
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.generation_flow import GenerationFlow
+from gooseberryquay.serving.leave_state import LeaveState
 from gooseberryquay.serving.ports import RequestAnswer, RoutingSource
 from gooseberryquay.serving.refusal import Refusal, RefusalReason
 from gooseberryquay.serving.request_counters import RequestCounters
@@ -20,6 +21,7 @@
 __all__ = ["RequestPath"]
 
 NOT_READY_RETRY_AFTER_S = 0.5
+LEAVING_RETRY_AFTER_S = 0.05
 
 
 class RequestPath:
@@ -29,6 +31,7 @@
         self,
         *,
         routing: RoutingSource,
+        leave: LeaveState,
         call_flow: CallFlow,
         generation_flow: GenerationFlow,
         counters: RequestCounters,
@@ -36,6 +39,7 @@
         source: random.Random,
     ) -> None:
         self._routing = routing
+        self._leave = leave
         self._call_flow = call_flow
         self._generation_flow = generation_flow
         self._counters = counters
@@ -67,6 +71,9 @@
         workspace = self._workspace_of(routing, route, call)
         if isinstance(workspace, Refusal):
             return workspace
+        if not self._leave.takes(route):
+            reason = RefusalReason.ENTRY_LEAVING
+            return Refusal(reason, "this entry is draining", LEAVING_RETRY_AFTER_S)
         until_s = min(call.deadline_at_s, call.arrived_at_s + route.timeout_s)
         service = route.pick_service(self._random)
         return AcceptedRequest(
