Place generations where few prompts wait to be read

Cause: first tokens were late (p99 2.5 s of 1.8 s) where several long prompts were read one after the other at one engine, which memory and slots do not show. Stand-ins for the platform's store and upstreams.

--- a/gooseberryquay/serving/migration.py
+++ b/gooseberryquay/serving/migration.py
@@ -108,6 +108,7 @@
             run.prompt_tokens,
             run.expected_tokens,
             run.generated_tokens,
+            is_moved=True,
         )
         self._loads.start(moved)
         return _Target(known, moved)
--- a/gooseberryquay/serving/peer_loads.py
+++ b/gooseberryquay/serving/peer_loads.py
@@ -26,7 +26,7 @@
 LOADS_PER_MESSAGE_MAX = 64
 HTTP_OK = 200
 HTTP_BAD_REQUEST = 400
-NO_LOAD = PeerLoad(0, 0.0, 0.0)
+NO_LOAD = PeerLoad(0, 0.0, 0.0, 0.0)
 
 
 class _LoadRecord(BaseModel):
@@ -34,6 +34,7 @@
     runs: int = Field(alias="n")
     held_tokens: int = Field(alias="h")
     growth_tokens: int = Field(alias="g")
+    unread_tokens: int = Field(alias="p", default=0)
 
 
 class _LoadMessage(BaseModel):
@@ -78,14 +79,15 @@
     def of(self, upstream: UpstreamId) -> PeerLoad:
         """Sum up the load of all other entries at one upstream."""
         oldest_s = self._clock() - STALE_S
-        runs, held_tokens, growth_tokens = 0, 0.0, 0.0
+        runs, held_tokens, growth_tokens, unread_tokens = 0, 0.0, 0.0, 0.0
         for heard in list(self._heard.values()):
             load = heard.loads.get(upstream)
             if load is not None and heard.at_s >= oldest_s:
                 runs += load.runs
                 held_tokens += load.held_tokens
                 growth_tokens += load.growth_tokens
-        return PeerLoad(runs, held_tokens, growth_tokens) if runs else NO_LOAD
+                unread_tokens += load.unread_tokens
+        return PeerLoad(runs, held_tokens, growth_tokens, unread_tokens) if runs else NO_LOAD
 
     def entry_count(self) -> int:
         """Give the number of live entries, this one included."""
@@ -120,7 +122,7 @@
             return False
         loads = {
             UpstreamId(each.upstream): PeerLoad(
-                each.runs, float(each.held_tokens), float(each.growth_tokens)
+                each.runs, each.held_tokens, each.growth_tokens, each.unread_tokens
             )
             for each in message.loads
         }
@@ -133,7 +135,8 @@
                 u=upstream,
                 n=len(runs),
                 h=sum(each.held_tokens for each in runs),
-                g=int(sum(max(0.0, each.expected_tokens - each.generated_tokens) for each in runs)),
+                g=int(sum(each.growth_tokens for each in runs)),
+                p=sum(each.unread_tokens for each in runs),
             )
             for upstream, runs in self._loads.all_runs().items()
         ]
--- a/gooseberryquay/serving/placement.py
+++ b/gooseberryquay/serving/placement.py
@@ -10,7 +10,7 @@
 from gooseberryquay.serving.cold_rate import ColdRate
 from gooseberryquay.serving.route import EngineTerms, RoutingTable
 from gooseberryquay.serving.upstream_book import KnownUpstream, UpstreamBook
-from gooseberryquay.serving.upstream_load import LoadTable, Run
+from gooseberryquay.serving.upstream_load import LoadTable
 
 __all__ = ["EngineNeed", "NoPeers", "PeerLoad", "PeerLoads", "Placement"]
 
@@ -19,6 +19,7 @@
 GROWTH_SHARE = 0.6
 MEMORY_SHARE_MAX = 0.95
 CROWDING_WEIGHT = 0.3
+UNREAD_WEIGHT = 5.0
 OTHER_ZONE_SCORE = 0.02
 MOVE_OTHER_ZONE_SCORE = 1.0
 NOISE_SCORE = 0.02
@@ -33,6 +34,7 @@
     runs: int
     held_tokens: float
     growth_tokens: float
+    unread_tokens: float
 
 
 class PeerLoads(Protocol):
@@ -50,7 +52,7 @@
 
     def of(self, upstream: UpstreamId) -> PeerLoad:
         """Give no load."""
-        return PeerLoad(0, 0.0, 0.0)
+        return PeerLoad(0, 0.0, 0.0, 0.0)
 
     def entry_count(self) -> int:
         """Count this entry alone."""
@@ -208,14 +210,17 @@
         load = self._loads.of(known.record.id)
         peer = self._peers.of(known.record.id)
         planned = need.planned_tokens + peer.held_tokens + GROWTH_SHARE * peer.growth_tokens
+        unread = peer.unread_tokens
         runs = 1 + peer.runs
         for run in list(load.runs.values()):
-            planned += _planned(run)
+            planned += run.held_tokens + GROWTH_SHARE * run.growth_tokens
+            unread += run.unread_tokens
             runs += 1
         memory_share = planned / max(1, engine.memory_tokens)
         if memory_share > MEMORY_SHARE_MAX or runs > engine.slots:
             return None
         score = memory_share + CROWDING_WEIGHT * runs / max(1, engine.slots)
+        score += UNREAD_WEIGHT * unread / max(1, engine.memory_tokens)
         score += NOISE_SCORE * self._random.random()
         if known.record.zone != preference.zone:
             score += preference.other_zone_score
@@ -224,8 +229,3 @@
         if load.avoided_until_s > now_s:
             score += AVOIDED_SCORE
         return score
-
-
-def _planned(run: Run) -> float:
-    remaining = max(0.0, run.expected_tokens - run.generated_tokens)
-    return run.held_tokens + GROWTH_SHARE * remaining
--- a/gooseberryquay/serving/upstream_load.py
+++ b/gooseberryquay/serving/upstream_load.py
@@ -21,7 +21,7 @@
     prompt_tokens: int = 0
     expected_tokens: float = 0.0
     generated_tokens: int = 0
-    copies: int = 0
+    is_moved: bool = False
 
     @property
     def held_tokens(self) -> int:
@@ -29,9 +29,14 @@
         return self.prompt_tokens + self.generated_tokens
 
     @property
-    def peak_tokens(self) -> float:
-        """Give the memory expected at the end."""
-        return self.prompt_tokens + max(self.expected_tokens, float(self.generated_tokens))
+    def growth_tokens(self) -> float:
+        """Give the tokens still expected."""
+        return max(0.0, self.expected_tokens - self.generated_tokens)
+
+    @property
+    def unread_tokens(self) -> int:
+        """Give the prompt that its engine may still have to read."""
+        return 0 if self.is_moved or self.generated_tokens else self.prompt_tokens
 
 
 @dataclass
--- /dev/null
+++ b/gooseberryquay/standins/node_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the users' platform: its store, its model engines and its plain services."""
--- /dev/null
+++ b/gooseberryquay/standins/node_platform/site.py
@@ -0,0 +1,162 @@
+"""One small site: a store, engines and services, and the settings file of each entry."""
+
+import random
+import time
+from pathlib import Path
+from typing import Any
+
+from gooseberryquay.standins.node_platform.run_record import RunRecord
+from gooseberryquay.standins.node_platform.store import ObjectStore
+from gooseberryquay.standins.node_platform.upstream_server import ModelEngine, PlainService
+from gooseberryquay.standins.process import find_free_port
+
+__all__ = ["HOST", "KEY", "EntryPorts", "Site"]
+
+HOST = "site.example"
+KEY = "key-1"
+ZONES = ("zone-a", "zone-b")
+GRACE_S = 4
+
+
+class EntryPorts:
+    """Hold the ports of one entry, which stay the same when it starts again."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.callers = find_free_port()
+        self.readiness = find_free_port()
+        self.control = find_free_port()
+        self.metrics = find_free_port()
+
+    def write_settings(self, folder: Path, store_port: int, seeds: list[int]) -> Path:
+        """Write the settings file of the entry."""
+        path = folder / f"{self.name}.conf"
+        lines = [
+            f"node_name={self.name}",
+            "zone=zone-a",
+            f"listen.frontend=127.0.0.1:{self.callers}",
+            f"listen.readiness=127.0.0.1:{self.readiness}",
+            f"listen.control_plane=127.0.0.1:{self.control}",
+            f"port_range={self.metrics},{self.metrics}",
+            "seeds=" + ",".join(f"127.0.0.1:{each}" for each in seeds),
+            f"bounds.grace_s={GRACE_S}",
+            f"platform.address=127.0.0.1:{store_port}",
+        ]
+        path.write_text("\n".join(lines) + "\n")
+        return path
+
+
+class Site:
+    """Run the platform's side in this process, for entries that are processes of their own."""
+
+    def __init__(self, source: random.Random) -> None:
+        self.record = RunRecord()
+        self.store = ObjectStore()
+        self.engines: dict[str, ModelEngine] = {}
+        self.services: dict[str, PlainService] = {}
+        self._by_port: dict[int, ModelEngine] = {}
+        self._random = source
+        self._count = 0
+        self._version = 0
+
+    def start(self, engines: int = 3, services: int = 2) -> None:
+        """Start the store and upstreams, and write the first configuration."""
+        self.store.start()
+        self.configure()
+        for _ in range(engines):
+            self.add_engine()
+        for _ in range(services):
+            self.add_service()
+
+    def stop(self) -> None:
+        """Stop everything."""
+        for upstream in [*self.engines.values(), *self.services.values()]:
+            upstream.stop()
+        self.store.stop()
+
+    def configure(self, *routes: dict[str, Any], keys: tuple[str, ...] = (KEY,)) -> int:
+        """Write a configuration with the usual routes and more, and give its version."""
+        self._version += self._random.randrange(1, 4)
+        document = {
+            "version": self._version,
+            "routes": [*_usual_routes(), *routes],
+            "services": [_model_service(), {"name": "ledger", "max_conns": 100}],
+            "limits": {},
+            "tenants": [{"name": "studio", "api_keys": list(keys), "priority": 1}],
+        }
+        self.store.put("config", "main", document)
+        return self._version
+
+    def add_engine(self) -> str:
+        """Start an engine and list it."""
+        engine = ModelEngine(self._new_id(), self.record, self._random, self._by_port)
+        engine.start()
+        self.engines[engine.id] = engine
+        self._list(engine, "model", "ready")
+        return engine.id
+
+    def add_service(self) -> str:
+        """Start a plain service and list it."""
+        service = PlainService(self._new_id(), self.record, self._random)
+        service.start()
+        self.services[service.id] = service
+        self._list(service, "ledger", "ready")
+        return service.id
+
+    def announce_leave(self, id: str) -> None:
+        """List an upstream as draining."""
+        if id in self.engines:
+            self._list(self.engines[id], "model", "draining")
+        else:
+            self._list(self.services[id], "ledger", "draining")
+
+    def remove(self, id: str) -> None:
+        """End an upstream and take it off the list."""
+        upstream = self.engines.pop(id, None) or self.services.pop(id)
+        upstream.stop()
+        self.store.delete("servers", id)
+
+    def _new_id(self) -> str:
+        self._count += 1
+        return f"i-{self._count}"
+
+    def _list(self, upstream: ModelEngine | PlainService, service: str, state: str) -> None:
+        zone = ZONES[int(upstream.id.rpartition("-")[2]) % len(ZONES)]
+        document = {
+            "service": service,
+            "address": f"127.0.0.1:{upstream.port}",
+            "zone": zone,
+            "slots": 8,
+            "state": state,
+            "cold_left_ms": 0,
+            "born": int(time.time() * 1000.0),
+        }
+        self.store.put("servers", upstream.id, document)
+
+
+def _model_service() -> dict[str, Any]:
+    engine = {"slots": 8, "kv_capacity": 20000, "moves": True, "stride": 4}
+    return {"name": "model", "max_conns": 100, "engine": engine}
+
+
+def _usual_routes() -> list[dict[str, Any]]:
+    return [
+        _route("/note/", "streaming", "model", 1, timeout_ms=20000, goal_ms=1500),
+        _route("/check/", "streaming", "model", 2, resumable=True, timeout_ms=6000, goal_ms=1500),
+        _route("/post/", "non_idempotent", "ledger", 1),
+        _route("/read/", "idempotent", "ledger", 2),
+    ]
+
+
+def _route(prefix: str, kind: str, service: str, attempts: int, **more: Any) -> dict[str, Any]:
+    return {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "path_prefix": prefix,
+        "route_kind": kind,
+        "service": service,
+        "max_attempts": attempts,
+        "timeout_ms": 2000,
+        "goal_ms": 300,
+        **more,
+    }
--- /dev/null
+++ b/gooseberryquay/standins/node_platform/store.py
@@ -0,0 +1,135 @@
+"""Store of objects with revisions, lists and watches."""
+
+import json
+import threading
+import time
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from gooseberryquay.links.http_server import HttpServer, Request, Response, Router
+
+__all__ = ["ObjectStore", "StoreMood"]
+
+HISTORY_MAX = 1000
+WAIT_MAX_S = 30.0
+SILENCE_S = 30.0
+HTTP_GONE = 410
+HTTP_UNAVAILABLE = 503
+
+
+class StoreMood(Enum):
+    """Say how the store answers."""
+
+    WELL = "well"
+    REFUSING = "refusing"
+    SILENT = "silent"
+
+
+@dataclass(frozen=True)
+class _Change:
+    kind: str
+    revision: int
+    document: dict[str, Any]
+    is_deleted: bool
+
+
+class ObjectStore:
+    """Hold objects, which tests write directly and entries list and watch over HTTP."""
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._history: deque[_Change] = deque(maxlen=HISTORY_MAX)
+        self._forgotten_to = 0
+        self._revision = 1
+        self._changed = threading.Condition()
+        self.mood = StoreMood.WELL
+        router = Router()
+        router.add("GET", "/api/objects/{kind}", self._get)
+        self._server = HttpServer(host, port, router)
+
+    def start(self) -> None:
+        """Serve in the background."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._server.stop()
+
+    @property
+    def port(self) -> int:
+        """Give the bound TCP port."""
+        return self._server.port
+
+    def put(self, kind: str, name: str, spec: dict[str, Any]) -> int:
+        """Write an object and give its revision."""
+        with self._changed:
+            self._revision += 1
+            document = {"metadata": {"name": name, "revision": self._revision}, "spec": spec}
+            self._objects[kind, name] = document
+            self._note(_Change(kind, self._revision, document, False))
+            return self._revision
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object, if it is there."""
+        with self._changed:
+            document = self._objects.pop((kind, name), None)
+            if document is not None:
+                self._revision += 1
+                self._note(_Change(kind, self._revision, document, True))
+
+    def names(self, kind: str) -> list[str]:
+        """Give the names of a kind's objects."""
+        with self._changed:
+            return [name for each, name in self._objects if each == kind]
+
+    def forget_history(self) -> None:
+        """Drop all history, which ends waiting watches."""
+        with self._changed:
+            self._history.clear()
+            self._forgotten_to = self._revision
+            self._changed.notify_all()
+
+    def _note(self, change: _Change) -> None:
+        self._history.append(change)
+        self._changed.notify_all()
+
+    def _get(self, request: Request) -> Response:
+        match self.mood:
+            case StoreMood.REFUSING:
+                return Response(status=HTTP_UNAVAILABLE, body=b"{}")
+            case StoreMood.SILENT:
+                time.sleep(SILENCE_S)
+            case StoreMood.WELL:
+                pass
+        kind = request.path_values["kind"]
+        if "watch" not in request.query:
+            return self._list(kind)
+        wait_s = min(WAIT_MAX_S, int(request.query.get("wait_ms", "0")) / 1000.0)
+        return self._watch(kind, int(request.query["watch"]), wait_s)
+
+    def _list(self, kind: str) -> Response:
+        with self._changed:
+            items = [each for (of, _), each in self._objects.items() if of == kind]
+            return _json({"items": items, "has_more": False, "at": self._revision})
+
+    def _watch(self, kind: str, revision: int, wait_s: float) -> Response:
+        until_s = time.monotonic() + wait_s
+        with self._changed:
+            while True:
+                if revision < self._forgotten_to:
+                    return Response(status=HTTP_GONE, body=b"{}")
+                found = [
+                    {"object": each.document, "deleted": each.is_deleted}
+                    for each in self._history
+                    if each.kind == kind and each.revision > revision
+                ]
+                left_s = until_s - time.monotonic()
+                if found or left_s <= 0.0:
+                    return _json({"events": found, "at": self._revision})
+                self._changed.wait(left_s)
+
+
+def _json(document: dict[str, Any]) -> Response:
+    return Response(body=json.dumps(document).encode())
--- /dev/null
+++ b/gooseberryquay/standins/node_platform/upstream_server.py
@@ -0,0 +1,234 @@
+"""One engine or plain service, as the users' platform runs them."""
+
+import json
+import random
+import threading
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from gooseberryquay.links.forwarding_server import ForwardingServer
+from gooseberryquay.links.streaming_gateway import CallerGone, StreamingGateway
+from gooseberryquay.links.strict_request import BodyIncomplete, read_whole_body
+from gooseberryquay.standins.node_platform.run_record import RunRecord
+
+__all__ = ["ModelEngine", "PlainService", "UpstreamFaults"]
+
+HEADER_BYTES_MAX = 65536
+BODY_BYTES_MAX = 4 * 1024 * 1024
+FORGED = ("x-hold", "x-pin-ms")
+JSON_HEADERS = [("Content-Type", "application/json")]
+
+
+@dataclass
+class UpstreamFaults:
+    """Set how often an upstream misbehaves, as shares of its requests."""
+
+    shed_share: float = 0.0
+    error_share: float = 0.0
+    lose_answer_share: float = 0.0
+    cut_share: float = 0.0
+
+
+@dataclass
+class _Heard:
+    gateway: StreamingGateway
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def id(self) -> str:
+        return self.headers.get("x-attempt-id", "")
+
+    def answer(self, status: str, headers: list[tuple[str, str]], body: bytes = b"") -> None:
+        sent = [*headers, ("X-Attempt-Id", self.id), ("Content-Length", str(len(body)))]
+        self.gateway.start(status, sent)
+        self.gateway.write_all(body)
+
+
+class _Upstream:
+    """Check what every upstream checks, then run the request."""
+
+    def __init__(self, id: str, record: RunRecord, source: random.Random) -> None:
+        self.id = id
+        self.record = record
+        self.faults = UpstreamFaults()
+        self.is_crashed = False
+        self._random = source
+        self._server = ForwardingServer(
+            "127.0.0.1", 0, self._forward, HEADER_BYTES_MAX, BODY_BYTES_MAX
+        )
+
+    def start(self) -> None:
+        """Serve in the background."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Crash: cut everything off."""
+        self.is_crashed = True
+        self._server.stop()
+
+    @property
+    def port(self) -> int:
+        """Give the bound TCP port."""
+        return self._server.port
+
+    def _forward(self, gateway: StreamingGateway) -> None:
+        try:
+            body = read_whole_body(gateway.req)
+        except BodyIncomplete:
+            gateway.abort()
+            return
+        headers = {
+            name.decode().lower(): value.decode("latin-1")
+            for name, value in gateway.req.inheaders.pairs
+        }
+        heard = _Heard(gateway, headers, body)
+        try:
+            self._take(heard)
+        except CallerGone:
+            gateway.abort()
+
+    def _take(self, heard: _Heard) -> None:
+        if self._take_control(heard):
+            return
+        self.record.saw_arrival(self.id)
+        if heard.headers.get("x-expect-instance", self.id) != self.id:
+            heard.answer("421 Misdirected Request", [("X-Instance-Id", self.id)])
+            return
+        if self._draws(self.faults.shed_share):
+            heard.answer("503 Service Unavailable", [("X-Not-Executed", "1")])
+            return
+        if any(name in heard.headers for name in FORGED) or "authorization" in heard.headers:
+            self.record.saw_unasked(f"{heard.id} with a caller's own {sorted(heard.headers)}")
+        self._run(heard)
+
+    def _draws(self, share: float) -> bool:
+        return self._random.random() < share
+
+    def _take_control(self, heard: _Heard) -> bool:
+        """Answer a call that is no request of a caller; False if it is one."""
+        return False
+
+    def _run(self, heard: _Heard) -> None:
+        raise NotImplementedError
+
+
+class PlainService(_Upstream):
+    """Run operations that take a little while."""
+
+    work_s = 0.02
+
+    def _run(self, heard: _Heard) -> None:
+        self.record.saw_run(heard.id, self.id)
+        time.sleep(self.work_s)
+        if self._draws(self.faults.lose_answer_share):
+            heard.gateway.abort()
+        elif self._draws(self.faults.error_share):
+            heard.answer("500 Internal Server Error", [("X-Response-Seal", f"{heard.id}.e")])
+        else:
+            body = f"done {heard.id}".encode()
+            heard.answer("200 OK", [("X-Response-Seal", f"{heard.id}.s")], body)
+
+
+@dataclass
+class _Generation:
+    """Hold the memory of one run."""
+
+    made: int = 0
+    is_stopped: bool = False
+    changed: threading.Condition = field(default_factory=threading.Condition)
+
+
+class ModelEngine(_Upstream):
+    """Generate numbered events and copy a run's memory to other engines."""
+
+    event_s = 0.01
+    copy_s = 0.02
+
+    def __init__(
+        self, id: str, record: RunRecord, source: random.Random, others: "dict[int, ModelEngine]"
+    ) -> None:
+        super().__init__(id, record, source)
+        self._others = others
+        self._running: dict[str, _Generation] = {}
+        self._copies: dict[str, int] = {}
+        self._lock = threading.Lock()
+
+    def start(self) -> None:
+        """Serve in the background."""
+        super().start()
+        self._others[self.port] = self
+
+    def take_copy(self, handle: str, made: int) -> None:
+        """Hold a copy for the request that goes on from it."""
+        with self._lock:
+            self._copies[handle] = made
+
+    def _take_control(self, heard: _Heard) -> bool:
+        path = heard.gateway.req.path.decode()
+        if path == "/api/kv-move":
+            self._move(heard, json.loads(heard.body))
+        elif path.startswith("/api/kv-handle/"):
+            with self._lock:
+                self._copies.pop(path.rpartition("/")[2], None)
+            heard.answer("200 OK", JSON_HEADERS, b"{}")
+        else:
+            return False
+        return True
+
+    def _move(self, heard: _Heard, order: dict[str, Any]) -> None:
+        run = self._running.get(order["id"])
+        target = self._others.get(int(order["target"].rpartition(":")[2]))
+        if run is None:
+            heard.answer("404 Not Found", JSON_HEADERS)
+            return
+        if target is None or target.is_crashed:
+            heard.answer("503 Service Unavailable", JSON_HEADERS, b"{}")
+            return
+        time.sleep(self.copy_s)
+        with run.changed:
+            run.is_stopped = run.is_stopped or bool(order["final"])
+            made = run.made
+        handle = f"h{order['id']}"
+        target.take_copy(handle, made)
+        self.take_copy(handle, made)
+        body = json.dumps({"handle": handle, "created": made}).encode()
+        heard.answer("200 OK", JSON_HEADERS, body)
+
+    def _run(self, heard: _Heard) -> None:
+        last = int(heard.headers.get("x-token-usage", "1,8").partition(",")[2]) // 4
+        made = int(heard.headers.get("last-event-id", "0"))
+        copy = heard.headers.get("kv-from")
+        if copy is not None:
+            with self._lock:
+                known = self._copies.pop(copy.rpartition("/")[2], None)
+            if known is None:
+                heard.answer("503 Service Unavailable", [("X-Not-Executed", "1")])
+                return
+        else:
+            self.record.saw_run(heard.id, self.id)
+        run = _Generation(made)
+        self._running[heard.id] = run
+        try:
+            self._stream(heard, run, last)
+        finally:
+            self._running.pop(heard.id, None)
+
+    def _stream(self, heard: _Heard, run: _Generation, last: int) -> None:
+        headers = [
+            ("Content-Type", "text/event-stream"),
+            ("X-Attempt-Id", heard.id),
+            ("X-Response-Seal", f"{heard.id}.s"),
+        ]
+        cut_at = self._random.randrange(1, last + 1) if self._draws(self.faults.cut_share) else None
+        heard.gateway.start("200 OK", headers)
+        while run.made < last:
+            time.sleep(self.event_s)
+            with run.changed:
+                if run.is_stopped or self.is_crashed or run.made == cut_at:
+                    heard.gateway.abort()
+                    return
+                run.made += 1
+                heard.gateway.write(f"id: {run.made}\ndata: {heard.id}\n\n".encode())
+        heard.gateway.write_all(b"")
