--- a/gooseberryquay/cli.py
+++ b/gooseberryquay/cli.py
@@ -9,6 +9,7 @@
 from gooseberryquay.contracts.settings_reference import write_settings_reference
 from gooseberryquay.daemons.commands import run_entry
 from gooseberryquay.daemons.demo import run_demo
+from gooseberryquay.daemons.platform_commands import run_platform_entry
 from gooseberryquay.machines.fenced_order_commands import OrderCommands
 from gooseberryquay.reports.commands import run_burn
 from gooseberryquay.reports.status_command import run_status
@@ -16,6 +17,7 @@
 from gooseberryquay.standins.experiments.commands import ExperimentCommands
 from gooseberryquay.standins.load.command import run_load
 from gooseberryquay.standins.member_commands import MemberCommands
+from gooseberryquay.standins.node_platform.soak_command import run_soak
 from gooseberryquay.zones.commands import ConfigCommands, UpstreamCommands, ZoneCommands
 
 __all__ = ["Commands", "main"]
@@ -36,9 +38,29 @@
         self.members = MemberCommands()
         self.order = OrderCommands()
 
-    def entry(self, base: str, overlay: str, name: str | None = None) -> None:
-        """Run the entry NAME of the overlay until SIGTERM, then drain it."""
-        run_entry(base, overlay, name)
+    def entry(
+        self,
+        base: str | None = None,
+        overlay: str | None = None,
+        name: str | None = None,
+        node_settings: str | None = None,
+    ) -> None:
+        """Run an entry until SIGTERM, then drain it.
+
+        It is the entry NAME of the overlay, or that of the instance whose platform wrote the file
+        NODE_SETTINGS.
+        """
+        if node_settings is not None:
+            run_platform_entry(node_settings)
+        elif base is not None and overlay is not None:
+            run_entry(base, overlay, name)
+        else:
+            print("give --base and --overlay, or --node_settings", file=sys.stderr)
+            sys.exit(1)
+
+    def soak(self, seed: int = 1, seeds: int = 1, entries: int = 3, folder: str = "out") -> None:
+        """Run SEEDS randomized fault runs from SEED on, and print what each broke."""
+        run_soak(seed, seeds, entries, folder)
 
     def demo(self) -> None:
         """Run stand-ins and two entries in this process, with one request of each kind."""
--- a/gooseberryquay/contracts/node_settings.py
+++ b/gooseberryquay/contracts/node_settings.py
@@ -30,6 +30,7 @@
     caller_address: Address
     readiness_address: Address
     control_address: Address
+    metrics_address: Address
     seeds: tuple[Address, ...]
     store_address: Address
     bounds: NodeBounds
--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -24,6 +24,7 @@
     UPSTREAM_KIND,
     StoreKind,
 )
+from gooseberryquay.reports.metrics_api import metrics_router
 from gooseberryquay.serving.active_generation import ActiveGenerations
 from gooseberryquay.serving.call_flow import CallFlow
 from gooseberryquay.serving.cold_rate import ColdRate
@@ -92,6 +93,9 @@
         self._control_server = HttpServer(
             *settings.control_address, self._control_router(), min_threads=2
         )
+        self._metrics_server = HttpServer(
+            *settings.metrics_address, metrics_router(self._counters.text), min_threads=1
+        )
         self._watches = self._build_watches()
 
     def _build_path(self, placement: Placement, source: random.Random) -> RequestPath:
@@ -175,6 +179,7 @@
         self._membership.start()
         self._peers.start()
         self._readiness_server.start()
+        self._metrics_server.start()
         self._caller_server.start()
         self._log.lifecycle("started", zone=self._settings.zone)
 
--- a/gooseberryquay/platform/settings_file.py
+++ b/gooseberryquay/platform/settings_file.py
@@ -49,12 +49,15 @@
 
 
 def _settings_of(values: Mapping[str, str]) -> NodeSettings:
+    callers = parse_address(values["listen.frontend"])
+    metrics_port = int(values["port_range"].partition(",")[0])
     return NodeSettings(
         id=EntryId(values["node_name"]),
         zone=ZoneId(values["zone"]),
-        caller_address=parse_address(values["listen.frontend"]),
+        caller_address=callers,
         readiness_address=parse_address(values["listen.readiness"]),
         control_address=parse_address(values["listen.control_plane"]),
+        metrics_address=Address(callers.host, metrics_port),
         seeds=_addresses(values["seeds"]),
         store_address=parse_address(values["platform.address"]),
         bounds=NodeBounds(
--- a/gooseberryquay/platform/tests/builders.py
+++ b/gooseberryquay/platform/tests/builders.py
@@ -8,6 +8,7 @@
 listen.frontend=10.1.0.19:8740
 listen.readiness=10.1.0.19:8749
 listen.control_plane=10.1.0.19:8748
+port_range=7200,7215
 seeds=10.1.0.19:8748,10.2.0.13:8748,10.3.0.15:8748
 bounds.drain_ms=2000
 bounds.grace_s=8
--- /dev/null
+++ b/gooseberryquay/standins/node_platform/soak.py
@@ -0,0 +1,291 @@
+"""Randomized soak: real entries as processes, faults from outside, promises checked meanwhile."""
+
+import http.client
+import random
+import signal
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.standins.fault_proxy import FaultProxy
+from gooseberryquay.standins.node_platform.site import KEY, EntryPorts, Site
+from gooseberryquay.standins.node_platform.soak_callers import (
+    Callers,
+    CallKind,
+    broken_promises,
+    call_once,
+)
+from gooseberryquay.standins.node_platform.store import StoreMood
+from gooseberryquay.standins.node_platform.upstream_server import UpstreamFaults
+from gooseberryquay.standins.process import ListeningProcess
+from gooseberryquay.standins.proxy_messages import (
+    CutConnections,
+    DelayBytes,
+    HealLink,
+    ProxyFault,
+    RefuseConnections,
+    ResetConnections,
+    SilenceConnections,
+    StallBytes,
+)
+
+__all__ = ["Soak", "SoakReport"]
+
+FAULTS = 14
+FAULT_GAP_S = 0.6
+RECOVERY_S = 8.0
+IN_FORCE_S = 2.0
+DRAIN_S = 2.0
+UPSTREAMS_MIN = 2
+
+
+@dataclass
+class _Entry:
+    ports: EntryPorts
+    settings: Path
+    store_link: FaultProxy
+    log_path: str
+    process: ListeningProcess
+
+    def start(self) -> None:
+        self.process = ListeningProcess(
+            "entry",
+            f"--node_settings={self.settings}",
+            port=self.ports.callers,
+            log_path=self.log_path,
+        ).start()
+
+
+@dataclass
+class SoakReport:
+    """Tell what a run did and which promises broke."""
+
+    seed: int
+    requests: int
+    served: int
+    faults: list[str]
+    broken: list[str]
+
+
+@dataclass
+class Soak:
+    """Play one seed."""
+
+    seed: int
+    entry_count: int
+    folder: Path
+    faults: list[str] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self._random = random.Random(self.seed)
+        self._site = Site(random.Random(self.seed + 1))
+        self._entries: list[_Entry] = []
+        self._pending: list[threading.Thread] = []
+
+    def run(self) -> SoakReport:
+        """Start everything, inject faults in series that overlap, and check."""
+        self._site.start(engines=4, services=3)
+        try:
+            self._start_entries()
+            callers = Callers([each.ports.callers for each in self._entries], self.seed)
+            callers.start()
+            for _ in range(FAULTS):
+                self._inject()
+                time.sleep(FAULT_GAP_S * self._random.uniform(0.2, 1.8))
+            self._heal()
+            self._check_recovery()
+            callers.stop()
+        finally:
+            for entry in self._entries:
+                entry.process.kill()
+                entry.store_link.stop()
+            self._site.stop()
+        self.broken += broken_promises(callers.results, self._site.record)
+        served = sum(each.status == http.client.OK for each in callers.results)
+        return SoakReport(self.seed, len(callers.results), served, self.faults, self.broken)
+
+    def _start_entries(self) -> None:
+        ports = [EntryPorts(f"entry-{number}") for number in range(self.entry_count)]
+        seeds = [each.control for each in ports[:3]]
+        for each in ports:
+            link = FaultProxy(Address("127.0.0.1", self._site.store.port))
+            link.start()
+            settings = each.write_settings(self.folder, link.port, seeds)
+            log_path = str(self.folder / f"{each.name}-{self.seed}.log")
+            process = ListeningProcess(port=each.callers)
+            self._entries.append(_Entry(each, settings, link, log_path, process))
+        starters = [threading.Thread(target=each.start) for each in self._entries]
+        for starter in starters:
+            starter.start()
+        for starter in starters:
+            starter.join()
+
+    def _inject(self) -> None:
+        fault = self._random.choice(
+            [
+                self._stop_entry,
+                self._kill_entry,
+                self._pause_entry,
+                self._reload_entry,
+                self._harm_store_link,
+                self._harm_store,
+                self._forget_history,
+                self._drain_upstream,
+                self._crash_upstream,
+                self._harm_upstream,
+                self._change_configuration,
+                self._take_zone_out,
+            ]
+        )
+        self.faults.append(fault.__name__.strip("_"))
+        fault()
+
+    def _later(self, wait_s: float, action: Callable[[], object]) -> None:
+        def act() -> None:
+            time.sleep(wait_s)
+            action()
+
+        thread = threading.Thread(target=act, daemon=True)
+        self._pending.append(thread)
+        thread.start()
+
+    def _stop_entry(self) -> None:
+        entry = self._random.choice(self._entries)
+        self._later(0.0, lambda: self._restart(entry, signal.SIGTERM))
+
+    def _kill_entry(self) -> None:
+        entry = self._random.choice(self._entries)
+        self._later(0.0, lambda: self._restart(entry, signal.SIGKILL))
+
+    def _restart(self, entry: _Entry, how: signal.Signals) -> None:
+        process = entry.process
+        if process.is_running():
+            process.send_signal(how)
+            process.wait(20.0)
+            entry.start()
+
+    def _pause_entry(self) -> None:
+        process = self._random.choice(self._entries).process
+        if process.is_running():
+            process.send_signal(signal.SIGSTOP)
+            self._later(self._random.uniform(0.5, 3.0), lambda: _resume(process))
+
+    def _reload_entry(self) -> None:
+        process = self._random.choice(self._entries).process
+        if process.is_running():
+            process.send_signal(signal.SIGHUP)
+
+    def _harm_store_link(self) -> None:
+        link = self._random.choice(self._entries).store_link
+        faults: list[ProxyFault] = [
+            CutConnections(),
+            ResetConnections(),
+            SilenceConnections(),
+            StallBytes(),
+            RefuseConnections(),
+            DelayBytes(delay_s=0.3),
+        ]
+        link.apply_fault(self._random.choice(faults))
+        self._later(self._random.uniform(0.5, 3.0), lambda: link.apply_fault(HealLink()))
+
+    def _harm_store(self) -> None:
+        store = self._site.store
+        store.mood = self._random.choice([StoreMood.REFUSING, StoreMood.SILENT])
+        self._later(self._random.uniform(0.5, 3.0), lambda: setattr(store, "mood", StoreMood.WELL))
+
+    def _forget_history(self) -> None:
+        self._site.store.forget_history()
+
+    def _upstream(self) -> str | None:
+        names = [
+            each
+            for group in (self._site.engines, self._site.services)
+            for each in (list(group) if len(group) > UPSTREAMS_MIN else [])
+        ]
+        return self._random.choice(names) if names else None
+
+    def _replace(self, id: str) -> None:
+        if id in self._site.engines:
+            self._site.add_engine()
+        else:
+            self._site.add_service()
+
+    def _drain_upstream(self) -> None:
+        id = self._upstream()
+        if id is not None:
+            self._replace(id)
+            self._site.announce_leave(id)
+            self._later(DRAIN_S, lambda: self._remove(id))
+
+    def _crash_upstream(self) -> None:
+        id = self._upstream()
+        if id is not None:
+            self._replace(id)
+            self._remove(id)
+
+    def _remove(self, id: str) -> None:
+        if id in self._site.engines or id in self._site.services:
+            self._site.remove(id)
+
+    def _harm_upstream(self) -> None:
+        upstreams = [*self._site.engines.values(), *self._site.services.values()]
+        upstream = self._random.choice(upstreams)
+        upstream.faults = UpstreamFaults(*(self._random.choice([0.0, 0.3]) for _ in range(4)))
+        self._later(2.0, lambda: setattr(upstream, "faults", UpstreamFaults()))
+
+    def _change_configuration(self) -> None:
+        self._site.configure(keys=(KEY, f"key-{self._random.randrange(9)}"))
+
+    def _take_zone_out(self) -> None:
+        self._site.store.put("evacuations", "zone-b", {})
+        self._later(1.5, lambda: self._site.store.delete("evacuations", "zone-b"))
+
+    def _heal(self) -> None:
+        for thread in self._pending:
+            thread.join(40.0)
+        self._site.store.mood = StoreMood.WELL
+        for entry in self._entries:
+            entry.store_link.apply_fault(HealLink())
+
+    def _check_recovery(self) -> None:
+        """After all faults each entry serves, knows the newest configuration and spares a drain."""
+        for entry in self._entries:
+            if not self._serves(entry, CallKind.POST, RECOVERY_S):
+                self.broken.append(f"{entry.ports.name} does not serve after the faults")
+        drained = next(iter(self._site.services))
+        self._replace(drained)
+        self._site.announce_leave(drained)
+        self._site.configure(keys=("another key",))
+        time.sleep(IN_FORCE_S)
+        late = len(self._site.record.arrivals[drained])
+        source = random.Random(self.seed)
+        for entry in self._entries:
+            status = call_once(entry.ports.callers, CallKind.READ, source).status
+            if status != http.client.UNAUTHORIZED:
+                self.broken.append(f"{entry.ports.name} answers {status} to a key taken away")
+        self._site.configure()
+        time.sleep(IN_FORCE_S)
+        for entry in self._entries:
+            if not self._serves(entry, CallKind.READ, 0.0):
+                self.broken.append(f"{entry.ports.name} refuses a key that was added")
+        if len(self._site.record.arrivals[drained]) > late:
+            self.broken.append(f"{drained} got requests after its drain bound")
+
+    def _serves(self, entry: _Entry, kind: CallKind, within_s: float) -> bool:
+        source = random.Random(self.seed)
+        until_s = time.monotonic() + within_s
+        while True:
+            if call_once(entry.ports.callers, kind, source).status == http.client.OK:
+                return True
+            if time.monotonic() >= until_s:
+                return False
+            time.sleep(0.2)
+
+
+def _resume(process: ListeningProcess) -> None:
+    if process.is_running():
+        process.send_signal(signal.SIGCONT)
--- /dev/null
+++ b/gooseberryquay/standins/node_platform/soak_command.py
@@ -0,0 +1,36 @@
+"""Command that runs soaks and keeps the logs of those that broke a promise."""
+
+import sys
+import tempfile
+from pathlib import Path
+
+from gooseberryquay.standins.node_platform.soak import Soak, SoakReport
+
+__all__ = ["run_soak"]
+
+
+def run_soak(seed: int, seeds: int, entries: int, folder: str) -> None:
+    """Run seeds one after the other; the exit status is 1 if a promise broke."""
+    broken = 0
+    for each in range(seed, seed + seeds):
+        with tempfile.TemporaryDirectory() as scratch:
+            report = Soak(each, entries, Path(scratch)).run()
+            print(_line_of(report), flush=True)
+            if report.broken:
+                broken += 1
+                _keep_logs(Path(scratch), Path(folder) / f"soak-{each}")
+    print(f"{seeds - broken} of {seeds} seeds kept every promise")
+    sys.exit(1 if broken else 0)
+
+
+def _line_of(report: SoakReport) -> str:
+    line = f"seed {report.seed}: {report.requests} requests, {report.served} served"
+    if not report.broken:
+        return line
+    return "\n  ".join([f"{line}; faults {' '.join(report.faults)}", *report.broken[:20]])
+
+
+def _keep_logs(scratch: Path, folder: Path) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    for path in scratch.glob("*.log"):
+        (folder / path.name).write_bytes(path.read_bytes())
--- a/gooseberryquay/standins/process.py
+++ b/gooseberryquay/standins/process.py
@@ -1,5 +1,6 @@
 """Real processes for tests and experiments; the product itself starts none."""
 
+import contextlib
 import os
 import random
 import signal
@@ -7,20 +8,22 @@
 import subprocess
 import sys
 import threading
+import time
 from collections.abc import Sequence
 from pathlib import Path
 from types import TracebackType
-from typing import Self
+from typing import IO, Self
 
 from gooseberryquay.daemons.serving import READY_PREFIX
 
-__all__ = ["CommandProcess", "find_free_port", "run_command"]
+__all__ = ["CommandProcess", "ListeningProcess", "find_free_port", "run_command"]
 
 # Below the range that systems take the ports of outgoing connections from.
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
 START_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 10.0
+POLL_PAUSE_S = 0.05
 USER_TIME_FIELD = 11
 SYSTEM_TIME_FIELD = 12
 
@@ -134,3 +137,26 @@
         _traceback: TracebackType | None,
     ) -> None:
         self.kill()
+
+
+class ListeningProcess(CommandProcess):
+    """Run one command that is ready once it listens on a port that is known before."""
+
+    def __init__(self, *arguments: str, port: int, log_path: str | None = None) -> None:
+        super().__init__(*arguments, log_path=log_path)
+        self.port = port
+
+    def _wait_until_ready(self, process: subprocess.Popen[str]) -> None:
+        assert process.stdout is not None
+        threading.Thread(target=self._copy_output, args=(process.stdout,), daemon=True).start()
+        until_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < until_s and process.poll() is None:
+            with contextlib.suppress(OSError), socket.create_connection(("127.0.0.1", self.port)):
+                return
+            time.sleep(POLL_PAUSE_S)
+        raise RuntimeError(f"{' '.join(self._arguments)} did not start")
+
+    def _copy_output(self, output: IO[str]) -> None:
+        with open(self._log_path, "a", encoding="utf-8") as log:
+            for line in output:
+                log.write(line)
