Interruptible store calls: renew a watch that a peer or another watch shows to be behind

Watches wait 8 s (2 s in an outage), and are renewed when a peer has long seen a newer revision or another watch of the same entry has regained the store.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -7,9 +7,7 @@
 from gooseberryquay.ids import Incarnation
 from gooseberryquay.links.connection_pool import ConnectionPool
 from gooseberryquay.links.forwarding_server import ForwardingServer
-from gooseberryquay.links.http_client import HttpClient
 from gooseberryquay.links.http_server import HttpServer, Router
-from gooseberryquay.links.keep_alive import PROBE_OPTIONS
 from gooseberryquay.machines.membership import Membership
 from gooseberryquay.machines.peer import Peer
 from gooseberryquay.machines.retry_budget import RetryBudget
@@ -49,6 +47,7 @@
 CONNECT_TIMEOUT_S = 0.6
 IDLE_LIMIT_S = 4.0
 STORE_CONNECT_TIMEOUT_S = 1.0
+STORE_IDLE_LIMIT_S = 4.0
 HEADER_BYTES_MAX = 64 * 1024
 BODY_BYTES_MAX = 4 * 1024 * 1024
 WATCH_PAUSE_S = 0.03
@@ -70,7 +69,9 @@
         self._loads = LoadTable()
         self._routing = RoutingKeeper(CONFIGURATION_NAME, read_routing, log)
         self._membership = Membership(_describe(settings), seeds=settings.seeds)
-        self._peers = PeerLoadExchange(self._loads, self._membership)
+        self._peers = PeerLoadExchange(
+            self._loads, self._membership, self._store_revisions, self._hear_revisions
+        )
         placement = Placement(
             book=self._book,
             loads=self._loads,
@@ -144,24 +145,31 @@
             UPSTREAM_KIND: upstreams,
             EVACUATION_KIND: zones,
         }
+        pool = ConnectionPool(STORE_CONNECT_TIMEOUT_S, STORE_IDLE_LIMIT_S)
         return [
             ObjectWatch(
                 kind=kind,
-                source=StoreKind(self._store_client(), kind),
+                source=StoreKind(pool, self._settings.store_address, kind),
                 reader=reader,
                 log=self._log,
                 pause_s=WATCH_PAUSE_S,
                 outage_grace_s=OUTAGE_GRACE_S,
+                on_regained=self._renew_other_watches,
             )
             for kind, reader in readers.items()
         ]
 
-    def _store_client(self) -> HttpClient:
-        return HttpClient(
-            *self._settings.store_address,
-            connect_timeout_s=STORE_CONNECT_TIMEOUT_S,
-            socket_options=PROBE_OPTIONS,
-        )
+    def _renew_other_watches(self, regained: ObjectWatch) -> None:
+        for watch in self._watches:
+            if watch is not regained:
+                watch.renew()
+
+    def _store_revisions(self) -> dict[str, int]:
+        return {each.kind: each.seen_revision for each in self._watches}
+
+    def _hear_revisions(self, revisions: dict[str, int]) -> None:
+        for watch in self._watches:
+            watch.saw_peer_revision(revisions.get(watch.kind, 0))
 
     def _take_limits(self, table: RoutingTable) -> None:
         limits = table.limits
--- /dev/null
+++ b/gooseberryquay/links/exchange.py
@@ -0,0 +1,119 @@
+"""One whole exchange on a kept connection, which can be interrupted."""
+
+import socket
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.links.caller_watch import CallerWatch, SilentCaller
+from gooseberryquay.links.connection_pool import ConnectionPool
+from gooseberryquay.links.link_failure import LinkFailure
+from gooseberryquay.links.upstream_connection import (
+    BodyEnd,
+    BodyPart,
+    CallerLeft,
+    UpstreamConnection,
+)
+
+__all__ = ["Interrupt", "WholeReply", "WholeRequest", "exchange"]
+
+
+@dataclass(frozen=True, slots=True)
+class WholeRequest:
+    """Hold a request that is sent at once."""
+
+    method: str
+    target: str
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class WholeReply:
+    """Hold an answer that was read to its end."""
+
+    status: int
+    body: bytes
+
+
+class Interrupt:
+    """Wake a thread that waits for an answer, as if its caller had left."""
+
+    def __init__(self) -> None:
+        self._reader, self._writer = socket.socketpair()
+        self._reader.setblocking(False)
+        self._is_set = False
+
+    def set(self) -> None:
+        """Wake the waiting thread, or the next that waits."""
+        if not self._is_set:
+            self._is_set = True
+            self._writer.send(b"x")
+
+    def clear(self) -> None:
+        """Let the next thread wait again."""
+        if self._is_set:
+            self._is_set = False
+            self._reader.recv(1)
+
+    def descriptor(self) -> int | None:
+        """Give a descriptor that is readable while the interrupt is set."""
+        return self._reader.fileno()
+
+    def has_left(self) -> bool:
+        """Tell whether the interrupt is set."""
+        return self._is_set
+
+
+def exchange(
+    pool: ConnectionPool,
+    address: Address,
+    request: WholeRequest,
+    until_s: float,
+    watch: CallerWatch | None = None,
+) -> Result[WholeReply, LinkFailure | CallerLeft]:
+    """Send a request and read the whole answer."""
+    connection = pool.take(address)
+    if connection is None:
+        connection = pool.new(address)
+        failed = connection.connect(max(0.0, until_s - time.monotonic()))
+        if failed is not None:
+            return Err(failed)
+    failed = connection.send(
+        request.method, request.target, _headers_of(address, request.body), request.body, until_s
+    )
+    if failed is not None:
+        connection.close()
+        return Err(failed)
+    reply = _read(connection, until_s, watch or SilentCaller())
+    if isinstance(reply, Ok):
+        pool.give_back(connection)
+    else:
+        connection.close()
+    return reply
+
+
+def _headers_of(address: Address, body: bytes) -> Sequence[tuple[str, str]]:
+    headers = [("host", str(address)), ("content-length", str(len(body)))]
+    if body:
+        headers.append(("content-type", "application/json"))
+    return headers
+
+
+def _read(
+    connection: UpstreamConnection, until_s: float, watch: CallerWatch
+) -> Result[WholeReply, LinkFailure | CallerLeft]:
+    opened = connection.read_head(watch, until_s)
+    if isinstance(opened, Err):
+        return opened
+    content = bytearray()
+    while True:
+        match connection.read_body(watch, until_s):
+            case Err(failure):
+                return Err(failure)
+            case Ok(BodyPart(part)):
+                content += part
+            case Ok(BodyEnd()):
+                return Ok(WholeReply(opened.ok_value.status, bytes(content)))
--- a/gooseberryquay/links/http_client.py
+++ b/gooseberryquay/links/http_client.py
@@ -1,6 +1,6 @@
 """HTTP client on urllib3 that reports every failure as a type."""
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
 import urllib3
@@ -9,7 +9,6 @@
 
 from gooseberryquay.links.body_reader import BodyReader
 from gooseberryquay.links.joined_connection import JoinedConnection
-from gooseberryquay.links.keep_alive import NO_DELAY, SocketOption
 from gooseberryquay.links.link_failure import LinkBroken, LinkFailure, LinkTimeout, failure_of
 
 __all__ = ["HttpClient", "LinkBroken", "LinkFailure", "LinkTimeout", "Reply", "ReplyStream"]
@@ -65,17 +64,11 @@
         port: int,
         connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
         read_timeout_s: float = DEFAULT_READ_TIMEOUT_S,
-        socket_options: Sequence[SocketOption] = (),
     ) -> None:
         self._connect_timeout_s = connect_timeout_s
         self._read_timeout_s = read_timeout_s
         self._pool = urllib3.HTTPConnectionPool(
-            host,
-            port,
-            maxsize=MAX_POOLED_CONNECTIONS,
-            retries=NO_RETRIES,
-            block=False,
-            socket_options=[NO_DELAY, *socket_options],
+            host, port, maxsize=MAX_POOLED_CONNECTIONS, retries=NO_RETRIES, block=False
         )
         self._pool.ConnectionCls = JoinedConnection
 
--- a/gooseberryquay/links/keep_alive.py
+++ b/gooseberryquay/links/keep_alive.py
@@ -2,16 +2,13 @@
 
 import socket
 
-__all__ = ["NO_DELAY", "PROBE_OPTIONS", "SocketOption", "keep_probing"]
+__all__ = ["keep_probing"]
 
 PROBE_IDLE_S = 1
 PROBE_INTERVAL_S = 1
 PROBES_MAX = 2
 
-SocketOption = tuple[int, int, int]
-
-NO_DELAY: SocketOption = (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-PROBE_OPTIONS: tuple[SocketOption, ...] = (
+PROBE_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
--- a/gooseberryquay/platform/engine_calls.py
+++ b/gooseberryquay/platform/engine_calls.py
@@ -9,8 +9,9 @@
 
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.ids import RequestId
-from gooseberryquay.links.caller_watch import CallerWatch, SilentCaller
+from gooseberryquay.links.caller_watch import CallerWatch
 from gooseberryquay.links.connection_pool import ConnectionPool
+from gooseberryquay.links.exchange import WholeReply, WholeRequest, exchange
 from gooseberryquay.links.link_failure import LinkFailure, LinkTimeout
 from gooseberryquay.links.upstream_connection import (
     AnswerHead,
@@ -99,17 +100,17 @@
     ) -> Result[MovedCopy, MoveFailure]:
         """Copy a running generation's memory to another engine, and stop it if it is final."""
         body = json.dumps({"id": id, "target": str(target), "final": is_final}).encode()
-        answer = self._call(source.address, "POST", names.MOVE_PATH, body, until_s)
-        match answer:
+        request = WholeRequest("POST", names.MOVE_PATH, body)
+        match exchange(self._pool, source.address, request, until_s):
             case Err(_):
                 return Err(MoveFailure(MoveRefusal.FAILED))
-            case Ok((status, content)):
-                return _read_copy(source.address, status, content)
+            case Ok(reply):
+                return _read_copy(source.address, reply)
 
     def free_copy(self, holder: Address, handle: CopyHandle) -> None:
         """Free a copy that is not used."""
-        path = names.HANDLE_PATH + handle.name
-        self._call(holder, "DELETE", path, b"", time.monotonic() + FREE_TIMEOUT_S)
+        request = WholeRequest("DELETE", names.HANDLE_PATH + handle.name)
+        exchange(self._pool, holder, request, time.monotonic() + FREE_TIMEOUT_S)
 
     def _connect(
         self, address: Address, terms: SendTerms
@@ -141,42 +142,6 @@
         connection.close()
         return Err(Undecided("the upstream answered another request"))
 
-    def _call(
-        self, address: Address, method: str, target: str, body: bytes, until_s: float
-    ) -> Result[tuple[int, bytes], LinkFailure | CallerLeft]:
-        """Make a call that is no caller's request, and read the whole answer."""
-        connection = self._pool.take(address)
-        if connection is None:
-            connection = self._pool.new(address)
-            failed = connection.connect(max(0.0, until_s - time.monotonic()))
-            if failed is not None:
-                return Err(failed)
-        headers = [("host", str(address)), ("content-length", str(len(body)))]
-        if body:
-            headers.append(("content-type", "application/json"))
-        failed = connection.send(method, target, headers, body, until_s)
-        if failed is not None:
-            connection.close()
-            return Err(failed)
-        nobody = SilentCaller()
-        match connection.read_head(nobody, until_s):
-            case Err(failure):
-                connection.close()
-                return Err(failure)
-            case Ok(head):
-                pass
-        content = bytearray()
-        while True:
-            match connection.read_body(nobody, until_s):
-                case Err(failure):
-                    connection.close()
-                    return Err(failure)
-                case Ok(BodyPart(part)):
-                    content += part
-                case Ok(BodyEnd()):
-                    self._pool.give_back(connection)
-                    return Ok((head.status, bytes(content)))
-
 
 def _request_headers(
     upstream: UpstreamRecord, call: Call, terms: SendTerms
@@ -242,15 +207,15 @@
     return failure if isinstance(failure, CallerLeft) else _undecided(failure)
 
 
-def _read_copy(source: Address, status: int, content: bytes) -> Result[MovedCopy, MoveFailure]:
+def _read_copy(source: Address, reply: WholeReply) -> Result[MovedCopy, MoveFailure]:
     try:
-        document = json.loads(content) if content else {}
+        document = json.loads(reply.body) if reply.body else {}
         name = document.get("handle")
         events = int(document.get("created", 0))
     except (ValueError, TypeError, AttributeError):
         return Err(MoveFailure(MoveRefusal.FAILED))
     handle = CopyHandle(source, str(name)) if name is not None else None
-    match status:
+    match reply.status:
         case 200 if handle is not None:
             return Ok(MovedCopy(handle, events))
         case 404:
--- a/gooseberryquay/platform/store.py
+++ b/gooseberryquay/platform/store.py
@@ -1,13 +1,17 @@
 """Calls to the platform's store of objects."""
 
 import json
+import time
 from collections.abc import Mapping
 from typing import Any
 from urllib.parse import quote, urlencode
 
 from result import Err, Ok, Result
 
-from gooseberryquay.links.http_client import HttpClient, Reply
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.links.connection_pool import ConnectionPool
+from gooseberryquay.links.exchange import Interrupt, WholeReply, WholeRequest, exchange
+from gooseberryquay.links.upstream_connection import CallerLeft
 from gooseberryquay.serving.object_source import (
     Changes,
     Listing,
@@ -34,15 +38,17 @@
 HTTP_GONE = 410
 MS_PER_S = 1000.0
 LIST_TIMEOUT_S = 2.0
-WATCH_SLACK_S = 3.0
+WATCH_SLACK_S = 2.0
 PAGES_MAX = 200
 
 
 class StoreKind:
     """List and watch the objects of one kind."""
 
-    def __init__(self, client: HttpClient, kind: str) -> None:
-        self._client = client
+    def __init__(self, pool: ConnectionPool, address: Address, kind: str) -> None:
+        self._pool = pool
+        self._address = address
+        self._interrupt = Interrupt()
         self._path = OBJECTS_PATH + quote(kind)
 
     def list(self) -> Result[Listing, SourceFailure]:
@@ -86,14 +92,24 @@
             return Err(SourceFailure.MALFORMED)
         return Ok(Changes(tuple(each for each in changed if each is not None), at))
 
+    def interrupt(self) -> None:
+        """End the call in progress, or the next one."""
+        self._interrupt.set()
+
     def _get(
         self, query: Mapping[str, Any], timeout_s: float
     ) -> Result[dict[str, Any], SourceFailure]:
         path = f"{self._path}?{urlencode(query)}" if query else self._path
-        match self._client.send("GET", path, read_timeout_s=timeout_s):
+        until_s = time.monotonic() + timeout_s
+        request = WholeRequest("GET", path)
+        reply = exchange(self._pool, self._address, request, until_s, self._interrupt)
+        match reply:
+            case Err(CallerLeft()):
+                self._interrupt.clear()
+                return Err(SourceFailure.INTERRUPTED)
             case Err(_):
                 return Err(SourceFailure.UNREACHABLE)
-            case Ok(Reply(status=status, body=body)):
+            case Ok(WholeReply(status=status, body=body)):
                 pass
         if status == HTTP_GONE:
             return Err(SourceFailure.HISTORY_GONE)
--- a/gooseberryquay/serving/object_source.py
+++ b/gooseberryquay/serving/object_source.py
@@ -17,6 +17,7 @@
     REFUSED = "refused"
     UNREACHABLE = "unreachable"
     MALFORMED = "malformed"
+    INTERRUPTED = "interrupted"
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,3 +54,6 @@
 
     def watch(self, revision: int, wait_s: float) -> Result[Changes, SourceFailure]:
         """Wait for changes after a revision; there are none when the time is up."""
+
+    def interrupt(self) -> None:
+        """End the call in progress with `INTERRUPTED`, or the next one."""
--- a/gooseberryquay/serving/object_watch.py
+++ b/gooseberryquay/serving/object_watch.py
@@ -18,7 +18,11 @@
 
 __all__ = ["ObjectReader", "ObjectWatch"]
 
-WATCH_WAIT_S = 20.0
+WATCH_WAIT_S = 8.0
+# A call that a silent store swallowed must not hold up the watch for long.
+OUTAGE_WAIT_S = 2.0
+# What a peer has seen is on its way here for a while.
+PEER_LEAD_S = 0.5
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 1.0
 
@@ -45,15 +49,21 @@
         log: DecisionLog,
         pause_s: float,
         outage_grace_s: float,
+        on_regained: Callable[["ObjectWatch"], None] = lambda _watch: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._kind = kind
+
         self._source = source
         self._reader = reader
         self._log = log
         self._pause_s = pause_s
         self._outage_grace_s = outage_grace_s
+        self._on_regained = on_regained
         self._clock = clock
+        self._behind_since_s: float | None = None
+        self.kind = kind
+        # The newest revision among the objects read, which peers compare with theirs.
+        self.seen_revision = 0
         self._revision: int | None = None
         self._failures = 0
         self._regained_at_s: float | None = None
@@ -62,12 +72,34 @@
 
     def start(self) -> None:
         """Follow in the background."""
-        threading.Thread(target=self._run, name=f"watch-{self._kind}", daemon=True).start()
+        threading.Thread(target=self._run, name=f"watch-{self.kind}", daemon=True).start()
 
     def stop(self) -> None:
         """End after the call in progress."""
         self._stopped.set()
 
+    def renew(self) -> None:
+        """Give up a call that began before now, as it may never be answered."""
+        if self._revision is not None:
+            self._source.interrupt()
+
+    def saw_peer_revision(self, revision: int) -> None:
+        """Renew the watch when a peer has long seen what it has not brought."""
+        now_s = self._clock()
+        if revision <= self.seen_revision:
+            self._behind_since_s = None
+        elif self._behind_since_s is None:
+            self._behind_since_s = now_s
+        elif now_s - self._behind_since_s > PEER_LEAD_S:
+            self._behind_since_s = None
+            self._log.belief(
+                "watch is behind a peer",
+                part=self.kind,
+                own_revision=self.seen_revision,
+                peer_revision=revision,
+            )
+            self.renew()
+
     def _run(self) -> None:
         while not self._stopped.is_set():
             wait_s = self.step()
@@ -87,20 +119,29 @@
             case Ok(listing):
                 self._succeeded()
                 self._reader.read_listing(listing, self._is_after_outage())
+                self._saw(listing.objects)
                 self._revision = listing.revision
                 return 0.0
 
     def _read_changes(self, revision: int) -> float:
-        match self._source.watch(revision, WATCH_WAIT_S):
+        wait_s = OUTAGE_WAIT_S if self._failures else WATCH_WAIT_S
+        match self._source.watch(revision, wait_s):
+            case Err(SourceFailure.INTERRUPTED):
+                return 0.0
             case Err(failure):
                 return self._failed(failure)
             case Ok(changes):
                 self._succeeded()
                 for changed in changes.objects:
                     self._reader.read_change(changed, self._is_after_outage())
+                self._saw(changes.objects)
                 self._revision = max(revision, changes.revision)
                 return self._pause_s
 
+    def _saw(self, objects: tuple[StoredObject, ...]) -> None:
+        newest = max((each.revision for each in objects), default=0)
+        self.seen_revision = max(self.seen_revision, newest)
+
     def _is_after_outage(self) -> bool:
         if self._regained_at_s is None:
             return False
@@ -111,16 +152,17 @@
         self.confirmed_at_s = now_s
         if self._failures:
             self._regained_at_s = now_s
-            self._log.dependency("store", self._kind, is_lost=False, failures=self._failures)
+            self._log.dependency("store", self.kind, is_lost=False, failures=self._failures)
+            self._on_regained(self)
         self._failures = 0
 
     def _failed(self, failure: SourceFailure) -> float:
         if failure is SourceFailure.HISTORY_GONE:
-            self._log.belief("history gone", kind=self._kind, revision=self._revision)
+            self._log.belief("history gone", kind=self.kind, revision=self._revision)
             self._revision = None
             return 0.0
         self._failures += 1
         if self._failures == 1:
-            self._log.dependency("store", self._kind, is_lost=True, reason=failure.value)
+            self._log.dependency("store", self.kind, is_lost=True, reason=failure.value)
         ceiling_s = min(RETRY_MAX_S, RETRY_MIN_S * 2.0 ** min(self._failures, 8))
         return random.uniform(ceiling_s / 2.0, ceiling_s)
--- a/gooseberryquay/serving/peer_loads.py
+++ b/gooseberryquay/serving/peer_loads.py
@@ -1,4 +1,4 @@
-"""Tell other entries what this one has in flight at each engine, and hear the same of them."""
+"""Tell peers the load at each engine and how far the store was read, and hear the same."""
 
 import random
 import threading
@@ -40,6 +40,7 @@
 class _LoadMessage(BaseModel):
     entry: str = Field(alias="e")
     loads: list[_LoadRecord] = Field(alias="l")
+    revisions: dict[str, int] = Field(alias="r", default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,10 +56,14 @@
         self,
         loads: LoadTable,
         membership: Membership,
+        revisions: Callable[[], dict[str, int]] = dict,
+        on_revisions: Callable[[dict[str, int]], None] = lambda _revisions: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._loads = loads
         self._membership = membership
+        self._revisions = revisions
+        self._on_revisions = on_revisions
         self._clock = clock
         self._heard: dict[EntryId, _Heard] = {}
         self._round: list[Peer] = []
@@ -127,6 +132,7 @@
             for each in message.loads
         }
         self._heard[EntryId(message.entry)] = _Heard(self._clock(), loads)
+        self._on_revisions(message.revisions)
         return True
 
     def _message(self) -> _LoadMessage:
@@ -141,7 +147,11 @@
             for upstream, runs in self._loads.all_runs().items()
         ]
         records.sort(key=lambda each: each.held_tokens, reverse=True)
-        return _LoadMessage(e=self._membership.myself().id, l=records[:LOADS_PER_MESSAGE_MAX])
+        return _LoadMessage(
+            e=self._membership.myself().id,
+            l=records[:LOADS_PER_MESSAGE_MAX],
+            r=self._revisions(),
+        )
 
     def _forget_silent(self) -> None:
         oldest_s = self._clock() - STALE_S
--- a/gooseberryquay/serving/tests/test_object_watch.py
+++ b/gooseberryquay/serving/tests/test_object_watch.py
@@ -30,6 +30,9 @@
         self.calls.append(revision)
         return self.answers.pop(0)
 
+    def interrupt(self):
+        self.calls.append("interrupt")
+
 
 class _Reader:
     def __init__(self):
@@ -91,6 +94,40 @@
     assert reader.read[1:] == [("a", True), ("b", False)]
 
 
+def test_watch_is_renewed_when_a_peer_has_long_seen_more():
+    """A soak (seed 2) found requests at a drained upstream: a silent store held up a watch."""
+    watch, source, _, clock = _watch(Ok(Listing((), 5)), _changes(8, "a"))
+    watch.step()
+    watch.step()
+    for passed_s in (0.0, 0.3):
+        clock.now_s += passed_s
+        watch.saw_peer_revision(9)
+    assert "interrupt" not in source.calls
+    clock.now_s += 0.3
+    watch.saw_peer_revision(9)
+    assert source.calls[-1] == "interrupt"
+    watch.saw_peer_revision(8)
+    clock.now_s += 1.0
+    watch.saw_peer_revision(9)
+    assert source.calls.count("interrupt") == 1
+
+
+def test_interrupted_watch_goes_on_at_once_from_its_revision():
+    interrupted = Err(SourceFailure.INTERRUPTED)
+    watch, source, _, _ = _watch(Ok(Listing((), 5)), interrupted, _changes(6, "a"))
+    assert [watch.step() for _ in range(3)] == [0.0, 0.0, PAUSE_S]
+    assert source.calls == ["list", 5, 5]
+
+
+def test_regained_store_is_told_so_that_other_watches_are_renewed():
+    watch, _, _, _ = _watch(Err(SourceFailure.REFUSED), Ok(Listing((), 5)))
+    regained = []
+    watch._on_regained = regained.append
+    watch.step()
+    watch.step()
+    assert regained == [watch]
+
+
 def _keeper():
     return RoutingKeeper(
         "main",
