--- a/gooseberryquay/serving/object_watch.py
+++ b/gooseberryquay/serving/object_watch.py
@@ -60,7 +60,8 @@
         self._outage_grace_s = outage_grace_s
         self._on_regained = on_regained
         self._clock = clock
-        self._behind_since_s: float | None = None
+        self._peer_revision = 0
+        self._behind_since_s = 0.0
         self.kind = kind
         # The newest revision among the objects read, which peers compare with theirs.
         self.seen_revision = 0
@@ -86,17 +87,17 @@
     def saw_peer_revision(self, revision: int) -> None:
         """Renew the watch when a peer has long seen what it has not brought."""
         now_s = self._clock()
-        if revision <= self.seen_revision:
-            self._behind_since_s = None
-        elif self._behind_since_s is None:
+        if revision > self._peer_revision:
+            self._peer_revision = revision
+            self._behind_since_s = now_s
+        is_behind = self._peer_revision > self.seen_revision
+        if is_behind and now_s - self._behind_since_s > PEER_LEAD_S:
             self._behind_since_s = now_s
-        elif now_s - self._behind_since_s > PEER_LEAD_S:
-            self._behind_since_s = None
             self._log.belief(
                 "watch is behind a peer",
                 part=self.kind,
                 own_revision=self.seen_revision,
-                peer_revision=revision,
+                peer_revision=self._peer_revision,
             )
             self.renew()
 
--- a/gooseberryquay/serving/tests/test_object_watch.py
+++ b/gooseberryquay/serving/tests/test_object_watch.py
@@ -106,10 +106,28 @@
     clock.now_s += 0.3
     watch.saw_peer_revision(9)
     assert source.calls[-1] == "interrupt"
-    watch.saw_peer_revision(8)
-    clock.now_s += 1.0
+
+
+def test_peer_that_is_behind_too_does_not_hide_one_that_is_ahead():
+    """A soak (seed 3) found two entries that both lagged and reassured each other."""
+    watch, source, _, clock = _watch(Ok(Listing((), 5)), _changes(8, "a"))
+    watch.step()
+    watch.step()
+    for _ in range(4):
+        watch.saw_peer_revision(9)
+        clock.now_s += 0.2
+        watch.saw_peer_revision(8)
+    assert "interrupt" in source.calls
+
+
+def test_watch_that_caught_up_with_its_peers_is_left_alone():
+    watch, source, _, clock = _watch(Ok(Listing((), 5)), _changes(9, "a"))
+    watch.saw_peer_revision(9)
+    watch.step()
+    watch.step()
+    clock.now_s += 5.0
     watch.saw_peer_revision(9)
-    assert source.calls.count("interrupt") == 1
+    assert "interrupt" not in source.calls
 
 
 def test_interrupted_watch_goes_on_at_once_from_its_revision():
