--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -29,9 +29,12 @@
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.generation_flow import GenerationFlow
 from gooseberryquay.serving.generation_queue import GenerationQueue
+from gooseberryquay.serving.hubs import HubChoice
 from gooseberryquay.serving.leave_state import LeaveState
 from gooseberryquay.serving.list_readers import UpstreamListReader, ZoneListReader
 from gooseberryquay.serving.migration import Migration
+from gooseberryquay.serving.object_relay import HubSource, ObjectRelay
+from gooseberryquay.serving.object_source import ObjectSource
 from gooseberryquay.serving.object_watch import ObjectReader, ObjectWatch
 from gooseberryquay.serving.peer_loads import PeerLoadExchange
 from gooseberryquay.serving.placement import Placement
@@ -69,8 +72,13 @@
         self._loads = LoadTable()
         self._routing = RoutingKeeper(CONFIGURATION_NAME, read_routing, log)
         self._membership = Membership(_describe(settings), seeds=settings.seeds)
+        self._hubs = HubChoice(self._membership, settings.zone)
         self._peers = PeerLoadExchange(
-            self._loads, self._membership, self._store_revisions, self._hear_revisions
+            loads=self._loads,
+            membership=self._membership,
+            hubs=self._hubs,
+            revisions=self._store_revisions,
+            on_revisions=self._hear_revisions,
         )
         placement = Placement(
             book=self._book,
@@ -91,13 +99,13 @@
         self._readiness_server = HttpServer(
             *settings.readiness_address, readiness_router(self.is_ready), min_threads=1
         )
-        self._control_server = HttpServer(
-            *settings.control_address, self._control_router(), min_threads=2
-        )
         self._metrics_server = HttpServer(
             *settings.metrics_address, metrics_router(self._counters.text), min_threads=1
         )
         self._watches = self._build_watches()
+        self._control_server = HttpServer(
+            *settings.control_address, self._control_router(), min_threads=2
+        )
 
     def _build_path(self, placement: Placement, source: random.Random) -> RequestPath:
         calls = EngineCalls(ConnectionPool(CONNECT_TIMEOUT_S, IDLE_LIMIT_S))
@@ -134,31 +142,40 @@
         router = Router()
         self._membership.add_routes(router)
         self._peers.add_routes(router)
+        self._relay.add_routes(router)
         return router
 
     def _build_watches(self) -> list[ObjectWatch]:
         upstreams = UpstreamListReader(self._book, read_upstream, self._log, OUTAGE_GRACE_S)
         zones = ZoneListReader(self._book, self._log)
         self._routing.on_change(self._take_limits)
-        readers: dict[str, ObjectReader] = {
-            CONFIGURATION_KIND: self._routing,
-            UPSTREAM_KIND: upstreams,
-            EVACUATION_KIND: zones,
-        }
+        self._relay = ObjectRelay(upstreams, self._follows_upstreams)
         pool = ConnectionPool(STORE_CONNECT_TIMEOUT_S, STORE_IDLE_LIMIT_S)
+        address = self._settings.store_address
+        upstream_source = HubSource(StoreKind(pool, address, UPSTREAM_KIND), self._hubs, pool)
+        self._upstream_watch = self._watch(UPSTREAM_KIND, upstream_source, self._relay)
         return [
-            ObjectWatch(
-                kind=kind,
-                source=StoreKind(pool, self._settings.store_address, kind),
-                reader=reader,
-                log=self._log,
-                pause_s=WATCH_PAUSE_S,
-                outage_grace_s=OUTAGE_GRACE_S,
-                on_regained=self._renew_other_watches,
-            )
-            for kind, reader in readers.items()
+            self._watch(
+                CONFIGURATION_KIND, StoreKind(pool, address, CONFIGURATION_KIND), self._routing
+            ),
+            self._watch(EVACUATION_KIND, StoreKind(pool, address, EVACUATION_KIND), zones),
+            self._upstream_watch,
         ]
 
+    def _watch(self, kind: str, source: ObjectSource, reader: ObjectReader) -> ObjectWatch:
+        return ObjectWatch(
+            kind=kind,
+            source=source,
+            reader=reader,
+            log=self._log,
+            pause_s=WATCH_PAUSE_S,
+            outage_grace_s=OUTAGE_GRACE_S,
+            on_regained=self._renew_other_watches,
+        )
+
+    def _follows_upstreams(self) -> bool:
+        return self._upstream_watch.is_sound()
+
     def _renew_other_watches(self, regained: ObjectWatch) -> None:
         for watch in self._watches:
             if watch is not regained:
--- a/gooseberryquay/serving/list_readers.py
+++ b/gooseberryquay/serving/list_readers.py
@@ -40,7 +40,8 @@
         for stored in listing.objects:
             self.read_change(stored, is_after_outage)
         for missing in [each for each in self._listed if each not in named]:
-            self._remove(missing, is_after_outage, listing.revision)
+            is_doubtful = is_after_outage or listing.is_doubtful
+            self._remove(missing, is_doubtful, listing.revision)
 
     def read_change(self, changed: StoredObject, is_after_outage: bool) -> None:
         """Take in one entry."""
@@ -49,8 +50,8 @@
         if record is None:
             if not changed.is_deleted:
                 self._log.belief("upstream entry malformed", upstream=upstream)
-                is_after_outage = False
-            self._remove(upstream, is_after_outage, changed.revision)
+            is_doubtful = changed.is_deleted and (is_after_outage or changed.is_doubtful)
+            self._remove(upstream, is_doubtful, changed.revision)
             return
         with self._lock:
             timer = self._removals.pop(upstream, None)
@@ -69,14 +70,14 @@
             )
         self._book.apply_record(record)
 
-    def _remove(self, upstream: UpstreamId, is_after_outage: bool, revision: int) -> None:
+    def _remove(self, upstream: UpstreamId, is_doubtful: bool, revision: int) -> None:
         with self._lock:
             if self._listed.pop(upstream, None) is None:
                 return
         self._log.belief(
-            "upstream gone", upstream=upstream, revision=revision, is_delayed=is_after_outage
+            "upstream gone", upstream=upstream, revision=revision, is_delayed=is_doubtful
         )
-        if not is_after_outage:
+        if not is_doubtful:
             self._book.remove(upstream)
             return
         timer = threading.Timer(self._return_grace_s, self._remove_late, (upstream,))
--- /dev/null
+++ b/gooseberryquay/serving/object_relay.py
@@ -0,0 +1,227 @@
+"""Objects of one kind passed on from a hub to entries that do not follow the store themselves."""
+
+import random
+import threading
+import time
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+from typing import Any
+
+from pydantic import BaseModel, Field, ValidationError
+from result import Err, Ok, Result
+
+from gooseberryquay.ids import EntryId
+from gooseberryquay.links.connection_pool import ConnectionPool
+from gooseberryquay.links.exchange import Interrupt, WholeReply, WholeRequest, exchange
+from gooseberryquay.links.http_server import Request, Response, Router
+from gooseberryquay.links.upstream_connection import CallerLeft
+from gooseberryquay.machines.peer import Peer
+from gooseberryquay.serving.hubs import HubChoice
+from gooseberryquay.serving.object_source import (
+    Changes,
+    Listing,
+    ObjectSource,
+    SourceFailure,
+    StoredObject,
+)
+from gooseberryquay.serving.object_watch import ObjectReader
+
+__all__ = ["HubSource", "ObjectRelay"]
+
+RELAY_PATH = "/peers/objects"
+HISTORY_MAX = 512
+HUB_WAIT_S = 1.0
+HUB_SLACK_S = 0.5
+SEQUENCE_BITS = 40
+MS_PER_S = 1000.0
+HTTP_BAD_REQUEST = 400
+HTTP_GONE = 410
+HTTP_UNAVAILABLE = 503
+
+
+class _ObjectRecord(BaseModel):
+    name: str = Field(alias="n")
+    revision: int = Field(alias="r")
+    content: Mapping[str, Any] | None = Field(alias="c", default=None)
+    is_deleted: bool = Field(alias="d", default=False)
+    is_doubtful: bool = Field(alias="q", default=False)
+
+    def stored(self) -> StoredObject:
+        return StoredObject(
+            self.name, self.revision, self.content, self.is_deleted, self.is_doubtful
+        )
+
+
+class _ObjectsMessage(BaseModel):
+    objects: list[_ObjectRecord] = Field(alias="o")
+    sequence: int = Field(alias="at")
+    is_doubtful: bool = Field(alias="q", default=False)
+
+
+@dataclass(frozen=True, slots=True)
+class _Change:
+    sequence: int
+    changed: StoredObject
+
+
+class ObjectRelay:
+    """Remember what a reader takes in and serve it to other entries.
+
+    Changes are numbered by a sequence that starts at random, so that no entry goes on at a hub
+    where it began at another or before a restart.
+    """
+
+    def __init__(self, reader: ObjectReader, is_sound: Callable[[], bool]) -> None:
+        self._reader = reader
+        self._is_sound = is_sound
+        self._listing: Listing | None = None
+        self._objects: dict[str, StoredObject] = {}
+        self._history: deque[_Change] = deque(maxlen=HISTORY_MAX)
+        self._sequence = random.getrandbits(SEQUENCE_BITS)
+        self._known_from = self._sequence
+        self._changed = threading.Condition()
+
+    def add_routes(self, router: Router) -> None:
+        """Serve the other entries."""
+        router.add("GET", RELAY_PATH, self._answer)
+
+    def read_listing(self, listing: Listing, is_after_outage: bool) -> None:
+        """Take in all objects, after which earlier changes can no longer be followed."""
+        self._reader.read_listing(listing, is_after_outage)
+        is_doubtful = is_after_outage or listing.is_doubtful
+        with self._changed:
+            self._listing = replace(listing, is_doubtful=is_doubtful)
+            self._objects = {each.name: each for each in listing.objects}
+            self._history.clear()
+            self._sequence += 1
+            self._known_from = self._sequence
+            self._changed.notify_all()
+
+    def read_change(self, changed: StoredObject, is_after_outage: bool) -> None:
+        """Take in one changed or deleted object."""
+        self._reader.read_change(changed, is_after_outage)
+        is_doubtful = is_after_outage or changed.is_doubtful
+        with self._changed:
+            if changed.is_deleted:
+                self._objects.pop(changed.name, None)
+            else:
+                self._objects[changed.name] = changed
+            if len(self._history) == HISTORY_MAX:
+                self._known_from = self._history[0].sequence
+            self._sequence += 1
+            self._history.append(_Change(self._sequence, replace(changed, is_doubtful=is_doubtful)))
+            self._changed.notify_all()
+
+    def _answer(self, request: Request) -> Response:
+        after, wait_ms = request.query.get("after"), request.query.get("wait_ms", "0")
+        if not wait_ms.isdigit() or not (after is None or after.isdigit()):
+            return Response(status=HTTP_BAD_REQUEST, body=b"{}")
+        if self._listing is None or not self._is_sound():
+            return Response(status=HTTP_UNAVAILABLE, body=b"{}")
+        if after is None:
+            with self._changed:
+                objects = list(self._objects.values())
+                return _reply(objects, self._sequence, self._listing.is_doubtful)
+        return self._wait_for_changes(int(after), int(wait_ms) / MS_PER_S)
+
+    def _wait_for_changes(self, after: int, wait_s: float) -> Response:
+        until_s = time.monotonic() + min(wait_s, HUB_WAIT_S)
+        with self._changed:
+            while True:
+                if not self._known_from <= after <= self._sequence:
+                    return Response(status=HTTP_GONE, body=b"{}")
+                found = [each.changed for each in self._history if each.sequence > after]
+                left_s = until_s - time.monotonic()
+                if found or left_s <= 0.0:
+                    return _reply(found, self._sequence)
+                self._changed.wait(left_s)
+
+
+class HubSource:
+    """Follow a hub while there is a sound one, and the store itself otherwise.
+
+    Sequences of a hub and revisions of the store do not compare, so each change of source starts
+    with a list.
+    """
+
+    def __init__(self, direct: ObjectSource, hubs: HubChoice, pool: ConnectionPool) -> None:
+        self._direct = direct
+        self._hubs = hubs
+        self._pool = pool
+        self._followed: Peer | None = None
+        self._interrupt = Interrupt()
+
+    def list(self) -> Result[Listing, SourceFailure]:
+        """Give all objects, from a hub where there is one."""
+        hub = self._hubs.my_hub()
+        self._followed = hub
+        if hub is None:
+            return self._direct.list()
+        match self._ask(hub, RELAY_PATH, HUB_SLACK_S):
+            case Ok(message):
+                objects = tuple(each.stored() for each in message.objects)
+                return Ok(Listing(objects, message.sequence, message.is_doubtful))
+            case _:
+                self._leave(hub.id)
+                return self._direct.list()
+
+    def watch(self, revision: int, wait_s: float) -> Result[Changes, SourceFailure]:
+        """Wait for changes at the source that was listed."""
+        hub = self._hubs.my_hub()
+        if (hub and hub.id) != (self._followed and self._followed.id):
+            return Err(SourceFailure.HISTORY_GONE)
+        if hub is None:
+            return self._direct.watch(revision, wait_s)
+        path = f"{RELAY_PATH}?after={revision}&wait_ms={int(HUB_WAIT_S * MS_PER_S)}"
+        match self._ask(hub, path, HUB_WAIT_S + HUB_SLACK_S):
+            case Ok(message):
+                objects = tuple(each.stored() for each in message.objects)
+                return Ok(Changes(objects, message.sequence))
+            case Err(SourceFailure.HISTORY_GONE):
+                return Err(SourceFailure.HISTORY_GONE)
+            case _:
+                self._leave(hub.id)
+                return Err(SourceFailure.HISTORY_GONE)
+
+    def interrupt(self) -> None:
+        """End the call in progress, and leave a hub that seems to be behind."""
+        if self._followed is not None:
+            self._interrupt.set()
+        else:
+            self._direct.interrupt()
+
+    def _leave(self, hub: EntryId) -> None:
+        self._hubs.avoid(hub)
+        self._followed = None
+
+    def _ask(
+        self, hub: Peer, path: str, timeout_s: float
+    ) -> Result[_ObjectsMessage, SourceFailure]:
+        until_s = time.monotonic() + timeout_s
+        request = WholeRequest("GET", path)
+        match exchange(self._pool, hub.control_address, request, until_s, self._interrupt):
+            case Ok(WholeReply(status=200, body=body)):
+                pass
+            case Ok(WholeReply(status=410)):
+                return Err(SourceFailure.HISTORY_GONE)
+            case Err(CallerLeft()):
+                self._interrupt.clear()
+                return Err(SourceFailure.INTERRUPTED)
+            case _:
+                return Err(SourceFailure.UNREACHABLE)
+        try:
+            return Ok(_ObjectsMessage.model_validate_json(body))
+        except ValidationError:
+            return Err(SourceFailure.MALFORMED)
+
+
+def _reply(objects: list[StoredObject], sequence: int, is_doubtful: bool = False) -> Response:
+    records = [
+        _ObjectRecord(
+            n=each.name, r=each.revision, c=each.content, d=each.is_deleted, q=each.is_doubtful
+        )
+        for each in objects
+    ]
+    message = _ObjectsMessage(o=records, at=sequence, q=is_doubtful)
+    return Response(body=message.model_dump_json(by_alias=True).encode())
--- a/gooseberryquay/serving/object_source.py
+++ b/gooseberryquay/serving/object_source.py
@@ -22,20 +22,25 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredObject:
-    """Hold one object; its content is untyped until its reader has checked it."""
+    """Hold one object; its content is untyped until its reader has checked it.
+
+    A deletion is doubtful shortly after an outage, in which entries lapse that come back.
+    """
 
     name: str
     revision: int
     content: Mapping[str, Any] | None
     is_deleted: bool
+    is_doubtful: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """Hold all objects of a kind as of a revision."""
+    """Hold all objects of a kind as of a revision; what it lacks is doubtful after an outage."""
 
     objects: tuple[StoredObject, ...]
     revision: int
+    is_doubtful: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberryquay/serving/object_watch.py
+++ b/gooseberryquay/serving/object_watch.py
@@ -79,6 +79,12 @@
         """End after the call in progress."""
         self._stopped.set()
 
+    def is_sound(self) -> bool:
+        """Tell whether the last call succeeded and is not long ago."""
+        if self._failures or self.confirmed_at_s is None:
+            return False
+        return self._clock() - self.confirmed_at_s < WATCH_WAIT_S + OUTAGE_WAIT_S
+
     def renew(self) -> None:
         """Give up a call that began before now, as it may never be answered."""
         if self._revision is not None:
--- a/gooseberryquay/serving/peer_loads.py
+++ b/gooseberryquay/serving/peer_loads.py
@@ -13,8 +13,9 @@
 from gooseberryquay.links.http_server import Request, Response, Router
 from gooseberryquay.machines.membership import Membership
 from gooseberryquay.machines.peer import Peer
+from gooseberryquay.serving.hubs import HubChoice
 from gooseberryquay.serving.placement import PeerLoad
-from gooseberryquay.serving.upstream_load import LoadTable
+from gooseberryquay.serving.upstream_load import LoadTable, Run
 
 __all__ = ["PeerLoadExchange"]
 
@@ -22,8 +23,8 @@
 PERIOD_S = 0.2
 SEND_TIMEOUT_S = 0.4
 # A peer that was not heard for this long says nothing about now.
-STALE_S = 3.0
-LOADS_PER_MESSAGE_MAX = 64
+STALE_S = 2.0
+LOADS_PER_MESSAGE_MAX = 128
 HTTP_OK = 200
 HTTP_BAD_REQUEST = 400
 NO_LOAD = PeerLoad(0, 0.0, 0.0, 0.0)
@@ -39,6 +40,7 @@
 
 class _LoadMessage(BaseModel):
     entry: str = Field(alias="e")
+    is_of_hub: bool = Field(alias="k", default=False)
     loads: list[_LoadRecord] = Field(alias="l")
     revisions: dict[str, int] = Field(alias="r", default_factory=dict)
 
@@ -46,6 +48,7 @@
 @dataclass(frozen=True, slots=True)
 class _Heard:
     at_s: float
+    is_of_hub: bool
     loads: dict[UpstreamId, PeerLoad]
 
 
@@ -54,14 +57,17 @@
 
     def __init__(
         self,
+        *,
         loads: LoadTable,
         membership: Membership,
+        hubs: HubChoice,
         revisions: Callable[[], dict[str, int]] = dict,
         on_revisions: Callable[[dict[str, int]], None] = lambda _revisions: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._loads = loads
         self._membership = membership
+        self._hubs = hubs
         self._revisions = revisions
         self._on_revisions = on_revisions
         self._clock = clock
@@ -83,77 +89,104 @@
 
     def of(self, upstream: UpstreamId) -> PeerLoad:
         """Sum up the load of all other entries at one upstream."""
-        oldest_s = self._clock() - STALE_S
-        runs, held_tokens, growth_tokens, unread_tokens = 0, 0.0, 0.0, 0.0
+        total = NO_LOAD
         for heard in list(self._heard.values()):
             load = heard.loads.get(upstream)
-            if load is not None and heard.at_s >= oldest_s:
-                runs += load.runs
-                held_tokens += load.held_tokens
-                growth_tokens += load.growth_tokens
-                unread_tokens += load.unread_tokens
-        return PeerLoad(runs, held_tokens, growth_tokens, unread_tokens) if runs else NO_LOAD
+            if load is not None and not self._is_stale(heard):
+                total = total.plus(load)
+        return total
 
     def entry_count(self) -> int:
         """Give the number of live entries, this one included."""
-        return max(1, len(self._membership.live()))
+        return self._hubs.entry_count()
 
     def _run(self) -> None:
         while not self._stopped.wait(PERIOD_S * random.uniform(0.9, 1.1)):
-            self._exchange_with_next()
-
-    def _exchange_with_next(self) -> None:
+            peer = self._next_peer()
+            if peer is not None:
+                self._exchange_with(peer)
+
+    def _next_peer(self) -> Peer | None:
+        """Give the next hub in turn, or the one hub that this entry tells its load."""
+        if not self._hubs.is_hub():
+            return self._hubs.my_hub()
         if not self._round:
-            myself = self._membership.myself().id
-            self._round = [each for each in self._membership.live() if each.id != myself]
+            self._round = self._hubs.other_hubs()
             random.shuffle(self._round)
             self._forget_silent()
-        if not self._round:
-            return
-        peer = self._round.pop()
-        sent = self._membership.send(peer, LOAD_PATH, self._message(), SEND_TIMEOUT_S)
+        return self._round.pop() if self._round else None
+
+    def _exchange_with(self, peer: Peer) -> None:
+        sent = self._membership.send(peer, LOAD_PATH, self._message_to(peer.id), SEND_TIMEOUT_S)
         if isinstance(sent, Ok) and sent.ok_value.status == HTTP_OK:
             self._hear(sent.ok_value.body)
 
     def _answer(self, request: Request) -> Response:
-        if not self._hear(request.body):
+        sender = self._hear(request.body)
+        if sender is None:
             return Response(status=HTTP_BAD_REQUEST, body=b"{}")
-        return Response(body=self._message().model_dump_json(by_alias=True).encode())
+        return Response(body=self._message_to(sender).model_dump_json(by_alias=True).encode())
 
-    def _hear(self, body: bytes) -> bool:
+    def _hear(self, body: bytes) -> EntryId | None:
+        """Take in a message and give its sender, or None where it is malformed."""
         try:
             message = _LoadMessage.model_validate_json(body)
         except ValidationError:
-            return False
+            return None
         loads = {
             UpstreamId(each.upstream): PeerLoad(
                 each.runs, each.held_tokens, each.growth_tokens, each.unread_tokens
             )
             for each in message.loads
         }
-        self._heard[EntryId(message.entry)] = _Heard(self._clock(), loads)
+        sender = EntryId(message.entry)
+        self._heard[sender] = _Heard(self._clock(), message.is_of_hub, loads)
         self._on_revisions(message.revisions)
-        return True
-
-    def _message(self) -> _LoadMessage:
+        return sender
+
+    def _message_to(self, peer: EntryId) -> _LoadMessage:
+        """Sum up what the peer does not know: a hub adds what its entries and hubs have told.
+
+        Hubs tell each other only of themselves and their own entries, so that nothing counts twice.
+        """
+        is_hub = self._hubs.is_hub()
+        totals = {upstream: _own_load(runs) for upstream, runs in self._loads.all_runs().items()}
+        is_to_hub = any(each.id == peer for each in self._hubs.hubs())
+        for entry, heard in list(self._heard.items()) if is_hub else []:
+            if entry == peer or (is_to_hub and heard.is_of_hub) or self._is_stale(heard):
+                continue
+            for upstream, load in heard.loads.items():
+                totals[upstream] = totals.get(upstream, NO_LOAD).plus(load)
         records = [
             _LoadRecord(
                 u=upstream,
-                n=len(runs),
-                h=sum(each.held_tokens for each in runs),
-                g=int(sum(each.growth_tokens for each in runs)),
-                p=sum(each.unread_tokens for each in runs),
+                n=load.runs,
+                h=int(load.held_tokens),
+                g=int(load.growth_tokens),
+                p=int(load.unread_tokens),
             )
-            for upstream, runs in self._loads.all_runs().items()
+            for upstream, load in totals.items()
         ]
         records.sort(key=lambda each: each.held_tokens, reverse=True)
         return _LoadMessage(
             e=self._membership.myself().id,
+            k=is_hub,
             l=records[:LOADS_PER_MESSAGE_MAX],
             r=self._revisions(),
         )
 
+    def _is_stale(self, heard: _Heard) -> bool:
+        return self._clock() - heard.at_s > STALE_S
+
     def _forget_silent(self) -> None:
-        oldest_s = self._clock() - STALE_S
-        for entry in [each for each, heard in self._heard.items() if heard.at_s < oldest_s]:
+        for entry in [each for each, heard in self._heard.items() if self._is_stale(heard)]:
             self._heard.pop(entry, None)
+
+
+def _own_load(runs: list[Run]) -> PeerLoad:
+    return PeerLoad(
+        len(runs),
+        sum(each.held_tokens for each in runs),
+        sum(each.growth_tokens for each in runs),
+        sum(each.unread_tokens for each in runs),
+    )
--- a/gooseberryquay/serving/placement.py
+++ b/gooseberryquay/serving/placement.py
@@ -36,6 +36,15 @@
     growth_tokens: float
     unread_tokens: float
 
+    def plus(self, other: "PeerLoad") -> "PeerLoad":
+        """Add the load of more entries."""
+        return PeerLoad(
+            self.runs + other.runs,
+            self.held_tokens + other.held_tokens,
+            self.growth_tokens + other.growth_tokens,
+            self.unread_tokens + other.unread_tokens,
+        )
+
 
 class PeerLoads(Protocol):
     """Give what other entries have in flight."""
--- /dev/null
+++ b/gooseberryquay/serving/tests/test_hubs.py
@@ -0,0 +1,230 @@
+"""Entries that follow the store for others, and those that follow them."""
+
+import time
+from dataclasses import dataclass, field
+
+import pytest
+from result import Err, Ok
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.ids import EntryId, Incarnation, ZoneId
+from gooseberryquay.links.connection_pool import ConnectionPool
+from gooseberryquay.links.http_server import HttpServer, Router
+from gooseberryquay.machines.peer import Peer
+from gooseberryquay.serving.hubs import HUBS_PER_ZONE, MESH_MAX, HubChoice
+from gooseberryquay.serving.object_relay import HubSource, ObjectRelay
+from gooseberryquay.serving.object_source import Listing, SourceFailure, StoredObject
+from gooseberryquay.serving.peer_loads import PeerLoadExchange
+from gooseberryquay.serving.tests.builders import FakeClock
+from gooseberryquay.serving.upstream_load import LoadTable, Run
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+
+
+@dataclass
+class _Members:
+    """Know a fixed set of entries."""
+
+    me: int
+    peers: list
+    sent: list = field(default_factory=list)
+
+    def myself(self):
+        return self.peers[self.me]
+
+    def live(self):
+        return tuple(self.peers)
+
+
+def _peers(count, port=0):
+    return [
+        Peer(
+            id=EntryId(f"entry-{number}"),
+            incarnation=Incarnation(1),
+            zone=ZoneId(ZONES[number % 3]),
+            control_address=Address("127.0.0.1", port),
+        )
+        for number in range(count)
+    ]
+
+
+def _choices(count):
+    peers = _peers(count)
+    return [HubChoice(_Members(each, peers), peers[each].zone) for each in range(count)]
+
+
+def test_small_fleet_has_only_hubs():
+    assert all(each.is_hub() and each.my_hub() is None for each in _choices(MESH_MAX))
+
+
+def test_large_fleet_has_a_few_hubs_in_each_zone_on_which_all_agree():
+    choices = _choices(60)
+    hubs = {each.id for each in choices[0].hubs()}
+    assert len(hubs) == HUBS_PER_ZONE * len(ZONES)
+    assert all({each.id for each in choice.hubs()} == hubs for choice in choices)
+    assert sum(choice.is_hub() for choice in choices) == len(hubs)
+
+
+def test_entries_follow_a_hub_of_their_zone_until_it_fails_them():
+    choices = _choices(60)
+    for number, choice in enumerate(choices):
+        hub = choice.my_hub()
+        if hub is None:
+            continue
+        assert hub.zone == ZONES[number % 3]
+        choice.avoid(hub.id)
+        assert choice.my_hub().id != hub.id
+        for each in choice.hubs():
+            choice.avoid(each.id)
+        assert choice.my_hub() is None
+
+
+class _Reader:
+    def __init__(self):
+        self.listings, self.changes = [], []
+
+    def read_listing(self, listing, is_after_outage):
+        self.listings.append(listing)
+
+    def read_change(self, changed, is_after_outage):
+        self.changes.append(changed)
+
+
+class _Direct:
+    def __init__(self):
+        self.calls = []
+
+    def list(self):
+        self.calls.append("list")
+        return Ok(Listing((), 77))
+
+    def watch(self, revision, wait_s):
+        self.calls.append(revision)
+        return Err(SourceFailure.REFUSED)
+
+    def interrupt(self):
+        self.calls.append("interrupt")
+
+
+def _object(name, revision, is_deleted=False):
+    return StoredObject(name, revision, {"state": "ready"}, is_deleted)
+
+
+@pytest.fixture
+def relay():
+    """Give a relay that serves on a port, and the members of a fleet whose hubs are all there."""
+    router = Router()
+    served = ObjectRelay(_Reader(), lambda: served.is_well)
+    served.is_well = True
+    served.add_routes(router)
+    server = HttpServer("127.0.0.1", 0, router)
+    server.start()
+    peers = _peers(60, server.port)
+    me = next(n for n, each in enumerate(_choices(60)) if not each.is_hub())
+    hubs = HubChoice(_Members(me, peers), peers[me].zone)
+    direct = _Direct()
+    yield served, HubSource(direct, hubs, ConnectionPool(0.5, 2.0)), direct
+    server.stop()
+
+
+def test_changes_reach_an_entry_through_its_hub(relay):
+    served, source, direct = relay
+    served.read_listing(Listing((_object("i-1", 5),), 5), False)
+    listing = source.list().ok_value
+    assert [each.name for each in listing.objects] == ["i-1"]
+    served.read_change(_object("i-2", 6), False)
+    served.read_change(_object("i-1", 6, is_deleted=True), True)
+    changes = source.watch(listing.revision, 1.0).ok_value
+    assert [(each.name, each.is_doubtful) for each in changes.objects] == [
+        ("i-2", False),
+        ("i-1", True),
+    ]
+    assert direct.calls == []
+
+
+def test_hub_that_has_lost_the_store_sends_its_entries_to_the_store(relay):
+    served, source, direct = relay
+    served.read_listing(Listing((), 5), False)
+    revision = source.list().ok_value.revision
+    served.is_well = False
+    assert source.watch(revision, 1.0) == Err(SourceFailure.HISTORY_GONE)
+    assert source.list().ok_value.revision == 77
+    assert direct.calls == ["list"]
+
+
+def test_hub_that_listed_anew_has_its_entries_list_anew(relay):
+    served, source, _ = relay
+    served.read_listing(Listing((), 5), False)
+    revision = source.list().ok_value.revision
+    served.read_listing(Listing((_object("i-3", 9),), 9), True)
+    assert source.watch(revision, 1.0) == Err(SourceFailure.HISTORY_GONE)
+    assert source.list().ok_value.is_doubtful
+
+
+def test_entry_that_is_behind_leaves_its_hub(relay):
+    served, source, _ = relay
+    served.read_listing(Listing((), 5), False)
+    revision = source.list().ok_value.revision
+    left = source._hubs.my_hub()
+    source.interrupt()
+    began_at_s = time.monotonic()
+    assert source.watch(revision, 1.0) == Err(SourceFailure.HISTORY_GONE)
+    assert time.monotonic() - began_at_s < 0.5
+    assert source._hubs.my_hub() != left
+
+
+def _exchanges(count):
+    peers = _peers(count)
+    found = []
+    for number in range(count):
+        members = _Members(number, peers)
+        found.append(
+            PeerLoadExchange(
+                loads=LoadTable(),
+                membership=members,
+                hubs=HubChoice(members, peers[number].zone),
+                clock=FakeClock(),
+            )
+        )
+    return found
+
+
+def _tell(sender, receiver):
+    to = receiver._membership.myself().id
+    message = sender._message_to(to).model_dump_json(by_alias=True).encode()
+    assert receiver._hear(message) == sender._membership.myself().id
+
+
+def test_every_entry_hears_the_load_of_all_others_once_through_hubs():
+    exchanges = _exchanges(30)
+    for number, each in enumerate(exchanges):
+        each._loads.start(Run(f"r-{number}", "engine-1", 0.0, prompt_tokens=100))
+    hubs = [each for each in exchanges if each._hubs.is_hub()]
+    by_id = {each._membership.myself().id: each for each in exchanges}
+    members = [each for each in exchanges if not each._hubs.is_hub()]
+    for _ in range(2):
+        for member in members:
+            _tell(member, by_id[member._hubs.my_hub().id])
+        for hub in hubs:
+            for other in hubs:
+                if other is not hub:
+                    _tell(hub, other)
+        for member in members:
+            _tell(by_id[member._hubs.my_hub().id], member)
+    assert [each.of("engine-1").runs for each in exchanges] == [29] * 30
+    assert exchanges[0].of("engine-1").unread_tokens == 2900
+
+
+def test_load_of_a_silent_entry_fades():
+    first, second = _exchanges(2)
+    first._loads.start(Run("r", "engine-1", 0.0, prompt_tokens=100))
+    _tell(first, second)
+    assert second.of("engine-1").runs == 1
+    second._clock.now_s += 10.0
+    assert second.of("engine-1").runs == 0
+
+
+def test_malformed_load_is_not_heard():
+    (exchange,) = _exchanges(1)
+    assert exchange._hear(b"{") is None
+    assert exchange._hear(b'{"e": 4}') is None
