--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -218,6 +218,9 @@
         self._caller_server.close_connections_after_answers()
         time.sleep(LEAVE_NOTICE_S)
         is_idle = self._counters.wait_until_none(max(0.0, grace_s - LEAVE_NOTICE_S))
+        # A request that came since then must end before the process does.
+        self._leave.close()
+        self._counters.wait_until_none(max(0.0, began_at_s + grace_s - time.monotonic()))
         took_s = time.monotonic() - began_at_s
         self._log.lifecycle("stopped", took_s=round(took_s, 2), is_idle=is_idle)
 
--- a/gooseberryquay/daemons/tests/test_pages.py
+++ b/gooseberryquay/daemons/tests/test_pages.py
@@ -37,7 +37,7 @@
 
 
 def test_every_failure_is_explained_to_operators():
-    text = (ROOT / "docs" / "OPERATING.md").read_text()
+    text = (ROOT / "docs" / "OPERATIONS.md").read_text()
     for failure in errors.Failure.__subclasses__():
         assert f"`{failure.type}`" in text
         assert str(failure.status) in text
--- a/gooseberryquay/serving/leave_state.py
+++ b/gooseberryquay/serving/leave_state.py
@@ -20,6 +20,7 @@
         self._clock = clock
         self._turn_away_at_s: float | None = None
         self._exit_at_s: float | None = None
+        self._is_closed = False
 
     @property
     def is_leaving(self) -> bool:
@@ -32,10 +33,16 @@
         self._turn_away_at_s = now_s + notice_s
         self._exit_at_s = now_s + grace_s
 
+    def close(self) -> None:
+        """Turn every further request away, as the process is about to end."""
+        self._is_closed = True
+
     def takes(self, route: Route) -> bool:
         """Tell whether a new request may still end in time."""
         if self._turn_away_at_s is None or self._exit_at_s is None:
             return True
+        if self._is_closed:
+            return False
         now_s = self._clock()
         match route.kind:
             case RouteKind.STREAMING:
--- a/gooseberryquay/serving/ports.py
+++ b/gooseberryquay/serving/ports.py
@@ -22,9 +22,11 @@
     "MoveFailure",
     "MoveRefusal",
     "MovedCopy",
+    "NoReservation",
     "NotSent",
     "OpenAnswer",
     "RequestAnswer",
+    "Reservation",
     "RoutingSource",
     "SendTerms",
     "Undecided",
@@ -58,6 +60,14 @@
     needs_new_connection: bool = False
     continuation: Continuation | None = None
     backup: Address | None = None
+    reservation: "Reservation | None" = None
+
+
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """Name a slot and memory that an engine keeps for one request."""
+
+    name: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +115,13 @@
         """Keep the connection for other requests after the whole body was read."""
 
 
+class NoReservation(Enum):
+    """Say why an engine keeps nothing for a request."""
+
+    FULL = "full"
+    FAILED = "failed"
+
+
 class MoveRefusal(Enum):
     """Say why a generation's memory was not copied."""
 
@@ -138,6 +155,11 @@
     ) -> Result[OpenAnswer, NotSent | Undecided | CallerLeft]:
         """Send a request and wait for the head of its answer."""
 
+    def reserve(
+        self, upstream: UpstreamRecord, tokens: int, lifetime_s: float
+    ) -> Result[Reservation, NoReservation]:
+        """Have an engine keep a slot and memory for a request."""
+
     def move(
         self, source: UpstreamRecord, id: RequestId, target: Address, is_final: bool, until_s: float
     ) -> Result[MovedCopy, MoveFailure]:
--- a/gooseberryquay/serving/tests/test_admission.py
+++ b/gooseberryquay/serving/tests/test_admission.py
@@ -132,6 +132,14 @@
     assert not leave.takes(call)
 
 
+def test_entry_that_is_about_to_end_takes_nothing():
+    """An own day (keys-taken-while-stopping) cut a lookup that came as the entry had gone idle."""
+    leave = LeaveState(FakeClock())
+    leave.begin(2.5, 7.5)
+    leave.close()
+    assert not leave.takes(build_route(RouteKind.IDEMPOTENT))
+
+
 def test_generations_spread_over_engines_by_memory():
     path = build_path([build_record("engine-1"), build_record("engine-2")])
     small = EngineNeed(1000, 400.0)
