--- a/gooseberryquay/serving/call_flow.py
+++ b/gooseberryquay/serving/call_flow.py
@@ -31,6 +31,7 @@
 AVOID_S = 0.5
 FIRST_ATTEMPT_SHARE = 0.4
 BUSY_PAUSE_S = 0.02
+UNARRIVED_MAX = 6
 RETRY_AFTER_S = 0.3
 ANSWER_BYTES_MAX = 64 * 1024 * 1024
 
@@ -49,7 +50,8 @@
     """Report an attempt that certainly has not run."""
 
     reason: str
-    is_busy: bool
+    has_arrived: bool
+    is_busy: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,22 +88,26 @@
         runs = 0
         failed: WholeAnswer | None = None
         last_reason = "no upstream takes new work"
-        is_first = True
+        unarrived = 0
+        is_free = True
         while time.monotonic() < request.until_s:
-            if not is_first and not self._retries.may_retry(request.service):
+            if not is_free and not self._retries.may_retry(request.service):
                 last_reason += "; the retry budget is spent"
                 break
             known = self._placement.choose_for_call(request.service, excluded)
             if known is None or not self._placement.take_cold(known):
                 break
-            is_first = False
+            is_free = False
             attempt = self._attempt(request, known, runs)
             self._log_attempt(request, known, attempt)
             match attempt:
                 case CallerLeft():
                     return attempt
-                case NotRun(reason, is_busy):
+                case NotRun(reason, has_arrived, is_busy):
                     last_reason = reason
+                    # Only what arrives at an upstream counts as a retry.
+                    unarrived += not has_arrived
+                    is_free = not has_arrived and unarrived < UNARRIVED_MAX
                     if is_busy:
                         time.sleep(BUSY_PAUSE_S)
                 case MayHaveRun(reason):
@@ -141,7 +147,7 @@
                 return failure
             case NotSent(reason):
                 self._loads.saw_failure(known.record.id, AVOID_S)
-                return NotRun(reason, is_busy=False)
+                return NotRun(reason, has_arrived=False)
             case Undecided(reason):
                 self._loads.saw_failure(known.record.id, AVOID_S)
                 return MayHaveRun(reason)
@@ -167,11 +173,12 @@
                     if isinstance(failure, CallerLeft):
                         return failure
                     if answer.is_not_run:
-                        return NotRun("the upstream refused the request", is_busy=True)
+                        return NotRun("the upstream refused the request", True, is_busy=True)
                     self._loads.saw_failure(known.record.id, AVOID_S)
                     return MayHaveRun(failure.reason)
         if answer.is_not_run:
-            return NotRun("the upstream refused the request", not answer.is_other_instance)
+            is_busy = not answer.is_other_instance
+            return NotRun("the upstream refused the request", True, is_busy)
         if answer.status in PROMISES_NOT_RUN and not request.route.may_repeat:
             return MayHaveRun(f"status {answer.status} without proof that it has not run")
         if answer.status < SERVER_ERROR:
--- a/gooseberryquay/serving/generation_flow.py
+++ b/gooseberryquay/serving/generation_flow.py
@@ -41,6 +41,7 @@
 RANKS_PER_WORKSPACE = 3
 RANK_MAX = 9
 MOVES_MAX = 12
+UNARRIVED_MAX = 6
 RESERVED_SHARE = 1.0
 RESERVED_S = 1.0
 ENGINE_ANSWER_BYTES_MAX = 1024 * 1024
@@ -53,6 +54,7 @@
     """Hold what was tried for one request."""
 
     runs: int = 0
+    unarrived: int = 0
     excluded: set[UpstreamId] = field(default_factory=set)
     full: set[UpstreamId] = field(default_factory=set)
     reason: str = "no engine takes new work"
@@ -87,9 +89,9 @@
         self._retries.saw_request(request.service)
         progress = StreamProgress(last_id=request.call.resume_after)
         attempts = _Attempts()
-        is_first = True
-        while is_first or self._may_try_again(request, attempts):
-            is_first = False
+        is_free = True
+        while is_free or self._may_try_again(request, attempts):
+            is_free = False
             placed = self._queue.place(self._ticket(request, attempts), request.caller)
             if isinstance(placed, Err):
                 if attempts.runs == 0 or isinstance(placed.err_value, CallerLeft):
@@ -98,7 +100,7 @@
             reserved = self._reserve(request, placed.ok_value)
             if isinstance(reserved, Err):
                 attempts.full.add(placed.ok_value.known.record.id)
-                is_first = True
+                is_free = True
                 continue
             attempts.full.clear()
             outcome = self._run(request, progress, attempts, placed.ok_value, reserved.ok_value)
@@ -112,8 +114,11 @@
                     break
                 case StreamEnd.BROKEN:
                     attempts.runs += 1
-                case NotSent(reason):
+                case NotSent(reason, has_arrived):
                     attempts.reason = reason
+                    # Only what arrives at an upstream counts as a retry.
+                    attempts.unarrived += not has_arrived
+                    is_free = not has_arrived and attempts.unarrived < UNARRIVED_MAX
             attempts.excluded.add(placed.ok_value.known.record.id)
         return self._give_up(request, progress, attempts)
 
@@ -278,7 +283,7 @@
         if answer.is_not_run:
             answer.close()
             self._note(active, "refused by engine", str(answer.status))
-            return NotSent(f"the engine refused with status {answer.status}")
+            return NotSent(f"the engine refused with status {answer.status}", has_arrived=True)
         if answer.status != HTTP_OK:
             self._note(active, "engine failed", str(answer.status))
             return self._pass_on_failure(active, progress, attempts, answer)
--- a/gooseberryquay/serving/ports.py
+++ b/gooseberryquay/serving/ports.py
@@ -81,9 +81,10 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """Report a request that certainly has not reached its upstream."""
+    """Report a request that has certainly not run; it may have arrived and been refused."""
 
     reason: str
+    has_arrived: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberryquay/serving/tests/test_call_flow.py
+++ b/gooseberryquay/serving/tests/test_call_flow.py
@@ -104,3 +104,17 @@
     end, calls = _serve(RouteKind.IDEMPOTENT, timeout_s=0.0)
     assert end.reason is RefusalReason.DEADLINE_PAST
     assert calls.opened == []
+
+
+def test_connections_that_fail_do_not_spend_the_retry_budget():
+    """On a day with a zone cold, requests were refused though they had reached no upstream."""
+    refused = [NotSent("refused")] * 5
+    end, calls = _serve(RouteKind.NON_IDEMPOTENT, *refused, _ok(), retry_ratio=0.0)
+    assert isinstance(end, WholeAnswer)
+    assert len(calls.opened) == 6
+
+
+def test_connections_that_always_fail_end_in_a_refusal():
+    end, calls = _serve(RouteKind.NON_IDEMPOTENT, *[NotSent("refused")] * 30, retry_ratio=0.0)
+    assert end.reason is RefusalReason.NOT_RUN
+    assert len(calls.opened) <= 10
