--- a/gooseberryquay/platform/documents.py
+++ b/gooseberryquay/platform/documents.py
@@ -66,8 +66,6 @@
     # Tokens in one event of a stream.
     stride: int = 1
     handle_s: float = 5.0
-    # The longest lifetime of a reservation.
-    hold_ms: float = 0.0
 
 
 class _Service(_Document):
@@ -190,7 +188,6 @@
         link_bytes_per_s=document.link_mbps * BYTES_PER_MB / BITS_PER_BYTE,
         can_move=document.moves,
         can_back_up=document.backups,
-        reservation_s=document.hold_ms / MS_PER_S,
         tokens_per_event=max(1, document.stride),
         handle_lifetime_s=document.handle_s,
     )
--- a/gooseberryquay/platform/engine_calls.py
+++ b/gooseberryquay/platform/engine_calls.py
@@ -28,9 +28,7 @@
     MovedCopy,
     MoveFailure,
     MoveRefusal,
-    NoReservation,
     NotSent,
-    Reservation,
     SendTerms,
     Undecided,
 )
@@ -42,7 +40,6 @@
 OTHER_ANSWERS_MAX = 4
 HTTP_MISDIRECTED = 421
 FREE_TIMEOUT_S = 1.0
-RESERVE_TIMEOUT_S = 0.5
 
 
 @dataclass
@@ -98,21 +95,6 @@
             return Err(_undecided(failed))
         return self._read_answer(connection, call, terms, caller)
 
-    def reserve(
-        self, upstream: UpstreamRecord, tokens: int, lifetime_s: float
-    ) -> Result[Reservation, NoReservation]:
-        """Have an engine keep a slot and memory for a request."""
-        order = {"tokens": tokens, "ttl_ms": int(lifetime_s * MS_PER_S)}
-        request = WholeRequest("POST", names.RESERVE_PATH, json.dumps(order).encode())
-        until_s = time.monotonic() + RESERVE_TIMEOUT_S
-        match exchange(self._pool, upstream.address, request, until_s):
-            case Ok(WholeReply(status=200, body=body)):
-                return _read_reservation(body)
-            case Ok(WholeReply(status=503)):
-                return Err(NoReservation.FULL)
-            case _:
-                return Err(NoReservation.FAILED)
-
     def move(
         self, source: UpstreamRecord, id: RequestId, target: Address, is_final: bool, until_s: float
     ) -> Result[MovedCopy, MoveFailure]:
@@ -174,8 +156,6 @@
         headers.append((names.TENANT, terms.workspace))
     if terms.priority is not None:
         headers.append((names.PRIORITY, str(terms.priority)))
-    if terms.reservation is not None:
-        headers.append((names.RESERVATION, terms.reservation.name))
     if terms.backup is not None:
         headers.append((names.BACKUP, str(terms.backup)))
     if terms.continuation is None:
@@ -227,13 +207,6 @@
     return failure if isinstance(failure, CallerLeft) else _undecided(failure)
 
 
-def _read_reservation(body: bytes) -> Result[Reservation, NoReservation]:
-    try:
-        return Ok(Reservation(str(json.loads(body)["retention"])))
-    except (ValueError, TypeError, KeyError):
-        return Err(NoReservation.FAILED)
-
-
 def _read_copy(source: Address, reply: WholeReply) -> Result[MovedCopy, MoveFailure]:
     try:
         document = json.loads(reply.body) if reply.body else {}
--- a/gooseberryquay/platform/names.py
+++ b/gooseberryquay/platform/names.py
@@ -20,8 +20,6 @@
     "PRIORITY",
     "READY_PATH",
     "REPORT_PATH",
-    "RESERVATION",
-    "RESERVE_PATH",
     "RETRY_AFTER",
     "SYSTEM_HEADERS",
     "TENANT",
@@ -47,8 +45,6 @@
 TENANT = "x-tenant"
 PRIORITY = "x-request-priority"
 BACKUP = "x-kv-backup"
-# The name of a reservation, not a time to hold.
-RESERVATION = "x-hold"
 # Names the holder of a generation's memory as IP:PORT/HANDLE.
 CONTINUE_FROM = "kv-from"
 
@@ -63,7 +59,7 @@
         "authorization",
         "kv-fetch",
         "x-expect-version",
-        RESERVATION,
+        "x-hold",
         "x-pin-ms",
     }
 )
@@ -86,5 +82,4 @@
 READY_PATH = "/api/readyz"
 REPORT_PATH = "/api/report"
 MOVE_PATH = "/api/kv-move"
-RESERVE_PATH = "/api/hold-take"
 HANDLE_PATH = "/api/kv-handle/"
--- a/gooseberryquay/serving/generation_flow.py
+++ b/gooseberryquay/serving/generation_flow.py
@@ -3,7 +3,7 @@
 import time
 from dataclasses import dataclass, field
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from gooseberryquay.ids import UpstreamId
 from gooseberryquay.links.upstream_connection import BodyEnd, BodyPart, CallerLeft
@@ -16,10 +16,8 @@
 from gooseberryquay.serving.placement import EngineNeed, Placement
 from gooseberryquay.serving.ports import (
     Continuation,
-    NoReservation,
     NotSent,
     OpenAnswer,
-    Reservation,
     SendTerms,
     Undecided,
     UpstreamCalls,
@@ -42,8 +40,6 @@
 RANK_MAX = 9
 MOVES_MAX = 12
 UNARRIVED_MAX = 6
-RESERVED_SHARE = 1.0
-RESERVED_S = 1.0
 ENGINE_ANSWER_BYTES_MAX = 1024 * 1024
 
 Outcome = StreamEnd | NotSent | CallerLeft
@@ -56,7 +52,6 @@
     runs: int = 0
     unarrived: int = 0
     excluded: set[UpstreamId] = field(default_factory=set)
-    full: set[UpstreamId] = field(default_factory=set)
     reason: str = "no engine takes new work"
 
 
@@ -97,13 +92,7 @@
                 if attempts.runs == 0 or isinstance(placed.err_value, CallerLeft):
                     return placed.err_value
                 break
-            reserved = self._reserve(request, placed.ok_value)
-            if isinstance(reserved, Err):
-                attempts.full.add(placed.ok_value.known.record.id)
-                is_free = True
-                continue
-            attempts.full.clear()
-            outcome = self._run(request, progress, attempts, placed.ok_value, reserved.ok_value)
+            outcome = self._run(request, progress, attempts, placed.ok_value)
             match outcome:
                 case StreamEnd.COMPLETE:
                     return None
@@ -145,37 +134,14 @@
             late_at_s=call.arrived_at_s + QUEUE_SHARE * route.goal_s,
             give_up_at_s=min(request.until_s, call.arrived_at_s + GIVE_UP_GOALS * route.goal_s),
             excluded=frozenset(attempts.excluded),
-            full=frozenset(attempts.full),
         )
 
-    def _reserve(
-        self, request: AcceptedRequest, placed: Placed
-    ) -> Result[Reservation | None, NoReservation]:
-        """Make sure of an engine's memory; other entries may have taken it a moment ago."""
-        engine = self._placement.engine_terms(request.service)
-        if engine is None or engine.reservation_s <= 0.0:
-            return Ok(None)
-        need = _need_of(request)
-        tokens = need.prompt_tokens + int(RESERVED_SHARE * need.expected_tokens)
-        upstream = placed.known.record
-        reserved = self._calls.reserve(upstream, tokens, min(RESERVED_S, engine.reservation_s))
-        match reserved:
-            case Err(NoReservation.FULL):
-                self._loads.end(placed.run)
-                self._log.request("engine full", request.call.id, upstream=upstream.id)
-                return Err(NoReservation.FULL)
-            case Err(_):
-                return Ok(None)
-            case Ok(reservation):
-                return Ok(reservation)
-
     def _run(
         self,
         request: AcceptedRequest,
         progress: StreamProgress,
         attempts: _Attempts,
         placed: Placed,
-        reservation: Reservation | None,
     ) -> Outcome:
         """Run a generation at one engine and wherever it is moved from there."""
         active = ActiveGeneration(
@@ -186,8 +152,7 @@
         copy: Copy | None = None
         try:
             for _ in range(MOVES_MAX):
-                outcome = self._run_once(active, progress, attempts, continuation, reservation)
-                reservation = None
+                outcome = self._run_once(active, progress, attempts, continuation)
                 copy = self._copy_to_go_on_from(active, copy, outcome)
                 if copy is None:
                     was_running = continuation is not None and isinstance(outcome, NotSent)
@@ -237,7 +202,6 @@
         progress: StreamProgress,
         attempts: _Attempts,
         continuation: Continuation | None,
-        reservation: Reservation | None,
     ) -> Outcome:
         request = active.request
         if active.known.is_leaving:
@@ -248,7 +212,6 @@
             priority=rank_of(request),
             needs_new_connection=not request.route.may_repeat,
             continuation=continuation,
-            reservation=reservation,
         )
         opened = self._calls.open(active.known.record, request.call, terms, request.caller)
         if isinstance(opened, Ok):
--- a/gooseberryquay/serving/generation_queue.py
+++ b/gooseberryquay/serving/generation_queue.py
@@ -21,15 +21,13 @@
 RETRY_AFTER_MIN_S = 0.5
 RETRY_AFTER_MAX_S = 5.0
 WAITERS_TRIED = 4
-FULL_PAUSE_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
 class QueueTicket:
     """Describe a generation that looks for an engine.
 
-    It goes behind all others from `late_at_s` on, and is refused at `give_up_at_s`. Engines that
-    have just said that they are full are tried again after a pause.
+    It goes behind all others from `late_at_s` on, and is refused at `give_up_at_s`.
     """
 
     id: RequestId
@@ -39,7 +37,6 @@
     late_at_s: float
     give_up_at_s: float
     excluded: Collection[UpstreamId] = ()
-    full: Collection[UpstreamId] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +51,6 @@
 class _Waiter:
     ticket: QueueTicket
     sequence: int
-    full_until_s: float
     placed: Placed | None = None
     signal: threading.Event = field(default_factory=threading.Event)
 
@@ -86,7 +82,7 @@
             return Err(self._refusal(RefusalReason.NO_UPSTREAM, "no engine takes new work"))
         with self._lock:
             self._sequence += 1
-            waiter = _Waiter(ticket, self._sequence, self._clock() + FULL_PAUSE_S)
+            waiter = _Waiter(ticket, self._sequence)
             self._waiters.append(waiter)
             self._place_waiters()
         while True:
@@ -129,10 +125,7 @@
 
     def _try(self, waiter: _Waiter, now_s: float) -> bool:
         ticket = waiter.ticket
-        refused = (
-            {*ticket.excluded, *ticket.full} if now_s < waiter.full_until_s else ticket.excluded
-        )
-        known = self._placement.choose_engine(ticket.service, ticket.need, refused)
+        known = self._placement.choose_engine(ticket.service, ticket.need, ticket.excluded)
         if known is None or not self._placement.take_cold(known):
             return False
         need = ticket.need
--- a/gooseberryquay/serving/ports.py
+++ b/gooseberryquay/serving/ports.py
@@ -22,11 +22,9 @@
     "MoveFailure",
     "MoveRefusal",
     "MovedCopy",
-    "NoReservation",
     "NotSent",
     "OpenAnswer",
     "RequestAnswer",
-    "Reservation",
     "RoutingSource",
     "SendTerms",
     "Undecided",
@@ -60,14 +58,6 @@
     needs_new_connection: bool = False
     continuation: Continuation | None = None
     backup: Address | None = None
-    reservation: "Reservation | None" = None
-
-
-@dataclass(frozen=True, slots=True)
-class Reservation:
-    """Name a slot and memory that an engine keeps for one request."""
-
-    name: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,13 +106,6 @@
         """Keep the connection for other requests after the whole body was read."""
 
 
-class NoReservation(Enum):
-    """Say why an engine keeps nothing for a request."""
-
-    FULL = "full"
-    FAILED = "failed"
-
-
 class MoveRefusal(Enum):
     """Say why a generation's memory was not copied."""
 
@@ -156,11 +139,6 @@
     ) -> Result[OpenAnswer, NotSent | Undecided | CallerLeft]:
         """Send a request and wait for the head of its answer."""
 
-    def reserve(
-        self, upstream: UpstreamRecord, tokens: int, lifetime_s: float
-    ) -> Result[Reservation, NoReservation]:
-        """Have an engine keep a slot and memory for a request."""
-
     def move(
         self, source: UpstreamRecord, id: RequestId, target: Address, is_final: bool, until_s: float
     ) -> Result[MovedCopy, MoveFailure]:
--- a/gooseberryquay/serving/route.py
+++ b/gooseberryquay/serving/route.py
@@ -81,7 +81,6 @@
     link_bytes_per_s: float
     can_move: bool
     can_back_up: bool
-    reservation_s: float
     tokens_per_event: int
     handle_lifetime_s: float
 
--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -72,7 +72,6 @@
         "link_bytes_per_s": 1e9,
         "can_move": True,
         "can_back_up": True,
-        "reservation_s": 0.0,
         "tokens_per_event": 4,
         "handle_lifetime_s": 5.0,
     }
@@ -231,8 +230,6 @@
     opened: list = field(default_factory=list)
     moved: list = field(default_factory=list)
     freed: list = field(default_factory=list)
-    reservations: list = field(default_factory=list)
-    reserved: list = field(default_factory=list)
 
     def open(self, upstream, call, terms, caller):
         self.opened.append((upstream.id, terms))
@@ -243,10 +240,6 @@
         self.moved.append((source.id, target, is_final))
         return self.moves.pop(0) if self.moves else Err(MoveFailure(MoveRefusal.FAILED))
 
-    def reserve(self, upstream, tokens, lifetime_s):
-        self.reserved.append((upstream.id, tokens))
-        return self.reservations.pop(0)
-
     def free_copy(self, holder, handle):
         self.freed.append(handle)
 
--- a/gooseberryquay/serving/tests/test_generation_flow.py
+++ b/gooseberryquay/serving/tests/test_generation_flow.py
@@ -1,14 +1,12 @@
 """Streams that reach their caller once and in order, whatever happens to their engines."""
 
-from result import Err, Ok
+from result import Err
 
 from gooseberryquay.links.upstream_connection import BodyEnd, CallerLeft
 from gooseberryquay.serving.ports import (
     MoveFailure,
     MoveRefusal,
-    NoReservation,
     NotSent,
-    Reservation,
 )
 from gooseberryquay.serving.refusal import Refusal, RefusalReason
 from gooseberryquay.serving.route import RouteKind
@@ -18,12 +16,10 @@
     Recorder,
     ScriptedAnswer,
     ScriptedCalls,
-    build_engine_terms,
     build_path,
     build_record,
     build_request,
     build_route,
-    build_routing,
     copied,
     event,
     events,
@@ -217,33 +213,3 @@
     end, _ = _serve(_path(records=[]))
     assert end.reason is RefusalReason.NO_UPSTREAM
     assert end.retry_after_s is not None
-
-
-def _reserving_path(*reservations):
-    routing = build_routing(engine=build_engine_terms(reservation_s=2.0))
-    calls = ScriptedCalls([_stream(1, 2)], reservations=list(reservations))
-    return build_path(RECORDS, calls, routing)
-
-
-def test_generation_goes_where_memory_was_reserved_for_it():
-    path = _reserving_path(Err(NoReservation.FULL), Ok(Reservation("kept")))
-    _, caller = _serve(path)
-    assert caller.is_complete
-    ((upstream, terms),) = path.calls.opened
-    assert terms.reservation.name == "kept"
-    assert [name for name, _ in path.calls.reserved][-1] == upstream
-    assert path.calls.reserved[0] != path.calls.reserved[1]
-
-
-def test_reservation_that_fails_does_not_hold_up_the_generation():
-    path = _reserving_path(Err(NoReservation.FAILED))
-    _, caller = _serve(path)
-    assert caller.is_complete
-    assert path.calls.opened[0][1].reservation is None
-
-
-def test_full_engines_are_asked_again_after_a_pause():
-    path = _reserving_path(*[Err(NoReservation.FULL)] * 3, Ok(Reservation("kept")))
-    _, caller = _serve(path)
-    assert caller.is_complete
-    assert len({name for name, _ in path.calls.reserved[:3]}) == 3
