--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -114,7 +114,7 @@
         migration = Migration(
             calls=calls, placement=placement, loads=self._loads, active=active, log=self._log
         )
-        queue = GenerationQueue(placement, self._loads)
+        queue = GenerationQueue(placement, self._loads, self._peers.refresh, self._peers.tell_soon)
         self._book.on_leaving(migration.upstream_leaving)
         self._book.on_change(queue.changed)
         generation_flow = GenerationFlow(
--- a/gooseberryquay/serving/generation_queue.py
+++ b/gooseberryquay/serving/generation_queue.py
@@ -65,10 +65,14 @@
         self,
         placement: Placement,
         loads: LoadTable,
+        refresh: Callable[[], None] = lambda: None,
+        tell: Callable[[], None] = lambda: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._placement = placement
         self._loads = loads
+        self._refresh = refresh
+        self._tell = tell
         self._clock = clock
         self._waiters: list[_Waiter] = []
         self._sequence = 0
@@ -80,6 +84,7 @@
         """Wait for an engine; the generation is then counted at it."""
         if not self._placement.has_any(ticket.service, ticket.excluded):
             return Err(self._refusal(RefusalReason.NO_UPSTREAM, "no engine takes new work"))
+        self._refresh()
         with self._lock:
             self._sequence += 1
             waiter = _Waiter(ticket, self._sequence)
@@ -132,6 +137,7 @@
         run = Run(ticket.id, known.record.id, now_s, need.prompt_tokens, need.expected_tokens)
         self._loads.start(run)
         waiter.placed = Placed(known, run)
+        self._tell()
         return True
 
     def _refusal(self, reason: RefusalReason, message: str) -> Refusal:
--- a/gooseberryquay/serving/hubs.py
+++ b/gooseberryquay/serving/hubs.py
@@ -1,4 +1,8 @@
-"""Which entries follow the store for others and sum up loads."""
+"""Which entries follow the store for others and sum up loads.
+
+Entries of a zone form cells. All entries of a cell talk to the same hub, so that what one of them
+places is known to the next at once; a second hub of the cell stands by.
+"""
 
 import threading
 import time
@@ -14,7 +18,8 @@
 
 # Up to so many entries talk to each other directly, and all of them follow the store.
 MESH_MAX = 10
-HUBS_PER_ZONE = 2
+CELL_MAX = 40
+HUBS_PER_CELL = 2
 REFRESH_S = 0.5
 AVOID_S = 5.0
 
@@ -35,6 +40,7 @@
         self._refreshed_at_s = float("-inf")
         self._live: tuple[Peer, ...] = ()
         self._hubs: tuple[Peer, ...] = ()
+        self._cell: tuple[Peer, ...] = ()
         self._lock = threading.Lock()
 
     def entry_count(self) -> int:
@@ -63,16 +69,21 @@
             return None
         now_s = self._clock()
         usable = [each for each in self.hubs() if self._avoided_until_s.get(each.id, 0.0) <= now_s]
-        near = [each for each in usable if each.zone == self._zone] or usable
-        if not near:
-            return None
-        myself = self._membership.myself().id
-        return max(near, key=lambda each: _weight(f"{myself}:{each.id}"))
+        return next((each for each in self._cell if each in usable), None) or next(
+            iter(usable), None
+        )
 
     def avoid(self, hub: EntryId) -> None:
         """Follow other hubs for a while."""
         self._avoided_until_s[hub] = self._clock() + AVOID_S
 
+    def _own_cell(self, cells: list[tuple[Peer, ...]]) -> tuple[Peer, ...]:
+        """Give the hubs of this entry's cell, or of one in its zone before it is known."""
+        myself = self._membership.myself().id
+        own = [cell for cell in cells if any(each.id == myself for each in cell)]
+        near = own or [cell for cell in cells if cell[0].zone == self._zone]
+        return near[0][:HUBS_PER_CELL] if near else ()
+
     def _refresh(self) -> None:
         now_s = self._clock()
         with self._lock:
@@ -80,17 +91,22 @@
                 return
             self._refreshed_at_s = now_s
             self._live = self._membership.live()
-            self._hubs = _hubs_of(self._live)
+            cells = _cells_of(self._live)
+            self._hubs = tuple(each for cell in cells for each in cell[:HUBS_PER_CELL])
+            self._cell = self._own_cell(cells)
+            if len(self._live) <= MESH_MAX:
+                self._hubs = self._live
 
 
-def _hubs_of(live: tuple[Peer, ...]) -> tuple[Peer, ...]:
-    if len(live) <= MESH_MAX:
-        return live
+def _cells_of(live: tuple[Peer, ...]) -> list[tuple[Peer, ...]]:
+    """Part the entries of each zone into cells, the hubs of each first."""
     ranked = sorted(live, key=lambda each: _weight(f"hub:{each.id}"))
-    chosen: list[Peer] = []
-    for zone in {each.zone for each in live}:
-        chosen += [each for each in ranked if each.zone == zone][:HUBS_PER_ZONE]
-    return tuple(chosen)
+    cells: list[tuple[Peer, ...]] = []
+    for zone in sorted({each.zone for each in live}):
+        members = [each for each in ranked if each.zone == zone]
+        count = -(-len(members) // CELL_MAX)
+        cells += [tuple(members[number::count]) for number in range(count)]
+    return cells
 
 
 def _weight(key: str) -> int:
--- a/gooseberryquay/serving/peer_loads.py
+++ b/gooseberryquay/serving/peer_loads.py
@@ -21,7 +21,11 @@
 
 LOAD_PATH = "/peers/load"
 PERIOD_S = 0.2
+MEMBER_PERIOD_S = 0.4
 SEND_TIMEOUT_S = 0.4
+# A generation waits at most so long for news of its hub.
+REFRESH_TIMEOUT_S = 0.15
+FRESH_S = 0.02
 # A peer that was not heard for this long says nothing about now.
 STALE_S = 2.0
 LOADS_PER_MESSAGE_MAX = 128
@@ -73,6 +77,8 @@
         self._clock = clock
         self._heard: dict[EntryId, _Heard] = {}
         self._round: list[Peer] = []
+        self._refreshed_at_s = float("-inf")
+        self._has_news = threading.Event()
         self._stopped = threading.Event()
 
     def add_routes(self, router: Router) -> None:
@@ -96,15 +102,35 @@
                 total = total.plus(load)
         return total
 
+    def refresh(self) -> None:
+        """Hear of all loads from this entry's hub before something is placed."""
+        now_s = self._clock()
+        if self._hubs.is_hub() or now_s - self._refreshed_at_s < FRESH_S:
+            return
+        hub = self._hubs.my_hub()
+        if hub is not None:
+            self._refreshed_at_s = now_s
+            self._exchange_with(hub, REFRESH_TIMEOUT_S)
+
+    def tell_soon(self) -> None:
+        """Tell this entry's hub of a change without waiting for the next period."""
+        if not self._hubs.is_hub():
+            self._has_news.set()
+
     def entry_count(self) -> int:
         """Give the number of live entries, this one included."""
         return self._hubs.entry_count()
 
     def _run(self) -> None:
-        while not self._stopped.wait(PERIOD_S * random.uniform(0.9, 1.1)):
+        while not self._stopped.is_set():
+            self._has_news.wait(self._period_s() * random.uniform(0.9, 1.1))
+            self._has_news.clear()
             peer = self._next_peer()
             if peer is not None:
-                self._exchange_with(peer)
+                self._exchange_with(peer, SEND_TIMEOUT_S)
+
+    def _period_s(self) -> float:
+        return PERIOD_S if self._hubs.is_hub() else MEMBER_PERIOD_S
 
     def _next_peer(self) -> Peer | None:
         """Give the next hub in turn, or the one hub that this entry tells its load."""
@@ -116,8 +142,8 @@
             self._forget_silent()
         return self._round.pop() if self._round else None
 
-    def _exchange_with(self, peer: Peer) -> None:
-        sent = self._membership.send(peer, LOAD_PATH, self._message_to(peer.id), SEND_TIMEOUT_S)
+    def _exchange_with(self, peer: Peer, timeout_s: float) -> None:
+        sent = self._membership.send(peer, LOAD_PATH, self._message_to(peer.id), timeout_s)
         if isinstance(sent, Ok) and sent.ok_value.status == HTTP_OK:
             self._hear(sent.ok_value.body)
 
--- a/gooseberryquay/serving/tests/test_hubs.py
+++ b/gooseberryquay/serving/tests/test_hubs.py
@@ -11,7 +11,7 @@
 from gooseberryquay.links.connection_pool import ConnectionPool
 from gooseberryquay.links.http_server import HttpServer, Router
 from gooseberryquay.machines.peer import Peer
-from gooseberryquay.serving.hubs import HUBS_PER_ZONE, MESH_MAX, HubChoice
+from gooseberryquay.serving.hubs import HUBS_PER_CELL, MESH_MAX, HubChoice
 from gooseberryquay.serving.object_relay import HubSource, ObjectRelay
 from gooseberryquay.serving.object_source import Listing, SourceFailure, StoredObject
 from gooseberryquay.serving.peer_loads import PeerLoadExchange
@@ -60,11 +60,22 @@
 def test_large_fleet_has_a_few_hubs_in_each_zone_on_which_all_agree():
     choices = _choices(60)
     hubs = {each.id for each in choices[0].hubs()}
-    assert len(hubs) == HUBS_PER_ZONE * len(ZONES)
+    assert len(hubs) == HUBS_PER_CELL * len(ZONES)
     assert all({each.id for each in choice.hubs()} == hubs for choice in choices)
     assert sum(choice.is_hub() for choice in choices) == len(hubs)
 
 
+def test_entries_of_a_cell_follow_the_same_hub():
+    choices = _choices(60)
+    followed = {choice.my_hub().id for choice in choices if not choice.is_hub()}
+    assert len(followed) == len(ZONES)
+
+
+def test_zone_of_many_entries_is_parted_into_cells():
+    hubs = _choices(360)[0].hubs()
+    assert len(hubs) == HUBS_PER_CELL * len(ZONES) * 3
+
+
 def test_entries_follow_a_hub_of_their_zone_until_it_fails_them():
     choices = _choices(60)
     for number, choice in enumerate(choices):
