--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -152,7 +152,9 @@
         self._relay = ObjectRelay(upstreams, self._follows_upstreams)
         pool = ConnectionPool(STORE_CONNECT_TIMEOUT_S, STORE_IDLE_LIMIT_S)
         address = self._settings.store_address
-        upstream_source = HubSource(StoreKind(pool, address, UPSTREAM_KIND), self._hubs, pool)
+        upstream_source = HubSource(
+            StoreKind(pool, address, UPSTREAM_KIND), self._hubs, pool, self._log
+        )
         self._upstream_watch = self._watch(UPSTREAM_KIND, upstream_source, self._relay)
         return [
             self._watch(
--- a/gooseberryquay/serving/call_flow.py
+++ b/gooseberryquay/serving/call_flow.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from result import Err, Ok
 
@@ -43,6 +43,7 @@
     status: int
     headers: Sequence[HeaderPair]
     body: bytes
+    upstream: UpstreamId | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -183,7 +184,7 @@
             return MayHaveRun(f"status {answer.status} without proof that it has not run")
         if answer.status < SERVER_ERROR:
             self._loads.saw_success(known.record.id)
-        return WholeAnswer(answer.status, answer.headers, bytes(body))
+        return WholeAnswer(answer.status, answer.headers, bytes(body), known.record.id)
 
     def _attempt_until_s(self, request: AcceptedRequest, runs: int) -> float:
         """Leave time for one more attempt where there may be one."""
@@ -203,6 +204,7 @@
             request.call.id,
             upstream=known.record.id,
             upstream_state=known.record.state.value,
+            announced_age_s=round(time.monotonic() - known.announced_at_s, 2),
             outcome=type(attempt).__name__,
             detail=str(getattr(attempt, "reason", getattr(attempt, "status", ""))),
         )
--- a/gooseberryquay/serving/generation_flow.py
+++ b/gooseberryquay/serving/generation_flow.py
@@ -31,6 +31,7 @@
 HTTP_OK = 200
 SERVER_ERROR = 500
 AVOID_S = 0.5
+MS_PER_S = 1000.0
 MOVE_WAIT_S = 2.0
 RETRY_AFTER_S = 0.5
 QUEUE_SHARE = 0.85
@@ -92,6 +93,7 @@
                 if attempts.runs == 0 or isinstance(placed.err_value, CallerLeft):
                     return placed.err_value
                 break
+            self._note_placed(request, placed.ok_value)
             outcome = self._run(request, progress, attempts, placed.ok_value)
             match outcome:
                 case StreamEnd.COMPLETE:
@@ -300,6 +302,19 @@
         request.answer.abort()
         return None
 
+    def _note_placed(self, request: AcceptedRequest, placed: Placed) -> None:
+        now_s = time.monotonic()
+        self._log.request(
+            "generation placed",
+            request.call.id,
+            upstream=placed.known.record.id,
+            version=request.version,
+            announced_age_s=round(now_s - placed.known.announced_at_s, 2),
+            own_runs=len(self._loads.runs_at(placed.known.record.id)),
+            expected_tokens=round(placed.run.expected_tokens),
+            waited_ms=round((now_s - request.call.arrived_at_s) * MS_PER_S),
+        )
+
     def _note(self, active: ActiveGeneration, event: str, reason: str) -> None:
         known = active.known
         if not known.is_leaving:
--- a/gooseberryquay/serving/object_relay.py
+++ b/gooseberryquay/serving/object_relay.py
@@ -17,6 +17,7 @@
 from gooseberryquay.links.http_server import Request, Response, Router
 from gooseberryquay.links.upstream_connection import CallerLeft
 from gooseberryquay.machines.peer import Peer
+from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.hubs import HubChoice
 from gooseberryquay.serving.object_source import (
     Changes,
@@ -145,7 +146,10 @@
     with a list.
     """
 
-    def __init__(self, direct: ObjectSource, hubs: HubChoice, pool: ConnectionPool) -> None:
+    def __init__(
+        self, direct: ObjectSource, hubs: HubChoice, pool: ConnectionPool, log: DecisionLog
+    ) -> None:
+        self._log = log
         self._direct = direct
         self._hubs = hubs
         self._pool = pool
@@ -158,6 +162,7 @@
         self._followed = hub
         if hub is None:
             return self._direct.list()
+        self._log.dependency("hub", hub.id, is_lost=False)
         match self._ask(hub, RELAY_PATH, HUB_SLACK_S):
             case Ok(message):
                 objects = tuple(each.stored() for each in message.objects)
@@ -192,6 +197,7 @@
             self._direct.interrupt()
 
     def _leave(self, hub: EntryId) -> None:
+        self._log.dependency("hub", hub, is_lost=True)
         self._hubs.avoid(hub)
         self._followed = None
 
--- a/gooseberryquay/serving/request_path.py
+++ b/gooseberryquay/serving/request_path.py
@@ -3,7 +3,7 @@
 import random
 import time
 
-from gooseberryquay.ids import WorkspaceId
+from gooseberryquay.ids import UpstreamId, WorkspaceId
 from gooseberryquay.links.caller_watch import CallerWatch
 from gooseberryquay.links.streaming_gateway import CallerGone
 from gooseberryquay.links.upstream_connection import CallerLeft
@@ -102,14 +102,16 @@
                 self._finish(request, "streamed")
             case WholeAnswer():
                 request.answer.send(end.status, end.headers, end.body)
-                self._finish(request, f"answered {end.status}")
+                self._finish(request, f"answered {end.status}", end.upstream)
             case Refusal():
                 self._refuse(request.call, request, request.answer, end)
             case CallerLeft():
                 self._finish(request, "caller left")
                 request.answer.abort()
 
-    def _finish(self, request: AcceptedRequest, outcome: str) -> None:
+    def _finish(
+        self, request: AcceptedRequest, outcome: str, upstream: UpstreamId | None = None
+    ) -> None:
         took_s = time.monotonic() - request.call.arrived_at_s
         self._counters.saw_end(request.route.kind, outcome, took_s)
         self._log.request(
@@ -119,6 +121,7 @@
             service=request.service,
             workspace=_id_of(request.workspace),
             version=request.version,
+            upstream=upstream,
             outcome=outcome,
             took_ms=round(took_s * 1000.0),
         )
--- a/gooseberryquay/serving/tests/test_hubs.py
+++ b/gooseberryquay/serving/tests/test_hubs.py
@@ -11,6 +11,7 @@
 from gooseberryquay.links.connection_pool import ConnectionPool
 from gooseberryquay.links.http_server import HttpServer, Router
 from gooseberryquay.machines.peer import Peer
+from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.hubs import HUBS_PER_CELL, MESH_MAX, HubChoice
 from gooseberryquay.serving.object_relay import HubSource, ObjectRelay
 from gooseberryquay.serving.object_source import Listing, SourceFailure, StoredObject
@@ -134,7 +135,7 @@
     me = next(n for n, each in enumerate(_choices(60)) if not each.is_hub())
     hubs = HubChoice(_Members(me, peers), peers[me].zone)
     direct = _Direct()
-    yield served, HubSource(direct, hubs, ConnectionPool(0.5, 2.0)), direct
+    yield served, HubSource(direct, hubs, ConnectionPool(0.5, 2.0), DecisionLog()), direct
     server.stop()
 
 
--- a/gooseberryquay/serving/upstream_book.py
+++ b/gooseberryquay/serving/upstream_book.py
@@ -20,6 +20,7 @@
     record: UpstreamRecord
     first_seen_at_s: float
     cold_until_s: float
+    announced_at_s: float = 0.0
     is_gone: bool = False
 
     @property
@@ -67,6 +68,7 @@
                 self._known[record.id] = known
             known.record = record
             known.is_gone = False
+            known.announced_at_s = now_s
             known.cold_until_s = now_s + record.cold_left_s
             self._index()
             is_leaving = known.is_leaving and not was_leaving
