--- a/gooseberryquay/serving/hubs.py
+++ b/gooseberryquay/serving/hubs.py
@@ -1,7 +1,7 @@
 """Which entries follow the store for others and sum up loads.
 
 Entries of a zone form cells. All entries of a cell talk to the same hub, so that what one of them
-places is known to the next at once; a second hub of the cell stands by.
+places is known to the next at once; the hubs of other cells stand by.
 """
 
 import threading
@@ -19,7 +19,7 @@
 # Up to so many entries talk to each other directly, and all of them follow the store.
 MESH_MAX = 10
 CELL_MAX = 40
-HUBS_PER_CELL = 2
+HUBS_PER_CELL = 1
 REFRESH_S = 0.5
 AVOID_S = 5.0
 
--- a/gooseberryquay/serving/object_watch.py
+++ b/gooseberryquay/serving/object_watch.py
@@ -18,7 +18,7 @@
 
 __all__ = ["ObjectReader", "ObjectWatch"]
 
-WATCH_WAIT_S = 8.0
+WATCH_WAIT_S = 15.0
 # A call that a silent store swallowed must not hold up the watch for long.
 OUTAGE_WAIT_S = 2.0
 # What a peer has seen is on its way here for a while.
