--- /dev/null
+++ b/gooseberryquay/daemons/tests/test_platform_entry.py
@@ -0,0 +1,226 @@
+"""A whole entry on stand-ins for the users' platform."""
+
+import http.client
+import json
+import random
+import signal
+import threading
+import time
+import urllib.request
+
+import pytest
+
+from gooseberryquay.standins.node_platform.site import HOST, KEY, EntryPorts, Site
+from gooseberryquay.standins.node_platform.soak_callers import (
+    CallKind,
+    broken_promises,
+    call_once,
+)
+from gooseberryquay.standins.node_platform.store import StoreMood
+from gooseberryquay.standins.process import ListeningProcess
+
+SOURCE = random.Random(7)
+CONFIG_APPLY_S = 2.0
+DRAIN_S = 2.0
+GRACE_S = 4.0
+
+
+@pytest.fixture
+def site():
+    site = Site(random.Random(1))
+    site.start(engines=3, services=2)
+    yield site
+    site.stop()
+
+
+@pytest.fixture
+def entry(site, tmp_path):
+    ports = EntryPorts("entry-0")
+    settings = ports.write_settings(tmp_path, site.store.port, [ports.control])
+    process = ListeningProcess(
+        "entry",
+        f"--node_settings={settings}",
+        port=ports.callers,
+        log_path=str(tmp_path / "entry.log"),
+    )
+    process.ports, process.log = ports, tmp_path / "entry.log"
+    with process:
+        _until(lambda: _is_ready(ports))
+        yield process
+
+
+def _until(condition, within_s=5.0):
+    until_s = time.monotonic() + within_s
+    while not condition():
+        assert time.monotonic() < until_s, "not in time"
+        time.sleep(0.05)
+
+
+def _is_ready(ports):
+    connection = http.client.HTTPConnection("127.0.0.1", ports.readiness, timeout=2.0)
+    connection.request("GET", "/api/readyz")
+    return connection.getresponse().status == http.client.OK
+
+
+def _ask(port, path="/read/1", headers=None, method="GET", body=None):
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5.0)
+    sent = {"Host": HOST, "X-Attempt-Id": "a-1", "Authorization": f"Bearer {KEY}"}
+    sent.update(headers or {})
+    connection.request(method, path, body, {k: v for k, v in sent.items() if v is not None})
+    answer = connection.getresponse()
+    return answer.status, answer.read(), answer
+
+
+def test_each_kind_of_request_is_served(site, entry):
+    results = [call_once(entry.ports.callers, kind, SOURCE) for kind in CallKind]
+    assert [each.status for each in results] == [200] * 4
+    assert broken_promises(results, site.record) == []
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/nowhere/1", {}, 404),
+        ("/read/1", {"Host": "other.example"}, 404),
+        ("/read/1", {"Authorization": "Bearer wrong"}, 401),
+        ("/read/1", {"Authorization": None}, 401),
+        ("/read/1", {"X-Attempt-Id": None}, 400),
+        ("/read/1", {"X-Deadline-Ms": "soon"}, 400),
+        ("/note/1", {"X-Token-Usage": "many"}, 400),
+        ("/note/1", {"X-Token-Usage": "1,2", "X-Prompt-Prefix": "a:b"}, 400),
+    ],
+)
+def test_bad_requests_get_a_clear_answer_and_reach_no_upstream(site, entry, path, headers, status):
+    got, body, _ = _ask(entry.ports.callers, path, headers)
+    assert got == status
+    assert body
+    assert site.record.arrivals == {}
+
+
+def test_headers_that_the_system_sets_are_never_a_callers_own(site, entry):
+    forged = {"X-Hold": "h", "X-Pin-Ms": "4", "Kv-From": "1.2.3.4:5/x", "X-Tenant": "other"}
+    assert _ask(entry.ports.callers, headers=forged)[0] == 200
+    assert site.record.unasked == []
+
+
+def test_key_taken_away_and_route_added_are_in_force_in_time(site, entry):
+    added = {
+        "name": "added",
+        "host": HOST,
+        "path_prefix": "/added/",
+        "route_kind": "idempotent",
+        "service": "ledger",
+        "timeout_ms": 2000,
+    }
+    site.configure(added, keys=("another",))
+    time.sleep(CONFIG_APPLY_S)
+    assert _ask(entry.ports.callers, "/added/1")[0] == 401
+    assert _ask(entry.ports.callers, "/added/1", {"Authorization": "Bearer another"})[0] == 200
+
+
+def test_generation_moves_when_its_engine_leaves(site, entry):
+    results = []
+    callers = [
+        threading.Thread(
+            target=lambda n=n: results.append(
+                call_once(entry.ports.callers, CallKind.NOTE, random.Random(n))
+            )
+        )
+        for n in range(6)
+    ]
+    for caller in callers:
+        caller.start()
+    time.sleep(0.15)
+    for engine in list(site.engines)[:2]:
+        site.announce_leave(engine)
+    time.sleep(0.3)
+    for engine in list(site.engines)[:2]:
+        site.remove(engine)
+    for caller in callers:
+        caller.join()
+    assert [each.status for each in results] == [200] * 6
+    assert broken_promises(results, site.record) == []
+
+
+def test_draining_and_gone_upstreams_get_nothing_in_time(site, entry):
+    first, second = site.services
+    site.announce_leave(first)
+    time.sleep(DRAIN_S)
+    before = len(site.record.arrivals[first])
+    for _ in range(10):
+        assert call_once(entry.ports.callers, CallKind.POST, SOURCE).status == 200
+    assert len(site.record.arrivals[first]) == before
+    assert len(site.record.arrivals[second]) >= 10
+
+
+def test_zone_taken_out_gets_nothing_in_time(site, entry):
+    site.store.put("evacuations", "zone-a", {})
+    time.sleep(DRAIN_S)
+    for _ in range(6):
+        call_once(entry.ports.callers, CallKind.READ, SOURCE)
+    names = {each for each, times in site.record.arrivals.items() if times}
+    assert all(int(each.rpartition("-")[2]) % 2 == 1 for each in names)
+
+
+def test_sigterm_cuts_nothing_off_and_turns_away_late_streams(site, entry):
+    results = []
+    caller = threading.Thread(
+        target=lambda: results.append(
+            call_once(entry.ports.callers, CallKind.NOTE, random.Random(3))
+        )
+    )
+    caller.start()
+    time.sleep(0.1)
+    entry.send_signal(signal.SIGTERM)
+    time.sleep(0.2)
+    assert not _is_ready(entry.ports)
+    assert call_once(entry.ports.callers, CallKind.POST, SOURCE).status == 200
+    caller.join()
+    assert results[0].status == 200
+    assert entry.wait(GRACE_S + 1.0) == 0
+    assert broken_promises(results, site.record) == []
+
+
+def test_sighup_reloads_and_serves_on(site, entry):
+    entry.send_signal(signal.SIGHUP)
+    _until(lambda: "reloaded" in entry.log.read_text())
+    assert call_once(entry.ports.callers, CallKind.READ, SOURCE).status == 200
+
+
+def test_store_outage_leaves_what_is_known_in_force(site, entry):
+    site.store.mood = StoreMood.REFUSING
+    site.store.forget_history()
+    time.sleep(0.5)
+    assert call_once(entry.ports.callers, CallKind.POST, SOURCE).status == 200
+    site.store.mood = StoreMood.WELL
+    _until(lambda: "dependency regained" in entry.log.read_text())
+
+
+def test_entry_without_a_configuration_is_not_ready_and_promises_not_run(tmp_path):
+    site = Site(random.Random(1))
+    site.store.mood = StoreMood.REFUSING
+    site.start(engines=1, services=1)
+    ports = EntryPorts("entry-0")
+    settings = ports.write_settings(tmp_path, site.store.port, [])
+    process = ListeningProcess("entry", f"--node_settings={settings}", port=ports.callers)
+    with process:
+        assert not _is_ready(ports)
+        status, body, answer = _ask(ports.callers)
+        assert (status, json.loads(body)["error"]["type"]) == (503, "no_configuration")
+        assert float(answer.getheader("retry-after")) > 0
+        site.store.mood = StoreMood.WELL
+        _until(lambda: _is_ready(ports))
+    site.stop()
+
+
+def test_metrics_count_requests_and_the_log_names_them(site, entry):
+    result = call_once(entry.ports.callers, CallKind.READ, SOURCE)
+    with urllib.request.urlopen(f"http://127.0.0.1:{entry.ports.metrics}/metrics") as answer:
+        text = answer.read().decode()
+    assert 'requests_ended_total{kind="idempotent",outcome="answered 200"} 1.0' in text
+    assert "request_duration_seconds_bucket" in text
+    _until(lambda: result.id in entry.log.read_text())
+    lines = [json.loads(each) for each in entry.log.read_text().splitlines()]
+    (ended,) = [each for each in lines if each.get("request") == result.id]
+    assert (ended["message"], ended["outcome"]) == ("request ended", "answered 200")
+    assert {"version", "upstream", "route", "took_ms"} <= ended.keys()
--- /dev/null
+++ b/gooseberryquay/standins/node_platform/tests/test_soak.py
@@ -0,0 +1,21 @@
+"""Short seeded soaks; each seed that ever broke a promise stays here with its cause."""
+
+import pytest
+
+from gooseberryquay.standins.node_platform.soak import Soak
+
+ENTRIES = 3
+
+
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize(
+    "seed",
+    [
+        pytest.param(2, id="seed-2-watch-swallowed-by-a-silent-store"),
+        pytest.param(3, id="seed-3-two-lagging-entries-reassured-each-other"),
+    ],
+)
+def test_every_promise_holds_under_random_faults(seed, tmp_path):
+    report = Soak(seed, ENTRIES, tmp_path).run()
+    assert report.broken == []
+    assert report.served > 0
--- a/gooseberryquay/standins/process.py
+++ b/gooseberryquay/standins/process.py
@@ -160,3 +160,4 @@
         with open(self._log_path, "a", encoding="utf-8") as log:
             for line in output:
                 log.write(line)
+                log.flush()
