--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -53,7 +53,12 @@
 STORE_IDLE_LIMIT_S = 4.0
 HEADER_BYTES_MAX = 64 * 1024
 BODY_BYTES_MAX = 4 * 1024 * 1024
-WATCH_PAUSE_S = 0.03
+# Upstreams leave at short notice; changes of configuration that come in series are read together.
+UPSTREAM_PAUSE_S = 0.03
+CONFIGURATION_PAUSE_S = 0.25
+# One watch looks often whether the store is back, and then wakes the others.
+PROBE_RETRY_MAX_S = 1.0
+OTHER_RETRY_MAX_S = 3.0
 OUTAGE_GRACE_S = 2.0
 # The balancer looks once a second and gives up after two misses.
 LEAVE_NOTICE_S = 2.5
@@ -165,13 +170,15 @@
         ]
 
     def _watch(self, kind: str, source: ObjectSource, reader: ObjectReader) -> ObjectWatch:
+        is_probe = kind == CONFIGURATION_KIND
         return ObjectWatch(
             kind=kind,
             source=source,
             reader=reader,
             log=self._log,
-            pause_s=WATCH_PAUSE_S,
+            pause_s=UPSTREAM_PAUSE_S if kind == UPSTREAM_KIND else CONFIGURATION_PAUSE_S,
             outage_grace_s=OUTAGE_GRACE_S,
+            retry_max_s=PROBE_RETRY_MAX_S if is_probe else OTHER_RETRY_MAX_S,
             on_regained=self._renew_other_watches,
         )
 
--- a/gooseberryquay/daemons/tests/test_platform_entry.py
+++ b/gooseberryquay/daemons/tests/test_platform_entry.py
@@ -189,8 +189,8 @@
 
 def test_store_outage_leaves_what_is_known_in_force(site, entry):
     site.store.mood = StoreMood.REFUSING
-    site.store.forget_history()
-    time.sleep(0.5)
+    site.configure()  # answers the waiting watch; the next is refused
+    _until(lambda: "dependency lost" in entry.log.read_text())
     assert call_once(entry.ports.callers, CallKind.POST, SOURCE).status == 200
     site.store.mood = StoreMood.WELL
     _until(lambda: "dependency regained" in entry.log.read_text())
--- a/gooseberryquay/serving/object_watch.py
+++ b/gooseberryquay/serving/object_watch.py
@@ -24,7 +24,6 @@
 # What a peer has seen is on its way here for a while.
 PEER_LEAD_S = 0.5
 RETRY_MIN_S = 0.1
-RETRY_MAX_S = 1.0
 
 
 class ObjectReader(Protocol):
@@ -49,6 +48,7 @@
         log: DecisionLog,
         pause_s: float,
         outage_grace_s: float,
+        retry_max_s: float,
         on_regained: Callable[["ObjectWatch"], None] = lambda _watch: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -58,6 +58,8 @@
         self._log = log
         self._pause_s = pause_s
         self._outage_grace_s = outage_grace_s
+        self._retry_max_s = retry_max_s
+        self._woken = threading.Event()
         self._on_regained = on_regained
         self._clock = clock
         self._peer_revision = 0
@@ -78,6 +80,7 @@
     def stop(self) -> None:
         """End after the call in progress."""
         self._stopped.set()
+        self._woken.set()
 
     def is_sound(self) -> bool:
         """Tell whether the last call succeeded and is not long ago."""
@@ -86,7 +89,8 @@
         return self._clock() - self.confirmed_at_s < WATCH_WAIT_S + OUTAGE_WAIT_S
 
     def renew(self) -> None:
-        """Give up a call that began before now, as it may never be answered."""
+        """Give up a pause or a call that began before now, as it may never be answered."""
+        self._woken.set()
         if self._revision is not None:
             self._source.interrupt()
 
@@ -111,7 +115,8 @@
         while not self._stopped.is_set():
             wait_s = self.step()
             if wait_s > 0.0:
-                self._stopped.wait(wait_s)
+                self._woken.wait(wait_s)
+                self._woken.clear()
 
     def step(self) -> float:
         """Make one call and give the pause before the next."""
@@ -171,5 +176,5 @@
         self._failures += 1
         if self._failures == 1:
             self._log.dependency("store", self.kind, is_lost=True, reason=failure.value)
-        ceiling_s = min(RETRY_MAX_S, RETRY_MIN_S * 2.0 ** min(self._failures, 8))
+        ceiling_s = min(self._retry_max_s, RETRY_MIN_S * 2.0 ** min(self._failures, 8))
         return random.uniform(ceiling_s / 2.0, ceiling_s)
--- a/gooseberryquay/serving/tests/test_object_watch.py
+++ b/gooseberryquay/serving/tests/test_object_watch.py
@@ -10,11 +10,12 @@
     SourceFailure,
     StoredObject,
 )
-from gooseberryquay.serving.object_watch import RETRY_MAX_S, ObjectWatch
+from gooseberryquay.serving.object_watch import ObjectWatch
 from gooseberryquay.serving.routing_keeper import RoutingKeeper
 from gooseberryquay.serving.tests.builders import FakeClock, build_routing
 
 PAUSE_S = 0.03
+RETRY_MAX_S = 1.0
 
 
 class _Source:
@@ -54,6 +55,7 @@
         log=DecisionLog(),
         pause_s=PAUSE_S,
         outage_grace_s=2.0,
+        retry_max_s=RETRY_MAX_S,
         clock=clock,
     )
     return watch, source, reader, clock
--- a/gooseberryquay/standins/node_platform/store.py
+++ b/gooseberryquay/standins/node_platform/store.py
@@ -55,7 +55,7 @@
 
     def stop(self) -> None:
         """Stop serving."""
-        self._server.stop()
+        threading.Thread(target=self._server.stop, daemon=True).start()
 
     @property
     def port(self) -> int:
--- a/gooseberryquay/standins/node_platform/upstream_server.py
+++ b/gooseberryquay/standins/node_platform/upstream_server.py
@@ -66,7 +66,8 @@
     def stop(self) -> None:
         """Crash: cut everything off."""
         self.is_crashed = True
-        self._server.stop()
+        # The server would wait for connections that callers keep open.
+        threading.Thread(target=self._server.stop, daemon=True).start()
 
     @property
     def port(self) -> int:
