--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -122,6 +122,7 @@
         queue = GenerationQueue(placement, self._loads, self._peers.refresh, self._peers.tell_soon)
         self._book.on_leaving(migration.upstream_leaving)
         self._book.on_change(queue.changed)
+        self._book.on_change(self._forget_loads)
         generation_flow = GenerationFlow(
             calls=calls,
             placement=placement,
@@ -150,6 +151,9 @@
         self._relay.add_routes(router)
         return router
 
+    def _forget_loads(self) -> None:
+        self._loads.forget(self._book.listed())
+
     def _build_watches(self) -> list[ObjectWatch]:
         upstreams = UpstreamListReader(self._book, read_upstream, self._log, OUTAGE_GRACE_S)
         zones = ZoneListReader(self._book, self._log)
--- a/gooseberryquay/links/connection_pool.py
+++ b/gooseberryquay/links/connection_pool.py
@@ -47,10 +47,3 @@
             dropped = idle.pop(0) if len(idle) > IDLE_PER_ADDRESS_MAX else None
         if dropped is not None:
             dropped.close()
-
-    def forget(self, address: Address) -> None:
-        """Close all idle connections to an address."""
-        with self._lock:
-            idle = self._idle.pop(address, [])
-        for connection in idle:
-            connection.close()
--- a/gooseberryquay/platform/documents.py
+++ b/gooseberryquay/platform/documents.py
@@ -20,8 +20,6 @@
 __all__ = ["read_routing", "read_upstream"]
 
 MS_PER_S = 1000.0
-BITS_PER_BYTE = 8.0
-BYTES_PER_MB = 1e6
 KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -52,26 +50,19 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
-    gap_target_ms: float | None = None
 
 
 class _Engine(_Document):
     slots: int
     # Tokens of memory, not bytes.
     kv_capacity: int
-    kv_bytes: float = 0.0
-    link_mbps: float = 0.0
     moves: bool = False
-    backups: bool = False
     # Tokens in one event of a stream.
     stride: int = 1
-    handle_s: float = 5.0
 
 
 class _Service(_Document):
     name: str
-    max_conns: int = 1000
-    cold_s: float = 0.0
     cold_per_s: float = 0.0
     engine: _Engine | None = None
 
@@ -165,7 +156,6 @@
         attempts_max=max(1, document.max_attempts),
         is_public=document.public,
         is_resumable=document.resumable,
-        event_gap_s=None if document.gap_target_ms is None else document.gap_target_ms / MS_PER_S,
     )
 
 
@@ -173,8 +163,6 @@
     engine = document.engine
     return ServiceTerms(
         id=ServiceId(document.name),
-        connections_max=document.max_conns,
-        cold_s=document.cold_s,
         cold_requests_per_s=document.cold_per_s,
         engine=_engine_of(engine) if engine is not None else None,
     )
@@ -184,12 +172,8 @@
     return EngineTerms(
         slots=document.slots,
         memory_tokens=document.kv_capacity,
-        bytes_per_token=document.kv_bytes,
-        link_bytes_per_s=document.link_mbps * BYTES_PER_MB / BITS_PER_BYTE,
         can_move=document.moves,
-        can_back_up=document.backups,
         tokens_per_event=max(1, document.stride),
-        handle_lifetime_s=document.handle_s,
     )
 
 
--- a/gooseberryquay/serving/route.py
+++ b/gooseberryquay/serving/route.py
@@ -50,7 +50,6 @@
     attempts_max: int
     is_public: bool
     is_resumable: bool
-    event_gap_s: float | None
 
     @property
     def may_repeat(self) -> bool:
@@ -77,12 +76,8 @@
 
     slots: int
     memory_tokens: int
-    bytes_per_token: float
-    link_bytes_per_s: float
     can_move: bool
-    can_back_up: bool
     tokens_per_event: int
-    handle_lifetime_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,8 +85,6 @@
     """Describe a service."""
 
     id: ServiceId
-    connections_max: int
-    cold_s: float
     cold_requests_per_s: float
     engine: EngineTerms | None
 
--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -68,12 +68,8 @@
     values = {
         "slots": 8,
         "memory_tokens": 10_000,
-        "bytes_per_token": 1000.0,
-        "link_bytes_per_s": 1e9,
         "can_move": True,
-        "can_back_up": True,
         "tokens_per_event": 4,
-        "handle_lifetime_s": 5.0,
     }
     return EngineTerms(**{**values, **changes})
 
@@ -92,15 +88,14 @@
         "attempts_max": 2,
         "is_public": False,
         "is_resumable": False,
-        "event_gap_s": None,
     }
     return Route(**{**values, **changes})
 
 
 def build_routing(*routes, version=1, engine=None, workspaces=None):
     services = {
-        MODEL: ServiceTerms(MODEL, 100, 1.0, 10.0, engine or build_engine_terms()),
-        LEDGER: ServiceTerms(LEDGER, 100, 1.0, 10.0, None),
+        MODEL: ServiceTerms(MODEL, 10.0, engine or build_engine_terms()),
+        LEDGER: ServiceTerms(LEDGER, 10.0, None),
     }
     if workspaces is None:
         workspaces = {KEY: Workspace(WorkspaceId("studio"), 1)}
--- a/gooseberryquay/serving/upstream_book.py
+++ b/gooseberryquay/serving/upstream_book.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from gooseberryquay.ids import ServiceId, UpstreamId, ZoneId
@@ -49,14 +49,6 @@
         """Call back after any change of what may be used."""
         self._on_change.append(listener)
 
-    def apply_listing(self, records: Mapping[UpstreamId, UpstreamRecord]) -> None:
-        """Take in the whole list; what it lacks is gone."""
-        missing = [each for each in self._known if each not in records]
-        for record in records.values():
-            self.apply_record(record)
-        for upstream in missing:
-            self.remove(upstream)
-
     def apply_record(self, record: UpstreamRecord) -> None:
         """Take in what an upstream announces."""
         now_s = self._clock()
@@ -104,13 +96,9 @@
         """Find an upstream that is listed."""
         return self._known.get(upstream)
 
-    def may_get_work(self, known: KnownUpstream) -> bool:
-        """Tell whether an upstream may get new work now."""
-        return not known.is_leaving and known.record.zone not in self._zones_out
-
-    def count(self) -> int:
-        """Give the number of upstreams listed."""
-        return len(self._known)
+    def listed(self) -> list[UpstreamId]:
+        """Give the upstreams listed."""
+        return list(self._known)
 
     def _index(self) -> None:
         by_service: dict[ServiceId, list[KnownUpstream]] = {}
