--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -47,10 +47,13 @@
 
 __all__ = ["PlatformEntry"]
 
+# Callers give a connection one second.
 CONNECT_TIMEOUT_S = 0.6
+# Below the idle time-outs that upstreams name.
 IDLE_LIMIT_S = 4.0
 STORE_CONNECT_TIMEOUT_S = 1.0
 STORE_IDLE_LIMIT_S = 4.0
+# Until the first configuration names the limits.
 HEADER_BYTES_MAX = 64 * 1024
 BODY_BYTES_MAX = 4 * 1024 * 1024
 # Upstreams leave at short notice; changes of configuration that come in series are read together.
@@ -59,9 +62,11 @@
 # One watch looks often whether the store is back, and then wakes the others.
 PROBE_RETRY_MAX_S = 1.0
 OTHER_RETRY_MAX_S = 3.0
+# Entries that lapsed during an outage are back within about two seconds.
 OUTAGE_GRACE_S = 2.0
 # The balancer looks once a second and gives up after two misses.
 LEAVE_NOTICE_S = 2.5
+# Time for the last lines of the log before the kill.
 EXIT_MARGIN_S = 0.5
 MS_PER_S = 1000.0
 
--- a/gooseberryquay/links/connection_pool.py
+++ b/gooseberryquay/links/connection_pool.py
@@ -8,6 +8,7 @@
 
 __all__ = ["ConnectionPool"]
 
+# An upstream's slots, shared by a few entries.
 IDLE_PER_ADDRESS_MAX = 16
 
 
--- a/gooseberryquay/links/keep_alive.py
+++ b/gooseberryquay/links/keep_alive.py
@@ -4,6 +4,7 @@
 
 __all__ = ["keep_probing"]
 
+# A silent connection is closed within three seconds.
 PROBE_IDLE_S = 1
 PROBE_INTERVAL_S = 1
 PROBES_MAX = 2
--- a/gooseberryquay/platform/engine_calls.py
+++ b/gooseberryquay/platform/engine_calls.py
@@ -37,6 +37,7 @@
 __all__ = ["EngineCalls"]
 
 MS_PER_S = 1000.0
+# Late answers to earlier requests come one or two at a time.
 OTHER_ANSWERS_MAX = 4
 HTTP_MISDIRECTED = 421
 FREE_TIMEOUT_S = 1.0
--- a/gooseberryquay/platform/store.py
+++ b/gooseberryquay/platform/store.py
@@ -37,8 +37,10 @@
 HTTP_OK = 200
 HTTP_GONE = 410
 MS_PER_S = 1000.0
+# Far above the store's usual answer, within the bounds of a configuration.
 LIST_TIMEOUT_S = 2.0
 WATCH_SLACK_S = 2.0
+# 100,000 objects.
 PAGES_MAX = 200
 
 
--- a/gooseberryquay/serving/call_flow.py
+++ b/gooseberryquay/serving/call_flow.py
@@ -28,11 +28,17 @@
 
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
 SERVER_ERROR = 500
+# Doubles with each failure in a row; short beside the seconds in which an upstream restarts.
 AVOID_S = 0.5
+# Leaves more than half of the time to a second attempt.
 FIRST_ATTEMPT_SHARE = 0.4
+# About the time in which a busy upstream frees a slot.
 BUSY_PAUSE_S = 0.02
+# Covers a zone's upstreams going away at once, without trying a whole fleet.
 UNARRIVED_MAX = 6
+# Several times a plain call's duration.
 RETRY_AFTER_S = 0.3
+# Half of the smallest instance's memory.
 ANSWER_BYTES_MAX = 64 * 1024 * 1024
 
 
--- a/gooseberryquay/serving/decision_log.py
+++ b/gooseberryquay/serving/decision_log.py
@@ -17,8 +17,11 @@
 __all__ = ["DecisionLog", "set_up_decision_log"]
 
 FIELDS = "%(asctime)s %(levelname)s %(message)s"
+# About 1 MB of lines.
 QUEUED_LINES_MAX = 2000
+# Above the decisions of an entry at the peak rate of the small sites.
 LINES_PER_S = 60.0
+# Four seconds at the full rate.
 BURST_LINES = 240.0
 
 
--- a/gooseberryquay/serving/event_stream.py
+++ b/gooseberryquay/serving/event_stream.py
@@ -7,6 +7,7 @@
 
 BOUNDARY = re.compile(rb"\r?\n\r?\n")
 ID_LINE = re.compile(rb"(?m)^id: ?(.*?)\r?$")
+# Far above any event of a few tokens.
 EVENT_BYTES_MAX = 1024 * 1024
 
 
--- a/gooseberryquay/serving/generation_flow.py
+++ b/gooseberryquay/serving/generation_flow.py
@@ -30,17 +30,26 @@
 
 HTTP_OK = 200
 SERVER_ERROR = 500
+# As for plain calls.
 AVOID_S = 0.5
 MS_PER_S = 1000.0
+# The notice that engines give.
 MOVE_WAIT_S = 2.0
+# A few steps of the engines' batches.
 RETRY_AFTER_S = 0.5
+# Leaves time to read the prompt before the first token is due.
 QUEUE_SHARE = 0.85
+# Callers prefer a late answer to none, but not after the whole deadline.
 GIVE_UP_GOALS = 3.0
+# Outputs are at most as long as the caller allows, and mostly shorter.
 HINTLESS_SHARE = 0.5
 RANKS_PER_WORKSPACE = 3
 RANK_MAX = 9
+# More than engines can leave during the longest generation.
 MOVES_MAX = 12
+# As for plain calls.
 UNARRIVED_MAX = 6
+# An engine's error message is short.
 ENGINE_ANSWER_BYTES_MAX = 1024 * 1024
 
 Outcome = StreamEnd | NotSent | CallerLeft
--- a/gooseberryquay/serving/generation_queue.py
+++ b/gooseberryquay/serving/generation_queue.py
@@ -17,9 +17,12 @@
 
 __all__ = ["GenerationQueue", "Placed", "QueueTicket"]
 
+# Loads that peers tell change about as often.
 LOOK_INTERVAL_S = 0.1
+# Grows with the number that waits.
 RETRY_AFTER_MIN_S = 0.5
 RETRY_AFTER_MAX_S = 5.0
+# Lets small generations pass a large one that fits nowhere.
 WAITERS_TRIED = 4
 
 
--- a/gooseberryquay/serving/hubs.py
+++ b/gooseberryquay/serving/hubs.py
@@ -18,9 +18,12 @@
 
 # Up to so many entries talk to each other directly, and all of them follow the store.
 MESH_MAX = 10
+# A hub then answers some 200 exchanges a second.
 CELL_MAX = 40
 HUBS_PER_CELL = 1
+# Half of the membership's probe period.
 REFRESH_S = 0.5
+# About the time in which a dead hub leaves the membership.
 AVOID_S = 5.0
 
 
--- a/gooseberryquay/serving/leave_state.py
+++ b/gooseberryquay/serving/leave_state.py
@@ -7,6 +7,7 @@
 
 __all__ = ["LeaveState"]
 
+# Most calls end within their goal; twice that leaves a margin.
 GOALS_KEPT_FREE = 2.0
 
 
--- a/gooseberryquay/serving/migration.py
+++ b/gooseberryquay/serving/migration.py
@@ -22,11 +22,16 @@
 
 __all__ = ["Migration"]
 
+# The pause that is left then is well within the gap allowed between events.
 QUICK_COPY_S = 0.06
+# About half of the shortest notice.
 STOP_AFTER_S = 0.9
+# Longer than the longest notice.
 COPY_TIMEOUT_S = 3.0
+# A few steps of an engine's batch.
 RETRY_PAUSE_S = 0.05
 TARGETS_MAX = 4
+# Twice the notice that engines give.
 MOVE_SPAN_S = 4.0
 
 
--- a/gooseberryquay/serving/object_relay.py
+++ b/gooseberryquay/serving/object_relay.py
@@ -31,7 +31,9 @@
 __all__ = ["HubSource", "ObjectRelay"]
 
 RELAY_PATH = "/peers/objects"
+# More changes than a large fleet sees between two polls.
 HISTORY_MAX = 512
+# With the slack below, a silent hub is left before the drain bound is over.
 HUB_WAIT_S = 1.0
 HUB_SLACK_S = 0.5
 SEQUENCE_BITS = 40
--- a/gooseberryquay/serving/object_watch.py
+++ b/gooseberryquay/serving/object_watch.py
@@ -18,11 +18,13 @@
 
 __all__ = ["ObjectReader", "ObjectWatch"]
 
+# Shorter than the store's history, as each answer costs a call.
 WATCH_WAIT_S = 15.0
 # A call that a silent store swallowed must not hold up the watch for long.
 OUTAGE_WAIT_S = 2.0
 # What a peer has seen is on its way here for a while.
 PEER_LEAD_S = 0.5
+# Doubles with each failure.
 RETRY_MIN_S = 0.1
 
 
--- a/gooseberryquay/serving/peer_loads.py
+++ b/gooseberryquay/serving/peer_loads.py
@@ -20,6 +20,7 @@
 __all__ = ["PeerLoadExchange"]
 
 LOAD_PATH = "/peers/load"
+# Keeps an entry's control traffic within 5 KB/s.
 PERIOD_S = 0.2
 MEMBER_PERIOD_S = 0.4
 SEND_TIMEOUT_S = 0.4
@@ -28,6 +29,7 @@
 FRESH_S = 0.02
 # A peer that was not heard for this long says nothing about now.
 STALE_S = 2.0
+# Keeps a message within a few KB.
 LOADS_PER_MESSAGE_MAX = 128
 HTTP_OK = 200
 HTTP_BAD_REQUEST = 400
--- a/gooseberryquay/serving/placement.py
+++ b/gooseberryquay/serving/placement.py
@@ -14,16 +14,27 @@
 
 __all__ = ["EngineNeed", "NoPeers", "PeerLoad", "PeerLoads", "Placement"]
 
+# Half a request: crossing zones costs a delay and bytes.
 OTHER_ZONE_LOAD = 0.5
+# An upstream's own count fades within about one request's duration.
 HINT_TRUST_S = 1.0
+# Generations end at different times, so that their peaks do not add up.
 GROWTH_SHARE = 0.6
+# Leaves room for lengths that were underestimated.
 MEMORY_SHARE_MAX = 0.95
+# Each running generation slows the steps of the others.
 CROWDING_WEIGHT = 0.3
+# Prompts are read one after the other, which delays first tokens more than memory does.
 UNREAD_WEIGHT = 5.0
+# Decides between engines that are nearly equal.
 OTHER_ZONE_SCORE = 0.1
+# Outweighs any load, as a copy between zones takes twice as long.
 MOVE_OTHER_ZONE_SCORE = 1.0
+# Keeps entries with the same view from choosing the same engine.
 NOISE_SCORE = 0.02
+# Outweighs any load.
 AVOIDED_SCORE = 10.0
+# A cold engine is slow for about a second.
 COLD_SCORE = 0.3
 
 
--- a/gooseberryquay/serving/request_path.py
+++ b/gooseberryquay/serving/request_path.py
@@ -20,7 +20,9 @@
 
 __all__ = ["RequestPath"]
 
+# An entry reads its configuration within that time when the store is well.
 NOT_READY_RETRY_AFTER_S = 0.5
+# Another entry takes the request at once.
 LEAVING_RETRY_AFTER_S = 0.05
 
 
