Keep the load of a generation that went on from a copy made ahead

Cause, found by reading: when the relay takes the copy while the mover still copies, the mover took the copy's run for unused and ended it, so that the generation no longer counted at its new engine; a copy that replaced one elsewhere left that run counted for good.

--- a/gooseberryquay/serving/active_generation.py
+++ b/gooseberryquay/serving/active_generation.py
@@ -63,11 +63,21 @@
                 self.state = state
             self.changed.notify_all()
 
-    def set_copy(self, copy: Copy) -> None:
-        """Note a newer copy, unless its relay has gone on without it."""
+    def set_copy(self, copy: Copy) -> Run | None:
+        """Note a newer copy, unless its relay has gone on without it.
+
+        Gives the run of a former copy at another engine, which is no longer needed.
+        """
         with self.changed:
-            if self.state is not MoveState.STAYING:
-                self.copy = copy
+            if self.state is MoveState.STAYING:
+                return None
+            former, self.copy = self.copy, copy
+            return former.run if former is not None and former.run is not copy.run else None
+
+    def needs(self, run: Run) -> bool:
+        """Tell whether the generation is at a run or may still go on there."""
+        with self.changed:
+            return run is self.run or (self.copy is not None and run is self.copy.run)
 
     def take_copy(self, timeout_s: float) -> Copy | None:
         """Wait for the end of a move that has stopped the run, and take the newest copy."""
--- a/gooseberryquay/serving/migration.py
+++ b/gooseberryquay/serving/migration.py
@@ -88,7 +88,7 @@
             tried.add(target.known.record.id)
             if self._move_to(active, target, began_at_s):
                 return
-            if active.copy is None:
+            if not active.needs(target.run):
                 self._loads.end(target.run)
         if active.state is not MoveState.STAYING:
             active.set_state(MoveState.FAILED)
@@ -124,7 +124,7 @@
             started_at_s = self._clock()
             match self._copy(active, target, is_final=False):
                 case Ok(copy):
-                    active.set_copy(Copy(target.known, copy.handle, target.run))
+                    self._note_copy(active, Copy(target.known, copy.handle, target.run))
                     took_s = self._clock() - started_at_s
                     is_late = self._clock() - began_at_s > STOP_AFTER_S
                     if took_s < QUICK_COPY_S or is_late:
@@ -140,7 +140,7 @@
         active.set_state(MoveState.STOPPING)
         match self._copy(active, target, is_final=True):
             case Ok(copy):
-                active.set_copy(Copy(target.known, copy.handle, target.run, active.known))
+                self._note_copy(active, Copy(target.known, copy.handle, target.run, active.known))
                 self._log.request(
                     "generation moved",
                     active.request.call.id,
@@ -152,11 +152,15 @@
             case Err(failure):
                 self._note(active, target, "stop refused", failure)
                 if failure.handle is not None:
-                    kept = Copy(active.known, failure.handle, active.run)
-                    active.set_copy(kept)
+                    self._note_copy(active, Copy(active.known, failure.handle, active.run))
                 active.set_state(MoveState.FAILED)
         return True
 
+    def _note_copy(self, active: ActiveGeneration, copy: Copy) -> None:
+        unneeded = active.set_copy(copy)
+        if unneeded is not None and unneeded is not active.run:
+            self._loads.end(unneeded)
+
     def _copy(
         self, active: ActiveGeneration, target: _Target, is_final: bool
     ) -> Result[MovedCopy, MoveFailure]:
--- a/gooseberryquay/serving/tests/test_generation_flow.py
+++ b/gooseberryquay/serving/tests/test_generation_flow.py
@@ -1,5 +1,7 @@
 """Streams that reach their caller once and in order, whatever happens to their engines."""
 
+import time
+
 from result import Err
 
 from gooseberryquay.links.upstream_connection import BodyEnd, CallerLeft
@@ -27,6 +29,7 @@
 from gooseberryquay.serving.upstream_record import UpstreamState
 
 RECORDS = [build_record(f"engine-{number}") for number in range(3)]
+FAILED_MOVE = MoveFailure(MoveRefusal.FAILED)
 REFUSED = ScriptedAnswer(503, is_not_run=True)
 
 
@@ -162,6 +165,34 @@
     assert path.calls.opened[1][1].continuation.copy.name == "ahead"
 
 
+def test_generation_that_went_on_from_a_copy_made_ahead_counts_at_its_new_engine():
+    """The mover ended the run that the generation had just gone on with."""
+    path = _path()
+    counted = []
+
+    def move(_source, _id, _target, _is_final, _until_s):
+        time.sleep(0.1 if len(path.calls.moved) == 0 else 0.2)
+        path.calls.moved.append("copy")
+        return copied("ahead") if len(path.calls.moved) == 1 else Err(FAILED_MOVE)
+
+    def leave(number):
+        if number == 2:
+            path.book.apply_record(build_record("engine-0", state=UpstreamState.DRAINING))
+            time.sleep(0.15)
+
+    def count(_number):
+        time.sleep(0.2)
+        counted.append(path.loads.in_flight())
+
+    path.calls.move = move
+    path.calls.answers = [
+        _stream(1, 2, BROKEN, before_part=leave),
+        _stream(3, 3, before_part=count),
+    ]
+    _serve(path)
+    assert counted == [1, 1]
+
+
 def test_full_target_is_replaced_by_another():
     no_room = Err(MoveFailure(MoveRefusal.NO_ROOM))
     path = _path(moves=[no_room, copied(), copied()])
