--- a/gooseberryquay/serving/object_watch.py
+++ b/gooseberryquay/serving/object_watch.py
@@ -18,7 +18,7 @@
 
 __all__ = ["ObjectReader", "ObjectWatch"]
 
-# Bounds how long a call that was swallowed goes unnoticed when no peer tells; each answer is a call.
+# Bounds how long a swallowed call goes unnoticed where no peer tells; each answer is a call.
 WATCH_WAIT_S = 8.0
 # A call that a silent store swallowed must not hold up the watch for long.
 OUTAGE_WAIT_S = 2.0
