--- a/gooseberryquay/standins/node_platform/tests/test_soak.py
+++ b/gooseberryquay/standins/node_platform/tests/test_soak.py
@@ -13,7 +13,7 @@
     [
         pytest.param(2, id="seed-2-watch-swallowed-by-a-silent-store"),
         pytest.param(3, id="seed-3-two-lagging-entries-reassured-each-other"),
-        pytest.param(207, id="seed-207-the-same-as-223"),
+        pytest.param(207, id="seed-207-all-watches-of-a-kind-swallowed-at-once"),
         pytest.param(223, id="seed-223-swallowed-watch-kept-a-zone-out-as-deletions-went-unseen"),
     ],
 )
