--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,4 @@
 	$(BIN)/black --check --quiet gooseberryquay conftest.py
 	$(BIN)/ruff check gooseberryquay conftest.py
 	$(BIN)/mypy gooseberryquay
+	$(BIN)/lint-imports
--- /dev/null
+++ b/gooseberryquay/links/tests/test_strict_request.py
@@ -0,0 +1,136 @@
+"""Requests that two servers could read in two ways reach nobody."""
+
+import socket
+
+import pytest
+
+from gooseberryquay.links.forwarding_server import ForwardingServer
+from gooseberryquay.links.strict_request import BodyIncomplete, read_whole_body
+
+HEAD = b"POST /x%2fy//z?q=%20 HTTP/1.1\r\nHost: a\r\n"
+
+
+class _Forwarder:
+    def __init__(self):
+        self.seen = []
+        self.broken = 0
+
+    def __call__(self, gateway):
+        try:
+            body = read_whole_body(gateway.req)
+        except BodyIncomplete:
+            self.broken += 1
+            gateway.abort()
+            return
+        self.seen.append((gateway.req.uri, body, list(gateway.req.inheaders.pairs)))
+        gateway.start("200 OK", [("Content-Length", "2")])
+        gateway.write_all(b"ok")
+
+
+@pytest.fixture
+def served():
+    forwarder = _Forwarder()
+    server = ForwardingServer("127.0.0.1", 0, forwarder, 16384, 100_000)
+    server.start()
+    yield forwarder, server.port
+    server.stop()
+
+
+def _talk(port, data, is_half_closed=False):
+    with socket.create_connection(("127.0.0.1", port), 2.0) as connection:
+        connection.settimeout(1.0)
+        connection.sendall(data)
+        if is_half_closed:
+            connection.shutdown(socket.SHUT_WR)
+        answer = b""
+        try:
+            while part := connection.recv(65536):
+                answer += part
+        except TimeoutError:
+            pass
+        return answer
+
+
+def test_target_headers_and_body_come_as_they_were_sent(served):
+    forwarder, port = served
+    _talk(port, HEAD + b"X-A: 1\r\nx-a: 2\r\nContent-Length: 3\r\n\r\nabc")
+    ((uri, body, pairs),) = forwarder.seen
+    assert (uri, body) == (b"/x%2fy//z?q=%20", b"abc")
+    assert pairs[1:3] == [(b"X-A", b"1"), (b"x-a", b"2")]
+
+
+def test_chunked_body_is_read_whole(served):
+    forwarder, port = served
+    _talk(port, HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+    assert forwarder.seen[0][1] == b"abcde"
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        b"Content-Length: +3\r\n\r\nabc",
+        b"Content-Length: -3\r\n\r\n",
+        b"Content-Length : 3\r\n\r\nabc",
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n",
+        b"X-A: 1\r\n folded\r\n\r\n",
+        b"X A: 1\r\n\r\n",
+        b": 1\r\n\r\n",
+        b"no colon\r\n\r\n",
+        b"X-A: 1\n\r\n",
+        b"Host: b\r\n\r\n",
+    ],
+)
+def test_ambiguous_request_gets_400_and_its_connection_closed(served, headers):
+    forwarder, port = served
+    smuggled = b"GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n"
+    answer = _talk(port, HEAD + headers + smuggled)
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert answer.count(b"HTTP/1.1 ") == 1
+    assert forwarder.seen == []
+
+
+def test_unknown_transfer_coding_is_refused(served):
+    forwarder, port = served
+    answer = _talk(port, HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n")
+    assert answer.split()[1] in {b"400", b"501"}
+    assert forwarder.seen == []
+
+
+def test_body_over_the_limit_gets_413(served):
+    forwarder, port = served
+    answer = _talk(port, HEAD + b"Content-Length: 100001\r\n\r\n")
+    assert answer.startswith(b"HTTP/1.1 413")
+    assert forwarder.seen == []
+
+
+def test_headers_over_the_limit_reach_nobody(served):
+    forwarder, port = served
+    answer = _talk(port, HEAD + b"X-A: " + b"x" * 20000 + b"\r\n\r\n")
+    assert answer.split()[1] in {b"413", b"431"}
+    assert forwarder.seen == []
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"Content-Length: 5\r\n\r\nabc",
+        b"Transfer-Encoding: chunked\r\n\r\n5\r\nabc",
+        b"Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+    ],
+)
+def test_body_that_ends_early_or_is_malformed_is_not_passed_on(served, rest):
+    forwarder, port = served
+    _talk(port, HEAD + rest, is_half_closed=True)
+    assert forwarder.seen == []
+
+
+def test_draining_server_closes_connections_after_their_answers():
+    forwarder = _Forwarder()
+    server = ForwardingServer("127.0.0.1", 0, forwarder, 16384, 100_000)
+    server.start()
+    server.close_connections_after_answers()
+    answer = _talk(server.port, b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert b"connection: close" in answer.lower()
+    server.stop()
--- /dev/null
+++ b/gooseberryquay/links/tests/test_upstream_connection.py
@@ -0,0 +1,192 @@
+"""Answers of upstreams that are late, cut, crossed or followed by more bytes."""
+
+import socket
+import threading
+import time
+from contextlib import contextmanager, suppress
+
+import pytest
+from result import Err, Ok
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.links.caller_watch import SilentCaller, SocketWatch
+from gooseberryquay.links.connection_pool import ConnectionPool
+from gooseberryquay.links.link_failure import LinkBroken, LinkTimeout
+from gooseberryquay.links.upstream_connection import (
+    BodyEnd,
+    BodyPart,
+    CallerLeft,
+    UpstreamConnection,
+)
+
+OK_HEAD = b"HTTP/1.1 200 OK\r\n"
+WHOLE = OK_HEAD + b"Content-Length: 2\r\n\r\nhi"
+
+
+@contextmanager
+def _upstream(*answers, then=lambda _connection: None):
+    """Give each request on one connection the next answer."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve():
+        with suppress(OSError):
+            connection = listener.accept()[0]
+            for answer in answers:
+                connection.recv(65536)
+                connection.sendall(answer)
+            then(connection)
+
+    threading.Thread(target=serve, daemon=True).start()
+    yield Address(*listener.getsockname())
+    listener.close()
+
+
+def _open(address):
+    connection = UpstreamConnection(address, 1.0, 4.0)
+    assert connection.connect(1.0) is None
+    return connection
+
+
+def _send(connection, body=b"", timeout_s=1.0):
+    headers = [("host", "a.example"), ("content-length", str(len(body)))]
+    return connection.send("POST", "/x", headers, body, time.monotonic() + timeout_s)
+
+
+def _read(connection, caller=None, timeout_s=0.5):
+    """Give the body and how it ended."""
+    caller = caller or SilentCaller()
+    until_s = time.monotonic() + timeout_s
+    head = connection.read_head(caller, until_s)
+    if isinstance(head, Err):
+        return b"", head.err_value
+    body = b""
+    while True:
+        match connection.read_body(caller, until_s):
+            case Ok(BodyPart(content)):
+                body += content
+            case Ok(end):
+                return body, end
+            case Err(failure):
+                return body, failure
+
+
+def test_connection_is_kept_after_a_framed_answer():
+    with _upstream(WHOLE, WHOLE) as address:
+        connection = _open(address)
+        for _ in range(2):
+            _send(connection)
+            assert _read(connection) == (b"hi", BodyEnd.FRAMED)
+            assert connection.is_reusable
+
+
+@pytest.mark.parametrize(
+    "cut",
+    [
+        OK_HEAD + b"Content-Length: 5\r\n\r\nhi",
+        OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n",
+        OK_HEAD + b"Content-Le",
+        b"",
+        b"not an answer\r\n\r\n",
+    ],
+)
+def test_cut_or_malformed_answer_is_broken(cut):
+    with _upstream(cut, then=lambda each: each.close()) as address:
+        connection = _open(address)
+        _send(connection)
+        assert isinstance(_read(connection)[1], LinkBroken)
+        assert not connection.is_reusable
+
+
+def test_answer_without_a_length_ends_with_its_connection():
+    with _upstream(OK_HEAD + b"\r\nhi", then=lambda each: each.close()) as address:
+        connection = _open(address)
+        _send(connection)
+        assert _read(connection) == (b"hi", BodyEnd.CLOSED)
+        assert not connection.is_reusable
+
+
+def test_answer_without_a_length_that_is_reset_is_not_complete():
+    def reset(connection):
+        time.sleep(0.1)
+        linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        connection.close()
+
+    with _upstream(OK_HEAD + b"\r\nhi", then=reset) as address:
+        connection = _open(address)
+        _send(connection)
+        body, end = _read(connection)
+        assert body == b"hi"
+        assert isinstance(end, LinkBroken)
+
+
+def test_bytes_after_an_answer_end_the_connection():
+    with _upstream(WHOLE + WHOLE) as address:
+        connection = _open(address)
+        _send(connection)
+        assert _read(connection) == (b"hi", BodyEnd.FRAMED)
+        assert not connection.is_reusable
+
+
+def test_bytes_that_arrive_on_an_idle_connection_end_it():
+    with _upstream(WHOLE, then=lambda each: (time.sleep(0.1), each.sendall(WHOLE))) as address:
+        pool = ConnectionPool(1.0, 4.0)
+        connection = pool.new(address)
+        connection.connect(1.0)
+        _send(connection)
+        _read(connection)
+        pool.give_back(connection)
+        time.sleep(0.3)
+        assert pool.take(address) is None
+
+
+def test_another_answer_may_follow_one_that_belongs_to_another_request():
+    late = OK_HEAD + b"Content-Length: 4\r\n\r\nlate"
+    with _upstream(late + WHOLE) as address:
+        connection = _open(address)
+        _send(connection)
+        assert _read(connection)[0] == b"late"
+        connection.expect_another()
+        assert _read(connection) == (b"hi", BodyEnd.FRAMED)
+
+
+def test_early_answer_to_a_long_body_ends_the_connection():
+    """An upstream that answers early reads other bytes where the rest of the body is due."""
+    with _upstream(WHOLE, then=lambda _: time.sleep(2.0)) as address:
+        connection = _open(address)
+        assert _send(connection, b"x" * 32_000_000, timeout_s=2.0) is None
+        assert _read(connection)[0] == b"hi"
+        assert not connection.is_reusable
+
+
+def test_silence_is_a_timeout():
+    with _upstream(b"", then=lambda _: time.sleep(1.0)) as address:
+        connection = _open(address)
+        _send(connection)
+        assert isinstance(_read(connection, timeout_s=0.1)[1], LinkTimeout)
+
+
+def test_leaving_caller_ends_the_wait_at_once():
+    ours, theirs = socket.socketpair()
+    ours.settimeout(5.0)
+    with _upstream(b"", then=lambda _: time.sleep(2.0)) as address:
+        connection = _open(address)
+        _send(connection)
+        threading.Timer(0.1, theirs.close).start()
+        began_at_s = time.monotonic()
+        assert isinstance(_read(connection, SocketWatch(ours), 2.0)[1], CallerLeft)
+        assert time.monotonic() - began_at_s < 0.5
+
+
+def test_watch_of_a_caller_does_not_wait_for_bytes():
+    """The first run on the platform answered nobody: looking at the caller waited for it."""
+    ours, theirs = socket.socketpair()
+    ours.settimeout(5.0)
+    watch = SocketWatch(ours)
+    began_at_s = time.monotonic()
+    assert not watch.has_left()
+    assert time.monotonic() - began_at_s < 0.5
+    theirs.sendall(b"next request")
+    assert not watch.has_left()
+    theirs.close()
+    assert not watch.has_left()  # it may have left or not; its next request is still to be read
--- a/gooseberryquay/links/upstream_connection.py
+++ b/gooseberryquay/links/upstream_connection.py
@@ -134,7 +134,7 @@
             ready = poller.poll(max(0.0, (until_s - time.monotonic()) * MS_PER_S))
             if not ready:
                 raise TimeoutError("the upstream does not read the request")
-            if ready[0][1] & select.POLLIN and not ready[0][1] & select.POLLOUT:
+            if ready[0][1] & select.POLLIN:
                 return False
         return True
 
@@ -188,10 +188,10 @@
     def _end(self) -> BodyEnd:
         self.answers += 1
         self.used_at_s = time.monotonic()
-        is_closing = self._machine.their_state is not h11.DONE
-        has_trailing = bool(self._machine.trailing_data[0])
-        self.is_reusable = self._was_sent_whole and not is_closing and not has_trailing
-        return BodyEnd.CLOSED if self._machine.trailing_data[1] else BodyEnd.FRAMED
+        leftover, is_closed = self._machine.trailing_data
+        is_kept = self._machine.their_state is h11.DONE and not is_closed and not leftover
+        self.is_reusable = self._was_sent_whole and is_kept
+        return BodyEnd.CLOSED if is_closed else BodyEnd.FRAMED
 
     def _next_event(
         self, caller: CallerWatch, until_s: float
--- /dev/null
+++ b/gooseberryquay/platform/tests/test_adapter.py
@@ -0,0 +1,132 @@
+"""Names and formats of the platform, decoded once."""
+
+import ast
+from pathlib import Path
+
+import pytest
+from result import Err
+
+import gooseberryquay
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.platform.documents import read_routing, read_upstream
+from gooseberryquay.platform.settings_file import read_settings
+from gooseberryquay.platform.tests.builders import CONFIGURATION, SERVER, SETTINGS, stored
+from gooseberryquay.serving.route import RouteKind
+from gooseberryquay.serving.upstream_record import UpstreamState
+
+PACKAGE = Path(gooseberryquay.__file__).parent
+ROOTS_THAT_WIRE_IT = {"daemons/platform_entry.py", "daemons/platform_commands.py"}
+PLATFORM_WORDS = (
+    "x-attempt-id",
+    "x-response-seal",
+    "x-expect-instance",
+    "x-not-executed",
+    "x-kv-backup",
+    "kv-from",
+    "kv-move",
+    "route_kind",
+    "api_keys",
+    "fleetbench",
+)
+
+
+def _modules():
+    for path in PACKAGE.rglob("*.py"):
+        name = str(path.relative_to(PACKAGE))
+        if not name.startswith("platform/") and "/tests/" not in name:
+            yield name, path
+
+
+def test_nothing_but_the_composition_root_imports_the_adapter():
+    found = set()
+    for name, path in _modules():
+        for node in ast.walk(ast.parse(path.read_text())):
+            module = getattr(node, "module", None) or ""
+            names = [each.name for each in getattr(node, "names", [])]
+            if any(each.startswith("gooseberryquay.platform") for each in [module, *names]):
+                found.add(name)
+    assert found == ROOTS_THAT_WIRE_IT
+
+
+def test_words_of_the_platform_stand_only_in_the_adapter():
+    found = {
+        (name, word)
+        for name, path in _modules()
+        if not name.startswith("standins/node_platform")
+        for word in PLATFORM_WORDS
+        if word in path.read_text().lower()
+    }
+    assert found == set()
+
+
+def test_settings_file_is_read_and_unknown_fields_are_ignored(tmp_path):
+    path = tmp_path / "settings.conf"
+    path.write_text(SETTINGS + "new.field=x\nnot a line\n")
+    settings = read_settings(str(path)).ok_value
+    assert settings.caller_address == Address("10.1.0.19", 8740)
+    assert len(settings.seeds) == 3
+    assert (settings.bounds.grace_s, settings.bounds.drain_s) == (8.0, 2.0)
+
+
+@pytest.mark.parametrize("line", ["zone=", "platform.address=", "bounds.grace_s="])
+def test_settings_that_lack_or_garble_a_field_name_it(tmp_path, line):
+    name = line[:-1]
+    path = tmp_path / "settings.conf"
+    kept = [each for each in SETTINGS.splitlines() if not each.startswith(line)]
+    path.write_text("\n".join([*kept, f"{name}=?"]) if name != "zone" else "\n".join(kept))
+    assert isinstance(read_settings(str(path)), Err)
+
+
+def test_settings_file_that_is_not_there_is_a_problem():
+    assert isinstance(read_settings("/nonexistent/settings.conf"), Err)
+
+
+def test_configuration_is_decoded_with_its_splits_keys_and_engines():
+    table = read_routing(stored(CONFIGURATION))
+    quick, long = table.routes
+    assert (quick.kind, quick.is_resumable, quick.timeout_s) == (RouteKind.STREAMING, True, 6.0)
+    assert [each.weight for each in long.destinations] == [90, 10]
+    assert table.workspace_of("key-b").id == "studio"
+    engine = table.services["model"].engine
+    assert (engine.memory_tokens, engine.tokens_per_event, engine.can_move) == (34196, 4, True)
+    assert table.services["ledger"].engine is None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": "7"},
+        {"routes": None},
+        {"routes": [{"name": "r"}]},
+        {"routes": [{**CONFIGURATION["routes"][0], "route_kind": "else"}]},
+        {"services": [{"name": 3}]},
+    ],
+)
+def test_malformed_configuration_is_none(change):
+    assert read_routing(stored({**CONFIGURATION, **change})) is None
+
+
+def test_upstream_entry_is_decoded():
+    record = read_upstream(stored(SERVER, "i-1"))
+    assert (record.id, record.state) == ("i-1", UpstreamState.READY)
+    assert record.address == Address("10.128.0.9", 8080)
+    assert record.cold_left_s == 1.5
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "asleep"},
+        {"address": "nowhere"},
+        {"address": None},
+        {"service": 4},
+        {"cold_left_ms": "soon"},
+        {"zone": []},
+    ],
+)
+def test_entry_of_another_writer_names_no_upstream(change):
+    assert read_upstream(stored({**SERVER, **change}, "i-1")) is None
+
+
+def test_entry_without_content_names_no_upstream():
+    assert read_upstream(stored(None, "i-1")) is None
--- /dev/null
+++ b/gooseberryquay/serving/tests/builders.py
@@ -0,0 +1,300 @@
+"""Test data of the serving path."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.ids import RequestId, ServiceId, UpstreamId, WorkspaceId, ZoneId
+from gooseberryquay.links.caller_watch import SilentCaller
+from gooseberryquay.links.upstream_connection import BodyEnd, BodyPart
+from gooseberryquay.machines.retry_budget import RetryBudget
+from gooseberryquay.serving.accepted import AcceptedRequest
+from gooseberryquay.serving.active_generation import ActiveGenerations
+from gooseberryquay.serving.call import Call, GenerationDemand
+from gooseberryquay.serving.call_flow import CallFlow
+from gooseberryquay.serving.cold_rate import ColdRate
+from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.generation_flow import GenerationFlow
+from gooseberryquay.serving.generation_queue import GenerationQueue
+from gooseberryquay.serving.migration import Migration
+from gooseberryquay.serving.placement import NoPeers, Placement
+from gooseberryquay.serving.ports import CopyHandle, MovedCopy, MoveFailure, MoveRefusal, Undecided
+from gooseberryquay.serving.route import (
+    CallLimits,
+    Destination,
+    EngineTerms,
+    Route,
+    RouteKind,
+    RoutingTable,
+    ServiceTerms,
+    Workspace,
+)
+from gooseberryquay.serving.upstream_book import UpstreamBook
+from gooseberryquay.serving.upstream_load import LoadTable
+from gooseberryquay.serving.upstream_record import UpstreamRecord, UpstreamState
+
+MODEL = ServiceId("model")
+LEDGER = ServiceId("ledger")
+ZONE = ZoneId("zone-a")
+OTHER_ZONE = ZoneId("zone-b")
+KEY = "key-1"
+LIMITS = CallLimits(16384, 4194304, 3.0, 15.0)
+
+
+class FixedRandom:
+    """Draw the same number each time."""
+
+    def random(self):
+        return 0.0
+
+    def choices(self, population, weights):
+        return [population[0]]
+
+
+class FakeClock:
+    """Tell a time that tests set."""
+
+    def __init__(self, now_s=100.0):
+        self.now_s = now_s
+
+    def __call__(self):
+        return self.now_s
+
+
+def build_engine_terms(**changes):
+    values = {
+        "slots": 8,
+        "memory_tokens": 10_000,
+        "bytes_per_token": 1000.0,
+        "link_bytes_per_s": 1e9,
+        "can_move": True,
+        "can_back_up": True,
+        "tokens_per_event": 4,
+        "handle_lifetime_s": 5.0,
+    }
+    return EngineTerms(**{**values, **changes})
+
+
+def build_route(kind=RouteKind.IDEMPOTENT, **changes):
+    service = MODEL if kind is RouteKind.STREAMING else LEDGER
+    values = {
+        "name": "route-1",
+        "host": "a.example",
+        "path_prefix": "/x/",
+        "kind": kind,
+        "timeout_s": 2.0,
+        "goal_s": 0.5,
+        "priority": 1,
+        "destinations": (Destination(service, 1.0),),
+        "attempts_max": 2,
+        "is_public": False,
+        "is_resumable": False,
+        "event_gap_s": None,
+    }
+    return Route(**{**values, **changes})
+
+
+def build_routing(*routes, version=1, engine=None, workspaces=None):
+    services = {
+        MODEL: ServiceTerms(MODEL, 100, 1.0, 10.0, engine or build_engine_terms()),
+        LEDGER: ServiceTerms(LEDGER, 100, 1.0, 10.0, None),
+    }
+    if workspaces is None:
+        workspaces = {KEY: Workspace(WorkspaceId("studio"), 1)}
+    return RoutingTable(version, routes or (build_route(),), services, workspaces, LIMITS)
+
+
+def build_record(name, service=MODEL, zone=ZONE, state=UpstreamState.READY, **changes):
+    values = {
+        "address": Address("127.0.0.1", 9000),
+        "slots": 8,
+        "cold_left_s": 0.0,
+        "born_ms": 1,
+    }
+    return UpstreamRecord(
+        id=UpstreamId(name), service=service, zone=zone, state=state, **{**values, **changes}
+    )
+
+
+def build_call(**changes):
+    now_s = time.monotonic()
+    values = {
+        "id": RequestId("r-1"),
+        "method": "POST",
+        "target": "/x/1",
+        "host": "a.example",
+        "path": "/x/1",
+        "key": KEY,
+        "headers": (),
+        "body": b"{}",
+        "arrived_at_s": now_s,
+        "deadline_at_s": now_s + 2.0,
+        "resume_after": None,
+        "demand": GenerationDemand("m", 1000, 400, 200, ()),
+    }
+    return Call(**{**values, **changes})
+
+
+def build_request(route, answer=None, caller=None, **changes):
+    call = build_call(**changes)
+    until_s = min(call.deadline_at_s, call.arrived_at_s + route.timeout_s)
+    service = route.destinations[0].service
+    workspace = Workspace(WorkspaceId("studio"), 1)
+    return AcceptedRequest(
+        call, route, service, workspace, 1, until_s, caller or SilentCaller(), answer or Recorder()
+    )
+
+
+def event(number, text="t"):
+    return f"id: {number}\ndata: {text}{number}\n\n".encode()
+
+
+def events(first, last):
+    return b"".join(event(each) for each in range(first, last + 1))
+
+
+@dataclass
+class Recorder:
+    """Record what a caller gets."""
+
+    status: int | None = None
+    headers: list = field(default_factory=list)
+    body: bytes = b""
+    is_complete: bool = False
+    is_aborted: bool = False
+
+    def send(self, status, headers, body):
+        assert self.status is None
+        self.status, self.headers, self.body = status, list(headers), body
+        self.is_complete = True
+
+    def start_stream(self, status, headers):
+        assert self.status is None
+        self.status, self.headers = status, list(headers)
+
+    def write(self, content):
+        assert self.status is not None and not self.is_complete
+        self.body += content
+
+    def end_stream(self):
+        self.is_complete = True
+
+    def abort(self):
+        self.is_aborted = True
+
+
+@dataclass
+class ScriptedAnswer:
+    """Answer with parts, then an end or a failure."""
+
+    status: int = 200
+    parts: list = field(default_factory=list)
+    end: object = BodyEnd.FRAMED
+    headers: list = field(default_factory=list)
+    is_not_run: bool = False
+    is_other_instance: bool = False
+    load: object = None
+    before_part: Callable[[int], None] = lambda _number: None
+    is_closed: bool = False
+    is_finished: bool = False
+    _next: int = 0
+
+    def read(self, caller, until_s):
+        self.before_part(self._next)
+        if self._next < len(self.parts):
+            self._next += 1
+            return Ok(BodyPart(self.parts[self._next - 1]))
+        if isinstance(self.end, BodyEnd):
+            return Ok(self.end)
+        return Err(self.end)
+
+    def close(self):
+        self.is_closed = True
+
+    def finish(self):
+        self.is_finished = True
+
+
+BROKEN = Undecided("the connection was reset")
+
+
+@dataclass
+class ScriptedCalls:
+    """Give each opening the next answer or failure, and each move the next result."""
+
+    answers: list = field(default_factory=list)
+    moves: list = field(default_factory=list)
+    opened: list = field(default_factory=list)
+    moved: list = field(default_factory=list)
+    freed: list = field(default_factory=list)
+
+    def open(self, upstream, call, terms, caller):
+        self.opened.append((upstream.id, terms))
+        answer = self.answers.pop(0)
+        return Ok(answer) if isinstance(answer, ScriptedAnswer) else Err(answer)
+
+    def move(self, source, id, target, is_final, until_s):
+        self.moved.append((source.id, target, is_final))
+        return self.moves.pop(0) if self.moves else Err(MoveFailure(MoveRefusal.FAILED))
+
+    def free_copy(self, holder, handle):
+        self.freed.append(handle)
+
+    def upstreams(self):
+        return [upstream for upstream, _ in self.opened]
+
+
+def copied(name="h-1", events=1):
+    return Ok(MovedCopy(CopyHandle(Address("127.0.0.1", 9000), name), events))
+
+
+@dataclass
+class Path:
+    """Hold the parts of a serving path over scripted calls."""
+
+    calls: ScriptedCalls
+    book: UpstreamBook
+    loads: LoadTable
+    placement: Placement
+    queue: GenerationQueue
+    active: ActiveGenerations
+    migration: Migration
+    call_flow: CallFlow
+    generation_flow: GenerationFlow
+
+
+def build_path(records, calls=None, routing=None, retry_ratio=1.0):
+    calls = calls or ScriptedCalls()
+    routing = routing or build_routing()
+    book, loads, log = UpstreamBook(), LoadTable(), DecisionLog()
+    for record in records:
+        book.apply_record(record)
+    placement = Placement(
+        book=book,
+        loads=loads,
+        peers=NoPeers(),
+        cold=ColdRate(lambda: 1),
+        routing=lambda: routing,
+        zone=ZONE,
+        source=FixedRandom(),
+    )
+    queue = GenerationQueue(placement, loads)
+    active = ActiveGenerations()
+    retries = RetryBudget(retry_ratio)
+    migration = Migration(calls=calls, placement=placement, loads=loads, active=active, log=log)
+    book.on_leaving(migration.upstream_leaving)
+    generation_flow = GenerationFlow(
+        calls=calls,
+        placement=placement,
+        queue=queue,
+        loads=loads,
+        retries=retries,
+        active=active,
+        migration=migration,
+        log=log,
+    )
+    call_flow = CallFlow(calls, placement, loads, retries, log)
+    return Path(calls, book, loads, placement, queue, active, migration, call_flow, generation_flow)
--- /dev/null
+++ b/gooseberryquay/serving/tests/test_admission.py
@@ -0,0 +1,157 @@
+"""Queue, cold rate, leave and placement under load."""
+
+import threading
+import time
+
+from result import Err, Ok
+
+from gooseberryquay.links.caller_watch import SilentCaller
+from gooseberryquay.links.upstream_connection import CallerLeft
+from gooseberryquay.serving.cold_rate import ColdRate
+from gooseberryquay.serving.generation_queue import QueueTicket
+from gooseberryquay.serving.leave_state import LeaveState
+from gooseberryquay.serving.placement import EngineNeed
+from gooseberryquay.serving.refusal import RefusalReason
+from gooseberryquay.serving.route import RouteKind
+from gooseberryquay.serving.tests.builders import (
+    LEDGER,
+    MODEL,
+    OTHER_ZONE,
+    FakeClock,
+    build_path,
+    build_record,
+    build_route,
+)
+from gooseberryquay.serving.upstream_load import Run
+
+BIG = EngineNeed(6000, 1000.0)
+
+
+class _Gone(SilentCaller):
+    def has_left(self):
+        return True
+
+
+def _ticket(name, rank=1, give_up_s=1.0, late_s=1.0, need=BIG):
+    now_s = time.monotonic()
+    return QueueTicket(name, MODEL, need, rank, now_s + late_s, now_s + give_up_s)
+
+
+def test_generation_waits_for_memory_and_goes_on_when_some_is_freed():
+    path = build_path([build_record("engine-1")])
+    first = path.queue.place(_ticket("a"), SilentCaller()).ok_value
+    waiting = threading.Thread(
+        target=lambda: placed.append(path.queue.place(_ticket("b"), SilentCaller()))
+    )
+    placed = []
+    waiting.start()
+    time.sleep(0.15)
+    assert placed == []
+    path.loads.end(first.run)
+    path.queue.changed()
+    waiting.join(1.0)
+    assert isinstance(placed[0], Ok)
+
+
+def test_generation_is_refused_with_a_time_to_come_back_when_no_memory_comes_free():
+    path = build_path([build_record("engine-1")])
+    path.queue.place(_ticket("a"), SilentCaller())
+    refused = path.queue.place(_ticket("b", give_up_s=0.1), SilentCaller()).err_value
+    assert refused.reason is RefusalReason.OVERLOADED
+    assert refused.retry_after_s > 0
+    assert path.queue.length() == 0
+
+
+def test_caller_that_leaves_gives_up_its_place():
+    path = build_path([build_record("engine-1")])
+    path.queue.place(_ticket("a"), SilentCaller())
+    assert path.queue.place(_ticket("b"), _Gone()) == Err(CallerLeft())
+    assert path.queue.length() == 0
+
+
+def _order_of(tickets):
+    path = build_path([build_record("engine-1")])
+    blocker = path.queue.place(_ticket("blocker"), SilentCaller()).ok_value
+    order = []
+
+    def wait(ticket):
+        placed = path.queue.place(ticket, SilentCaller()).ok_value
+        order.append(ticket.id)
+        path.loads.end(placed.run)
+        path.queue.changed()
+
+    threads = [threading.Thread(target=wait, args=(each,)) for each in tickets]
+    for thread in threads:
+        thread.start()
+        time.sleep(0.03)
+    path.loads.end(blocker.run)
+    path.queue.changed()
+    for thread in threads:
+        thread.join(2.0)
+    return order
+
+
+def test_more_urgent_generations_go_first_and_late_ones_last():
+    tickets = [
+        _ticket("late", rank=0, late_s=0.0),
+        _ticket("second", rank=1),
+        _ticket("first", rank=0),
+    ]
+    assert _order_of(tickets) == ["first", "second", "late"]
+
+
+def test_cold_upstream_gets_its_rate_shared_by_all_entries():
+    clock = FakeClock()
+    cold = ColdRate(lambda: 4, clock)
+    taken = 0
+    for _ in range(200):
+        taken += cold.take("engine-1", 20.0)
+        clock.now_s += 0.05
+    assert 48 <= taken <= 52  # 20 a second, a quarter of them, for 10 s
+
+
+def test_cold_upstream_bears_no_burst_after_a_pause():
+    clock = FakeClock()
+    cold = ColdRate(lambda: 1, clock)
+    cold.take("engine-1", 20.0)
+    clock.now_s += 60.0
+    assert sum(cold.take("engine-1", 20.0) for _ in range(100)) <= 10
+
+
+def test_leaving_entry_takes_only_what_can_still_end():
+    clock = FakeClock()
+    leave = LeaveState(clock)
+    stream = build_route(RouteKind.STREAMING)
+    call = build_route(RouteKind.NON_IDEMPOTENT, goal_s=0.5)
+    assert leave.takes(stream) and not leave.is_leaving
+    leave.begin(2.5, 7.5)
+    assert leave.is_leaving and leave.takes(stream)
+    clock.now_s += 3.0
+    assert not leave.takes(stream) and leave.takes(call)
+    clock.now_s += 4.0
+    assert not leave.takes(call)
+
+
+def test_generations_spread_over_engines_by_memory():
+    path = build_path([build_record("engine-1"), build_record("engine-2")])
+    small = EngineNeed(1000, 400.0)
+    placed = [path.queue.place(_ticket(str(n), need=small), SilentCaller()) for n in range(6)]
+    names = [each.ok_value.run.upstream for each in placed]
+    assert names.count("engine-1") == names.count("engine-2") == 3
+
+
+def test_avoided_engine_is_the_last_choice_but_still_one():
+    path = build_path([build_record("engine-1"), build_record("engine-2")])
+    path.loads.saw_failure("engine-1", 10.0)
+    small = EngineNeed(100, 40.0)
+    assert path.placement.choose_engine(MODEL, small, ()).record.id == "engine-2"
+    assert path.placement.choose_engine(MODEL, small, {"engine-2"}).record.id == "engine-1"
+
+
+def test_plain_calls_prefer_their_zone_until_it_is_busier():
+    records = [build_record("near", LEDGER), build_record("far", LEDGER, zone=OTHER_ZONE)]
+    path = build_path(records)
+    assert path.placement.choose_for_call(LEDGER, ()).record.id == "near"
+    for number in range(2):
+        path.loads.start(Run(f"r{number}", "near", 0.0))
+    assert path.placement.choose_for_call(LEDGER, ()).record.id == "far"
--- /dev/null
+++ b/gooseberryquay/serving/tests/test_generation_flow.py
@@ -0,0 +1,211 @@
+"""Streams that reach their caller once and in order, whatever happens to their engines."""
+
+from result import Err
+
+from gooseberryquay.links.upstream_connection import BodyEnd, CallerLeft
+from gooseberryquay.serving.ports import MoveFailure, MoveRefusal, NotSent
+from gooseberryquay.serving.refusal import Refusal, RefusalReason
+from gooseberryquay.serving.route import RouteKind
+from gooseberryquay.serving.tests.builders import (
+    BROKEN,
+    OTHER_ZONE,
+    Recorder,
+    ScriptedAnswer,
+    ScriptedCalls,
+    build_path,
+    build_record,
+    build_request,
+    build_route,
+    copied,
+    event,
+    events,
+)
+from gooseberryquay.serving.upstream_record import UpstreamState
+
+RECORDS = [build_record(f"engine-{number}") for number in range(3)]
+REFUSED = ScriptedAnswer(503, is_not_run=True)
+
+
+def _stream(first, last, end=BodyEnd.FRAMED, **changes):
+    return ScriptedAnswer(200, [event(each) for each in range(first, last + 1)], end, **changes)
+
+
+def _serve(path, recorder=None, **changes):
+    recorder = recorder or Recorder()
+    route = build_route(RouteKind.STREAMING, **changes)
+    end = path.generation_flow.serve(build_request(route, recorder))
+    assert path.loads.in_flight() == 0
+    return end, recorder
+
+
+def _path(*answers, moves=(), records=RECORDS):
+    return build_path(records, ScriptedCalls(list(answers), list(moves)))
+
+
+def _leaving_before(path, part, name="engine-0"):
+    """Have an engine announce its leave before a part, and wait for the end of the move."""
+
+    def act(number):
+        if number != part:
+            return
+        path.book.apply_record(build_record(name, state=UpstreamState.DRAINING))
+        (active,) = path.active.at(name)
+        with active.changed:
+            active.changed.wait_for(lambda: active.state.value in {"stopped", "failed"}, 2.0)
+
+    return act
+
+
+def test_stream_is_passed_on_and_ended():
+    path = _path(_stream(1, 3))
+    end, caller = _serve(path)
+    assert (end, caller.body, caller.is_complete) == (None, events(1, 3), True)
+
+
+def test_engine_that_has_not_run_it_is_replaced_by_another():
+    path = _path(REFUSED, NotSent("refused"), _stream(1, 2))
+    _, caller = _serve(path)
+    assert caller.is_complete
+    assert len(set(path.calls.upstreams())) == 3
+
+
+def test_broken_stream_that_may_not_resume_is_aborted_and_never_run_again():
+    path = _path(_stream(1, 2, BROKEN))
+    end, caller = _serve(path)
+    assert (end, caller.body, caller.is_complete) == (None, events(1, 2), False)
+    assert caller.is_aborted
+    assert len(path.calls.opened) == 1
+
+
+def test_broken_stream_resumes_after_the_last_whole_event_where_it_may():
+    broken = ScriptedAnswer(200, [event(1), event(2)[:5]], BROKEN)
+    path = _path(broken, _stream(2, 3))
+    _, caller = _serve(path, is_resumable=True)
+    assert (caller.body, caller.is_complete) == (events(1, 3), True)
+    assert path.calls.opened[1][1].continuation.last_event_id == "1"
+
+
+def test_events_that_the_caller_has_are_left_out_and_missing_ones_abort_the_stream():
+    path = _path(_stream(1, 2, BROKEN), _stream(1, 3))
+    assert _serve(path, is_resumable=True)[1].body == events(1, 3)
+    path = _path(_stream(1, 2, BROKEN), _stream(4, 5))
+    end, caller = _serve(path, is_resumable=True)
+    assert (caller.body, caller.is_aborted) == (events(1, 2), True)
+
+
+def test_stream_that_ends_within_an_event_does_not_look_complete():
+    path = _path(ScriptedAnswer(200, [event(1), b"id: 2\n"]))
+    _, caller = _serve(path)
+    assert caller.is_aborted
+    assert not caller.is_complete
+
+
+def test_generation_that_may_have_run_is_refused_without_a_promise():
+    end, _ = _serve(_path(BROKEN))
+    assert isinstance(end, Refusal)
+    assert end.reason is RefusalReason.OUTCOME_UNKNOWN
+
+
+def test_generation_is_moved_when_its_engine_leaves():
+    path = _path(moves=[copied(), copied("h-2")])
+    path.calls.answers = [
+        _stream(1, 2, BROKEN, before_part=_leaving_before(path, 2)),
+        _stream(3, 4),
+    ]
+    _, caller = _serve(path)
+    assert (caller.body, caller.is_complete) == (events(1, 4), True)
+    continuation = path.calls.opened[1][1].continuation
+    assert (continuation.copy.name, continuation.last_event_id) == ("h-2", "2")
+    assert [is_final for _, _, is_final in path.calls.moved] == [False, True]
+
+
+def test_refused_copy_goes_on_at_the_stopped_source():
+    path = _path(moves=[copied(), copied()])
+    path.calls.answers = [
+        _stream(1, 2, BROKEN, before_part=_leaving_before(path, 2)),
+        REFUSED,
+        _stream(3, 4),
+    ]
+    _, caller = _serve(path)
+    assert caller.body == events(1, 4)
+    upstreams = path.calls.upstreams()
+    assert upstreams[0] == upstreams[2] != upstreams[1]
+
+
+def test_refused_copy_is_not_taken_for_a_request_that_has_not_run():
+    """Hunted days broke TWICE and ORDER: the request was placed anew at another engine."""
+    path = _path(moves=[copied(), copied()])
+    path.calls.answers = [
+        _stream(1, 2, BROKEN, before_part=_leaving_before(path, 2)),
+        REFUSED,
+        REFUSED,
+        _stream(1, 4),
+    ]
+    _, caller = _serve(path)
+    assert (caller.body, caller.is_aborted) == (events(1, 2), True)
+    assert len(path.calls.opened) == 3
+
+
+def test_copy_made_ahead_serves_when_the_engine_dies_before_the_move_ends():
+    refused = Err(MoveFailure(MoveRefusal.FAILED))
+    path = _path(moves=[copied("ahead"), refused])
+    path.calls.answers = [
+        _stream(1, 2, BROKEN, before_part=_leaving_before(path, 2)),
+        _stream(3, 3),
+    ]
+    _, caller = _serve(path)
+    assert caller.is_complete
+    assert path.calls.opened[1][1].continuation.copy.name == "ahead"
+
+
+def test_full_target_is_replaced_by_another():
+    no_room = Err(MoveFailure(MoveRefusal.NO_ROOM))
+    path = _path(moves=[no_room, copied(), copied()])
+    path.calls.answers = [
+        _stream(1, 2, BROKEN, before_part=_leaving_before(path, 2)),
+        _stream(3, 3),
+    ]
+    _, caller = _serve(path)
+    assert caller.is_complete
+
+
+def test_move_prefers_the_zone_of_its_source():
+    """Copies between zones take twice as long and lost streams on scale days."""
+    records = [
+        build_record("engine-0", zone=OTHER_ZONE),
+        build_record("engine-1"),
+        build_record("engine-2", zone=OTHER_ZONE),
+    ]
+    path = _path(records=records)
+    need_of = path.placement.choose_move_target
+    from gooseberryquay.serving.placement import EngineNeed
+
+    chosen = need_of("model", EngineNeed(1000, 10.0), {"engine-0"}, OTHER_ZONE)
+    assert chosen.record.id == "engine-2"
+
+
+def test_copy_that_is_not_needed_is_freed():
+    path = _path(moves=[copied(), Err(MoveFailure(MoveRefusal.FAILED))])
+    path.calls.answers = [_stream(1, 2, before_part=_leaving_before(path, 2))]
+    _, caller = _serve(path)
+    assert caller.is_complete
+    assert [each.name for each in path.calls.freed] == ["h-1"]
+
+
+def test_caller_that_leaves_ends_the_engines_work():
+    answer = _stream(1, 2, CallerLeft())
+    end, _ = _serve(_path(answer))
+    assert isinstance(end, CallerLeft)
+    assert answer.is_closed
+
+
+def test_engines_own_failure_is_passed_on_where_the_request_may_not_repeat():
+    path = _path(ScriptedAnswer(500, [b"oops"], headers=[("seal", "s")]))
+    _, caller = _serve(path)
+    assert (caller.status, caller.headers, caller.body) == (500, [("seal", "s")], b"oops")
+
+
+def test_no_engine_is_a_refusal_at_once():
+    end, _ = _serve(_path(records=[]))
+    assert end.reason is RefusalReason.NO_UPSTREAM
+    assert end.retry_after_s is not None
--- /dev/null
+++ b/gooseberryquay/serving/tests/test_object_watch.py
@@ -0,0 +1,122 @@
+"""Following the store through outages, lost history and malformed answers."""
+
+import pytest
+from result import Err, Ok
+
+from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.object_source import (
+    Changes,
+    Listing,
+    SourceFailure,
+    StoredObject,
+)
+from gooseberryquay.serving.object_watch import RETRY_MAX_S, ObjectWatch
+from gooseberryquay.serving.routing_keeper import RoutingKeeper
+from gooseberryquay.serving.tests.builders import FakeClock, build_routing
+
+PAUSE_S = 0.03
+
+
+class _Source:
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+
+    def list(self):
+        self.calls.append("list")
+        return self.answers.pop(0)
+
+    def watch(self, revision, wait_s):
+        self.calls.append(revision)
+        return self.answers.pop(0)
+
+
+class _Reader:
+    def __init__(self):
+        self.read = []
+
+    def read_listing(self, listing, is_after_outage):
+        self.read.append((listing.revision, is_after_outage))
+
+    def read_change(self, changed, is_after_outage):
+        self.read.append((changed.name, is_after_outage))
+
+
+def _watch(*answers):
+    source, reader, clock = _Source(*answers), _Reader(), FakeClock()
+    watch = ObjectWatch(
+        kind="things",
+        source=source,
+        reader=reader,
+        log=DecisionLog(),
+        pause_s=PAUSE_S,
+        outage_grace_s=2.0,
+        clock=clock,
+    )
+    return watch, source, reader, clock
+
+
+def _changes(revision, *names):
+    return Ok(Changes(tuple(StoredObject(each, revision, {}, False) for each in names), revision))
+
+
+def test_list_comes_first_and_watches_go_on_from_its_revision():
+    watch, source, reader, _ = _watch(Ok(Listing((), 5)), _changes(8, "a", "b"), _changes(8))
+    assert [watch.step() for _ in range(3)] == [0.0, PAUSE_S, PAUSE_S]
+    assert source.calls == ["list", 5, 8]
+    assert reader.read == [(5, False), ("a", False), ("b", False)]
+
+
+def test_lost_history_is_listed_again_at_once():
+    gone = Err(SourceFailure.HISTORY_GONE)
+    watch, source, _, _ = _watch(Ok(Listing((), 5)), gone, Ok(Listing((), 9)), _changes(9))
+    assert [watch.step() for _ in range(4)] == [0.0, 0.0, 0.0, PAUSE_S]
+    assert source.calls == ["list", 5, "list", 9]
+
+
+@pytest.mark.parametrize(
+    "failure", [SourceFailure.REFUSED, SourceFailure.UNREACHABLE, SourceFailure.MALFORMED]
+)
+def test_outage_is_waited_out_with_growing_pauses_that_stay_bounded(failure):
+    watch, source, reader, clock = _watch(
+        Ok(Listing((), 5)), *[Err(failure)] * 9, _changes(6, "a"), _changes(7, "b")
+    )
+    watch.step()
+    pauses_s = [watch.step() for _ in range(9)]
+    assert all(0.0 < each <= RETRY_MAX_S for each in pauses_s)
+    assert pauses_s[-1] > pauses_s[0]
+    watch.step()
+    clock.now_s += 3.0
+    watch.step()
+    assert reader.read[1:] == [("a", True), ("b", False)]
+
+
+def _keeper():
+    return RoutingKeeper(
+        "main",
+        lambda stored: stored.content and build_routing(version=stored.content["version"]),
+        DecisionLog(),
+    )
+
+
+def _stored(version, name="main", is_deleted=False):
+    return StoredObject(name, 1, {"version": version} if version else None, is_deleted)
+
+
+def test_configuration_never_goes_back():
+    keeper = _keeper()
+    seen = []
+    keeper.on_change(lambda table: seen.append(table.version))
+    for version in (4, 9, 7, 9, 12):
+        keeper.read_change(_stored(version), False)
+    assert seen == [4, 9, 12]
+    assert keeper.current().version == 12
+
+
+def test_malformed_deleted_or_foreign_objects_leave_the_configuration_in_force():
+    keeper = _keeper()
+    keeper.read_listing(Listing((_stored(3),), 1), False)
+    keeper.read_change(_stored(None), False)
+    keeper.read_change(_stored(8, is_deleted=True), False)
+    keeper.read_change(_stored(8, name="other"), False)
+    assert keeper.current().version == 3
--- /dev/null
+++ b/gooseberryquay/serving/tests/test_route.py
@@ -0,0 +1,36 @@
+import random
+
+from gooseberryquay.serving.route import Destination, RouteKind
+from gooseberryquay.serving.tests.builders import KEY, LEDGER, MODEL, build_route, build_routing
+
+
+def test_longest_prefix_of_the_host_wins():
+    table = build_routing(
+        build_route(name="short", path_prefix="/a/"),
+        build_route(name="long", path_prefix="/a/b/"),
+        build_route(name="elsewhere", path_prefix="/a/b/c/", host="b.example"),
+    )
+    assert table.route_of("a.example", "/a/b/c/d").name == "long"
+    assert table.route_of("a.example", "/a/x").name == "short"
+    assert table.route_of("a.example", "/a") is None
+    assert table.route_of("c.example", "/a/b/") is None
+
+
+def test_services_are_drawn_by_weight():
+    route = build_route(destinations=(Destination(MODEL, 9.0), Destination(LEDGER, 1.0)))
+    source = random.Random(5)
+    drawn = [route.pick_service(source) for _ in range(1000)]
+    assert 850 < drawn.count(MODEL) < 950
+
+
+def test_only_idempotent_and_resumable_requests_may_repeat():
+    assert build_route(RouteKind.IDEMPOTENT).may_repeat
+    assert not build_route(RouteKind.NON_IDEMPOTENT).may_repeat
+    assert not build_route(RouteKind.STREAMING).may_repeat
+    assert build_route(RouteKind.STREAMING, is_resumable=True).may_repeat
+
+
+def test_workspace_is_found_by_its_key():
+    table = build_routing()
+    assert table.workspace_of(KEY).id == "studio"
+    assert table.workspace_of("other") is None
