Notice a store that swallowed all watches within the bounds; hubs bear one cut call

No peer could tell, and a call of 8 s with 2 s of slack hid a change for up to 10 s; zones have 5 s. Change: the watch of the configuration lasts 2 s at hubs and wakes the others when it regains the store; the others last 20 s. Peers compare the newest change of a kind with how far an entry has read the store, so that changes of other kinds no longer make an entry seem behind. A hub is not sound once its calls fail for 0.75 s or it stays behind another hub. Test first: test_zone_is_left_in_time_after_a_store_swallowed_all_watches fails on the former state and passes now.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -59,9 +59,14 @@
 # Upstreams leave at short notice; changes of configuration that come in series are read together.
 UPSTREAM_PAUSE_S = 0.03
 CONFIGURATION_PAUSE_S = 0.25
-# One watch looks often whether the store is back, and then wakes the others.
-PROBE_RETRY_MAX_S = 1.0
-OTHER_RETRY_MAX_S = 3.0
+# One watch of a hub asks often whether the store still answers, and wakes the others when it does
+# again. With the slack of a call, a store that swallowed all calls is noticed within the 5 s in
+# which a zone must be left. Other entries hear from their hubs of changes that they have missed.
+PROBE_WAIT_S = 2.0
+PROBE_RETRY_MAX_S = 2.0
+# Each answer is a paid call.
+WATCH_WAIT_S = 20.0
+WATCH_RETRY_MAX_S = 10.0
 # Entries that lapsed during an outage are back within about two seconds.
 OUTAGE_GRACE_S = 2.0
 # The balancer looks once a second and gives up after two misses.
@@ -163,17 +168,22 @@
         upstreams = UpstreamListReader(self._book, read_upstream, self._log, OUTAGE_GRACE_S)
         zones = ZoneListReader(self._book, self._log)
         self._routing.on_change(self._take_limits)
-        self._relay = ObjectRelay(upstreams, self._follows_upstreams)
+        self._relay = ObjectRelay(
+            reader=upstreams,
+            is_sound=self._follows_upstreams,
+            known_revision=lambda: self._upstream_watch.known_revision,
+        )
         pool = ConnectionPool(STORE_CONNECT_TIMEOUT_S, STORE_IDLE_LIMIT_S)
         address = self._settings.store_address
         upstream_source = HubSource(
             StoreKind(pool, address, UPSTREAM_KIND), self._hubs, pool, self._log
         )
         self._upstream_watch = self._watch(UPSTREAM_KIND, upstream_source, self._relay)
+        self._probe = self._watch(
+            CONFIGURATION_KIND, StoreKind(pool, address, CONFIGURATION_KIND), self._routing
+        )
         return [
-            self._watch(
-                CONFIGURATION_KIND, StoreKind(pool, address, CONFIGURATION_KIND), self._routing
-            ),
+            self._probe,
             self._watch(EVACUATION_KIND, StoreKind(pool, address, EVACUATION_KIND), zones),
             self._upstream_watch,
         ]
@@ -185,14 +195,18 @@
             source=source,
             reader=reader,
             log=self._log,
+            wait_s=self._probe_wait_s if is_probe else lambda: WATCH_WAIT_S,
             pause_s=UPSTREAM_PAUSE_S if kind == UPSTREAM_KIND else CONFIGURATION_PAUSE_S,
             outage_grace_s=OUTAGE_GRACE_S,
-            retry_max_s=PROBE_RETRY_MAX_S if is_probe else OTHER_RETRY_MAX_S,
+            retry_max_s=PROBE_RETRY_MAX_S if is_probe else WATCH_RETRY_MAX_S,
             on_regained=self._renew_other_watches,
         )
 
+    def _probe_wait_s(self) -> float:
+        return PROBE_WAIT_S if self._hubs.is_hub() else WATCH_WAIT_S
+
     def _follows_upstreams(self) -> bool:
-        return self._upstream_watch.is_sound()
+        return self._upstream_watch.is_sound() and self._probe.is_sound()
 
     def _renew_other_watches(self, regained: ObjectWatch) -> None:
         for watch in self._watches:
--- a/gooseberryquay/daemons/tests/test_platform_entry.py
+++ b/gooseberryquay/daemons/tests/test_platform_entry.py
@@ -22,6 +22,9 @@
 SOURCE = random.Random(7)
 CONFIG_APPLY_S = 2.0
 DRAIN_S = 2.0
+EVACUATION_S = 5.0
+# Bounds hold for what is changed when the store has been well for so long.
+STABLE_WINDOW_S = 3.0
 GRACE_S = 4.0
 
 
@@ -196,6 +199,26 @@
     _until(lambda: "dependency regained" in entry.log.read_text())
 
 
+def test_zone_is_left_in_time_after_a_store_swallowed_all_watches(site, entry):
+    """Soak seed 207: no peer could tell, and calls of 8 s hid what came after the outage."""
+    site.store.mood = StoreMood.SILENT
+    site.configure()
+    site.store.put("evacuations", "zone-z", {})
+    site.announce_leave(next(iter(site.engines)))
+    time.sleep(0.6)  # the next calls are swallowed
+    site.store.mood = StoreMood.WELL
+    time.sleep(STABLE_WINDOW_S)
+    site.store.put("evacuations", "zone-a", {})
+    time.sleep(EVACUATION_S)
+    before = {each: len(times) for each, times in list(site.record.arrivals.items())}
+    for _ in range(6):
+        call_once(entry.ports.callers, CallKind.READ, SOURCE)
+    asked = {
+        each for each, times in site.record.arrivals.items() if len(times) > before.get(each, 0)
+    }
+    assert all(int(each.rpartition("-")[2]) % 2 == 1 for each in asked)
+
+
 def test_entry_without_a_configuration_is_not_ready_and_promises_not_run(tmp_path):
     site = Site(random.Random(1))
     site.store.mood = StoreMood.REFUSING
--- a/gooseberryquay/platform/store.py
+++ b/gooseberryquay/platform/store.py
@@ -73,7 +73,7 @@
             # Watching from the first page's revision misses nothing that later pages lack.
             revision = at if revision is None else min(revision, at)
             if not document.get("has_more") or not page or page[-1] is None:
-                return Ok(Listing(tuple(found), revision))
+                return Ok(Listing(tuple(found), revision, store_revision=revision))
             after = page[-1].name
         return Err(SourceFailure.MALFORMED)
 
@@ -94,7 +94,7 @@
             return Err(SourceFailure.MALFORMED)
         return Ok(Changes(tuple(each for each in changed if each is not None), at, at))
 
-    def interrupt(self) -> None:
+    def interrupt(self, is_behind: bool) -> None:
         """End the call in progress, or the next one."""
         self._interrupt.set()
 
--- a/gooseberryquay/serving/object_relay.py
+++ b/gooseberryquay/serving/object_relay.py
@@ -36,6 +36,8 @@
 # With the slack below, a silent hub is left before the drain bound is over.
 HUB_WAIT_S = 1.0
 HUB_SLACK_S = 0.5
+# How often a waiting poll looks whether the hub is still sound.
+SOUND_CHECK_S = 0.25
 SEQUENCE_BITS = 40
 MS_PER_S = 1000.0
 HTTP_BAD_REQUEST = 400
@@ -59,6 +61,7 @@
 class _ObjectsMessage(BaseModel):
     objects: list[_ObjectRecord] = Field(alias="o")
     sequence: int = Field(alias="at")
+    store_revision: int = Field(alias="s")
     is_doubtful: bool = Field(alias="q", default=False)
 
 
@@ -75,8 +78,15 @@
     where it began at another or before a restart.
     """
 
-    def __init__(self, reader: ObjectReader, is_sound: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        *,
+        reader: ObjectReader,
+        is_sound: Callable[[], bool],
+        known_revision: Callable[[], int],
+    ) -> None:
         self._reader = reader
+        self._known_revision = known_revision
         self._is_sound = is_sound
         self._listing: Listing | None = None
         self._objects: dict[str, StoredObject] = {}
@@ -125,7 +135,7 @@
         if after is None:
             with self._changed:
                 objects = list(self._objects.values())
-                return _reply(objects, self._sequence, self._listing.is_doubtful)
+                return self._reply(objects, self._listing.is_doubtful)
         return self._wait_for_changes(int(after), int(wait_ms) / MS_PER_S)
 
     def _wait_for_changes(self, after: int, wait_s: float) -> Response:
@@ -137,8 +147,22 @@
                 found = [each.changed for each in self._history if each.sequence > after]
                 left_s = until_s - time.monotonic()
                 if found or left_s <= 0.0:
-                    return _reply(found, self._sequence)
-                self._changed.wait(left_s)
+                    return self._reply(found)
+                if not self._is_sound():
+                    return Response(status=HTTP_UNAVAILABLE, body=b"{}")
+                self._changed.wait(min(left_s, SOUND_CHECK_S))
+
+    def _reply(self, objects: list[StoredObject], is_doubtful: bool = False) -> Response:
+        records = [
+            _ObjectRecord(
+                n=each.name, r=each.revision, c=each.content, d=each.is_deleted, q=each.is_doubtful
+            )
+            for each in objects
+        ]
+        message = _ObjectsMessage(
+            o=records, at=self._sequence, s=self._known_revision(), q=is_doubtful
+        )
+        return Response(body=message.model_dump_json(by_alias=True).encode())
 
 
 class HubSource:
@@ -168,7 +192,9 @@
         match self._ask(hub, RELAY_PATH, HUB_SLACK_S):
             case Ok(message):
                 objects = tuple(each.stored() for each in message.objects)
-                return Ok(Listing(objects, message.sequence, message.is_doubtful))
+                return Ok(
+                    Listing(objects, message.sequence, message.is_doubtful, message.store_revision)
+                )
             case _:
                 self._leave(hub.id)
                 return self._direct.list()
@@ -180,28 +206,29 @@
             return Err(SourceFailure.HISTORY_GONE)
         if hub is None:
             return self._direct.watch(revision, wait_s)
-        path = f"{RELAY_PATH}?after={revision}&wait_ms={int(HUB_WAIT_S * MS_PER_S)}"
-        match self._ask(hub, path, HUB_WAIT_S + HUB_SLACK_S):
+        poll_s = min(wait_s, HUB_WAIT_S)
+        path = f"{RELAY_PATH}?after={revision}&wait_ms={int(poll_s * MS_PER_S)}"
+        match self._ask(hub, path, poll_s + HUB_SLACK_S):
             case Ok(message):
                 objects = tuple(each.stored() for each in message.objects)
-                return Ok(Changes(objects, message.sequence))
+                return Ok(Changes(objects, message.sequence, message.store_revision))
             case Err(SourceFailure.HISTORY_GONE):
                 return Err(SourceFailure.HISTORY_GONE)
             case _:
                 self._leave(hub.id)
                 return Err(SourceFailure.HISTORY_GONE)
 
-    def interrupt(self) -> None:
-        """End the call in progress, and leave a hub that seems to be behind."""
-        if self._followed is not None:
+    def interrupt(self, is_behind: bool) -> None:
+        """End the call of the store in progress, or leave a hub that seems to be behind."""
+        if self._followed is None:
+            self._direct.interrupt(is_behind)
+        elif is_behind:
             self._interrupt.set()
-        else:
-            self._direct.interrupt()
 
     def _leave(self, hub: EntryId) -> None:
         self._log.dependency("hub", hub, is_lost=True)
-        self._hubs.avoid(hub)
         self._followed = None
+        self._hubs.avoid(hub)
 
     def _ask(
         self, hub: Peer, path: str, timeout_s: float
@@ -222,14 +249,3 @@
             return Ok(_ObjectsMessage.model_validate_json(body))
         except ValidationError:
             return Err(SourceFailure.MALFORMED)
-
-
-def _reply(objects: list[StoredObject], sequence: int, is_doubtful: bool = False) -> Response:
-    records = [
-        _ObjectRecord(
-            n=each.name, r=each.revision, c=each.content, d=each.is_deleted, q=each.is_doubtful
-        )
-        for each in objects
-    ]
-    message = _ObjectsMessage(o=records, at=sequence, q=is_doubtful)
-    return Response(body=message.model_dump_json(by_alias=True).encode())
--- a/gooseberryquay/serving/object_source.py
+++ b/gooseberryquay/serving/object_source.py
@@ -36,18 +36,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """Hold all objects of a kind as of a revision; what it lacks is doubtful after an outage."""
+    """Hold all objects of a kind as of a revision; what it lacks is doubtful after an outage.
+
+    `store_revision` is how far the store itself was read.
+    """
 
     objects: tuple[StoredObject, ...]
     revision: int
     is_doubtful: bool = False
+    store_revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Changes:
     """Hold the changes of a kind up to a revision, from which the next watch goes on.
 
-    `store_revision` is how far the store itself was read, 0 where a hub passed the changes on.
+    `store_revision` is how far the store itself was read; a hub counts its changes by itself.
     """
 
     objects: tuple[StoredObject, ...]
@@ -64,5 +68,8 @@
     def watch(self, revision: int, wait_s: float) -> Result[Changes, SourceFailure]:
         """Wait for changes after a revision; there are none when the time is up."""
 
-    def interrupt(self) -> None:
-        """End the call in progress with `INTERRUPTED`, or the next one."""
+    def interrupt(self, is_behind: bool) -> None:
+        """End a call of the store in progress with `INTERRUPTED`, or the next one.
+
+        What is behind its peers is no longer followed, where there is something else to follow.
+        """
--- a/gooseberryquay/serving/object_watch.py
+++ b/gooseberryquay/serving/object_watch.py
@@ -18,12 +18,13 @@
 
 __all__ = ["ObjectReader", "ObjectWatch"]
 
-# Bounds how long a swallowed call goes unnoticed where no peer tells; each answer is a call.
-WATCH_WAIT_S = 8.0
 # A call that a silent store swallowed must not hold up the watch for long.
 OUTAGE_WAIT_S = 2.0
 # What a peer has seen is on its way here for a while.
 PEER_LEAD_S = 0.5
+# Beyond the lead, the renewed call should have been answered. A single cut call is made again
+# within this time.
+UNSOUND_AFTER_S = 0.75
 # Doubles with each failure.
 RETRY_MIN_S = 0.1
 
@@ -48,6 +49,7 @@
         source: ObjectSource,
         reader: ObjectReader,
         log: DecisionLog,
+        wait_s: Callable[[], float],
         pause_s: float,
         outage_grace_s: float,
         retry_max_s: float,
@@ -58,6 +60,7 @@
         self._source = source
         self._reader = reader
         self._log = log
+        self._longest_wait_s = wait_s
         self._pause_s = pause_s
         self._outage_grace_s = outage_grace_s
         self._retry_max_s = retry_max_s
@@ -68,12 +71,16 @@
         # Set by `renew`: the next answer comes at once and tells how far the store is.
         self._is_checking = False
         self._behind_since_s = 0.0
+        self._renewed_at_s = 0.0
         self.kind = kind
-        # How far changes were read, which peers compare with theirs. A deleted object may bear its
-        # former revision, so that the store's own counts for it.
+        # The newest change of this kind, which peers compare with what they know. A deleted object
+        # may bear its former revision, so that the store's own counts for it.
         self.seen_revision = 0
+        # How far the store was read, whether it held changes of this kind or not.
+        self.known_revision = 0
         self._revision: int | None = None
         self._failures = 0
+        self._failing_since_s = 0.0
         self._regained_at_s: float | None = None
         self.confirmed_at_s: float | None = None
         self._stopped = threading.Event()
@@ -88,34 +95,44 @@
         self._woken.set()
 
     def is_sound(self) -> bool:
-        """Tell whether the last call succeeded and is not long ago."""
-        if self._failures or self.confirmed_at_s is None:
+        """Tell whether calls succeed, the last one lately, and bring what peers have."""
+        if self.confirmed_at_s is None:
             return False
-        return self._clock() - self.confirmed_at_s < WATCH_WAIT_S + OUTAGE_WAIT_S
+        now_s = self._clock()
+        if self._failures and now_s - self._failing_since_s > UNSOUND_AFTER_S:
+            return False
+        if self._is_behind() and now_s - self._behind_since_s > UNSOUND_AFTER_S:
+            return False
+        return now_s - self.confirmed_at_s < self._longest_wait_s() + OUTAGE_WAIT_S
 
-    def renew(self) -> None:
+    def renew(self, is_behind: bool = False) -> None:
         """Give up a pause or a call that began before now, as it may never be answered."""
         self._woken.set()
         if self._revision is not None:
             self._is_checking = True
-            self._source.interrupt()
+            self._source.interrupt(is_behind)
 
     def saw_peer_revision(self, revision: int) -> None:
         """Renew the watch when a peer has long seen what it has not brought."""
         now_s = self._clock()
-        if revision > self._peer_revision:
-            self._peer_revision = revision
-            self._behind_since_s = now_s
-        is_behind = self._peer_revision > self.seen_revision
-        if is_behind and now_s - self._behind_since_s > PEER_LEAD_S:
+        was_behind = self._is_behind()
+        self._peer_revision = max(self._peer_revision, revision)
+        if not self._is_behind():
+            return
+        if not was_behind:
             self._behind_since_s = now_s
+        if now_s - max(self._behind_since_s, self._renewed_at_s) > PEER_LEAD_S:
+            self._renewed_at_s = now_s
             self._log.belief(
                 "watch is behind a peer",
                 part=self.kind,
-                own_revision=self.seen_revision,
+                own_revision=self.known_revision,
                 peer_revision=self._peer_revision,
             )
-            self.renew()
+            self.renew(is_behind=True)
+
+    def _is_behind(self) -> bool:
+        return self._peer_revision > self.known_revision
 
     def _run(self) -> None:
         while not self._stopped.is_set():
@@ -136,8 +153,8 @@
                 return self._failed(failure)
             case Ok(listing):
                 self._succeeded()
+                self._saw(listing.objects, listing.store_revision)
                 self._reader.read_listing(listing, self._is_after_outage())
-                self._saw(listing.objects)
                 self._revision = listing.revision
                 return 0.0
 
@@ -150,12 +167,9 @@
                 return self._failed(failure)
             case Ok(changes):
                 self._succeeded()
+                self._saw(changes.objects, changes.store_revision)
                 for changed in changes.objects:
                     self._reader.read_change(changed, self._is_after_outage())
-                self._saw(changes.objects)
-                has_deletion = any(each.is_deleted for each in changes.objects)
-                if has_deletion or self._is_checking:
-                    self.seen_revision = max(self.seen_revision, changes.store_revision)
                 self._is_checking = False
                 self._revision = max(revision, changes.revision)
                 return self._pause_s
@@ -163,10 +177,13 @@
     def _wait_s(self) -> float:
         if self._is_checking:
             return 0.0
-        return OUTAGE_WAIT_S if self._failures else WATCH_WAIT_S
+        return OUTAGE_WAIT_S if self._failures else self._longest_wait_s()
 
-    def _saw(self, objects: tuple[StoredObject, ...]) -> None:
+    def _saw(self, objects: tuple[StoredObject, ...], store_revision: int) -> None:
         newest = max((each.revision for each in objects), default=0)
+        if any(each.is_deleted for each in objects):
+            newest = max(newest, store_revision)
+        self.known_revision = max(self.known_revision, newest, store_revision)
         self.seen_revision = max(self.seen_revision, newest)
 
     def _is_after_outage(self) -> bool:
@@ -190,6 +207,7 @@
             return 0.0
         self._failures += 1
         if self._failures == 1:
+            self._failing_since_s = self._clock()
             self._log.dependency("store", self.kind, is_lost=True, reason=failure.value)
         ceiling_s = min(self._retry_max_s, RETRY_MIN_S * 2.0 ** min(self._failures, 8))
         return random.uniform(ceiling_s / 2.0, ceiling_s)
