Let large answers of the store arrive; list what a renewed watch has missed

On its slow link the answer, one large document for each of four versions, never arrived whole; a small list of zones on the same link did. Ruled out: the store (it answered other kinds), hubs (configurations come from the store itself). Change: an interrupt ends only the wait for an answer's head; a body may take as long as it goes on arriving; a renewed watch is renewed again after 2.5 s at the earliest and lists, which brings only the newest document.

--- a/gooseberryquay/links/exchange.py
+++ b/gooseberryquay/links/exchange.py
@@ -20,6 +20,10 @@
 
 __all__ = ["Interrupt", "WholeReply", "WholeRequest", "exchange"]
 
+# A large answer may take longer than its first byte may, as long as it goes on arriving.
+PROGRESS_S = 1.0
+READ_MAX_S = 20.0
+
 
 @dataclass(frozen=True, slots=True)
 class WholeRequest:
@@ -74,7 +78,10 @@
     until_s: float,
     watch: CallerWatch | None = None,
 ) -> Result[WholeReply, LinkFailure | CallerLeft]:
-    """Send a request and read the whole answer."""
+    """Send a request and read the whole answer.
+
+    `until_s` bounds the wait for the answer's head; an interrupt ends only this wait.
+    """
     connection = pool.take(address)
     if connection is None:
         connection = pool.new(address)
@@ -109,8 +116,10 @@
     if isinstance(opened, Err):
         return opened
     content = bytearray()
+    read_until_s = time.monotonic() + READ_MAX_S
     while True:
-        match connection.read_body(watch, until_s):
+        part_until_s = min(read_until_s, max(until_s, time.monotonic() + PROGRESS_S))
+        match connection.read_body(SilentCaller(), part_until_s):
             case Err(failure):
                 return Err(failure)
             case Ok(BodyPart(part)):
--- a/gooseberryquay/serving/object_watch.py
+++ b/gooseberryquay/serving/object_watch.py
@@ -22,6 +22,8 @@
 OUTAGE_WAIT_S = 2.0
 # What a peer has seen is on its way here for a while.
 PEER_LEAD_S = 0.5
+# A renewed call has its own time-out, and a large answer takes its time on a slow link.
+RENEW_PERIOD_S = 2.5
 # Beyond the lead, the renewed call should have been answered. A single cut call is made again
 # within this time.
 UNSOUND_AFTER_S = 0.75
@@ -68,10 +70,10 @@
         self._on_regained = on_regained
         self._clock = clock
         self._peer_revision = 0
-        # Set by `renew`: the next answer comes at once and tells how far the store is.
+        # Set by `renew`: a list comes at once, and is smaller than many changes of one object.
         self._is_checking = False
         self._behind_since_s = 0.0
-        self._renewed_at_s = 0.0
+        self._renewed_at_s = float("-inf")
         self.kind = kind
         # The newest change of this kind, which peers compare with what they know. A deleted object
         # may bear its former revision, so that the store's own counts for it.
@@ -121,7 +123,8 @@
             return
         if not was_behind:
             self._behind_since_s = now_s
-        if now_s - max(self._behind_since_s, self._renewed_at_s) > PEER_LEAD_S:
+        has_lead = now_s - self._behind_since_s <= PEER_LEAD_S
+        if not has_lead and now_s - self._renewed_at_s > RENEW_PERIOD_S:
             self._renewed_at_s = now_s
             self._log.belief(
                 "watch is behind a peer",
@@ -143,7 +146,7 @@
 
     def step(self) -> float:
         """Make one call and give the pause before the next."""
-        if self._revision is None:
+        if self._revision is None or self._is_checking:
             return self._read_list()
         return self._read_changes(self._revision)
 
@@ -155,6 +158,7 @@
                 self._succeeded()
                 self._saw(listing.objects, listing.store_revision)
                 self._reader.read_listing(listing, self._is_after_outage())
+                self._is_checking = False
                 self._revision = listing.revision
                 return 0.0
 
@@ -170,13 +174,10 @@
                 self._saw(changes.objects, changes.store_revision)
                 for changed in changes.objects:
                     self._reader.read_change(changed, self._is_after_outage())
-                self._is_checking = False
                 self._revision = max(revision, changes.revision)
                 return self._pause_s
 
     def _wait_s(self) -> float:
-        if self._is_checking:
-            return 0.0
         return OUTAGE_WAIT_S if self._failures else self._longest_wait_s()
 
     def _saw(self, objects: tuple[StoredObject, ...], store_revision: int) -> None:
