Take no interrupt for an outage when a renewed watch lists

Ruled out: the store (it answered within 5 ms of the first call that was let through). Test first: test_interrupt_that_comes_in_a_pause_does_not_cost_the_next_list.

--- a/gooseberryquay/serving/object_watch.py
+++ b/gooseberryquay/serving/object_watch.py
@@ -152,6 +152,8 @@
 
     def _read_list(self) -> float:
         match self._source.list():
+            case Err(SourceFailure.INTERRUPTED):
+                return 0.0
             case Err(failure):
                 return self._failed(failure)
             case Ok(listing):
--- a/gooseberryquay/serving/tests/test_object_watch.py
+++ b/gooseberryquay/serving/tests/test_object_watch.py
@@ -171,6 +171,19 @@
     assert source.calls[-1] == 12
 
 
+def test_interrupt_that_comes_in_a_pause_does_not_cost_the_next_list():
+    """A hunted day broke CONFIG: a renewed watch took its own interrupt for an outage."""
+    cut, interrupted = Err(SourceFailure.UNREACHABLE), Err(SourceFailure.INTERRUPTED)
+    listed = Ok(Listing((), 9, store_revision=9))
+    watch, source, _, _ = _watch(Ok(Listing((), 5)), cut, interrupted, listed, _changes(9))
+    watch.step()
+    assert watch.step() > 0.0
+    watch.renew(is_behind=True)
+    assert watch.step() == 0.0
+    watch.step()
+    assert watch.known_revision == 9
+
+
 def test_renewed_call_is_left_time_to_end():
     """A hunted day broke CONFIG: a large answer on a slow link was broken off again and again."""
     watch, source, _, clock = _watch(Ok(Listing((), 5)))
