Notice a signal that the system gives to another thread

Python runs handlers in the main thread, which nothing wakes when another thread took the signal. Ruled out: the drain itself (it had not begun) and the handler's lock (it was not entered). Test first: test_signal_taken_by_another_thread_stops_the_daemon, which gives the signal to another thread; it timed out before and passes now.

--- a/gooseberryquay/daemons/serving.py
+++ b/gooseberryquay/daemons/serving.py
@@ -7,6 +7,8 @@
 __all__ = ["READY_PREFIX", "Server", "serve_until_signal"]
 
 READY_PREFIX = "ready on port "
+# The system may give a signal to any thread, and its handler runs when the main thread wakes.
+SIGNAL_LOOK_S = 0.5
 
 
 class Server(Protocol):
@@ -30,5 +32,6 @@
         signal.signal(number, lambda *_args: stopped.set())
     server.start()
     print(f"{READY_PREFIX}{server.port}", flush=True)
-    stopped.wait()
+    while not stopped.wait(SIGNAL_LOOK_S):
+        pass
     server.stop()
