--- a/gooseberryquay/daemons/tests/test_serving.py
+++ b/gooseberryquay/daemons/tests/test_serving.py
@@ -27,5 +27,6 @@
 
 def test_signal_taken_by_another_thread_stops_the_daemon():
     """An entry under load served on for 20 s after a SIGTERM, its main thread waiting."""
-    ended = subprocess.run([sys.executable, "-c", PROGRAM], capture_output=True, timeout=10)
+    command = [sys.executable, "-c", PROGRAM]
+    ended = subprocess.run(command, check=False, capture_output=True, timeout=10)
     assert b"stopped" in ended.stdout
