Place on all engines alike where no hub is known

Found when reading the diff: the choice of an engine's home failed without any hub. Test first: test_entry_that_knows_no_live_entry_places_on_all_engines_alike.

--- a/gooseberryquay/serving/hubs.py
+++ b/gooseberryquay/serving/hubs.py
@@ -85,6 +85,8 @@
         The hubs share all upstreams among them by rendezvous hashing.
         """
         hubs = self.hubs()
+        if not hubs:
+            return True
         own = {self._membership.myself().id} if self.is_hub() else {each.id for each in self._cell}
         owner = self._owners.get(upstream)
         if owner is None:
--- a/gooseberryquay/serving/tests/test_hubs.py
+++ b/gooseberryquay/serving/tests/test_hubs.py
@@ -107,6 +107,14 @@
             )
 
 
+def test_entry_that_knows_no_live_entry_places_on_all_engines_alike():
+    """The last entry that leaves is no longer live and still serves what is open."""
+    peers = _peers(1)
+    members = _Members(0, peers)
+    members.live = lambda: ()
+    assert HubChoice(members, peers[0].zone).is_home(UpstreamId("i-1"))
+
+
 def test_engines_are_shared_anew_when_a_hub_leaves():
     peers = _peers(4)
     members = _Members(0, peers)
