--- a/gooseberryquay/serving/tests/test_hubs.py
+++ b/gooseberryquay/serving/tests/test_hubs.py
@@ -108,7 +108,6 @@
 
 
 def test_entry_that_knows_no_live_entry_places_on_all_engines_alike():
-    """The last entry that leaves is no longer live and still serves what is open."""
     peers = _peers(1)
     members = _Members(0, peers)
     members.live = lambda: ()
