Ask a claim's refusal before its claim is made void, as the daemon does

The daemon makes it void only after the answer is written. The test now does the same, and still asks for MAYBE and that nothing ran.

--- a/gooseberryquay/postings/tests/test_owned_claims.py
+++ b/gooseberryquay/postings/tests/test_owned_claims.py
@@ -116,8 +116,13 @@
         key, link = entry.build_key(), entry.fleet.links[0]
         link.is_out = True
         entry.proxy.apply_fault(SilenceConnections(direction=direction))
-        refusal = entry.run(key, timeout_s=OWNER_TIMEOUT_S + 1.0).unwrap_err()
+        after_answer = []
+        posting = {"timeout_s": OWNER_TIMEOUT_S + 1.0, "after_answer": after_answer.append}
+        refusal = entry.run(key, **posting).unwrap_err()
         assert isinstance(refusal, PlatformUnavailable) and refusal.ran is ran
+        # The claim is made void once the refusal is written, after which it may be told apart.
+        for action in after_answer:
+            action()
         assert refusal.retry_after_s
         assert entry.service.runs[key] == 0
         link.is_out = False
