Keep a test's ports from other test processes; show an entry that did not start

The soak then kept a process that had never started and failed at the next fault. Not a fault of the product. Change: a port stays bound for datagrams while its process lives, which other processes see.

--- a/gooseberryquay/standins/node_platform/soak.py
+++ b/gooseberryquay/standins/node_platform/soak.py
@@ -58,7 +58,8 @@
             f"--node_settings={self.settings}",
             port=self.ports.callers,
             log_path=self.log_path,
-        ).start()
+        )
+        self.process.start()
 
 
 @dataclass
--- a/gooseberryquay/standins/process.py
+++ b/gooseberryquay/standins/process.py
@@ -29,21 +29,23 @@
 
 
 _random = random.SystemRandom()
-_given_ports: set[int] = set()
+# Bound for datagrams as long as this process lives, which tells other processes that a port for
+# connections is taken while nothing listens on it.
+_reservations: list[socket.socket] = []
 
 
 def find_free_port(host: str = "127.0.0.1") -> int:
     """Give a TCP port that nothing listens on and that the system gives to no connection."""
     while True:
         port = _random.randrange(FIRST_PORT, LAST_PORT)
-        if port in _given_ports:
-            continue
+        reservation = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
+            reservation.bind((host, port))
             with socket.create_server((host, port)):
-                _given_ports.add(port)
+                _reservations.append(reservation)
                 return port
         except OSError:
-            continue
+            reservation.close()
 
 
 def run_command(*arguments: str, text: str) -> str:
