Let an engine of another cell cost what one more such prompt costs

The preference was a constant of the size of one prompt of one site; it now follows from the request's own prompt and the engine's memory. Moved generations bring no prompt and keep a constant below that of another zone.

--- a/gooseberryquay/serving/hubs.py
+++ b/gooseberryquay/serving/hubs.py
@@ -79,10 +79,10 @@
             iter(usable), None
         )
 
-    def is_home(self, upstream: UpstreamId) -> bool:
-        """Tell whether an upstream is one of those on which this entry's cell places first.
+    def is_own_engine(self, upstream: UpstreamId) -> bool:
+        """Tell whether this entry's cell places on an engine first.
 
-        The hubs share all upstreams among them by rendezvous hashing.
+        The hubs share all engines among them by rendezvous hashing.
         """
         hubs = self.hubs()
         if not hubs:
--- a/gooseberryquay/serving/peer_loads.py
+++ b/gooseberryquay/serving/peer_loads.py
@@ -119,9 +119,9 @@
         if not self._hubs.is_hub():
             self._has_news.set()
 
-    def is_home(self, upstream: UpstreamId) -> bool:
-        """Tell whether an upstream's load is mostly of this entry's own cell."""
-        return self._hubs.is_home(upstream)
+    def is_own_engine(self, upstream: UpstreamId) -> bool:
+        """Tell whether an engine's load is mostly of this entry's own cell."""
+        return self._hubs.is_own_engine(upstream)
 
     def entry_count(self) -> int:
         """Give the number of live entries, this one included."""
--- a/gooseberryquay/serving/placement.py
+++ b/gooseberryquay/serving/placement.py
@@ -32,10 +32,11 @@
 MOVE_OTHER_ZONE_SCORE = 1.0
 # Keeps entries with the same view from choosing the same engine.
 NOISE_SCORE = 0.02
-# The loads of engines that other cells fill are known late. Cells that find none of their own to
-# spare spread over these at random, or all would choose the same.
-AWAY_SCORE = 0.6
-AWAY_NOISE_SCORE = 0.3
+# The loads of engines that other cells fill are known late. A cell that finds its own ones busier
+# spreads over these at random, or all cells would choose the same.
+OTHER_CELL_NOISE_SCORE = 0.3
+# Below the cost of another zone. A moved generation brings no prompt to read.
+MOVE_OTHER_CELL_SCORE = 0.6
 # Outweighs any load.
 AVOIDED_SCORE = 10.0
 # A cold engine is slow for about a second.
@@ -67,8 +68,8 @@
     def of(self, upstream: UpstreamId) -> PeerLoad:
         """Give the load of others at one upstream."""
 
-    def is_home(self, upstream: UpstreamId) -> bool:
-        """Tell whether an upstream is one on which this entry's cell places first."""
+    def is_own_engine(self, upstream: UpstreamId) -> bool:
+        """Tell whether this entry's cell places on an engine first."""
 
     def entry_count(self) -> int:
         """Give the number of live entries, this one included."""
@@ -81,8 +82,8 @@
         """Give no load."""
         return PeerLoad(0, 0.0, 0.0, 0.0)
 
-    def is_home(self, upstream: UpstreamId) -> bool:
-        """Place on all upstreams alike."""
+    def is_own_engine(self, upstream: UpstreamId) -> bool:
+        """Place on all engines alike."""
         return True
 
     def entry_count(self) -> int:
@@ -104,11 +105,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ZonePreference:
-    """Prefer the engines of one zone by so much in the score."""
+class EnginePreference:
+    """Prefer the engines of one zone, and those of the own cell, by so much in the score."""
 
     zone: ZoneId
     other_zone_score: float
+    other_cell_score: float
 
 
 class Placement:
@@ -161,8 +163,13 @@
         self, service: ServiceId, need: EngineNeed, excluded: Collection[UpstreamId]
     ) -> KnownUpstream | None:
         """Choose for a generation the engine with the most memory to spare, if it fits in."""
-        preference = ZonePreference(self._zone, OTHER_ZONE_SCORE)
-        return self._choose_engine(service, need, excluded, preference)
+        engine = self.engine_terms(service)
+        if engine is None:
+            return self.choose_for_call(service, excluded)
+        # An engine of another cell counts as if one more such prompt waited there.
+        other_cell_score = UNREAD_WEIGHT * need.prompt_tokens / max(1, engine.memory_tokens)
+        preference = EnginePreference(self._zone, OTHER_ZONE_SCORE, other_cell_score)
+        return self._choose_engine(service, engine, need, excluded, preference)
 
     def choose_move_target(
         self,
@@ -172,19 +179,20 @@
         source_zone: ZoneId,
     ) -> KnownUpstream | None:
         """Choose an engine to move a generation to, near its source, as links are slow between."""
-        preference = ZonePreference(source_zone, MOVE_OTHER_ZONE_SCORE)
-        return self._choose_engine(service, need, excluded, preference)
+        engine = self.engine_terms(service)
+        if engine is None:
+            return self.choose_for_call(service, excluded)
+        preference = EnginePreference(source_zone, MOVE_OTHER_ZONE_SCORE, MOVE_OTHER_CELL_SCORE)
+        return self._choose_engine(service, engine, need, excluded, preference)
 
     def _choose_engine(
         self,
         service: ServiceId,
+        engine: EngineTerms,
         need: EngineNeed,
         excluded: Collection[UpstreamId],
-        preference: ZonePreference,
+        preference: EnginePreference,
     ) -> KnownUpstream | None:
-        engine = self.engine_terms(service)
-        if engine is None:
-            return self.choose_for_call(service, excluded)
         best: KnownUpstream | None = None
         best_score = float("inf")
         now_s = self._clock()
@@ -235,7 +243,7 @@
         known: KnownUpstream,
         engine: EngineTerms,
         need: EngineNeed,
-        preference: ZonePreference,
+        preference: EnginePreference,
         now_s: float,
     ) -> float | None:
         load = self._loads.of(known.record.id)
@@ -255,8 +263,9 @@
         score += NOISE_SCORE * self._random.random()
         if known.record.zone != preference.zone:
             score += preference.other_zone_score
-        if not self._peers.is_home(known.record.id):
-            score += AWAY_SCORE + AWAY_NOISE_SCORE * self._random.random()
+        if not self._peers.is_own_engine(known.record.id):
+            score += preference.other_cell_score
+            score += OTHER_CELL_NOISE_SCORE * self._random.random()
         if known.cold_until_s > now_s:
             score += COLD_SCORE
         if load.avoided_until_s > now_s:
--- a/gooseberryquay/serving/tests/test_hubs.py
+++ b/gooseberryquay/serving/tests/test_hubs.py
@@ -93,25 +93,25 @@
 
 
 @pytest.mark.parametrize("count", [MESH_MAX, 60])
-def test_each_engine_is_home_to_one_cell_and_all_its_entries_agree(count):
+def test_each_engine_is_own_engine_to_one_cell_and_all_its_entries_agree(count):
     choices = _choices(count)
     hubs = [each for each in choices if each.is_hub()]
     for number in range(40):
         engine = UpstreamId(f"i-{number}")
-        (owner,) = [each for each in hubs if each.is_home(engine)]
+        (owner,) = [each for each in hubs if each.is_own_engine(engine)]
         hub = owner._membership.myself().id
         for choice in choices:
             followed = choice.my_hub()
-            assert choice.is_home(engine) == (followed is not None and followed.id == hub) or (
-                choice is owner
-            )
+            assert choice.is_own_engine(engine) == (
+                followed is not None and followed.id == hub
+            ) or (choice is owner)
 
 
 def test_entry_that_knows_no_live_entry_places_on_all_engines_alike():
     peers = _peers(1)
     members = _Members(0, peers)
     members.live = lambda: ()
-    assert HubChoice(members, peers[0].zone).is_home(UpstreamId("i-1"))
+    assert HubChoice(members, peers[0].zone).is_own_engine(UpstreamId("i-1"))
 
 
 def test_engines_are_shared_anew_when_a_hub_leaves():
@@ -119,10 +119,10 @@
     members = _Members(0, peers)
     clock = FakeClock()
     choice = HubChoice(members, peers[0].zone, clock)
-    before = sum(choice.is_home(UpstreamId(f"i-{number}")) for number in range(100))
+    before = sum(choice.is_own_engine(UpstreamId(f"i-{number}")) for number in range(100))
     members.peers = peers[:2]
     clock.now_s += 1.0
-    after = sum(choice.is_home(UpstreamId(f"i-{number}")) for number in range(100))
+    after = sum(choice.is_own_engine(UpstreamId(f"i-{number}")) for number in range(100))
     assert after > before
 
 
--- a/gooseberryquay/serving/tests/test_placement.py
+++ b/gooseberryquay/serving/tests/test_placement.py
@@ -22,7 +22,7 @@
 
 CELLS = 10
 ENGINES = 40
-REQUESTS_PER_S = 40.0
+REQUESTS_PER_S = 45.0
 SPAN_S = 120.0
 # An engine that is replaced comes back empty.
 REPLACED_EVERY_S = 0.8
@@ -33,23 +33,25 @@
 GENERATION_S = 4.0
 OUTPUT_TOKENS = 750
 MEMORY_TOKENS = 27_000
-# With a few more prompts read by turns, an event of four tokens takes longer than 180 ms.
-READERS_TOO_MANY = 3
+# With steps of 7 ms and 8 ms for each prompt, an event of four tokens then takes over 180 ms.
+READERS_TOO_MANY = 5
+# 95 in 100 are to get their tokens in time.
+CROWDED_SHARE_MAX = 0.05
 
 
 class _LatePeers:
     """Tell what the other cells had in flight a while ago."""
 
-    def __init__(self, cell, has_homes):
+    def __init__(self, cell, has_own):
         self._cell = cell
-        self._has_homes = has_homes
+        self._has_own = has_own
         self.told = {}
 
     def of(self, upstream):
         return self.told.get(upstream, NO_LOAD)
 
-    def is_home(self, upstream):
-        return not self._has_homes or int(upstream.rpartition("-")[2]) % CELLS == self._cell
+    def is_own_engine(self, upstream):
+        return not self._has_own or int(upstream.rpartition("-")[2]) % CELLS == self._cell
 
     def entry_count(self):
         return CELLS
@@ -58,7 +60,7 @@
 class _Fleet:
     """Play the load of some cells on engines that read prompts by turns."""
 
-    def __init__(self, has_homes, seed):
+    def __init__(self, has_own, seed):
         self._random = random.Random(seed)
         self._clock = FakeClock(0.0)
         book = UpstreamBook()
@@ -67,7 +69,7 @@
         terms = build_engine_terms(slots=24, memory_tokens=MEMORY_TOKENS)
         routing = build_routing(engine=terms)
         self.tables = [LoadTable(self._clock) for _ in range(CELLS)]
-        self.peers = [_LatePeers(each, has_homes) for each in range(CELLS)]
+        self.peers = [_LatePeers(each, has_own) for each in range(CELLS)]
         self.placements = [
             Placement(
                 book=book,
@@ -150,13 +152,13 @@
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_cells_that_place_on_their_own_engines_first_crowd_fewer_of_them(seed):
-    plain = _Fleet(has_homes=False, seed=seed).play()
-    shared = _Fleet(has_homes=True, seed=seed).play()
-    assert shared <= plain / 10
+    plain = _Fleet(has_own=False, seed=seed).play()
+    shared = _Fleet(has_own=True, seed=seed).play()
+    assert plain > CROWDED_SHARE_MAX >= shared
 
 
 def test_cell_uses_engines_of_others_when_its_own_are_full():
-    fleet = _Fleet(has_homes=True, seed=5)
+    fleet = _Fleet(has_own=True, seed=5)
     need = EngineNeed(PROMPT_TOKENS, OUTPUT_TOKENS)
     for number in range(0, ENGINES, CELLS):
         for run in range(7):
