Name the setting that is wrong, the address in use and what SIGHUP changed

Bounds that nothing read are gone; the wait of the probing watch follows from the bound for zones instead of being 2 s (2 s with 5 s as before).

--- a/gooseberryquay/contracts/node_settings.py
+++ b/gooseberryquay/contracts/node_settings.py
@@ -12,13 +12,9 @@
 class NodeBounds:
     """Hold the time bounds that the operators promise."""
 
-    drain_s: float
     grace_s: float
-    config_apply_s: float
     evacuation_s: float
     retry_ratio: float
-    retry_allowance: float
-    address_reuse_s: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberryquay/daemons/platform_commands.py
+++ b/gooseberryquay/daemons/platform_commands.py
@@ -5,11 +5,13 @@
 import sys
 import threading
 import time
+from dataclasses import fields
 
 from result import Err, Ok
 
-from gooseberryquay.contracts.node_settings import NodeSettings
+from gooseberryquay.contracts.node_settings import NodeBounds, NodeSettings
 from gooseberryquay.daemons.platform_entry import PlatformEntry
+from gooseberryquay.daemons.serving import SIGNAL_LOOK_S
 from gooseberryquay.platform.settings_file import SETTINGS_VARIABLE, read_settings
 from gooseberryquay.serving.decision_log import DecisionLog, set_up_decision_log
 
@@ -32,25 +34,44 @@
 def _serve(settings: NodeSettings, path: str) -> None:
     log = DecisionLog(set_up_decision_log(settings.id))
     stopped = threading.Event()
-    reloaded = threading.Event()
+    settings_changed = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stopped.set())
     signal.signal(signal.SIGINT, lambda *_: stopped.set())
-    signal.signal(signal.SIGHUP, lambda *_: reloaded.set())
-    entry = PlatformEntry(settings, log)
-    entry.start()
-    while not stopped.wait(0.5):
-        if reloaded.is_set():
-            reloaded.clear()
-            _reload(path, log)
+    signal.signal(signal.SIGHUP, lambda *_: settings_changed.set())
+    try:
+        entry = PlatformEntry(settings, log)
+        entry.start()
+    except OSError as error:
+        print(f"{path}: cannot listen: {error}", file=sys.stderr, flush=True)
+        os._exit(1)
+    while not stopped.wait(SIGNAL_LOOK_S):
+        if settings_changed.is_set():
+            settings_changed.clear()
+            _read_again(path, settings, log)
     entry.drain()
     time.sleep(LOG_FLUSH_S)
     # Threads that still wait on open connections must not delay the exit.
     os._exit(0)
 
 
-def _reload(path: str, log: DecisionLog) -> None:
+def _read_again(path: str, started_with: NodeSettings, log: DecisionLog) -> None:
+    """Name what has changed in the settings, which takes effect at the next start."""
     match read_settings(path):
         case Err(problem):
-            log.lifecycle("reload failed", detail=str(problem))
-        case Ok(_):
-            log.lifecycle("reloaded")
+            log.lifecycle("settings not readable", detail=str(problem))
+        case Ok(settings):
+            log.lifecycle("settings read again", changed=_changed(started_with, settings))
+
+
+def _changed(former: NodeSettings, settings: NodeSettings) -> list[str]:
+    names = [
+        each.name
+        for each in fields(NodeSettings)
+        if each.name != "bounds" and getattr(former, each.name) != getattr(settings, each.name)
+    ]
+    bounds = [
+        f"bounds.{each.name}"
+        for each in fields(NodeBounds)
+        if getattr(former.bounds, each.name) != getattr(settings.bounds, each.name)
+    ]
+    return names + bounds
--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -60,9 +60,9 @@
 UPSTREAM_PAUSE_S = 0.03
 CONFIGURATION_PAUSE_S = 0.25
 # One watch of a hub asks often whether the store still answers, and wakes the others when it does
-# again. With the slack of a call, a store that swallowed all calls is noticed within the 5 s in
-# which a zone must be left. Other entries hear from their hubs of changes that they have missed.
-PROBE_WAIT_S = 2.0
+# again. With the slack of a call, a store that swallowed all calls is then noticed within the time
+# in which a zone must be left. Other entries hear from their hubs of changes that they have missed.
+PROBE_WAIT_SHARE = 0.4
 PROBE_RETRY_MAX_S = 2.0
 # Each answer is a paid call.
 WATCH_WAIT_S = 20.0
@@ -203,7 +203,9 @@
         )
 
     def _probe_wait_s(self) -> float:
-        return PROBE_WAIT_S if self._hubs.is_hub() else WATCH_WAIT_S
+        if not self._hubs.is_hub():
+            return WATCH_WAIT_S
+        return PROBE_WAIT_SHARE * self._settings.bounds.evacuation_s
 
     def _follows_upstreams(self) -> bool:
         return self._upstream_watch.is_sound() and self._probe.is_sound()
--- a/gooseberryquay/daemons/serving.py
+++ b/gooseberryquay/daemons/serving.py
@@ -4,7 +4,7 @@
 import threading
 from typing import Protocol
 
-__all__ = ["READY_PREFIX", "Server", "serve_until_signal"]
+__all__ = ["READY_PREFIX", "SIGNAL_LOOK_S", "Server", "serve_until_signal"]
 
 READY_PREFIX = "ready on port "
 # The system may give a signal to any thread, and its handler runs when the main thread wakes.
--- a/gooseberryquay/daemons/tests/test_platform_entry.py
+++ b/gooseberryquay/daemons/tests/test_platform_entry.py
@@ -4,9 +4,13 @@
 import json
 import random
 import signal
+import socket
+import subprocess
+import sys
 import threading
 import time
 import urllib.request
+from pathlib import Path
 
 import pytest
 
@@ -24,7 +28,7 @@
 DRAIN_S = 2.0
 EVACUATION_S = 5.0
 # Bounds hold for what is changed when the store has been well for so long.
-STABLE_WINDOW_S = 3.0
+SETTLED_AFTER_S = 3.0
 GRACE_S = 4.0
 
 
@@ -46,7 +50,7 @@
         port=ports.callers,
         log_path=str(tmp_path / "entry.log"),
     )
-    process.ports, process.log = ports, tmp_path / "entry.log"
+    process.ports, process.log, process.settings = ports, tmp_path / "entry.log", settings
     with process:
         _until(lambda: _is_ready(ports))
         yield process
@@ -191,10 +195,28 @@
 
 def test_sighup_reloads_and_serves_on(site, entry):
     entry.send_signal(signal.SIGHUP)
-    _until(lambda: "reloaded" in entry.log.read_text())
+    _until(lambda: "settings read again" in entry.log.read_text())
     assert call_once(entry.ports.callers, CallKind.READ, SOURCE).status == 200
 
 
+def test_changed_setting_is_named_in_the_log(site, entry):
+    settings = Path(entry.settings)
+    text = settings.read_text()
+    settings.write_text(text.replace("bounds.grace_s=4", "bounds.grace_s=6"))
+    entry.send_signal(signal.SIGHUP)
+    _until(lambda: '"changed": ["bounds.grace_s"]' in entry.log.read_text())
+
+
+def test_address_in_use_ends_the_start_with_one_clear_line(site, tmp_path):
+    ports = EntryPorts("entry-0")
+    with socket.create_server(("127.0.0.1", ports.metrics)):
+        settings = ports.write_settings(tmp_path, site.store.port, [ports.control])
+        command = [sys.executable, "-m", "gooseberryquay", "entry", f"--node_settings={settings}"]
+        ended = subprocess.run(command, check=False, capture_output=True, text=True, timeout=20)
+    assert ended.returncode == 1
+    assert f"{ports.metrics}" in ended.stderr and "Traceback" not in ended.stderr
+
+
 def test_store_outage_leaves_what_is_known_in_force(site, entry):
     site.store.mood = StoreMood.REFUSING
     site.configure()  # answers the waiting watch; the next is refused
@@ -212,7 +234,7 @@
     site.announce_leave(next(iter(site.engines)))
     time.sleep(0.6)  # the next calls are swallowed
     site.store.mood = StoreMood.WELL
-    time.sleep(STABLE_WINDOW_S)
+    time.sleep(SETTLED_AFTER_S)
     site.store.put("evacuations", "zone-a", {})
     time.sleep(EVACUATION_S)
     before = {each: len(times) for each, times in list(site.record.arrivals.items())}
--- a/gooseberryquay/links/exchange.py
+++ b/gooseberryquay/links/exchange.py
@@ -22,6 +22,7 @@
 
 # A large answer may take longer than its first byte may, as long as it goes on arriving.
 PROGRESS_S = 1.0
+# Several times what an object of the greatest size takes on a slow link.
 READ_MAX_S = 20.0
 
 
--- a/gooseberryquay/platform/settings_file.py
+++ b/gooseberryquay/platform/settings_file.py
@@ -1,6 +1,7 @@
 """The platform's settings file: lines of the form `a.b=value`, lists joined by commas."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from typing import TypeVar
 
 from result import Err, Ok, Result
 
@@ -13,15 +14,12 @@
 
 SETTINGS_VARIABLE = "GOOSEBERRYQUAY_SETTINGS"
 MS_PER_S = 1000.0
+T = TypeVar("T")
 # Bounds are left out of the file where a deployment has no such rule.
 DEFAULTS = {
-    "bounds.drain_ms": "2000",
     "bounds.grace_s": "8",
-    "bounds.config_apply_ms": "2000",
     "bounds.evacuation_ms": "5000",
     "bounds.retry_ratio": "0.2",
-    "bounds.retry_allowance": "50",
-    "bounds.reuse_after_s": "2",
     "seeds": "",
 }
 
@@ -34,9 +32,32 @@
     except OSError as error:
         return Err(SettingsProblem(path, "", "", "", str(error)))
     try:
-        return Ok(_settings_of(values))
-    except (KeyError, ValueError) as error:
-        return Err(SettingsProblem(path, "", "", "", f"missing or malformed: {error}"))
+        return Ok(_settings_of(_Fields(path, values)))
+    except _FieldError as error:
+        return Err(error.problem)
+
+
+class _FieldError(Exception):
+    def __init__(self, problem: SettingsProblem) -> None:
+        super().__init__(str(problem))
+        self.problem = problem
+
+
+class _Fields:
+    """Read single fields; raises `_FieldError` that names the one that is missing or malformed."""
+
+    def __init__(self, path: str, values: Mapping[str, str]) -> None:
+        self._path = path
+        self._values = values
+
+    def read(self, name: str, parse: Callable[[str], T]) -> T:
+        if name not in self._values:
+            raise _FieldError(SettingsProblem(self._path, "", name, "", "is missing"))
+        value = self._values[name]
+        try:
+            return parse(value)
+        except ValueError as error:
+            raise _FieldError(SettingsProblem(self._path, "", name, value, str(error))) from error
 
 
 def _values_of(text: str) -> Mapping[str, str]:
@@ -48,29 +69,28 @@
     return values
 
 
-def _settings_of(values: Mapping[str, str]) -> NodeSettings:
-    callers = parse_address(values["listen.frontend"])
-    metrics_port = int(values["port_range"].partition(",")[0])
+def _settings_of(fields: _Fields) -> NodeSettings:
+    callers = fields.read("listen.frontend", parse_address)
     return NodeSettings(
-        id=EntryId(values["node_name"]),
-        zone=ZoneId(values["zone"]),
+        id=EntryId(fields.read("node_name", str)),
+        zone=ZoneId(fields.read("zone", str)),
         caller_address=callers,
-        readiness_address=parse_address(values["listen.readiness"]),
-        control_address=parse_address(values["listen.control_plane"]),
-        metrics_address=Address(callers.host, metrics_port),
-        seeds=_addresses(values["seeds"]),
-        store_address=parse_address(values["platform.address"]),
+        readiness_address=fields.read("listen.readiness", parse_address),
+        control_address=fields.read("listen.control_plane", parse_address),
+        metrics_address=Address(callers.host, fields.read("port_range", _first_port)),
+        seeds=fields.read("seeds", _addresses),
+        store_address=fields.read("platform.address", parse_address),
         bounds=NodeBounds(
-            drain_s=float(values["bounds.drain_ms"]) / MS_PER_S,
-            grace_s=float(values["bounds.grace_s"]),
-            config_apply_s=float(values["bounds.config_apply_ms"]) / MS_PER_S,
-            evacuation_s=float(values["bounds.evacuation_ms"]) / MS_PER_S,
-            retry_ratio=float(values["bounds.retry_ratio"]),
-            retry_allowance=float(values["bounds.retry_allowance"]),
-            address_reuse_s=float(values["bounds.reuse_after_s"]),
+            grace_s=fields.read("bounds.grace_s", float),
+            evacuation_s=fields.read("bounds.evacuation_ms", float) / MS_PER_S,
+            retry_ratio=fields.read("bounds.retry_ratio", float),
         ),
     )
 
 
+def _first_port(text: str) -> int:
+    return int(text.partition(",")[0])
+
+
 def _addresses(text: str) -> tuple[Address, ...]:
     return tuple(parse_address(each.strip()) for each in text.split(",") if each.strip())
--- a/gooseberryquay/platform/tests/test_adapter.py
+++ b/gooseberryquay/platform/tests/test_adapter.py
@@ -65,7 +65,7 @@
     settings = read_settings(str(path)).ok_value
     assert settings.caller_address == Address("10.1.0.19", 8740)
     assert len(settings.seeds) == 3
-    assert (settings.bounds.grace_s, settings.bounds.drain_s) == (8.0, 2.0)
+    assert (settings.bounds.grace_s, settings.bounds.evacuation_s) == (8.0, 5.0)
 
 
 @pytest.mark.parametrize("line", ["zone=", "platform.address=", "bounds.grace_s="])
@@ -74,7 +74,8 @@
     path = tmp_path / "settings.conf"
     kept = [each for each in SETTINGS.splitlines() if not each.startswith(line)]
     path.write_text("\n".join([*kept, f"{name}=?"]) if name != "zone" else "\n".join(kept))
-    assert isinstance(read_settings(str(path)), Err)
+    problem = read_settings(str(path)).err_value
+    assert problem.key == name
 
 
 def test_settings_file_that_is_not_there_is_a_problem():
--- a/gooseberryquay/serving/generation_flow.py
+++ b/gooseberryquay/serving/generation_flow.py
@@ -323,7 +323,7 @@
         self._log.request(
             "generation complete",
             request.call.id,
-            upstream=placed.known.record.id,
+            first_upstream=placed.known.record.id,
             events=progress.last_number,
             first_ms=round((progress.first_at_s - request.call.arrived_at_s) * MS_PER_S),
             longest_pause_ms=round(progress.longest_pause_s * MS_PER_S),
--- a/gooseberryquay/standins/node_platform/soak.py
+++ b/gooseberryquay/standins/node_platform/soak.py
@@ -39,7 +39,7 @@
 RECOVERY_S = 8.0
 IN_FORCE_S = 2.0
 # The bound above holds for what is changed when the store has been well for so long.
-STABLE_WINDOW_S = 3.0
+SETTLED_AFTER_S = 3.0
 DRAIN_S = 2.0
 UPSTREAMS_MIN = 2
 
@@ -259,7 +259,7 @@
         for entry in self._entries:
             if not self._serves(entry, CallKind.POST, RECOVERY_S):
                 self.broken.append(f"{entry.ports.name} does not serve after the faults")
-        time.sleep(STABLE_WINDOW_S)
+        time.sleep(SETTLED_AFTER_S)
         drained = next(iter(self._site.services))
         self._replace(drained)
         self._site.announce_leave(drained)
