Heed engines that say they leave or want a pause; end bytes without end in time

AnswerNotices takes both in for calls and streams; the book keeps them by incarnation, beyond an entry that lapses and comes back; leaves are told through hubs until the list says so. While all upstreams pause, calls are refused at once with the time of the first return.

Ruled out: taking a notice from a 421, which is another instance at a reused address.

Bytes without end: wait_readable never looked at the time while bytes kept coming, so interim answers, foreign bodies and bodies without end held a request beyond its deadline (6 cases of test_engine_calls hung before, killed by the test's timeout), and one answer could take 64 MB of a 128 MB instance. Now time ends them, store and peer answers are bounded at 16 MiB, skipped answers at 1 MiB, and all held answers share a quarter of limits.memory_mb. A late copy without an id on a connection in use again is no longer taken for the answer.

The stand-in's entries changed born with each write; it now stays with the incarnation.

--- a/gooseberryquay/contracts/node_settings.py
+++ b/gooseberryquay/contracts/node_settings.py
@@ -29,4 +29,5 @@
     metrics_address: Address
     seeds: tuple[Address, ...]
     store_address: Address
+    memory_mb: float
     bounds: NodeBounds
--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -24,6 +24,8 @@
 )
 from gooseberryquay.reports.metrics_api import metrics_router
 from gooseberryquay.serving.active_generation import ActiveGenerations
+from gooseberryquay.serving.answer_memory import AnswerMemory
+from gooseberryquay.serving.answer_notices import AnswerNotices
 from gooseberryquay.serving.call_flow import CallFlow
 from gooseberryquay.serving.cold_rate import ColdRate
 from gooseberryquay.serving.decision_log import DecisionLog
@@ -94,6 +96,8 @@
             hubs=self._hubs,
             revisions=self._store_revisions,
             on_revisions=self._hear_revisions,
+            leaving=self._book.leaving_notices,
+            on_leaving=self._book.announce_leave,
         )
         placement = Placement(
             book=self._book,
@@ -133,6 +137,7 @@
         self._book.on_leaving(migration.upstream_leaving)
         self._book.on_change(queue.changed)
         self._book.on_change(self._forget_loads)
+        notices = AnswerNotices(self._book, self._loads, self._log)
         generation_flow = GenerationFlow(
             calls=calls,
             placement=placement,
@@ -141,9 +146,18 @@
             retries=retries,
             active=active,
             migration=migration,
+            notices=notices,
+            log=self._log,
+        )
+        call_flow = CallFlow(
+            calls=calls,
+            placement=placement,
+            loads=self._loads,
+            retries=retries,
+            notices=notices,
+            memory=AnswerMemory(self._settings.memory_mb),
             log=self._log,
         )
-        call_flow = CallFlow(calls, placement, self._loads, retries, self._log)
         return RequestPath(
             routing=self._routing,
             leave=self._leave,
--- a/gooseberryquay/daemons/tests/test_platform_entry.py
+++ b/gooseberryquay/daemons/tests/test_platform_entry.py
@@ -125,6 +125,33 @@
     assert _ask(entry.ports.callers, "/added/1", {"Authorization": "Bearer another"})[0] == 200
 
 
+def _call_ledger(entry, number):
+    return _ask(entry.ports.callers, headers={"X-Attempt-Id": f"a-{number}"})[0]
+
+
+def test_upstream_whose_answers_say_that_it_leaves_gets_nothing_more_while_the_store_is_away(
+    site, entry
+):
+    site.store.mood = StoreMood.SILENT
+    leaving = next(iter(site.services.values()))
+    leaving.is_leaving = True
+    assert {_call_ledger(entry, number) for number in range(12)} == {200}
+    assert len(site.record.arrivals[leaving.id]) <= 1
+
+
+def test_upstream_that_wants_a_pause_is_asked_again_only_after_it(site, entry):
+    for service in site.services.values():
+        service.faults.shed_share, service.faults.pause_s = 1.0, 1.0
+    first = [_call_ledger(entry, number) for number in range(12)]
+    assert set(first) == {503}
+    # Two stray requests are allowed to each.
+    assert all(len(each) <= 2 for each in site.record.arrivals.values())
+    for service in site.services.values():
+        service.faults.shed_share = 0.0
+    time.sleep(1.0)
+    assert _call_ledger(entry, 99) == 200
+
+
 def test_generation_moves_when_its_engine_leaves(site, entry):
     results = []
     callers = [
--- a/gooseberryquay/links/exchange.py
+++ b/gooseberryquay/links/exchange.py
@@ -10,7 +10,7 @@
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.links.caller_watch import CallerWatch, SilentCaller
 from gooseberryquay.links.connection_pool import ConnectionPool
-from gooseberryquay.links.link_failure import LinkFailure
+from gooseberryquay.links.link_failure import LinkBroken, LinkFailure
 from gooseberryquay.links.upstream_connection import (
     BodyEnd,
     BodyPart,
@@ -24,6 +24,8 @@
 PROGRESS_S = 1.0
 # Several times what an object of the greatest size takes on a slow link.
 READ_MAX_S = 20.0
+# Many pages of the store's greatest objects.
+REPLY_BYTES_MAX = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,5 +127,7 @@
                 return Err(failure)
             case Ok(BodyPart(part)):
                 content += part
+                if len(content) > REPLY_BYTES_MAX:
+                    return Err(LinkBroken("the answer is too long", was_sent=True))
             case Ok(BodyEnd()):
                 return Ok(WholeReply(opened.ok_value.status, bytes(content)))
--- a/gooseberryquay/links/upstream_connection.py
+++ b/gooseberryquay/links/upstream_connection.py
@@ -204,7 +204,9 @@
                     return Ok(event)
                 if event is h11.PAUSED:
                     return Err(LinkBroken("bytes after the end of the answer", True))
-                if not wait_readable(self._socket, caller, until_s):
+                # Bytes that never pause would otherwise be read beyond the time.
+                is_over = time.monotonic() >= until_s
+                if is_over or not wait_readable(self._socket, caller, until_s):
                     return Err(LinkTimeout("no answer in time", was_sent=True))
                 if caller.has_left():
                     return Err(CallerLeft())
--- a/gooseberryquay/platform/engine_calls.py
+++ b/gooseberryquay/platform/engine_calls.py
@@ -39,7 +39,10 @@
 MS_PER_S = 1000.0
 # Late answers to earlier requests come one or two at a time.
 OTHER_ANSWERS_MAX = 4
+# Far above an answer that somebody waits for; what follows is not skipped but cut.
+OTHER_BODY_BYTES_MAX = 1024 * 1024
 HTTP_MISDIRECTED = 421
+HTTP_UNAVAILABLE = 503
 FREE_TIMEOUT_S = 1.0
 
 
@@ -52,6 +55,8 @@
     is_not_run: bool
     is_other_instance: bool
     load: LoadHint | None
+    is_leaving: bool
+    pause_s: float | None
     connection: UpstreamConnection
     pool: ConnectionPool
 
@@ -135,7 +140,9 @@
                 case Ok(head):
                     pass
             owner = head.value(names.ATTEMPT_ID)
-            if owner is None or owner == call.id:
+            # On a connection in use again, an answer without an id may be a late copy of another's.
+            is_own = owner == call.id if connection.answers else owner in {None, call.id}
+            if is_own:
                 return Ok(_answer_of(head, connection, self._pool))
             if not _skip_body(connection, caller, terms.until_s):
                 break
@@ -178,7 +185,28 @@
     is_other = head.status == HTTP_MISDIRECTED
     kept = tuple(pair for pair in head.headers if pair[0] not in names.HOP_HEADERS)
     load = _load_of(head.value(names.INSTANCE_LOAD))
-    return EngineAnswer(head.status, kept, is_marked or is_other, is_other, load, connection, pool)
+    return EngineAnswer(
+        status=head.status,
+        headers=kept,
+        is_not_run=is_marked or is_other,
+        is_other_instance=is_other,
+        load=load,
+        is_leaving=head.value(names.SERVER_LEAVING) is not None,
+        pause_s=_pause_of(head),
+        connection=connection,
+        pool=pool,
+    )
+
+
+def _pause_of(head: AnswerHead) -> float | None:
+    """Read for how long an engine that turned a request away wants nothing more."""
+    if head.status != HTTP_UNAVAILABLE:
+        return None
+    try:
+        pause_s = float(head.value(names.RETRY_AFTER) or "")
+    except ValueError:
+        return None
+    return pause_s if pause_s > 0.0 else None
 
 
 def _load_of(text: str | None) -> LoadHint | None:
@@ -190,14 +218,16 @@
 
 
 def _skip_body(connection: UpstreamConnection, caller: CallerWatch, until_s: float) -> bool:
-    while True:
+    skipped_bytes = 0
+    while skipped_bytes <= OTHER_BODY_BYTES_MAX:
         match connection.read_body(caller, until_s):
             case Err(_):
                 return False
             case Ok(BodyEnd()):
                 return True
-            case Ok(BodyPart()):
-                continue
+            case Ok(BodyPart(content)):
+                skipped_bytes += len(content)
+    return False
 
 
 def _undecided(failure: LinkFailure) -> Undecided:
--- a/gooseberryquay/platform/names.py
+++ b/gooseberryquay/platform/names.py
@@ -21,6 +21,7 @@
     "READY_PATH",
     "REPORT_PATH",
     "RETRY_AFTER",
+    "SERVER_LEAVING",
     "SYSTEM_HEADERS",
     "TENANT",
     "TOKEN_USAGE",
@@ -36,6 +37,8 @@
 LENGTH_HINT = "x-length-hint"
 LAST_EVENT_ID = "last-event-id"
 RETRY_AFTER = "retry-after"
+# An engine says so in all its answers from the moment at which it leaves.
+SERVER_LEAVING = "server-leaving"
 NOT_EXECUTED = "x-not-executed"
 INSTANCE_ID = "x-instance-id"
 # Running and waiting requests and slots.
--- a/gooseberryquay/platform/settings_file.py
+++ b/gooseberryquay/platform/settings_file.py
@@ -20,6 +20,7 @@
     "bounds.grace_s": "8",
     "bounds.evacuation_ms": "5000",
     "bounds.retry_ratio": "0.2",
+    "limits.memory_mb": "128",
     "seeds": "",
 }
 
@@ -80,6 +81,7 @@
         metrics_address=Address(callers.host, fields.read("port_range", _first_port)),
         seeds=fields.read("seeds", _addresses),
         store_address=fields.read("platform.address", parse_address),
+        memory_mb=fields.read("limits.memory_mb", float),
         bounds=NodeBounds(
             grace_s=fields.read("bounds.grace_s", float),
             evacuation_s=fields.read("bounds.evacuation_ms", float) / MS_PER_S,
--- /dev/null
+++ b/gooseberryquay/platform/tests/test_engine_calls.py
@@ -0,0 +1,191 @@
+"""Answers of engines, from bytes on a connection to what the serving path sees."""
+
+import itertools
+import resource
+import socket
+import threading
+import time
+from contextlib import contextmanager, suppress
+
+import pytest
+from result import Err, Ok
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.links.caller_watch import SilentCaller
+from gooseberryquay.links.connection_pool import ConnectionPool
+from gooseberryquay.links.exchange import WholeRequest, exchange
+from gooseberryquay.links.upstream_connection import BodyPart
+from gooseberryquay.platform.engine_calls import EngineCalls
+from gooseberryquay.serving.ports import SendTerms, Undecided
+from gooseberryquay.serving.tests.builders import build_call, build_record
+
+TIMEOUT_S = 0.6
+# A thread may be woken late on a busy machine.
+SLACK_S = 1.0
+RESIDENT_GROWTH_KB_MAX = 64 * 1024
+MANY = 2000
+
+
+@contextmanager
+def _engine_of_requests(*answers):
+    """Give each request on one connection the next answer."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve():
+        with suppress(OSError):
+            connection = listener.accept()[0]
+            for answer in answers:
+                connection.recv(65536)
+                connection.sendall(answer)
+            connection.recv(1)
+
+    threading.Thread(target=serve, daemon=True).start()
+    yield Address(*listener.getsockname())
+    listener.close()
+
+
+@contextmanager
+def _engine(*pieces):
+    """Answer one request with pieces of bytes until the caller closes."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    is_closed = threading.Event()
+
+    def serve():
+        with suppress(OSError):
+            connection = listener.accept()[0]
+            connection.recv(65536)
+            for piece in itertools.chain(*pieces):
+                connection.sendall(piece)
+            connection.recv(1)
+        is_closed.set()
+
+    threading.Thread(target=serve, daemon=True).start()
+    address = Address(*listener.getsockname())
+    yield address, is_closed
+    listener.close()
+
+
+def _open(address):
+    calls = EngineCalls(ConnectionPool(1.0, 4.0))
+    record = build_record("engine-1", address=address)
+    terms = SendTerms(None, time.monotonic() + TIMEOUT_S)
+    return calls.open(record, build_call(), terms, SilentCaller()), terms
+
+
+def _answer(status, *headers, id="r-1"):
+    lines = [f"HTTP/1.1 {status} x", f"X-Attempt-Id: {id}", "Content-Length: 2", *headers]
+    return ("\r\n".join(lines) + "\r\n\r\nhi").encode()
+
+
+@pytest.mark.parametrize("status", [200, 421, 500, 503])
+def test_engine_that_leaves_says_so_in_any_answer(status):
+    with _engine([_answer(status, "Server-Leaving: 1")]) as (address, _):
+        assert _open(address)[0].ok_value.is_leaving
+
+
+def test_engine_that_stays_says_nothing():
+    with _engine([_answer(200)]) as (address, _):
+        answer = _open(address)[0].ok_value
+        assert (answer.is_leaving, answer.pause_s) == (False, None)
+
+
+@pytest.mark.parametrize(
+    ("status", "text", "pause_s"),
+    [
+        (503, "2", 2.0),
+        (503, "0.25", 0.25),
+        (503, "Fri, 04 Dec 2026 10:00:00 GMT", None),
+        (503, "-1", None),
+        (503, "nan", None),
+        (503, "", None),
+        (200, "2", None),
+    ],
+)
+def test_pause_is_read_from_a_refusal_alone(status, text, pause_s):
+    with _engine([_answer(status, f"Retry-After: {text}")]) as (address, _):
+        assert _open(address)[0].ok_value.pause_s == pause_s
+
+
+@pytest.mark.parametrize("late", ["X-Attempt-Id: r-0\r\n", ""], ids=["other id", "no id"])
+def test_late_copy_on_a_connection_in_use_again_is_not_taken_for_the_answer(late):
+    """The copy comes between the look at the kept connection and its next request."""
+    copy = f"HTTP/1.1 200 OK\r\n{late}Content-Length: 5\r\n\r\nother".encode()
+    with _engine_of_requests(_answer(200), copy + _answer(200)) as address:
+        calls = EngineCalls(ConnectionPool(1.0, 4.0))
+        record = build_record("engine-1", address=address)
+        for number in range(2):
+            terms = SendTerms(None, time.monotonic() + TIMEOUT_S)
+            opened = calls.open(record, build_call(), terms, SilentCaller())
+            if isinstance(opened, Err):
+                assert number == 1 and isinstance(opened.err_value, Undecided)
+                return
+            answer = opened.ok_value
+            assert answer.read(SilentCaller(), terms.until_s).ok_value.content == b"hi"
+            answer.read(SilentCaller(), terms.until_s)
+            answer.finish()
+
+
+INTERIM = itertools.repeat(b"HTTP/1.1 102 Processing\r\n\r\n" * 100)
+HEADERS = itertools.chain([b"HTTP/1.1 200 OK\r\n"], (b"X-%d: x\r\n" % n for n in itertools.count()))
+HEAD_LINE = itertools.chain([b"HTTP/1.1 200 "], itertools.repeat(b"x" * 4096))
+GARBAGE = itertools.repeat(b"\0" * 4096)
+FOREIGN_BODY = itertools.chain(
+    [b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n"],
+    itertools.repeat(b"400\r\n" + b"x" * 1024 + b"\r\n"),
+)
+FOREIGN_ANSWERS = itertools.repeat(_answer(200, id="other"))
+
+
+@pytest.mark.parametrize(
+    "pieces",
+    [INTERIM, HEADERS, HEAD_LINE, GARBAGE, FOREIGN_BODY, FOREIGN_ANSWERS],
+    ids=["interim", "headers", "head line", "garbage", "foreign body", "foreign answers"],
+)
+def test_bytes_without_end_before_an_answer_end_in_time_and_close_the_connection(pieces):
+    before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    with _engine(pieces) as (address, is_closed):
+        opened, terms = _open(address)
+        assert isinstance(opened, Err) and isinstance(opened.err_value, Undecided)
+        assert time.monotonic() < terms.until_s + SLACK_S
+        assert is_closed.wait(SLACK_S)
+    grown_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before_kb
+    assert grown_kb < RESIDENT_GROWTH_KB_MAX
+
+
+CHUNKS = itertools.repeat(b"400\r\n" + b"x" * 1024 + b"\r\n")
+CHUNK_EXTENSION = itertools.chain([b"4;"], itertools.repeat(b"x" * 4096))
+TRAILERS = itertools.chain([b"0\r\n"], (b"X-%d: x\r\n" % n for n in itertools.count()))
+EMPTY_LINES = itertools.repeat(b"1\r\n\n\r\n" * 100)
+
+
+@pytest.mark.parametrize(
+    "pieces",
+    [CHUNKS, CHUNK_EXTENSION, TRAILERS, EMPTY_LINES],
+    ids=["chunks", "chunk extension", "trailers", "tiny chunks"],
+)
+def test_body_without_end_ends_in_time(pieces):
+    head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: r-1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    with _engine([head], pieces) as (address, is_closed):
+        opened, terms = _open(address)
+        answer = opened.ok_value
+        while isinstance(part := answer.read(SilentCaller(), terms.until_s), Ok):
+            assert isinstance(part.ok_value, BodyPart)
+            assert time.monotonic() < terms.until_s + SLACK_S
+        assert isinstance(part.err_value, Undecided)
+        answer.close()
+        assert is_closed.wait(SLACK_S)
+
+
+@pytest.mark.parametrize("pieces", [INTERIM, CHUNKS], ids=["interim", "body"])
+def test_store_or_peer_that_sends_without_end_is_left_in_time(pieces):
+    head = [] if pieces is INTERIM else [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"]
+    before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    with _engine(head, pieces) as (address, is_closed):
+        began_at_s = time.monotonic()
+        reply = exchange(
+            ConnectionPool(1.0, 4.0), address, WholeRequest("GET", "/"), began_at_s + TIMEOUT_S
+        )
+        assert isinstance(reply, Err)
+        assert is_closed.wait(SLACK_S)
+    grown_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before_kb
+    assert grown_kb < RESIDENT_GROWTH_KB_MAX
--- /dev/null
+++ b/gooseberryquay/serving/answer_notices.py
@@ -0,0 +1,30 @@
+"""Take in what upstreams say of themselves beside their answers."""
+
+from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.ports import OpenAnswer
+from gooseberryquay.serving.upstream_book import KnownUpstream, UpstreamBook
+from gooseberryquay.serving.upstream_load import LoadTable
+
+__all__ = ["AnswerNotices"]
+
+
+class AnswerNotices:
+    """Note an upstream's load, its leaving and the pause that it asks for."""
+
+    def __init__(self, book: UpstreamBook, loads: LoadTable, log: DecisionLog) -> None:
+        self._book = book
+        self._loads = loads
+        self._log = log
+
+    def saw(self, known: KnownUpstream, answer: OpenAnswer) -> None:
+        """Take in the head of an answer."""
+        if answer.is_other_instance:
+            return
+        upstream, born_ms = known.record.id, known.record.born_ms
+        if answer.load is not None:
+            self._loads.saw_hint(upstream, answer.load)
+        if answer.is_leaving and self._book.announce_leave(upstream, born_ms):
+            self._log.belief("upstream leaving", upstream=upstream, told_by="answer")
+        if answer.pause_s is not None:
+            self._book.pause(upstream, born_ms, answer.pause_s)
+            self._log.belief("upstream pauses", upstream=upstream, pause_s=answer.pause_s)
--- a/gooseberryquay/serving/call_flow.py
+++ b/gooseberryquay/serving/call_flow.py
@@ -10,6 +10,8 @@
 from gooseberryquay.links.upstream_connection import BodyEnd, BodyPart, CallerLeft
 from gooseberryquay.machines.retry_budget import RetryBudget
 from gooseberryquay.serving.accepted import AcceptedRequest
+from gooseberryquay.serving.answer_memory import AnswerMemory, AnswerSpace
+from gooseberryquay.serving.answer_notices import AnswerNotices
 from gooseberryquay.serving.call import HeaderPair
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.placement import Placement
@@ -38,8 +40,6 @@
 UNARRIVED_MAX = 6
 # Several times a plain call's duration.
 RETRY_AFTER_S = 0.3
-# Half of the smallest instance's memory.
-ANSWER_BYTES_MAX = 64 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,12 +76,17 @@
 
     def __init__(
         self,
+        *,
         calls: UpstreamCalls,
         placement: Placement,
         loads: LoadTable,
         retries: RetryBudget,
+        notices: AnswerNotices,
+        memory: AnswerMemory,
         log: DecisionLog,
     ) -> None:
+        self._notices = notices
+        self._memory = memory
         self._calls = calls
         self._placement = placement
         self._loads = loads
@@ -130,7 +135,10 @@
             excluded.add(known.record.id)
             if not self._placement.has_any(request.service, excluded):
                 excluded = {known.record.id} if runs else set()
-        return failed or _refusal(request, runs, last_reason)
+        if failed is not None:
+            return failed
+        back_in_s = max(RETRY_AFTER_S, self._placement.pause_left_s(request.service))
+        return _refusal(request, runs, last_reason, back_in_s)
 
     def _attempt(self, request: AcceptedRequest, known: KnownUpstream, runs: int) -> Attempt:
         upstream = known.record
@@ -162,16 +170,26 @@
     def _read(
         self, request: AcceptedRequest, known: KnownUpstream, answer: OpenAnswer, until_s: float
     ) -> Attempt:
-        if answer.load is not None:
-            self._loads.saw_hint(known.record.id, answer.load)
+        self._notices.saw(known, answer)
+        with AnswerSpace(self._memory) as space:
+            return self._read_whole(request, known, answer, until_s, space)
+
+    def _read_whole(
+        self,
+        request: AcceptedRequest,
+        known: KnownUpstream,
+        answer: OpenAnswer,
+        until_s: float,
+        space: AnswerSpace,
+    ) -> Attempt:
         body = bytearray()
         while True:
             match answer.read(request.caller, until_s):
                 case Ok(BodyPart(content)):
-                    body += content
-                    if len(body) > ANSWER_BYTES_MAX:
+                    if not space.take(len(content)):
                         answer.close()
-                        return MayHaveRun("the answer is too long")
+                        return MayHaveRun("no memory is left for the answer")
+                    body += content
                 case Ok(BodyEnd()):
                     answer.finish()
                     break
@@ -216,10 +234,10 @@
         )
 
 
-def _refusal(request: AcceptedRequest, runs: int, reason: str) -> Refusal:
+def _refusal(request: AcceptedRequest, runs: int, reason: str, back_in_s: float) -> Refusal:
     is_late = time.monotonic() >= request.until_s
     if runs:
         code = RefusalReason.TIMED_OUT if is_late else RefusalReason.OUTCOME_UNKNOWN
         return Refusal(code, reason)
     code = RefusalReason.DEADLINE_PAST if is_late else RefusalReason.NOT_RUN
-    return Refusal(code, reason, RETRY_AFTER_S)
+    return Refusal(code, reason, back_in_s)
--- a/gooseberryquay/serving/generation_flow.py
+++ b/gooseberryquay/serving/generation_flow.py
@@ -11,6 +11,7 @@
 from gooseberryquay.machines.retry_budget import RetryBudget
 from gooseberryquay.serving.accepted import AcceptedRequest
 from gooseberryquay.serving.active_generation import ActiveGeneration, ActiveGenerations, Copy
+from gooseberryquay.serving.answer_notices import AnswerNotices
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.generation_queue import GenerationQueue, Placed, QueueTicket
 from gooseberryquay.serving.migration import Migration
@@ -79,6 +80,7 @@
         retries: RetryBudget,
         active: ActiveGenerations,
         migration: Migration,
+        notices: AnswerNotices,
         log: DecisionLog,
     ) -> None:
         self._calls = calls
@@ -88,6 +90,7 @@
         self._retries = retries
         self._active = active
         self._migration = migration
+        self._notices = notices
         self._log = log
 
     def serve(self, request: AcceptedRequest) -> Refusal | CallerLeft | None:
@@ -254,8 +257,7 @@
         answer: OpenAnswer,
     ) -> Outcome:
         upstream = active.known.record.id
-        if answer.load is not None:
-            self._loads.saw_hint(upstream, answer.load)
+        self._notices.saw(active.known, answer)
         if answer.is_not_run:
             answer.close()
             self._note(active, "refused by engine", str(answer.status))
--- a/gooseberryquay/serving/generation_queue.py
+++ b/gooseberryquay/serving/generation_queue.py
@@ -85,7 +85,10 @@
         self, ticket: QueueTicket, caller: CallerWatch
     ) -> Result[Placed, Refusal | CallerLeft]:
         """Wait for an engine; the generation is then counted at it."""
-        if not self._placement.has_any(ticket.service, ticket.excluded):
+        pause_s = self._placement.pause_left_s(ticket.service)
+        if pause_s > ticket.give_up_at_s - self._clock():
+            return Err(Refusal(RefusalReason.OVERLOADED, "all engines asked for a pause", pause_s))
+        if not pause_s and not self._placement.has_any(ticket.service, ticket.excluded):
             return Err(self._refusal(RefusalReason.NO_UPSTREAM, "no engine takes new work"))
         self._refresh()
         with self._lock:
--- a/gooseberryquay/serving/peer_loads.py
+++ b/gooseberryquay/serving/peer_loads.py
@@ -1,9 +1,9 @@
-"""Tell peers the load at each engine and how far the store was read, and hear the same."""
+"""Tell peers the load at each engine, who leaves and how far the store was read; hear the same."""
 
 import random
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from pydantic import BaseModel, Field, ValidationError
@@ -31,8 +31,12 @@
 STALE_S = 2.0
 # Keeps a message within a few KB.
 LOADS_PER_MESSAGE_MAX = 128
+# Until the list of upstreams says so too.
+LEAVING_PER_MESSAGE_MAX = 64
 HTTP_OK = 200
 HTTP_BAD_REQUEST = 400
+# An incarnation that has said in an answer that it leaves: its upstream and its start.
+LeavingNotice = tuple[UpstreamId, int | None]
 NO_LOAD = PeerLoad(0, 0.0, 0.0, 0.0)
 
 
@@ -49,6 +53,7 @@
     is_of_hub: bool = Field(alias="k", default=False)
     loads: list[_LoadRecord] = Field(alias="l")
     revisions: dict[str, int] = Field(alias="r", default_factory=dict)
+    leaving: Sequence[tuple[str, int | None]] = Field(alias="d", default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +74,8 @@
         hubs: HubChoice,
         revisions: Callable[[], dict[str, int]] = dict,
         on_revisions: Callable[[dict[str, int]], None] = lambda _revisions: None,
+        leaving: Callable[[], list[LeavingNotice]] = list,
+        on_leaving: Callable[[UpstreamId, int | None], object] = lambda _upstream, _born_ms: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._loads = loads
@@ -76,6 +83,8 @@
         self._hubs = hubs
         self._revisions = revisions
         self._on_revisions = on_revisions
+        self._leaving = leaving
+        self._on_leaving = on_leaving
         self._clock = clock
         self._heard: dict[EntryId, _Heard] = {}
         self._round: list[Peer] = []
@@ -174,6 +183,8 @@
         sender = EntryId(message.entry)
         self._heard[sender] = _Heard(self._clock(), message.is_of_hub, loads)
         self._on_revisions(message.revisions)
+        for upstream, born_ms in message.leaving:
+            self._on_leaving(UpstreamId(upstream), born_ms)
         return sender
 
     def _message_to(self, peer: EntryId) -> _LoadMessage:
@@ -205,6 +216,7 @@
             k=is_hub,
             l=records[:LOADS_PER_MESSAGE_MAX],
             r=self._revisions(),
+            d=self._leaving()[:LEAVING_PER_MESSAGE_MAX],
         )
 
     def _is_stale(self, heard: _Heard) -> bool:
--- a/gooseberryquay/serving/placement.py
+++ b/gooseberryquay/serving/placement.py
@@ -218,6 +218,10 @@
         """Tell whether any upstream may get the request at all."""
         return any(each.record.id not in excluded for each in self._book.usable(service))
 
+    def pause_left_s(self, service: ServiceId) -> float:
+        """Give the time until an upstream takes work again, 0 where one does now."""
+        return self._book.pause_left_s(service)
+
     def _candidates(
         self, service: ServiceId, excluded: Collection[UpstreamId], now_s: float
     ) -> list[KnownUpstream]:
--- a/gooseberryquay/serving/ports.py
+++ b/gooseberryquay/serving/ports.py
@@ -86,13 +86,15 @@
 
 
 class OpenAnswer(Protocol):
-    """Read the answer of an upstream."""
+    """Read the answer of an upstream; `pause_s` is for how long it wants nothing more."""
 
     status: int
     headers: Sequence[HeaderPair]
     is_not_run: bool
     is_other_instance: bool
     load: LoadHint | None
+    is_leaving: bool
+    pause_s: float | None
 
     def read(
         self, caller: CallerWatch, until_s: float
--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -1,7 +1,7 @@
 """Test data of the serving path."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from result import Err, Ok
@@ -13,14 +13,16 @@
 from gooseberryquay.machines.retry_budget import RetryBudget
 from gooseberryquay.serving.accepted import AcceptedRequest
 from gooseberryquay.serving.active_generation import ActiveGenerations
+from gooseberryquay.serving.answer_memory import AnswerMemory
+from gooseberryquay.serving.answer_notices import AnswerNotices
 from gooseberryquay.serving.call import Call, GenerationDemand
 from gooseberryquay.serving.call_flow import CallFlow
 from gooseberryquay.serving.cold_rate import ColdRate
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.generation_flow import GenerationFlow
-from gooseberryquay.serving.generation_queue import GenerationQueue
+from gooseberryquay.serving.generation_queue import GenerationQueue, QueueTicket
 from gooseberryquay.serving.migration import Migration
-from gooseberryquay.serving.placement import NoPeers, Placement
+from gooseberryquay.serving.placement import EngineNeed, NoPeers, Placement
 from gooseberryquay.serving.ports import CopyHandle, MovedCopy, MoveFailure, MoveRefusal, Undecided
 from gooseberryquay.serving.route import (
     CallLimits,
@@ -41,6 +43,8 @@
 ZONE = ZoneId("zone-a")
 OTHER_ZONE = ZoneId("zone-b")
 KEY = "key-1"
+# Two of these do not fit into one engine.
+BIG = EngineNeed(6000, 1000.0)
 LIMITS = CallLimits(16384, 4194304, 3.0, 15.0)
 
 
@@ -186,22 +190,27 @@
     """Answer with parts, then an end or a failure."""
 
     status: int = 200
-    parts: list = field(default_factory=list)
+    parts: Iterable = field(default_factory=list)
     end: object = BodyEnd.FRAMED
     headers: list = field(default_factory=list)
     is_not_run: bool = False
     is_other_instance: bool = False
     load: object = None
+    is_leaving: bool = False
+    pause_s: float | None = None
     before_part: Callable[[int], None] = lambda _number: None
     is_closed: bool = False
     is_finished: bool = False
     _next: int = 0
+    _left: Iterator | None = None
 
     def read(self, caller, until_s):
         self.before_part(self._next)
-        if self._next < len(self.parts):
+        self._left = self._left or iter(self.parts)
+        part = next(self._left, None)
+        if part is not None:
             self._next += 1
-            return Ok(BodyPart(self.parts[self._next - 1]))
+            return Ok(BodyPart(part))
         if isinstance(self.end, BodyEnd):
             return Ok(self.end)
         return Err(self.end)
@@ -246,6 +255,18 @@
     return Ok(MovedCopy(CopyHandle(Address("127.0.0.1", 9000), name), events))
 
 
+def build_book(records, clock=time.monotonic):
+    book = UpstreamBook(clock)
+    for record in records:
+        book.apply_record(record)
+    return book
+
+
+def build_ticket(name, rank=1, give_up_s=1.0, late_s=1.0, need=BIG):
+    now_s = time.monotonic()
+    return QueueTicket(name, MODEL, need, rank, now_s + late_s, now_s + give_up_s)
+
+
 @dataclass
 class Path:
     """Hold the parts of a serving path over scripted calls."""
@@ -261,12 +282,10 @@
     generation_flow: GenerationFlow
 
 
-def build_path(records, calls=None, routing=None, retry_ratio=1.0):
+def build_path(records, calls=None, routing=None, retry_ratio=1.0, memory_mb=128):
     calls = calls or ScriptedCalls()
     routing = routing or build_routing()
-    book, loads, log = UpstreamBook(), LoadTable(), DecisionLog()
-    for record in records:
-        book.apply_record(record)
+    book, loads, log = build_book(records), LoadTable(), DecisionLog()
     placement = Placement(
         book=book,
         loads=loads,
@@ -281,6 +300,7 @@
     retries = RetryBudget(retry_ratio)
     migration = Migration(calls=calls, placement=placement, loads=loads, active=active, log=log)
     book.on_leaving(migration.upstream_leaving)
+    notices = AnswerNotices(book, loads, log)
     generation_flow = GenerationFlow(
         calls=calls,
         placement=placement,
@@ -289,7 +309,16 @@
         retries=retries,
         active=active,
         migration=migration,
+        notices=notices,
+        log=log,
+    )
+    call_flow = CallFlow(
+        calls=calls,
+        placement=placement,
+        loads=loads,
+        retries=retries,
+        notices=notices,
+        memory=AnswerMemory(memory_mb),
         log=log,
     )
-    call_flow = CallFlow(calls, placement, loads, retries, log)
     return Path(calls, book, loads, placement, queue, active, migration, call_flow, generation_flow)
--- a/gooseberryquay/serving/tests/test_admission.py
+++ b/gooseberryquay/serving/tests/test_admission.py
@@ -8,7 +8,6 @@
 from gooseberryquay.links.caller_watch import SilentCaller
 from gooseberryquay.links.upstream_connection import CallerLeft
 from gooseberryquay.serving.cold_rate import ColdRate
-from gooseberryquay.serving.generation_queue import QueueTicket
 from gooseberryquay.serving.leave_state import LeaveState
 from gooseberryquay.serving.placement import EngineNeed
 from gooseberryquay.serving.refusal import RefusalReason
@@ -21,27 +20,21 @@
     build_path,
     build_record,
     build_route,
+    build_ticket,
 )
 from gooseberryquay.serving.upstream_load import Run
 
-BIG = EngineNeed(6000, 1000.0)
-
 
 class _Gone(SilentCaller):
     def has_left(self):
         return True
 
 
-def _ticket(name, rank=1, give_up_s=1.0, late_s=1.0, need=BIG):
-    now_s = time.monotonic()
-    return QueueTicket(name, MODEL, need, rank, now_s + late_s, now_s + give_up_s)
-
-
 def test_generation_waits_for_memory_and_goes_on_when_some_is_freed():
     path = build_path([build_record("engine-1")])
-    first = path.queue.place(_ticket("a"), SilentCaller()).ok_value
+    first = path.queue.place(build_ticket("a"), SilentCaller()).ok_value
     waiting = threading.Thread(
-        target=lambda: placed.append(path.queue.place(_ticket("b"), SilentCaller()))
+        target=lambda: placed.append(path.queue.place(build_ticket("b"), SilentCaller()))
     )
     placed = []
     waiting.start()
@@ -55,8 +48,8 @@
 
 def test_generation_is_refused_with_a_time_to_come_back_when_no_memory_comes_free():
     path = build_path([build_record("engine-1")])
-    path.queue.place(_ticket("a"), SilentCaller())
-    refused = path.queue.place(_ticket("b", give_up_s=0.1), SilentCaller()).err_value
+    path.queue.place(build_ticket("a"), SilentCaller())
+    refused = path.queue.place(build_ticket("b", give_up_s=0.1), SilentCaller()).err_value
     assert refused.reason is RefusalReason.OVERLOADED
     assert refused.retry_after_s > 0
     assert path.queue.length() == 0
@@ -64,14 +57,14 @@
 
 def test_caller_that_leaves_gives_up_its_place():
     path = build_path([build_record("engine-1")])
-    path.queue.place(_ticket("a"), SilentCaller())
-    assert path.queue.place(_ticket("b"), _Gone()) == Err(CallerLeft())
+    path.queue.place(build_ticket("a"), SilentCaller())
+    assert path.queue.place(build_ticket("b"), _Gone()) == Err(CallerLeft())
     assert path.queue.length() == 0
 
 
 def _order_of(tickets):
     path = build_path([build_record("engine-1")])
-    blocker = path.queue.place(_ticket("blocker"), SilentCaller()).ok_value
+    blocker = path.queue.place(build_ticket("blocker"), SilentCaller()).ok_value
     order = []
 
     def wait(ticket):
@@ -93,9 +86,9 @@
 
 def test_more_urgent_generations_go_first_and_late_ones_last():
     tickets = [
-        _ticket("late", rank=0, late_s=0.0),
-        _ticket("second", rank=1),
-        _ticket("first", rank=0),
+        build_ticket("late", rank=0, late_s=0.0),
+        build_ticket("second", rank=1),
+        build_ticket("first", rank=0),
     ]
     assert _order_of(tickets) == ["first", "second", "late"]
 
@@ -143,7 +136,7 @@
 def test_generations_spread_over_engines_by_memory():
     path = build_path([build_record("engine-1"), build_record("engine-2")])
     small = EngineNeed(1000, 400.0)
-    placed = [path.queue.place(_ticket(str(n), need=small), SilentCaller()) for n in range(6)]
+    placed = [path.queue.place(build_ticket(str(n), need=small), SilentCaller()) for n in range(6)]
     names = [each.ok_value.run.upstream for each in placed]
     assert names.count("engine-1") == names.count("engine-2") == 3
 
--- a/gooseberryquay/serving/tests/test_call_flow.py
+++ b/gooseberryquay/serving/tests/test_call_flow.py
@@ -1,5 +1,7 @@
 """What may be tried again, and what a refusal may promise."""
 
+import itertools
+
 import pytest
 
 from gooseberryquay.links.upstream_connection import CallerLeft
@@ -118,3 +120,15 @@
     end, calls = _serve(RouteKind.NON_IDEMPOTENT, *[NotSent("refused")] * 30, retry_ratio=0.0)
     assert end.reason is RefusalReason.NOT_RUN
     assert len(calls.opened) <= 10
+
+
+def test_answers_without_end_take_no_more_than_their_share_of_the_memory():
+    """Two bodies that never ended were held up to 64 MB each, the whole of a small instance."""
+    endless = [ScriptedAnswer(200, itertools.repeat(b"x" * 65536)) for _ in range(2)]
+    path = build_path(RECORDS, ScriptedCalls([*endless, _ok()]), memory_mb=1)
+    for _ in endless:
+        end = path.call_flow.serve(build_request(build_route(RouteKind.NON_IDEMPOTENT)))
+        assert end.reason is RefusalReason.OUTCOME_UNKNOWN
+    assert all(each.is_closed for each in endless)
+    end = path.call_flow.serve(build_request(build_route(RouteKind.NON_IDEMPOTENT)))
+    assert isinstance(end, WholeAnswer)
--- a/gooseberryquay/serving/tests/test_hubs.py
+++ b/gooseberryquay/serving/tests/test_hubs.py
@@ -17,8 +17,9 @@
 from gooseberryquay.serving.object_relay import HubSource, ObjectRelay
 from gooseberryquay.serving.object_source import Listing, SourceFailure, StoredObject
 from gooseberryquay.serving.peer_loads import PeerLoadExchange
-from gooseberryquay.serving.tests.builders import FakeClock
+from gooseberryquay.serving.tests.builders import MODEL, FakeClock, build_book, build_record
 from gooseberryquay.serving.upstream_load import LoadTable, Run
+from gooseberryquay.serving.upstream_record import UpstreamState
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 
@@ -252,7 +253,7 @@
     assert direct.calls == []
 
 
-def _exchanges(count):
+def _exchanges(count, books=None):
     peers = _peers(count)
     found = []
     for number in range(count):
@@ -262,6 +263,8 @@
                 loads=LoadTable(),
                 membership=members,
                 hubs=HubChoice(members, peers[number].zone),
+                leaving=books[number].leaving_notices if books else list,
+                on_leaving=books[number].announce_leave if books else lambda *_notice: None,
                 clock=FakeClock(),
             )
         )
@@ -278,22 +281,47 @@
     exchanges = _exchanges(30)
     for number, each in enumerate(exchanges):
         each._loads.start(Run(f"r-{number}", "engine-1", 0.0, prompt_tokens=100))
-    hubs = [each for each in exchanges if each._hubs.is_hub()]
-    by_id = {each._membership.myself().id: each for each in exchanges}
-    members = [each for each in exchanges if not each._hubs.is_hub()]
     for _ in range(2):
-        for member in members:
-            _tell(member, by_id[member._hubs.my_hub().id])
-        for hub in hubs:
-            for other in hubs:
-                if other is not hub:
-                    _tell(hub, other)
-        for member in members:
-            _tell(by_id[member._hubs.my_hub().id], member)
+        _tell_through_hubs(exchanges)
     assert [each.of("engine-1").runs for each in exchanges] == [29] * 30
     assert exchanges[0].of("engine-1").unread_tokens == 2900
 
 
+def _tell_through_hubs(exchanges):
+    by_id = {each._membership.myself().id: each for each in exchanges}
+    hubs = [each for each in exchanges if each._hubs.is_hub()]
+    members = [each for each in exchanges if not each._hubs.is_hub()]
+    for member in members:
+        _tell(member, by_id[member._hubs.my_hub().id])
+    for hub in hubs:
+        for other in hubs:
+            if other is not hub:
+                _tell(hub, other)
+    for member in members:
+        _tell(by_id[member._hubs.my_hub().id], member)
+
+
+def test_engine_that_told_one_entry_of_its_leave_is_left_by_all_while_the_store_is_away():
+    """Streams that had begun before were cut, as only the list told the other entries."""
+    books = [build_book([build_record("i-1"), build_record("i-2")]) for _ in range(30)]
+    exchanges = _exchanges(30, books)
+    books[7].announce_leave("i-1", 1)
+    _tell_through_hubs(exchanges)
+    assert all([each.record.id for each in book.usable(MODEL)] == ["i-2"] for book in books)
+
+
+def test_leave_is_told_no_longer_once_the_list_says_so_or_another_incarnation_has_come():
+    first, second = (build_book([build_record("i-1"), build_record("i-2")]) for _ in range(2))
+    exchanges = _exchanges(2, [first, second])
+    for upstream in ("i-1", "i-2"):
+        first.announce_leave(upstream, 1)
+    first.apply_record(build_record("i-1", state=UpstreamState.DRAINING))
+    second.apply_record(build_record("i-2", born_ms=2))
+    _tell(*exchanges)
+    assert len(second.usable(MODEL)) == 2
+    assert first.leaving_notices() == [("i-2", 1)]
+
+
 def test_load_of_a_silent_entry_fades():
     first, second = _exchanges(2)
     first._loads.start(Run("r", "engine-1", 0.0, prompt_tokens=100))
--- a/gooseberryquay/standins/node_platform/site.py
+++ b/gooseberryquay/standins/node_platform/site.py
@@ -1,7 +1,6 @@
 """One small site: a store, engines and services, and the settings file of each entry."""
 
 import random
-import time
 from pathlib import Path
 from typing import Any
 
@@ -106,8 +105,10 @@
     def announce_leave(self, id: str) -> None:
         """List an upstream as draining."""
         if id in self.engines:
+            self.engines[id].is_leaving = True
             self._list(self.engines[id], "model", "draining")
         else:
+            self.services[id].is_leaving = True
             self._list(self.services[id], "ledger", "draining")
 
     def remove(self, id: str) -> None:
@@ -129,7 +130,7 @@
             "slots": 8,
             "state": state,
             "cold_left_ms": 0,
-            "born": int(time.time() * 1000.0),
+            "born": upstream.born_ms,
         }
         self.store.put("servers", upstream.id, document)
 
--- a/gooseberryquay/standins/node_platform/soak.py
+++ b/gooseberryquay/standins/node_platform/soak.py
@@ -42,6 +42,7 @@
 SETTLED_AFTER_S = 3.0
 DRAIN_S = 2.0
 UPSTREAMS_MIN = 2
+SHED_PAUSE_S = 0.8
 
 
 @dataclass
@@ -237,7 +238,9 @@
     def _harm_upstream(self) -> None:
         upstreams = [*self._site.engines.values(), *self._site.services.values()]
         upstream = self._random.choice(upstreams)
-        upstream.faults = UpstreamFaults(*(self._random.choice([0.0, 0.3]) for _ in range(4)))
+        faults = UpstreamFaults(*(self._random.choice([0.0, 0.3]) for _ in range(4)))
+        faults.pause_s = SHED_PAUSE_S if faults.shed_share else None
+        upstream.faults = faults
         self._later(2.0, lambda: setattr(upstream, "faults", UpstreamFaults()))
 
     def _change_configuration(self) -> None:
--- a/gooseberryquay/standins/node_platform/upstream_server.py
+++ b/gooseberryquay/standins/node_platform/upstream_server.py
@@ -14,6 +14,7 @@
 
 __all__ = ["ModelEngine", "PlainService", "UpstreamFaults"]
 
+MS_PER_S = 1000.0
 HEADER_BYTES_MAX = 65536
 BODY_BYTES_MAX = 4 * 1024 * 1024
 FORGED = ("x-hold", "x-pin-ms")
@@ -28,6 +29,8 @@
     error_share: float = 0.0
     lose_answer_share: float = 0.0
     cut_share: float = 0.0
+    # Seconds for which an upstream that turns a request away wants no other.
+    pause_s: float | None = None
 
 
 @dataclass
@@ -35,13 +38,15 @@
     gateway: StreamingGateway
     headers: dict[str, str]
     body: bytes
+    notices: list[tuple[str, str]]
 
     @property
     def id(self) -> str:
         return self.headers.get("x-attempt-id", "")
 
     def answer(self, status: str, headers: list[tuple[str, str]], body: bytes = b"") -> None:
-        sent = [*headers, ("X-Attempt-Id", self.id), ("Content-Length", str(len(body)))]
+        sent = [*headers, *self.notices, ("X-Attempt-Id", self.id)]
+        sent.append(("Content-Length", str(len(body))))
         self.gateway.start(status, sent)
         self.gateway.write_all(body)
 
@@ -54,6 +59,8 @@
         self.record = record
         self.faults = UpstreamFaults()
         self.is_crashed = False
+        self.is_leaving = False
+        self.born_ms = int(time.time() * MS_PER_S)
         self._random = source
         self._server = ForwardingServer(
             "127.0.0.1", 0, self._forward, HEADER_BYTES_MAX, BODY_BYTES_MAX
@@ -84,7 +91,7 @@
             name.decode().lower(): value.decode("latin-1")
             for name, value in gateway.req.inheaders.pairs
         }
-        heard = _Heard(gateway, headers, body)
+        heard = _Heard(gateway, headers, body, self._notices())
         try:
             self._take(heard)
         except CallerGone:
@@ -98,12 +105,19 @@
             heard.answer("421 Misdirected Request", [("X-Instance-Id", self.id)])
             return
         if self._draws(self.faults.shed_share):
-            heard.answer("503 Service Unavailable", [("X-Not-Executed", "1")])
+            heard.answer("503 Service Unavailable", [("X-Not-Executed", "1"), *self._pause()])
             return
         if any(name in heard.headers for name in FORGED) or "authorization" in heard.headers:
             self.record.saw_unasked(f"{heard.id} with a caller's own {sorted(heard.headers)}")
         self._run(heard)
 
+    def _notices(self) -> list[tuple[str, str]]:
+        return [("Server-Leaving", "1")] if self.is_leaving else []
+
+    def _pause(self) -> list[tuple[str, str]]:
+        pause_s = self.faults.pause_s
+        return [("Retry-After", f"{pause_s:.2f}")] if pause_s is not None else []
+
     def _draws(self, share: float) -> bool:
         return self._random.random() < share
 
@@ -221,6 +235,7 @@
             ("Content-Type", "text/event-stream"),
             ("X-Attempt-Id", heard.id),
             ("X-Response-Seal", f"{heard.id}.s"),
+            *heard.notices,
         ]
         cut_at = self._random.randrange(1, last + 1) if self._draws(self.faults.cut_share) else None
         heard.gateway.start("200 OK", headers)
