Ask engines whether they leave while the store is away

Hubs now probe the engines that they own each 0.25 s while the list is old, and tell the others through the load exchange. Ruled out: probing at all times (each probe is priced, the list tells sooner when it is well), by each entry for its own streams (one question for each stream instead of each engine). Test through a whole entry fails with the probe switched off.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -4,7 +4,7 @@
 import time
 
 from gooseberryquay.contracts.node_settings import NodeSettings
-from gooseberryquay.ids import Incarnation
+from gooseberryquay.ids import Incarnation, ServiceId
 from gooseberryquay.links.connection_pool import ConnectionPool
 from gooseberryquay.links.forwarding_server import ForwardingServer
 from gooseberryquay.links.http_server import HttpServer, Router
@@ -32,6 +32,7 @@
 from gooseberryquay.serving.generation_flow import GenerationFlow
 from gooseberryquay.serving.generation_queue import GenerationQueue
 from gooseberryquay.serving.hubs import HubChoice
+from gooseberryquay.serving.leave_probe import LeaveProbe
 from gooseberryquay.serving.leave_state import LeaveState
 from gooseberryquay.serving.list_readers import UpstreamListReader, ZoneListReader
 from gooseberryquay.serving.migration import Migration
@@ -133,6 +134,16 @@
         migration = Migration(
             calls=calls, placement=placement, loads=self._loads, active=active, log=self._log
         )
+        self._leave_probe = LeaveProbe(
+            calls=calls,
+            book=self._book,
+            engine_services=self._engine_services,
+            is_list_sound=self._follows_upstreams,
+            is_own_engine=lambda upstream: (
+                self._hubs.is_hub() and self._hubs.is_own_engine(upstream)
+            ),
+            log=self._log,
+        )
         queue = GenerationQueue(placement, self._loads, self._peers.refresh, self._peers.tell_soon)
         self._book.on_leaving(migration.upstream_leaving)
         self._book.on_change(queue.changed)
@@ -168,6 +179,12 @@
             source=source,
         )
 
+    def _engine_services(self) -> list[ServiceId]:
+        routing = self._routing.current()
+        if routing is None:
+            return []
+        return [each.id for each in routing.services.values() if each.engine is not None]
+
     def _control_router(self) -> Router:
         router = Router()
         self._membership.add_routes(router)
@@ -251,6 +268,7 @@
         self._control_server.start()
         self._membership.start()
         self._peers.start()
+        self._leave_probe.start()
         self._readiness_server.start()
         self._metrics_server.start()
         self._caller_server.start()
--- a/gooseberryquay/daemons/tests/test_platform_entry.py
+++ b/gooseberryquay/daemons/tests/test_platform_entry.py
@@ -30,6 +30,10 @@
 # Bounds hold for what is changed when the store has been well for so long.
 SETTLED_AFTER_S = 3.0
 GRACE_S = 4.0
+# The configuration's watch ends within two seconds, and is then refused.
+OUTAGE_SEEN_S = 4.0
+# The shortest notice of a reclaim.
+NOTICE_S = 1.5
 
 
 @pytest.fixture
@@ -69,6 +73,11 @@
     return connection.getresponse().status == http.client.OK
 
 
+def _lines(entry, message):
+    lines = [json.loads(each) for each in entry.log.read_text().splitlines()]
+    return [each for each in lines if each["message"] == message]
+
+
 def _ask(port, path="/read/1", headers=None, method="GET", body=None):
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5.0)
     sent = {"Host": HOST, "X-Attempt-Id": "a-1", "Authorization": f"Bearer {KEY}"}
@@ -139,6 +148,36 @@
     assert len(site.record.arrivals[leaving.id]) <= 1
 
 
+def test_generation_moves_when_only_its_engine_says_that_it_leaves(site, entry):
+    """Streams on engines that were reclaimed while the store was away were cut."""
+    site.store.mood = StoreMood.REFUSING
+    time.sleep(OUTAGE_SEEN_S)
+    for engine in site.engines.values():
+        engine.event_s = 0.08
+    results = []
+    callers = [
+        threading.Thread(
+            target=lambda n=n: results.append(
+                call_once(entry.ports.callers, CallKind.NOTE, random.Random(n))
+            )
+        )
+        for n in range(6)
+    ]
+    for caller in callers:
+        caller.start()
+    time.sleep(0.15)
+    leaving = list(site.engines.values())[:2]
+    for engine in leaving:
+        engine.is_leaving = True
+    time.sleep(NOTICE_S)
+    for engine in leaving:
+        site.engines.pop(engine.id).stop()
+    for caller in callers:
+        caller.join()
+    assert [each.status for each in results] == [200] * 6
+    assert broken_promises(results, site.record) == []
+
+
 def test_upstream_that_wants_a_pause_is_asked_again_only_after_it(site, entry):
     for service in site.services.values():
         service.faults.shed_share, service.faults.pause_s = 1.0, 1.0
@@ -174,6 +213,8 @@
         caller.join()
     assert [each.status for each in results] == [200] * 6
     assert broken_promises(results, site.record) == []
+    # The last line is written after the caller has its answer.
+    _until(lambda: len(_lines(entry, "generation complete")) == 6)
     lines = [json.loads(each) for each in entry.log.read_text().splitlines()]
     pauses_ms = [each["pause_ms"] for each in lines if each["message"] == "generation resumed"]
     complete = [each for each in lines if each["message"] == "generation complete"]
--- a/gooseberryquay/links/exchange.py
+++ b/gooseberryquay/links/exchange.py
@@ -43,6 +43,7 @@
 
     status: int
     body: bytes
+    headers: Sequence[tuple[str, str]] = ()
 
 
 class Interrupt:
@@ -130,4 +131,5 @@
                 if len(content) > REPLY_BYTES_MAX:
                     return Err(LinkBroken("the answer is too long", was_sent=True))
             case Ok(BodyEnd()):
-                return Ok(WholeReply(opened.ok_value.status, bytes(content)))
+                head = opened.ok_value
+                return Ok(WholeReply(head.status, bytes(content), head.headers))
--- a/gooseberryquay/platform/engine_calls.py
+++ b/gooseberryquay/platform/engine_calls.py
@@ -2,7 +2,7 @@
 
 import json
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
@@ -32,7 +32,7 @@
     SendTerms,
     Undecided,
 )
-from gooseberryquay.serving.upstream_record import UpstreamRecord
+from gooseberryquay.serving.upstream_record import UpstreamRecord, UpstreamState
 
 __all__ = ["EngineCalls"]
 
@@ -113,6 +113,15 @@
             case Ok(reply):
                 return _read_copy(source.address, reply)
 
+    def is_leaving(self, upstream: UpstreamRecord, until_s: float) -> bool | None:
+        """Ask an engine whether it leaves; None where that incarnation does not answer."""
+        request = WholeRequest("GET", names.REPORT_PATH)
+        match exchange(self._pool, upstream.address, request, until_s):
+            case Ok(WholeReply(status=200, body=body, headers=headers)):
+                return _read_leaving(upstream, body, dict(headers))
+            case _:
+                return None
+
     def free_copy(self, holder: Address, handle: CopyHandle) -> None:
         """Free a copy that is not used."""
         request = WholeRequest("DELETE", names.HANDLE_PATH + handle.name)
@@ -238,6 +247,19 @@
     return failure if isinstance(failure, CallerLeft) else _undecided(failure)
 
 
+def _read_leaving(upstream: UpstreamRecord, body: bytes, headers: Mapping[str, str]) -> bool | None:
+    try:
+        document = json.loads(body)
+        born_ms, state = document.get("born"), document.get("state")
+    except (ValueError, AttributeError):
+        return None
+    # Another engine may have the address by now.
+    is_other = headers.get(names.INSTANCE_ID, upstream.id) != upstream.id
+    if is_other or born_ms not in {None, upstream.born_ms}:
+        return None
+    return names.SERVER_LEAVING in headers or state == UpstreamState.DRAINING.value
+
+
 def _read_copy(source: Address, reply: WholeReply) -> Result[MovedCopy, MoveFailure]:
     try:
         document = json.loads(reply.body) if reply.body else {}
--- /dev/null
+++ b/gooseberryquay/serving/leave_probe.py
@@ -0,0 +1,78 @@
+"""Ask engines whether they leave while the list of upstreams cannot tell."""
+
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+from gooseberryquay.ids import ServiceId, UpstreamId
+from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.ports import UpstreamCalls
+from gooseberryquay.serving.upstream_book import UpstreamBook
+from gooseberryquay.serving.upstream_record import UpstreamRecord
+
+__all__ = ["LeaveProbe"]
+
+# A move takes about a second, and the shortest notice is one and a half.
+PERIOD_S = 0.25
+TIMEOUT_S = 0.25
+# A silent engine holds up the questions to others.
+SILENT_SKIP_S = 2.0
+
+
+class LeaveProbe:
+    """Probe this entry's share of the engines, and only while the store is away.
+
+    Answers load: generations on engines that are reclaimed during an outage of the store.
+    """
+
+    def __init__(
+        self,
+        *,
+        calls: UpstreamCalls,
+        book: UpstreamBook,
+        engine_services: Callable[[], Iterable[ServiceId]],
+        is_list_sound: Callable[[], bool],
+        is_own_engine: Callable[[UpstreamId], bool],
+        log: DecisionLog,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._calls = calls
+        self._book = book
+        self._engine_services = engine_services
+        self._is_list_sound = is_list_sound
+        self._is_own_engine = is_own_engine
+        self._log = log
+        self._clock = clock
+        self._skipped_until_s: dict[UpstreamId, float] = {}
+        self._stopped = threading.Event()
+
+    def start(self) -> None:
+        """Probe in the background."""
+        threading.Thread(target=self._run, name="leave-probe", daemon=True).start()
+
+    def stop(self) -> None:
+        """End after the round in progress."""
+        self._stopped.set()
+
+    def _run(self) -> None:
+        while not self._stopped.wait(PERIOD_S):
+            self.step()
+
+    def step(self) -> None:
+        """Probe each own engine once if the list is old."""
+        if self._is_list_sound():
+            self._skipped_until_s.clear()
+            return
+        for service in self._engine_services():
+            for known in self._book.usable(service):
+                self._probe(known.record)
+
+    def _probe(self, record: UpstreamRecord) -> None:
+        is_skipped = self._skipped_until_s.get(record.id, 0.0) > self._clock()
+        if is_skipped or not self._is_own_engine(record.id):
+            return
+        is_leaving = self._calls.is_leaving(record, self._clock() + TIMEOUT_S)
+        if is_leaving is None:
+            self._skipped_until_s[record.id] = self._clock() + SILENT_SKIP_S
+        elif is_leaving and self._book.announce_leave(record.id, record.born_ms):
+            self._log.belief("upstream leaving", upstream=record.id, told_by="probe")
--- a/gooseberryquay/serving/ports.py
+++ b/gooseberryquay/serving/ports.py
@@ -146,6 +146,9 @@
     ) -> Result[MovedCopy, MoveFailure]:
         """Copy a running generation's memory to another engine, and stop it if it is final."""
 
+    def is_leaving(self, upstream: UpstreamRecord, until_s: float) -> bool | None:
+        """Ask an engine whether it leaves; None where that incarnation does not answer."""
+
     def free_copy(self, holder: Address, handle: CopyHandle) -> None:
         """Free a copy that is not used."""
 
--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -234,6 +234,8 @@
     opened: list = field(default_factory=list)
     moved: list = field(default_factory=list)
     freed: list = field(default_factory=list)
+    leaving: dict = field(default_factory=dict)
+    probed: list = field(default_factory=list)
 
     def open(self, upstream, call, terms, caller):
         self.opened.append((upstream.id, terms))
@@ -244,6 +246,10 @@
         self.moved.append((source.id, target, is_final))
         return self.moves.pop(0) if self.moves else Err(MoveFailure(MoveRefusal.FAILED))
 
+    def is_leaving(self, upstream, until_s):
+        self.probed.append(upstream.id)
+        return self.leaving.get(upstream.id, False)
+
     def free_copy(self, holder, handle):
         self.freed.append(handle)
 
--- /dev/null
+++ b/gooseberryquay/serving/tests/test_leave_probe.py
@@ -0,0 +1,62 @@
+"""Engines are asked whether they leave only while the list of upstreams cannot tell."""
+
+import pytest
+
+from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.leave_probe import SILENT_SKIP_S, LeaveProbe
+from gooseberryquay.serving.tests.builders import (
+    LEDGER,
+    MODEL,
+    FakeClock,
+    ScriptedCalls,
+    build_book,
+    build_record,
+)
+
+
+@pytest.fixture
+def probe():
+    clock = FakeClock()
+    records = [build_record("own"), build_record("other"), build_record("app", LEDGER)]
+    calls = ScriptedCalls()
+    probe = LeaveProbe(
+        calls=calls,
+        book=build_book(records, clock),
+        engine_services=lambda: [MODEL],
+        is_list_sound=lambda: probe.is_list_sound,
+        is_own_engine=lambda upstream: upstream != "other",
+        log=DecisionLog(),
+        clock=clock,
+    )
+    probe.is_list_sound, probe.scripted, probe.time = False, calls, clock
+    return probe
+
+
+def test_no_engine_is_probed_while_the_list_tells(probe):
+    probe.is_list_sound = True
+    probe.step()
+    assert probe.scripted.probed == []
+
+
+def test_own_engines_alone_are_probed_while_the_list_is_old(probe):
+    probe.step()
+    assert probe.scripted.probed == ["own"]
+
+
+def test_engine_that_says_it_leaves_is_left_and_probed_no_more(probe):
+    told = []
+    probe._book.on_leaving(told.append)
+    probe.scripted.leaving["own"] = True
+    probe.step()
+    probe.step()
+    assert (told, probe.scripted.probed) == (["own"], ["own"])
+
+
+def test_silent_engine_does_not_hold_up_each_round(probe):
+    probe.scripted.leaving["own"] = None
+    probe.step()
+    probe.step()
+    assert probe.scripted.probed == ["own"]
+    probe.time.now_s += SILENT_SKIP_S + 0.1
+    probe.step()
+    assert probe.scripted.probed == ["own", "own"]
--- a/gooseberryquay/standins/node_platform/upstream_server.py
+++ b/gooseberryquay/standins/node_platform/upstream_server.py
@@ -184,6 +184,9 @@
         path = heard.gateway.req.path.decode()
         if path == "/api/kv-move":
             self._move(heard, json.loads(heard.body))
+        elif path == "/api/report":
+            report = {"state": "draining" if self.is_leaving else "ready", "born": self.born_ms}
+            heard.answer("200 OK", JSON_HEADERS, json.dumps(report).encode())
         elif path.startswith("/api/kv-handle/"):
             with self._lock:
                 self._copies.pop(path.rpartition("/")[2], None)
