Let doubt of a list end, refuse an older list, and follow another hub when cut off

Now doubt ends with the grace, a list older than what was read is not taken, a hub that cannot reach the store follows another for up to 5 s at a time and calls itself not sound meanwhile, and an entry asks a second hub before the store (a priced call). Ruled out: moving everything whose removal is doubtful (an outage lapses all entries). Tests: test_hubs, six new cases; the doubt and the older list fail on the former code.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -203,13 +203,14 @@
             reader=upstreams,
             is_sound=self._follows_upstreams,
             known_revision=lambda: self._upstream_watch.known_revision,
+            outage_grace_s=OUTAGE_GRACE_S,
         )
         pool = ConnectionPool(STORE_CONNECT_TIMEOUT_S, STORE_IDLE_LIMIT_S)
         address = self._settings.store_address
-        upstream_source = HubSource(
+        self._upstream_source = HubSource(
             StoreKind(pool, address, UPSTREAM_KIND), self._hubs, pool, self._log
         )
-        self._upstream_watch = self._watch(UPSTREAM_KIND, upstream_source, self._relay)
+        self._upstream_watch = self._watch(UPSTREAM_KIND, self._upstream_source, self._relay)
         self._probe = self._watch(
             CONFIGURATION_KIND, StoreKind(pool, address, CONFIGURATION_KIND), self._routing
         )
@@ -239,7 +240,8 @@
         return PROBE_WAIT_SHARE * self._settings.bounds.evacuation_s
 
     def _follows_upstreams(self) -> bool:
-        return self._upstream_watch.is_sound() and self._probe.is_sound()
+        is_read_here = self._upstream_watch.is_sound() and self._probe.is_sound()
+        return is_read_here and not self._upstream_source.is_at_substitute
 
     def _renew_other_watches(self, regained: ObjectWatch) -> None:
         for watch in self._watches:
--- a/gooseberryquay/serving/hubs.py
+++ b/gooseberryquay/serving/hubs.py
@@ -71,13 +71,15 @@
 
     def my_hub(self) -> Peer | None:
         """Give the hub to follow, or None where this entry follows the store itself."""
-        if self.is_hub():
-            return None
+        return None if self.is_hub() else next(iter(self.usable_hubs()), None)
+
+    def usable_hubs(self) -> list[Peer]:
+        """Give the hubs to follow, the own cell's first, without this entry."""
         now_s = self._clock()
-        usable = [each for each in self.hubs() if self._avoided_until_s.get(each.id, 0.0) <= now_s]
-        return next((each for each in self._cell if each in usable), None) or next(
-            iter(usable), None
-        )
+        usable = [
+            each for each in self.other_hubs() if self._avoided_until_s.get(each.id, 0.0) <= now_s
+        ]
+        return sorted(usable, key=lambda each: each not in self._cell)
 
     def is_own_engine(self, upstream: UpstreamId) -> bool:
         """Tell whether this entry's cell places on an engine first.
--- a/gooseberryquay/serving/object_relay.py
+++ b/gooseberryquay/serving/object_relay.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -36,6 +36,10 @@
 # With the slack below, a silent hub is left before the drain bound is over.
 HUB_WAIT_S = 1.0
 HUB_SLACK_S = 0.5
+# Beyond these, the store is asked.
+HUBS_TRIED = 2
+# How long a hub that cannot reach the store follows another before it tries again.
+SUBSTITUTE_S = 5.0
 # How often a waiting poll looks whether the hub is still sound.
 SOUND_CHECK_S = 0.25
 SEQUENCE_BITS = 40
@@ -84,7 +88,12 @@
         reader: ObjectReader,
         is_sound: Callable[[], bool],
         known_revision: Callable[[], int],
+        outage_grace_s: float,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._outage_grace_s = outage_grace_s
+        self._clock = clock
+        self._doubtful_until_s = float("-inf")
         self._reader = reader
         self._known_revision = known_revision
         self._is_sound = is_sound
@@ -104,7 +113,9 @@
         self._reader.read_listing(listing, is_after_outage)
         is_doubtful = is_after_outage or listing.is_doubtful
         with self._changed:
-            self._listing = replace(listing, is_doubtful=is_doubtful)
+            self._listing = listing
+            if is_doubtful:
+                self._doubtful_until_s = self._clock() + self._outage_grace_s
             self._objects = {each.name: each for each in listing.objects}
             self._history.clear()
             self._sequence += 1
@@ -135,7 +146,8 @@
         if after is None:
             with self._changed:
                 objects = list(self._objects.values())
-                return self._reply(objects, self._listing.is_doubtful)
+                # What lapsed in the outage is back by then.
+                return self._reply(objects, self._clock() < self._doubtful_until_s)
         return self._wait_for_changes(int(after), int(wait_ms) / MS_PER_S)
 
     def _wait_for_changes(self, after: int, wait_s: float) -> Response:
@@ -168,49 +180,86 @@
 class HubSource:
     """Follow a hub while there is a sound one, and the store itself otherwise.
 
-    Sequences of a hub and revisions of the store do not compare, so each change of source starts
-    with a list.
+    A hub follows the store, and another hub while it cannot reach the store itself. Sequences of a
+    hub and revisions of the store do not compare, so each change of source starts with a list. A
+    list that is older than what is known is not taken.
     """
 
     def __init__(
-        self, direct: ObjectSource, hubs: HubChoice, pool: ConnectionPool, log: DecisionLog
+        self,
+        direct: ObjectSource,
+        hubs: HubChoice,
+        pool: ConnectionPool,
+        log: DecisionLog,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._clock = clock
         self._log = log
         self._direct = direct
         self._hubs = hubs
         self._pool = pool
         self._followed: Peer | None = None
+        self._substitute_until_s: float | None = None
+        # The newest change of this kind that was read, from wherever it came.
+        self._seen_revision = 0
         self._interrupt = Interrupt()
 
+    @property
+    def is_at_substitute(self) -> bool:
+        """Tell whether this entry, a hub itself, follows another as it cannot reach the store."""
+        return self._substitute_until_s is not None
+
     def list(self) -> Result[Listing, SourceFailure]:
         """Give all objects, from a hub where there is one."""
-        hub = self._hubs.my_hub()
-        self._followed = hub
-        if hub is None:
-            return self._direct.list()
-        self._log.dependency("hub", hub.id, is_lost=False)
-        match self._ask(hub, RELAY_PATH, HUB_SLACK_S):
-            case Ok(message):
-                objects = tuple(each.stored() for each in message.objects)
-                return Ok(
-                    Listing(objects, message.sequence, message.is_doubtful, message.store_revision)
-                )
-            case _:
-                self._leave(hub.id)
-                return self._direct.list()
+        self._followed = None
+        self._substitute_until_s = None
+        if not self._hubs.is_hub():
+            return self._list_from_hubs() or self._list_directly()
+        listed = self._list_directly()
+        if isinstance(listed, Ok) or listed.err_value is SourceFailure.INTERRUPTED:
+            return listed
+        substitute = self._list_from_hubs()
+        if substitute is None:
+            return listed
+        self._substitute_until_s = self._clock() + SUBSTITUTE_S
+        return substitute
+
+    def _list_directly(self) -> Result[Listing, SourceFailure]:
+        listed = self._direct.list()
+        if isinstance(listed, Ok):
+            self._saw(listed.ok_value.objects)
+        return listed
+
+    def _list_from_hubs(self) -> Ok[Listing] | None:
+        for hub in self._hubs.usable_hubs()[:HUBS_TRIED]:
+            match self._ask(hub, RELAY_PATH, HUB_SLACK_S):
+                case Ok(message) if message.store_revision >= self._seen_revision:
+                    self._followed = hub
+                    self._log.dependency("hub", hub.id, is_lost=False)
+                    objects = tuple(each.stored() for each in message.objects)
+                    self._saw(objects)
+                    doubtful, store_revision = message.is_doubtful, message.store_revision
+                    return Ok(Listing(objects, message.sequence, doubtful, store_revision))
+                case _:
+                    self._leave(hub.id)
+        return None
 
     def watch(self, revision: int, wait_s: float) -> Result[Changes, SourceFailure]:
         """Wait for changes at the source that was listed."""
-        hub = self._hubs.my_hub()
-        if (hub and hub.id) != (self._followed and self._followed.id):
+        hub = self._followed
+        if not self._is_still_to_follow(hub):
             return Err(SourceFailure.HISTORY_GONE)
         if hub is None:
-            return self._direct.watch(revision, wait_s)
+            watched = self._direct.watch(revision, wait_s)
+            if isinstance(watched, Ok):
+                self._saw(watched.ok_value.objects)
+            return watched
         poll_s = min(wait_s, HUB_WAIT_S)
         path = f"{RELAY_PATH}?after={revision}&wait_ms={int(poll_s * MS_PER_S)}"
         match self._ask(hub, path, poll_s + HUB_SLACK_S):
             case Ok(message):
                 objects = tuple(each.stored() for each in message.objects)
+                self._saw(objects)
                 return Ok(Changes(objects, message.sequence, message.store_revision))
             case Err(SourceFailure.HISTORY_GONE):
                 return Err(SourceFailure.HISTORY_GONE)
@@ -218,11 +267,24 @@
                 self._leave(hub.id)
                 return Err(SourceFailure.HISTORY_GONE)
 
+    def _is_still_to_follow(self, followed: Peer | None) -> bool:
+        if self._substitute_until_s is not None:
+            return self._hubs.is_hub() and self._clock() < self._substitute_until_s
+        hub = self._hubs.my_hub()
+        return (hub and hub.id) == (followed and followed.id)
+
+    def _saw(self, objects: Sequence[StoredObject]) -> None:
+        newest = max((each.revision for each in objects), default=0)
+        self._seen_revision = max(self._seen_revision, newest)
+
     def interrupt(self, is_behind: bool) -> None:
-        """End the call of the store in progress, or leave a hub that seems to be behind."""
+        """End the call of the store in progress, or leave a hub that seems to be behind.
+
+        A hub leaves the other that it follows, as it can reach the store again.
+        """
         if self._followed is None:
             self._direct.interrupt(is_behind)
-        elif is_behind:
+        elif is_behind or self.is_at_substitute:
             self._interrupt.set()
 
     def _leave(self, hub: EntryId) -> None:
--- a/gooseberryquay/serving/tests/test_hubs.py
+++ b/gooseberryquay/serving/tests/test_hubs.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import pytest
@@ -14,13 +15,15 @@
 from gooseberryquay.machines.peer import Peer
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.hubs import HUBS_PER_CELL, MESH_MAX, HubChoice
-from gooseberryquay.serving.object_relay import HubSource, ObjectRelay
+from gooseberryquay.serving.object_relay import SUBSTITUTE_S, HubSource, ObjectRelay
 from gooseberryquay.serving.object_source import Listing, SourceFailure, StoredObject
 from gooseberryquay.serving.peer_loads import PeerLoadExchange
 from gooseberryquay.serving.tests.builders import MODEL, FakeClock, build_book, build_record
 from gooseberryquay.serving.upstream_load import LoadTable, Run
 from gooseberryquay.serving.upstream_record import UpstreamState
 
+GRACE_S = 2.0
+UNSERVED = Address("127.0.0.1", 1)
 ZONES = ("zone-a", "zone-b", "zone-c")
 
 
@@ -141,10 +144,11 @@
 class _Direct:
     def __init__(self):
         self.calls = []
+        self.listing = Ok(Listing((), 77))
 
     def list(self):
         self.calls.append("list")
-        return Ok(Listing((), 77))
+        return self.listing
 
     def watch(self, revision, wait_s):
         self.calls.append(revision)
@@ -158,27 +162,45 @@
     return StoredObject(name, revision, {"state": "ready"}, is_deleted)
 
 
-@pytest.fixture
-def relay():
-    """Give a relay that serves on a port, and the members of a fleet whose hubs are all there."""
+@contextmanager
+def _relay(is_hub):
     router = Router()
+    clock = FakeClock()
     served = ObjectRelay(
         reader=_Reader(),
         is_sound=lambda: served.is_well,
         known_revision=lambda: served.known,
+        outage_grace_s=GRACE_S,
+        clock=clock,
     )
+    served.clock = clock
     served.is_well, served.known = True, 6
     served.add_routes(router)
     server = HttpServer("127.0.0.1", 0, router)
     server.start()
     peers = _peers(60, server.port)
-    me = next(n for n, each in enumerate(_choices(60)) if not each.is_hub())
+    me = next(n for n, each in enumerate(_choices(60)) if each.is_hub() is is_hub)
     hubs = HubChoice(_Members(me, peers), peers[me].zone)
     direct = _Direct()
-    yield served, HubSource(direct, hubs, ConnectionPool(0.5, 2.0), DecisionLog()), direct
+    source = HubSource(direct, hubs, ConnectionPool(0.5, 2.0), DecisionLog(), clock)
+    yield served, source, direct
     server.stop()
 
 
+@pytest.fixture
+def relay():
+    """Give a relay that serves on a port, and a source of an entry that follows hubs."""
+    with _relay(False) as parts:
+        yield parts
+
+
+@pytest.fixture
+def hub_relay():
+    """Give a relay that serves on a port, and a source of an entry that is a hub itself."""
+    with _relay(True) as parts:
+        yield parts
+
+
 def test_changes_reach_an_entry_through_its_hub(relay):
     served, source, direct = relay
     served.read_listing(Listing((_object("i-1", 5),), 5), False)
@@ -213,6 +235,80 @@
     assert source.list().ok_value.is_doubtful
 
 
+def test_doubt_of_a_hubs_list_ends_when_what_lapsed_is_back(relay):
+    """An engine that had left was taken for lapsed, minutes after the outage: its streams were cut.
+
+    Large scale-2, small: the list of a hub from 8.3 s was still doubtful at 25.3 s.
+    """
+    served, source, _ = relay
+    served.read_listing(Listing((_object("i-3", 5),), 5), True)
+    assert source.list().ok_value.is_doubtful
+    served.clock.now_s += GRACE_S + 0.1
+    assert not source.list().ok_value.is_doubtful
+
+
+def test_list_of_a_hub_that_is_behind_what_is_known_is_not_taken(relay):
+    """An engine that the store had listed was taken for gone by the older list of a hub."""
+    served, source, direct = relay
+    served.is_well = False
+    direct.listing = Ok(Listing((_object("i-4", 9),), 9, store_revision=9))
+    assert source.list().ok_value.objects[0].name == "i-4"
+    served.is_well, served.known = True, 8
+    served.read_listing(Listing((), 8), False)
+    source._hubs._avoided_until_s.clear()
+    assert source.list().ok_value.objects[0].name == "i-4"
+    served.known = 10
+    source._hubs._avoided_until_s.clear()
+    assert source.list().ok_value.objects == ()
+
+
+def test_entry_asks_a_second_hub_before_the_store(relay):
+    served, source, direct = relay
+    served.read_listing(Listing((), 5), False)
+    first = source._hubs.my_hub()
+    source._hubs._membership.peers = [
+        each.model_copy(update={"control_address": UNSERVED}) if each == first else each
+        for each in source._hubs._membership.peers
+    ]
+    source._hubs._refreshed_at_s = float("-inf")
+    assert source.list().ok_value.store_revision == 6
+    assert direct.calls == []
+
+
+def test_hub_that_cannot_reach_the_store_follows_another_hub(hub_relay):
+    """A hub cut from the store for 12 s kept sending to engines that its peers knew had left."""
+    served, source, direct = hub_relay
+    served.read_listing(Listing((_object("i-5", 5),), 5), False)
+    direct.listing = Err(SourceFailure.UNREACHABLE)
+    listing = source.list().ok_value
+    assert [each.name for each in listing.objects] == ["i-5"]
+    assert source.is_at_substitute
+    served.read_change(_object("i-6", 6), False)
+    assert [each.name for each in source.watch(listing.revision, 1.0).ok_value.objects] == ["i-6"]
+
+
+def test_hub_goes_back_to_the_store_in_time_or_when_another_watch_regains_it(hub_relay):
+    served, source, direct = hub_relay
+    served.read_listing(Listing((), 5), False)
+    direct.listing = Err(SourceFailure.UNREACHABLE)
+    revision = source.list().ok_value.revision
+    source.interrupt(is_behind=False)
+    assert source.watch(revision, 1.0) == Err(SourceFailure.HISTORY_GONE)
+    revision = source.list().ok_value.revision
+    served.clock.now_s += SUBSTITUTE_S
+    assert source.watch(revision, 1.0) == Err(SourceFailure.HISTORY_GONE)
+    direct.listing = Ok(Listing((), 77))
+    assert source.list().ok_value.revision == 77
+    assert not source.is_at_substitute
+
+
+def test_hub_without_store_and_without_other_hubs_tells_why_it_has_no_list(hub_relay):
+    served, source, direct = hub_relay
+    served.is_well = False
+    direct.listing = Err(SourceFailure.REFUSED)
+    assert source.list() == Err(SourceFailure.REFUSED)
+
+
 def test_entry_that_is_behind_leaves_its_hub(relay):
     served, source, _ = relay
     served.read_listing(Listing((), 5), False)
