Ask an engine that the list lacks after an outage whether it leaves

A doubtful removal is now resolved by one question to the engine, by entries with runs there and the hub that owns it. Ruled out: treating deletions after the first answer as certain, as the store may remove lapsed entries only after its return. Test fails without the question.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -142,6 +142,7 @@
             is_own_engine=lambda upstream: (
                 self._hubs.is_hub() and self._hubs.is_own_engine(upstream)
             ),
+            has_runs=lambda upstream: bool(self._loads.runs_at(upstream)),
             log=self._log,
         )
         queue = GenerationQueue(placement, self._loads, self._peers.refresh, self._peers.tell_soon)
@@ -196,7 +197,13 @@
         self._loads.forget(self._book.listed())
 
     def _build_watches(self) -> list[ObjectWatch]:
-        upstreams = UpstreamListReader(self._book, read_upstream, self._log, OUTAGE_GRACE_S)
+        upstreams = UpstreamListReader(
+            self._book,
+            read_upstream,
+            self._log,
+            OUTAGE_GRACE_S,
+            self._leave_probe.resolve_doubt,
+        )
         zones = ZoneListReader(self._book, self._log)
         self._routing.on_change(self._take_limits)
         self._relay = ObjectRelay(
--- a/gooseberryquay/serving/leave_probe.py
+++ b/gooseberryquay/serving/leave_probe.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 
 from gooseberryquay.ids import ServiceId, UpstreamId
 from gooseberryquay.serving.decision_log import DecisionLog
@@ -20,7 +20,7 @@
 
 
 class LeaveProbe:
-    """Probe this entry's share of the engines, and only while the store is away.
+    """Probe this entry's share of the engines while the store is away, and what lapsed in it.
 
     Answers load: generations on engines that are reclaimed during an outage of the store.
     """
@@ -30,9 +30,10 @@
         *,
         calls: UpstreamCalls,
         book: UpstreamBook,
-        engine_services: Callable[[], Iterable[ServiceId]],
+        engine_services: Callable[[], Collection[ServiceId]],
         is_list_sound: Callable[[], bool],
         is_own_engine: Callable[[UpstreamId], bool],
+        has_runs: Callable[[UpstreamId], bool],
         log: DecisionLog,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -41,6 +42,7 @@
         self._engine_services = engine_services
         self._is_list_sound = is_list_sound
         self._is_own_engine = is_own_engine
+        self._has_runs = has_runs
         self._log = log
         self._clock = clock
         self._skipped_until_s: dict[UpstreamId, float] = {}
@@ -50,6 +52,14 @@
         """Probe in the background."""
         threading.Thread(target=self._run, name="leave-probe", daemon=True).start()
 
+    def resolve_doubt(self, upstream: UpstreamId) -> None:
+        """Ask an engine that the list lacks after an outage whether it leaves or only lapsed."""
+        known = self._book.find(upstream)
+        if known is None or known.record.service not in self._engine_services():
+            return
+        if self._has_runs(upstream) or self._is_own_engine(upstream):
+            threading.Thread(target=self._probe, args=(known.record,), daemon=True).start()
+
     def stop(self) -> None:
         """End after the round in progress."""
         self._stopped.set()
@@ -65,12 +75,12 @@
             return
         for service in self._engine_services():
             for known in self._book.usable(service):
-                self._probe(known.record)
+                upstream = known.record.id
+                is_skipped = self._skipped_until_s.get(upstream, 0.0) > self._clock()
+                if self._is_own_engine(upstream) and not is_skipped:
+                    self._probe(known.record)
 
     def _probe(self, record: UpstreamRecord) -> None:
-        is_skipped = self._skipped_until_s.get(record.id, 0.0) > self._clock()
-        if is_skipped or not self._is_own_engine(record.id):
-            return
         is_leaving = self._calls.is_leaving(record, self._clock() + TIMEOUT_S)
         if is_leaving is None:
             self._skipped_until_s[record.id] = self._clock() + SILENT_SKIP_S
--- a/gooseberryquay/serving/tests/test_leave_probe.py
+++ b/gooseberryquay/serving/tests/test_leave_probe.py
@@ -1,9 +1,13 @@
 """Engines are asked whether they leave only while the list of upstreams cannot tell."""
 
+import time
+
 import pytest
 
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.leave_probe import SILENT_SKIP_S, LeaveProbe
+from gooseberryquay.serving.list_readers import UpstreamListReader
+from gooseberryquay.serving.object_source import StoredObject
 from gooseberryquay.serving.tests.builders import (
     LEDGER,
     MODEL,
@@ -17,14 +21,20 @@
 @pytest.fixture
 def probe():
     clock = FakeClock()
-    records = [build_record("own"), build_record("other"), build_record("app", LEDGER)]
+    records = [
+        build_record("own"),
+        build_record("other"),
+        build_record("with-runs"),
+        build_record("app", LEDGER),
+    ]
     calls = ScriptedCalls()
     probe = LeaveProbe(
         calls=calls,
         book=build_book(records, clock),
         engine_services=lambda: [MODEL],
         is_list_sound=lambda: probe.is_list_sound,
-        is_own_engine=lambda upstream: upstream != "other",
+        is_own_engine=lambda upstream: upstream == "own",
+        has_runs=lambda upstream: upstream == "with-runs",
         log=DecisionLog(),
         clock=clock,
     )
@@ -60,3 +70,27 @@
     probe.time.now_s += SILENT_SKIP_S + 0.1
     probe.step()
     assert probe.scripted.probed == ["own", "own"]
+
+
+def _wait_for(condition):
+    until_s = time.monotonic() + 2.0
+    while not condition():
+        assert time.monotonic() < until_s
+        time.sleep(0.01)
+
+
+def test_engine_that_the_list_lacks_after_an_outage_is_left_at_once_if_it_says_it_leaves(probe):
+    """Taken for lapsed, it was left only with its streams cut (large trouble-3, small, 27.9 s)."""
+    told = []
+    probe._book.on_leaving(told.append)
+    probe.scripted.leaving["with-runs"] = True
+    reader = UpstreamListReader(
+        probe._book, lambda _stored: None, DecisionLog(), 60.0, probe.resolve_doubt
+    )
+    names = ["with-runs", "other", "own", "app"]
+    reader._listed = {name: probe._book.find(name).record for name in names}
+    for name in names:
+        reader.read_change(StoredObject(name, 9, None, is_deleted=True), is_after_outage=True)
+    _wait_for(lambda: told == ["with-runs"])
+    _wait_for(lambda: sorted(probe.scripted.probed) == ["own", "with-runs"])
+    assert {each.record.id for each in probe._book.usable(MODEL)} == {"own", "other"}
