Copy ahead what runs at an engine in doubt; move to no engine that failed last

Engines in doubt are now copied from at once, without stopping anything; the copy is kept up to date and freed when the engine is listed again. One copy went first to an engine that had refused connections five seconds before: moves now avoid what failed last until it has served again. Tests fail on the former code.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -147,6 +147,8 @@
         )
         queue = GenerationQueue(placement, self._loads, self._peers.refresh, self._peers.tell_soon)
         self._book.on_leaving(migration.upstream_leaving)
+        self._book.on_doubt(migration.upstream_in_doubt)
+        self._book.on_doubt(self._leave_probe.resolve_doubt)
         self._book.on_change(queue.changed)
         self._book.on_change(self._forget_loads)
         notices = AnswerNotices(self._book, self._loads, self._log)
@@ -197,13 +199,7 @@
         self._loads.forget(self._book.listed())
 
     def _build_watches(self) -> list[ObjectWatch]:
-        upstreams = UpstreamListReader(
-            self._book,
-            read_upstream,
-            self._log,
-            OUTAGE_GRACE_S,
-            self._leave_probe.resolve_doubt,
-        )
+        upstreams = UpstreamListReader(self._book, read_upstream, self._log, OUTAGE_GRACE_S)
         zones = ZoneListReader(self._book, self._log)
         self._routing.on_change(self._take_limits)
         self._relay = ObjectRelay(
--- a/gooseberryquay/serving/leave_probe.py
+++ b/gooseberryquay/serving/leave_probe.py
@@ -7,7 +7,7 @@
 from gooseberryquay.ids import ServiceId, UpstreamId
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.ports import UpstreamCalls
-from gooseberryquay.serving.upstream_book import UpstreamBook
+from gooseberryquay.serving.upstream_book import KnownUpstream, UpstreamBook
 from gooseberryquay.serving.upstream_record import UpstreamRecord
 
 __all__ = ["LeaveProbe"]
@@ -58,7 +58,14 @@
         if known is None or known.record.service not in self._engine_services():
             return
         if self._has_runs(upstream) or self._is_own_engine(upstream):
-            threading.Thread(target=self._probe, args=(known.record,), daemon=True).start()
+            threading.Thread(target=self._resolve, args=(known,), daemon=True).start()
+
+    def _resolve(self, known: KnownUpstream) -> None:
+        """Ask again, as reports lag, until the list has spoken or the engine has."""
+        while known.is_in_doubt and not known.is_leaving:
+            self._probe(known.record)
+            if self._stopped.wait(PERIOD_S):
+                return
 
     def stop(self) -> None:
         """End after the round in progress."""
--- a/gooseberryquay/serving/list_readers.py
+++ b/gooseberryquay/serving/list_readers.py
@@ -25,9 +25,7 @@
         decode: Callable[[StoredObject], UpstreamRecord | None],
         log: DecisionLog,
         return_grace_s: float,
-        on_doubt: Callable[[UpstreamId], None] = lambda _upstream: None,
     ) -> None:
-        self._on_doubt = on_doubt
         self._book = book
         self._decode = decode
         self._log = log
@@ -87,7 +85,7 @@
         with self._lock:
             self._removals[upstream] = timer
         timer.start()
-        self._on_doubt(upstream)
+        self._book.doubt(upstream)
 
     def _remove_late(self, upstream: UpstreamId) -> None:
         with self._lock:
--- a/gooseberryquay/serving/migration.py
+++ b/gooseberryquay/serving/migration.py
@@ -30,6 +30,8 @@
 COPY_TIMEOUT_S = 3.0
 # A few steps of an engine's batch.
 RETRY_PAUSE_S = 0.05
+# Within the pause allowed between events, should the engine die without a word.
+COPY_AHEAD_PAUSE_S = 0.1
 TARGETS_MAX = 4
 # Twice the notice that engines give.
 MOVE_SPAN_S = 4.0
@@ -66,8 +68,15 @@
         for active in self._active.at(upstream):
             self.begin(active)
 
+    def upstream_in_doubt(self, upstream: UpstreamId) -> None:
+        """Copy ahead what runs at an upstream that may be gone, and stop nothing yet."""
+        self.upstream_leaving(upstream)
+
     def begin(self, active: ActiveGeneration) -> None:
-        """Begin to move one generation in the background."""
+        """Begin to move one generation in the background.
+
+        While its engine is only in doubt the run goes on, and the copy is kept up to date.
+        """
         engine = self._placement.engine_terms(active.request.service)
         if engine is None or not engine.can_move:
             return
@@ -90,11 +99,25 @@
                 return
             if not active.needs(target.run):
                 self._loads.end(target.run)
-        if active.state is not MoveState.STAYING:
-            active.set_state(MoveState.FAILED)
+        if _is_needed(active):
+            if active.state is not MoveState.STAYING:
+                active.set_state(MoveState.FAILED)
+        else:
+            self._call_off(active)
+
+    def _call_off(self, active: ActiveGeneration) -> None:
+        """Let a generation stay at an engine that had only lapsed from the list."""
+        with active.changed:
+            copy, active.copy = active.copy, None
+            active.state = MoveState.STAYING
+            active.changed.notify_all()
+        if copy is not None:
+            if copy.run is not active.run:
+                self._loads.end(copy.run)
+            self._calls.free_copy(copy.handle.source, copy.handle)
 
     def _is_over(self, active: ActiveGeneration, began_at_s: float) -> bool:
-        if active.is_ended or active.state is MoveState.STAYING:
+        if active.is_ended or active.state is MoveState.STAYING or not _is_needed(active):
             return True
         return self._clock() - began_at_s > MOVE_SPAN_S
 
@@ -127,8 +150,10 @@
                     self._note_copy(active, Copy(target.known, copy.handle, target.run))
                     took_s = self._clock() - started_at_s
                     is_late = self._clock() - began_at_s > STOP_AFTER_S
-                    if took_s < QUICK_COPY_S or is_late:
+                    if active.known.is_leaving and (took_s < QUICK_COPY_S or is_late):
                         return self._stop(active, target)
+                    if not active.known.is_leaving:
+                        time.sleep(COPY_AHEAD_PAUSE_S)
                 case Err(MoveFailure(MoveRefusal.UNKNOWN_RUN | MoveRefusal.IN_PROGRESS)):
                     time.sleep(RETRY_PAUSE_S)
                 case Err(failure):
@@ -179,3 +204,7 @@
             upstream=target.known.record.id,
             reason=failure.refusal.value,
         )
+
+
+def _is_needed(active: ActiveGeneration) -> bool:
+    return active.known.is_leaving or active.known.is_in_doubt
--- a/gooseberryquay/serving/placement.py
+++ b/gooseberryquay/serving/placement.py
@@ -106,11 +106,15 @@
 
 @dataclass(frozen=True, slots=True)
 class EnginePreference:
-    """Prefer the engines of one zone, and those of the own cell, by so much in the score."""
+    """Prefer the engines of one zone, and those of the own cell, by so much in the score.
+
+    A move has no time for a second target, and avoids what failed last until it has served again.
+    """
 
     zone: ZoneId
     other_zone_score: float
     other_cell_score: float
+    is_of_move: bool = False
 
 
 class Placement:
@@ -182,7 +186,9 @@
         engine = self.engine_terms(service)
         if engine is None:
             return self.choose_for_call(service, excluded)
-        preference = EnginePreference(source_zone, MOVE_OTHER_ZONE_SCORE, MOVE_OTHER_CELL_SCORE)
+        preference = EnginePreference(
+            source_zone, MOVE_OTHER_ZONE_SCORE, MOVE_OTHER_CELL_SCORE, is_of_move=True
+        )
         return self._choose_engine(service, engine, need, excluded, preference)
 
     def _choose_engine(
@@ -272,6 +278,7 @@
             score += OTHER_CELL_NOISE_SCORE * self._random.random()
         if known.cold_until_s > now_s:
             score += COLD_SCORE
-        if load.avoided_until_s > now_s:
+        has_failed = preference.is_of_move and load.failures > 0
+        if has_failed or load.avoided_until_s > now_s:
             score += AVOIDED_SCORE
         return score
--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -306,6 +306,7 @@
     retries = RetryBudget(retry_ratio)
     migration = Migration(calls=calls, placement=placement, loads=loads, active=active, log=log)
     book.on_leaving(migration.upstream_leaving)
+    book.on_doubt(migration.upstream_in_doubt)
     notices = AnswerNotices(book, loads, log)
     generation_flow = GenerationFlow(
         calls=calls,
--- a/gooseberryquay/serving/tests/test_admission.py
+++ b/gooseberryquay/serving/tests/test_admission.py
@@ -16,6 +16,7 @@
     LEDGER,
     MODEL,
     OTHER_ZONE,
+    ZONE,
     FakeClock,
     build_path,
     build_record,
@@ -156,3 +157,13 @@
     for number in range(2):
         path.loads.start(Run(f"r{number}", "near", 0.0))
     assert path.placement.choose_for_call(LEDGER, ()).record.id == "far"
+
+
+def test_move_goes_to_no_engine_that_failed_last_while_there_is_another():
+    """An engine that had refused connections 5 s ago was the target: its copy came too late."""
+    path = build_path([build_record("engine-1"), build_record("engine-2", zone=OTHER_ZONE)])
+    path.loads.saw_failure("engine-1", 0.0)
+    small = EngineNeed(100, 40.0)
+    assert path.placement.choose_move_target(MODEL, small, (), ZONE).record.id == "engine-2"
+    path.loads.saw_success("engine-1")
+    assert path.placement.choose_move_target(MODEL, small, (), ZONE).record.id == "engine-1"
--- a/gooseberryquay/serving/tests/test_generation_flow.py
+++ b/gooseberryquay/serving/tests/test_generation_flow.py
@@ -244,3 +244,46 @@
     end, _ = _serve(_path(records=[]))
     assert end.reason is RefusalReason.NO_UPSTREAM
     assert end.retry_after_s is not None
+
+
+def _in_doubt_before(path, part, then):
+    """Have an engine lapse from the list before a part; go on when a copy was made."""
+
+    def act(number):
+        if number != part:
+            return
+        path.book.doubt("engine-0")
+        (active,) = path.active.at("engine-0")
+        until_s = time.monotonic() + 2.0
+        while active.copy is None and time.monotonic() < until_s:
+            time.sleep(0.01)
+        then(active)
+
+    return act
+
+
+def test_generation_at_an_engine_that_lapsed_goes_on_there_and_its_copy_is_freed():
+    path = _path(moves=[copied(), *[copied(f"h-{number}") for number in range(2, 60)]])
+
+    def come_back(active):
+        path.book.apply_record(build_record("engine-0"))
+        with active.changed:
+            assert active.changed.wait_for(lambda: active.state.value == "staying", 2.0)
+        until_s = time.monotonic() + 2.0
+        while not path.calls.freed and time.monotonic() < until_s:
+            time.sleep(0.01)
+
+    first = _stream(1, 4, before_part=_in_doubt_before(path, 2, come_back))
+    path.calls.answers = [first]
+    _, caller = _serve(path)
+    assert (caller.body, caller.is_complete) == (events(1, 4), True)
+    assert path.calls.freed and not any(is_final for *_, is_final in path.calls.moved)
+
+
+def test_generation_survives_an_engine_in_doubt_that_dies_without_a_word():
+    """Nothing was copied until the doubt ended, after the engine's time (large trouble-3)."""
+    path = _path(moves=[copied(f"h-{number}", events=2) for number in range(60)])
+    first = _stream(1, 2, BROKEN, before_part=_in_doubt_before(path, 2, lambda _active: None))
+    path.calls.answers = [first, _stream(3, 4)]
+    _, caller = _serve(path)
+    assert (caller.body, caller.is_complete) == (events(1, 4), True)
--- a/gooseberryquay/serving/tests/test_leave_probe.py
+++ b/gooseberryquay/serving/tests/test_leave_probe.py
@@ -84,13 +84,15 @@
     told = []
     probe._book.on_leaving(told.append)
     probe.scripted.leaving["with-runs"] = True
-    reader = UpstreamListReader(
-        probe._book, lambda _stored: None, DecisionLog(), 60.0, probe.resolve_doubt
-    )
+    probe._book.on_doubt(probe.resolve_doubt)
+    reader = UpstreamListReader(probe._book, lambda _stored: None, DecisionLog(), 60.0)
     names = ["with-runs", "other", "own", "app"]
     reader._listed = {name: probe._book.find(name).record for name in names}
     for name in names:
         reader.read_change(StoredObject(name, 9, None, is_deleted=True), is_after_outage=True)
     _wait_for(lambda: told == ["with-runs"])
-    _wait_for(lambda: sorted(probe.scripted.probed) == ["own", "with-runs"])
+    _wait_for(lambda: probe.scripted.probed.count("own") > 1)
+    probe.time.now_s += 1.0
+    probe._book.apply_record(probe._book.find("own").record)
+    assert set(probe.scripted.probed) == {"own", "with-runs"}
     assert {each.record.id for each in probe._book.usable(MODEL)} == {"own", "other"}
--- a/gooseberryquay/serving/upstream_book.py
+++ b/gooseberryquay/serving/upstream_book.py
@@ -36,6 +36,8 @@
     cold_until_s: float
     announced_at_s: float = 0.0
     is_gone: bool = False
+    # The list lacks it after an outage in which it may only have lapsed.
+    is_in_doubt: bool = False
     notice: UpstreamNotice = field(default_factory=lambda: UpstreamNotice(None))
 
     @property
@@ -56,6 +58,7 @@
         # Outlives an entry of the list that lapses and comes back.
         self._notices: dict[UpstreamId, UpstreamNotice] = {}
         self._on_leaving: list[Listener] = []
+        self._on_doubt: list[Listener] = []
         self._on_change: list[Callable[[], None]] = []
         self._lock = threading.Lock()
 
@@ -63,6 +66,10 @@
         """Call back with each upstream that is draining or gone."""
         self._on_leaving.append(listener)
 
+    def on_doubt(self, listener: Listener) -> None:
+        """Call back with each upstream that may be gone."""
+        self._on_doubt.append(listener)
+
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call back after any change of what may be used."""
         self._on_change.append(listener)
@@ -81,12 +88,23 @@
                     known.notice = notice
             known.record = record
             known.is_gone = False
+            known.is_in_doubt = False
             known.announced_at_s = now_s
             known.cold_until_s = now_s + record.cold_left_s
             self._index()
             is_leaving = known.is_leaving and not was_leaving
         self._tell(record.id if is_leaving else None)
 
+    def doubt(self, upstream: UpstreamId) -> None:
+        """Take in that an upstream may be gone; it comes back or is removed soon."""
+        with self._lock:
+            known = self._known.get(upstream)
+            if known is None or known.is_leaving:
+                return
+            known.is_in_doubt = True
+        for listener in self._on_doubt:
+            listener(upstream)
+
     def remove(self, upstream: UpstreamId) -> None:
         """Take an upstream as gone."""
         with self._lock:
