Pass configurations and zones out through hubs, too

Only the list of upstreams went through hubs. All kinds now do; polls for quiet kinds last 10 s and end when the short polls for upstreams leave the hub. A hub counts as sound only if all its watches are and none follows another hub. What a hub's link could not pass on to its cell within half a second is read from the store by each entry. Ruled out: telling revisions alone, as each change would still cost each entry a call; stale lists at the start, as a withdrawn key could be in use again for a moment.

--- a/gooseberryquay/contracts/node_settings.py
+++ b/gooseberryquay/contracts/node_settings.py
@@ -30,4 +30,5 @@
     seeds: tuple[Address, ...]
     store_address: Address
     memory_mb: float
+    link_mbps: float
     bounds: NodeBounds
--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -31,13 +31,12 @@
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.generation_flow import GenerationFlow
 from gooseberryquay.serving.generation_queue import GenerationQueue
-from gooseberryquay.serving.hubs import HubChoice
+from gooseberryquay.serving.hubs import CELL_MAX, HubChoice
 from gooseberryquay.serving.leave_probe import LeaveProbe
 from gooseberryquay.serving.leave_state import LeaveState
 from gooseberryquay.serving.list_readers import UpstreamListReader, ZoneListReader
 from gooseberryquay.serving.migration import Migration
-from gooseberryquay.serving.object_relay import HubSource, ObjectRelay
-from gooseberryquay.serving.object_source import ObjectSource
+from gooseberryquay.serving.object_relay import HubSource, ObjectRelay, RelayTerms
 from gooseberryquay.serving.object_watch import ObjectReader, ObjectWatch
 from gooseberryquay.serving.peer_loads import PeerLoadExchange
 from gooseberryquay.serving.placement import Placement
@@ -70,6 +69,12 @@
 # Each answer is a paid call.
 WATCH_WAIT_S = 20.0
 WATCH_RETRY_MAX_S = 10.0
+# The short polls for upstreams notice a hub that is silent, and end those for the other kinds.
+QUIET_POLL_S = 10.0
+# What a hub passes on to its whole cell within this time leaves most of each bound.
+RELAY_SPAN_S = 0.5
+BITS_PER_MBIT = 1_000_000
+BITS_PER_BYTE = 8
 # Entries that lapsed during an outage are back within about two seconds.
 OUTAGE_GRACE_S = 2.0
 # The balancer looks once a second and gives up after two misses.
@@ -122,6 +127,8 @@
         self._metrics_server = HttpServer(
             *settings.metrics_address, metrics_router(self._counters.text), min_threads=1
         )
+        self._relays: list[ObjectRelay] = []
+        self._sources: list[HubSource] = []
         self._watches = self._build_watches()
         self._control_server = HttpServer(
             *settings.control_address, self._control_router(), min_threads=2
@@ -138,7 +145,7 @@
             calls=calls,
             book=self._book,
             engine_services=self._engine_services,
-            is_list_sound=self._follows_upstreams,
+            is_list_sound=self._follows_store,
             is_own_engine=lambda upstream: (
                 self._hubs.is_hub() and self._hubs.is_own_engine(upstream)
             ),
@@ -192,7 +199,8 @@
         router = Router()
         self._membership.add_routes(router)
         self._peers.add_routes(router)
-        self._relay.add_routes(router)
+        for relay in self._relays:
+            relay.add_routes(router)
         return router
 
     def _forget_loads(self) -> None:
@@ -202,33 +210,34 @@
         upstreams = UpstreamListReader(self._book, read_upstream, self._log, OUTAGE_GRACE_S)
         zones = ZoneListReader(self._book, self._log)
         self._routing.on_change(self._take_limits)
-        self._relay = ObjectRelay(
-            reader=upstreams,
-            is_sound=self._follows_upstreams,
-            known_revision=lambda: self._upstream_watch.known_revision,
-            outage_grace_s=OUTAGE_GRACE_S,
-        )
         pool = ConnectionPool(STORE_CONNECT_TIMEOUT_S, STORE_IDLE_LIMIT_S)
-        address = self._settings.store_address
-        self._upstream_source = HubSource(
-            StoreKind(pool, address, UPSTREAM_KIND), self._hubs, pool, self._log
-        )
-        self._upstream_watch = self._watch(UPSTREAM_KIND, self._upstream_source, self._relay)
-        self._probe = self._watch(
-            CONFIGURATION_KIND, StoreKind(pool, address, CONFIGURATION_KIND), self._routing
+        link_bytes_per_s = self._settings.link_mbps * BITS_PER_MBIT / BITS_PER_BYTE
+        configuration = RelayTerms(
+            CONFIGURATION_KIND, QUIET_POLL_S, int(RELAY_SPAN_S * link_bytes_per_s / CELL_MAX)
         )
         return [
-            self._probe,
-            self._watch(EVACUATION_KIND, StoreKind(pool, address, EVACUATION_KIND), zones),
-            self._upstream_watch,
+            self._watch(configuration, self._routing, pool),
+            self._watch(RelayTerms(EVACUATION_KIND, QUIET_POLL_S), zones, pool),
+            self._watch(RelayTerms(UPSTREAM_KIND), upstreams, pool),
         ]
 
-    def _watch(self, kind: str, source: ObjectSource, reader: ObjectReader) -> ObjectWatch:
+    def _watch(self, terms: RelayTerms, reader: ObjectReader, pool: ConnectionPool) -> ObjectWatch:
+        """Follow the objects of one kind and pass them on to entries that follow this one."""
+        kind = terms.kind
         is_probe = kind == CONFIGURATION_KIND
-        return ObjectWatch(
+        relay = ObjectRelay(
+            terms,
+            reader=reader,
+            is_sound=self._follows_store,
+            known_revision=lambda: watch.known_revision,
+            outage_grace_s=OUTAGE_GRACE_S,
+        )
+        direct = StoreKind(pool, self._settings.store_address, kind)
+        source = HubSource(terms, direct, self._hubs, pool, self._log)
+        watch = ObjectWatch(
             kind=kind,
             source=source,
-            reader=reader,
+            reader=relay,
             log=self._log,
             wait_s=self._probe_wait_s if is_probe else lambda: WATCH_WAIT_S,
             pause_s=UPSTREAM_PAUSE_S if kind == UPSTREAM_KIND else CONFIGURATION_PAUSE_S,
@@ -236,15 +245,20 @@
             retry_max_s=PROBE_RETRY_MAX_S if is_probe else WATCH_RETRY_MAX_S,
             on_regained=self._renew_other_watches,
         )
+        self._relays.append(relay)
+        self._sources.append(source)
+        return watch
 
     def _probe_wait_s(self) -> float:
         if not self._hubs.is_hub():
             return WATCH_WAIT_S
         return PROBE_WAIT_SHARE * self._settings.bounds.evacuation_s
 
-    def _follows_upstreams(self) -> bool:
-        is_read_here = self._upstream_watch.is_sound() and self._probe.is_sound()
-        return is_read_here and not self._upstream_source.is_at_substitute
+    def _follows_store(self) -> bool:
+        """Tell whether others may rely on what this entry reads."""
+        if any(each.is_at_substitute for each in self._sources):
+            return False
+        return all(each.is_sound() for each in self._watches)
 
     def _renew_other_watches(self, regained: ObjectWatch) -> None:
         for watch in self._watches:
--- a/gooseberryquay/links/exchange.py
+++ b/gooseberryquay/links/exchange.py
@@ -1,6 +1,7 @@
 """One whole exchange on a kept connection, which can be interrupted."""
 
 import socket
+import threading
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -53,18 +54,21 @@
         self._reader, self._writer = socket.socketpair()
         self._reader.setblocking(False)
         self._is_set = False
+        self._lock = threading.Lock()
 
     def set(self) -> None:
         """Wake the waiting thread, or the next that waits."""
-        if not self._is_set:
-            self._is_set = True
-            self._writer.send(b"x")
+        with self._lock:
+            if not self._is_set:
+                self._is_set = True
+                self._writer.send(b"x")
 
     def clear(self) -> None:
         """Let the next thread wait again."""
-        if self._is_set:
-            self._is_set = False
-            self._reader.recv(1)
+        with self._lock:
+            if self._is_set:
+                self._is_set = False
+                self._reader.recv(1)
 
     def descriptor(self) -> int | None:
         """Give a descriptor that is readable while the interrupt is set."""
--- a/gooseberryquay/platform/settings_file.py
+++ b/gooseberryquay/platform/settings_file.py
@@ -21,6 +21,7 @@
     "bounds.evacuation_ms": "5000",
     "bounds.retry_ratio": "0.2",
     "limits.memory_mb": "128",
+    "limits.link_mbps": "10",
     "seeds": "",
 }
 
@@ -82,6 +83,7 @@
         seeds=fields.read("seeds", _addresses),
         store_address=fields.read("platform.address", parse_address),
         memory_mb=fields.read("limits.memory_mb", float),
+        link_mbps=fields.read("limits.link_mbps", float),
         bounds=NodeBounds(
             grace_s=fields.read("bounds.grace_s", float),
             evacuation_s=fields.read("bounds.evacuation_ms", float) / MS_PER_S,
--- a/gooseberryquay/serving/hubs.py
+++ b/gooseberryquay/serving/hubs.py
@@ -42,6 +42,7 @@
         self._zone = zone
         self._clock = clock
         self._avoided_until_s: dict[EntryId, float] = {}
+        self._on_avoid: list[Callable[[EntryId], None]] = []
         self._owners: dict[UpstreamId, EntryId] = {}
         self._refreshed_at_s = float("-inf")
         self._live: tuple[Peer, ...] = ()
@@ -99,6 +100,12 @@
     def avoid(self, hub: EntryId) -> None:
         """Follow other hubs for a while."""
         self._avoided_until_s[hub] = self._clock() + AVOID_S
+        for listener in self._on_avoid:
+            listener(hub)
+
+    def on_avoid(self, listener: Callable[[EntryId], None]) -> None:
+        """Call back with each hub that is left."""
+        self._on_avoid.append(listener)
 
     def _own_cell(self, cells: list[tuple[Peer, ...]]) -> tuple[Peer, ...]:
         """Give the hubs of this entry's cell, or of one in its zone before it is known."""
--- a/gooseberryquay/serving/object_relay.py
+++ b/gooseberryquay/serving/object_relay.py
@@ -28,9 +28,9 @@
 )
 from gooseberryquay.serving.object_watch import ObjectReader
 
-__all__ = ["HubSource", "ObjectRelay"]
+__all__ = ["HubSource", "ObjectRelay", "RelayTerms"]
 
-RELAY_PATH = "/peers/objects"
+RELAY_PATH = "/peers/objects/"
 # More changes than a large fleet sees between two polls.
 HISTORY_MAX = 512
 # With the slack below, a silent hub is left before the drain bound is over.
@@ -38,6 +38,8 @@
 HUB_SLACK_S = 0.5
 # Beyond these, the store is asked.
 HUBS_TRIED = 2
+# A kind whose list is too large for a hub's link is read from the store for so long.
+TOO_LARGE_S = 60.0
 # How long a hub that cannot reach the store follows another before it tries again.
 SUBSTITUTE_S = 5.0
 # How often a waiting poll looks whether the hub is still sound.
@@ -46,6 +48,7 @@
 MS_PER_S = 1000.0
 HTTP_BAD_REQUEST = 400
 HTTP_GONE = 410
+HTTP_TOO_LARGE = 413
 HTTP_UNAVAILABLE = 503
 
 
@@ -69,6 +72,18 @@
     is_doubtful: bool = Field(alias="q", default=False)
 
 
+@dataclass(frozen=True, slots=True)
+class RelayTerms:
+    """Say how a kind is relayed.
+
+    Polls that wait longer than a hub may be silent rely on another kind's to notice that.
+    """
+
+    kind: str
+    wait_s: float = HUB_WAIT_S
+    reply_bytes_max: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class _Change:
     sequence: int
@@ -84,6 +99,7 @@
 
     def __init__(
         self,
+        terms: RelayTerms,
         *,
         reader: ObjectReader,
         is_sound: Callable[[], bool],
@@ -91,6 +107,7 @@
         outage_grace_s: float,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._terms = terms
         self._outage_grace_s = outage_grace_s
         self._clock = clock
         self._doubtful_until_s = float("-inf")
@@ -106,7 +123,7 @@
 
     def add_routes(self, router: Router) -> None:
         """Serve the other entries."""
-        router.add("GET", RELAY_PATH, self._answer)
+        router.add("GET", RELAY_PATH + self._terms.kind, self._answer)
 
     def read_listing(self, listing: Listing, is_after_outage: bool) -> None:
         """Take in all objects, after which earlier changes can no longer be followed."""
@@ -151,7 +168,8 @@
         return self._wait_for_changes(int(after), int(wait_ms) / MS_PER_S)
 
     def _wait_for_changes(self, after: int, wait_s: float) -> Response:
-        until_s = time.monotonic() + min(wait_s, HUB_WAIT_S)
+        until_s = time.monotonic() + min(wait_s, self._terms.wait_s)
+        check_s = SOUND_CHECK_S if self._terms.wait_s <= HUB_WAIT_S else HUB_WAIT_S
         with self._changed:
             while True:
                 if not self._known_from <= after <= self._sequence:
@@ -162,7 +180,7 @@
                     return self._reply(found)
                 if not self._is_sound():
                     return Response(status=HTTP_UNAVAILABLE, body=b"{}")
-                self._changed.wait(min(left_s, SOUND_CHECK_S))
+                self._changed.wait(min(left_s, check_s))
 
     def _reply(self, objects: list[StoredObject], is_doubtful: bool = False) -> Response:
         records = [
@@ -174,7 +192,10 @@
         message = _ObjectsMessage(
             o=records, at=self._sequence, s=self._known_revision(), q=is_doubtful
         )
-        return Response(body=message.model_dump_json(by_alias=True).encode())
+        body = message.model_dump_json(by_alias=True).encode()
+        if self._terms.reply_bytes_max is not None and len(body) > self._terms.reply_bytes_max:
+            return Response(status=HTTP_TOO_LARGE, body=b"{}")
+        return Response(body=body)
 
 
 class HubSource:
@@ -187,12 +208,15 @@
 
     def __init__(
         self,
+        terms: RelayTerms,
         direct: ObjectSource,
         hubs: HubChoice,
         pool: ConnectionPool,
         log: DecisionLog,
+        *,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._terms = terms
         self._clock = clock
         self._log = log
         self._direct = direct
@@ -202,7 +226,9 @@
         self._substitute_until_s: float | None = None
         # The newest change of this kind that was read, from wherever it came.
         self._seen_revision = 0
+        self._direct_until_s = float("-inf")
         self._interrupt = Interrupt()
+        hubs.on_avoid(self._leave_avoided)
 
     @property
     def is_at_substitute(self) -> bool:
@@ -213,8 +239,11 @@
         """Give all objects, from a hub where there is one."""
         self._followed = None
         self._substitute_until_s = None
+        # The source is chosen anew in any case.
+        self._interrupt.clear()
         if not self._hubs.is_hub():
-            return self._list_from_hubs() or self._list_directly()
+            is_direct = self._clock() < self._direct_until_s
+            return (None if is_direct else self._list_from_hubs()) or self._list_directly()
         listed = self._list_directly()
         if isinstance(listed, Ok) or listed.err_value is SourceFailure.INTERRUPTED:
             return listed
@@ -232,10 +261,13 @@
 
     def _list_from_hubs(self) -> Ok[Listing] | None:
         for hub in self._hubs.usable_hubs()[:HUBS_TRIED]:
-            match self._ask(hub, RELAY_PATH, HUB_SLACK_S):
+            match self._ask(hub, RELAY_PATH + self._terms.kind, HUB_SLACK_S):
+                case Err(SourceFailure.TOO_LARGE):
+                    self._direct_until_s = self._clock() + TOO_LARGE_S
+                    return None
                 case Ok(message) if message.store_revision >= self._seen_revision:
                     self._followed = hub
-                    self._log.dependency("hub", hub.id, is_lost=False)
+                    self._log.dependency("hub", hub.id, is_lost=False, objects=self._terms.kind)
                     objects = tuple(each.stored() for each in message.objects)
                     self._saw(objects)
                     doubtful, store_revision = message.is_doubtful, message.store_revision
@@ -254,14 +286,17 @@
             if isinstance(watched, Ok):
                 self._saw(watched.ok_value.objects)
             return watched
-        poll_s = min(wait_s, HUB_WAIT_S)
-        path = f"{RELAY_PATH}?after={revision}&wait_ms={int(poll_s * MS_PER_S)}"
+        poll_s = min(wait_s, self._terms.wait_s)
+        path = f"{RELAY_PATH}{self._terms.kind}?after={revision}&wait_ms={int(poll_s * MS_PER_S)}"
         match self._ask(hub, path, poll_s + HUB_SLACK_S):
             case Ok(message):
                 objects = tuple(each.stored() for each in message.objects)
                 self._saw(objects)
                 return Ok(Changes(objects, message.sequence, message.store_revision))
-            case Err(SourceFailure.HISTORY_GONE):
+            case Err(SourceFailure.HISTORY_GONE | SourceFailure.INTERRUPTED):
+                return Err(SourceFailure.HISTORY_GONE)
+            case Err(SourceFailure.TOO_LARGE):
+                self._direct_until_s = self._clock() + TOO_LARGE_S
                 return Err(SourceFailure.HISTORY_GONE)
             case _:
                 self._leave(hub.id)
@@ -270,6 +305,8 @@
     def _is_still_to_follow(self, followed: Peer | None) -> bool:
         if self._substitute_until_s is not None:
             return self._hubs.is_hub() and self._clock() < self._substitute_until_s
+        if self._clock() < self._direct_until_s:
+            return followed is None
         hub = self._hubs.my_hub()
         return (hub and hub.id) == (followed and followed.id)
 
@@ -282,16 +319,28 @@
 
         A hub leaves the other that it follows, as it can reach the store again.
         """
-        if self._followed is None:
+        followed = self._followed
+        if followed is None:
             self._direct.interrupt(is_behind)
-        elif is_behind or self.is_at_substitute:
+        elif is_behind:
+            self._note_lost(followed.id)
+            self._hubs.avoid(followed.id)
+        elif self.is_at_substitute:
+            self._interrupt.set()
+
+    def _leave_avoided(self, hub: EntryId) -> None:
+        """Leave a hub that the poll of another kind has found silent or not sound."""
+        if self._followed is not None and self._followed.id == hub:
             self._interrupt.set()
 
     def _leave(self, hub: EntryId) -> None:
-        self._log.dependency("hub", hub, is_lost=True)
+        self._note_lost(hub)
         self._followed = None
         self._hubs.avoid(hub)
 
+    def _note_lost(self, hub: EntryId) -> None:
+        self._log.dependency("hub", hub, is_lost=True, objects=self._terms.kind)
+
     def _ask(
         self, hub: Peer, path: str, timeout_s: float
     ) -> Result[_ObjectsMessage, SourceFailure]:
@@ -302,6 +351,8 @@
                 pass
             case Ok(WholeReply(status=410)):
                 return Err(SourceFailure.HISTORY_GONE)
+            case Ok(WholeReply(status=413)):
+                return Err(SourceFailure.TOO_LARGE)
             case Err(CallerLeft()):
                 self._interrupt.clear()
                 return Err(SourceFailure.INTERRUPTED)
--- a/gooseberryquay/serving/object_source.py
+++ b/gooseberryquay/serving/object_source.py
@@ -18,6 +18,7 @@
     UNREACHABLE = "unreachable"
     MALFORMED = "malformed"
     INTERRUPTED = "interrupted"
+    TOO_LARGE = "too large"
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberryquay/serving/tests/test_hubs.py
+++ b/gooseberryquay/serving/tests/test_hubs.py
@@ -15,7 +15,13 @@
 from gooseberryquay.machines.peer import Peer
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.hubs import HUBS_PER_CELL, MESH_MAX, HubChoice
-from gooseberryquay.serving.object_relay import SUBSTITUTE_S, HubSource, ObjectRelay
+from gooseberryquay.serving.object_relay import (
+    SUBSTITUTE_S,
+    TOO_LARGE_S,
+    HubSource,
+    ObjectRelay,
+    RelayTerms,
+)
 from gooseberryquay.serving.object_source import Listing, SourceFailure, StoredObject
 from gooseberryquay.serving.peer_loads import PeerLoadExchange
 from gooseberryquay.serving.tests.builders import MODEL, FakeClock, build_book, build_record
@@ -23,6 +29,7 @@
 from gooseberryquay.serving.upstream_record import UpstreamState
 
 GRACE_S = 2.0
+TERMS = RelayTerms("servers")
 UNSERVED = Address("127.0.0.1", 1)
 ZONES = ("zone-a", "zone-b", "zone-c")
 
@@ -163,10 +170,11 @@
 
 
 @contextmanager
-def _relay(is_hub):
+def _relay(is_hub, terms=TERMS):
     router = Router()
     clock = FakeClock()
     served = ObjectRelay(
+        terms,
         reader=_Reader(),
         is_sound=lambda: served.is_well,
         known_revision=lambda: served.known,
@@ -182,7 +190,7 @@
     me = next(n for n, each in enumerate(_choices(60)) if each.is_hub() is is_hub)
     hubs = HubChoice(_Members(me, peers), peers[me].zone)
     direct = _Direct()
-    source = HubSource(direct, hubs, ConnectionPool(0.5, 2.0), DecisionLog(), clock)
+    source = HubSource(terms, direct, hubs, ConnectionPool(0.5, 2.0), DecisionLog(), clock=clock)
     yield served, source, direct
     server.stop()
 
@@ -275,6 +283,48 @@
     assert direct.calls == []
 
 
+def test_configuration_too_large_for_a_hubs_link_is_read_from_the_store_for_a_while():
+    with _relay(False, RelayTerms("config", 10.0, reply_bytes_max=200)) as parts:
+        served, source, direct = parts
+        content = {"routes": "x" * 300}
+        served.read_listing(Listing((StoredObject("main", 5, content, False),), 5), False)
+        assert source.list().ok_value.revision == 77
+        assert source.watch(77, 1.0) == Err(SourceFailure.REFUSED)
+        assert direct.calls == ["list", 77]
+        served.clock.now_s += TOO_LARGE_S
+        assert source.watch(77, 1.0) == Err(SourceFailure.HISTORY_GONE)
+
+
+def test_configuration_that_grows_too_large_for_a_hubs_link_is_read_from_the_store():
+    with _relay(False, RelayTerms("config", 10.0, reply_bytes_max=200)) as parts:
+        served, source, direct = parts
+        served.read_listing(Listing((), 5), False)
+        revision = source.list().ok_value.revision
+        served.read_change(StoredObject("main", 6, {"routes": "x" * 300}, False), False)
+        assert source.watch(revision, 1.0) == Err(SourceFailure.HISTORY_GONE)
+        assert source.list().ok_value.revision == 77
+
+
+def test_poll_of_a_quiet_kind_ends_when_another_kind_leaves_the_hub(relay):
+    """A hub that had died held the long poll for configurations beyond their bound."""
+    served, source, _ = relay
+    quiet = HubSource(
+        RelayTerms("servers", 10.0),
+        _Direct(),
+        source._hubs,
+        ConnectionPool(0.5, 2.0),
+        DecisionLog(),
+    )
+    served._terms = RelayTerms("servers", 10.0)
+    served.read_listing(Listing((), 5), False)
+    revision = quiet.list().ok_value.revision
+    source.list()
+    threading.Timer(0.3, lambda: source.interrupt(is_behind=True)).start()
+    began_at_s = time.monotonic()
+    assert quiet.watch(revision, 20.0) == Err(SourceFailure.HISTORY_GONE)
+    assert 0.2 < time.monotonic() - began_at_s < 2.0
+
+
 def test_hub_that_cannot_reach_the_store_follows_another_hub(hub_relay):
     """A hub cut from the store for 12 s kept sending to engines that its peers knew had left."""
     served, source, direct = hub_relay
