--- a/gooseberryquay/platform/tests/test_engine_calls.py
+++ b/gooseberryquay/platform/tests/test_engine_calls.py
@@ -125,6 +125,13 @@
             answer.finish()
 
 
+def _drip(piece):
+    """Give a piece now and then, without end."""
+    while True:
+        time.sleep(0.05)
+        yield piece
+
+
 INTERIM = itertools.repeat(b"HTTP/1.1 102 Processing\r\n\r\n" * 100)
 HEADERS = itertools.chain([b"HTTP/1.1 200 OK\r\n"], (b"X-%d: x\r\n" % n for n in itertools.count()))
 HEAD_LINE = itertools.chain([b"HTTP/1.1 200 "], itertools.repeat(b"x" * 4096))
@@ -138,8 +145,8 @@
 
 @pytest.mark.parametrize(
     "pieces",
-    [INTERIM, HEADERS, HEAD_LINE, GARBAGE, FOREIGN_BODY, FOREIGN_ANSWERS],
-    ids=["interim", "headers", "head line", "garbage", "foreign body", "foreign answers"],
+    [INTERIM, HEADERS, HEAD_LINE, GARBAGE, FOREIGN_BODY, FOREIGN_ANSWERS, _drip(b"H")],
+    ids=["interim", "headers", "head line", "garbage", "foreign body", "foreign answers", "drip"],
 )
 def test_bytes_without_end_before_an_answer_end_in_time_and_close_the_connection(pieces):
     before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
@@ -160,8 +167,8 @@
 
 @pytest.mark.parametrize(
     "pieces",
-    [CHUNKS, CHUNK_EXTENSION, TRAILERS, EMPTY_LINES],
-    ids=["chunks", "chunk extension", "trailers", "tiny chunks"],
+    [CHUNKS, CHUNK_EXTENSION, TRAILERS, EMPTY_LINES, _drip(b"1\r\nx\r\n")],
+    ids=["chunks", "chunk extension", "trailers", "tiny chunks", "drip"],
 )
 def test_body_without_end_ends_in_time(pieces):
     head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: r-1\r\nTransfer-Encoding: chunked\r\n\r\n"
