--- a/gooseberryquay/daemons/tests/test_platform_entry.py
+++ b/gooseberryquay/daemons/tests/test_platform_entry.py
@@ -134,6 +134,23 @@
     assert _ask(entry.ports.callers, "/added/1", {"Authorization": "Bearer another"})[0] == 200
 
 
+def _begin_notes(entry, count):
+    """Ask for notes side by side, and give the list of results and the callers that wait."""
+    results = []
+    callers = [
+        threading.Thread(
+            target=lambda n=n: results.append(
+                call_once(entry.ports.callers, CallKind.NOTE, random.Random(n))
+            )
+        )
+        for n in range(count)
+    ]
+    for caller in callers:
+        caller.start()
+    time.sleep(0.15)
+    return results, callers
+
+
 def _call_ledger(entry, number):
     return _ask(entry.ports.callers, headers={"X-Attempt-Id": f"a-{number}"})[0]
 
@@ -154,18 +171,7 @@
     time.sleep(OUTAGE_SEEN_S)
     for engine in site.engines.values():
         engine.event_s = 0.08
-    results = []
-    callers = [
-        threading.Thread(
-            target=lambda n=n: results.append(
-                call_once(entry.ports.callers, CallKind.NOTE, random.Random(n))
-            )
-        )
-        for n in range(6)
-    ]
-    for caller in callers:
-        caller.start()
-    time.sleep(0.15)
+    results, callers = _begin_notes(entry, 6)
     leaving = list(site.engines.values())[:2]
     for engine in leaving:
         engine.is_leaving = True
@@ -192,18 +198,7 @@
 
 
 def test_generation_moves_when_its_engine_leaves(site, entry):
-    results = []
-    callers = [
-        threading.Thread(
-            target=lambda n=n: results.append(
-                call_once(entry.ports.callers, CallKind.NOTE, random.Random(n))
-            )
-        )
-        for n in range(6)
-    ]
-    for caller in callers:
-        caller.start()
-    time.sleep(0.15)
+    results, callers = _begin_notes(entry, 6)
     for engine in list(site.engines)[:2]:
         site.announce_leave(engine)
     time.sleep(0.3)
--- a/gooseberryquay/links/tests/test_upstream_connection.py
+++ b/gooseberryquay/links/tests/test_upstream_connection.py
@@ -3,15 +3,14 @@
 import socket
 import threading
 import time
-from contextlib import contextmanager, suppress
 
 import pytest
 from result import Err, Ok
 
-from gooseberryquay.contracts.fields import Address
 from gooseberryquay.links.caller_watch import SilentCaller, SocketWatch
 from gooseberryquay.links.connection_pool import ConnectionPool
 from gooseberryquay.links.link_failure import LinkBroken, LinkTimeout
+from gooseberryquay.links.tests.raw_upstream import raw_upstream
 from gooseberryquay.links.upstream_connection import (
     BodyEnd,
     BodyPart,
@@ -23,24 +22,6 @@
 WHOLE = OK_HEAD + b"Content-Length: 2\r\n\r\nhi"
 
 
-@contextmanager
-def _upstream(*answers, then=lambda _connection: None):
-    """Give each request on one connection the next answer."""
-    listener = socket.create_server(("127.0.0.1", 0))
-
-    def serve():
-        with suppress(OSError):
-            connection = listener.accept()[0]
-            for answer in answers:
-                connection.recv(65536)
-                connection.sendall(answer)
-            then(connection)
-
-    threading.Thread(target=serve, daemon=True).start()
-    yield Address(*listener.getsockname())
-    listener.close()
-
-
 def _open(address):
     connection = UpstreamConnection(address, 1.0, 4.0)
     assert connection.connect(1.0) is None
@@ -71,7 +52,7 @@
 
 
 def test_connection_is_kept_after_a_framed_answer():
-    with _upstream(WHOLE, WHOLE) as address:
+    with raw_upstream(WHOLE, WHOLE) as address:
         connection = _open(address)
         for _ in range(2):
             _send(connection)
@@ -90,7 +71,7 @@
     ],
 )
 def test_cut_or_malformed_answer_is_broken(cut):
-    with _upstream(cut, then=lambda each: each.close()) as address:
+    with raw_upstream(cut, then=lambda each: each.close()) as address:
         connection = _open(address)
         _send(connection)
         assert isinstance(_read(connection)[1], LinkBroken)
@@ -98,7 +79,7 @@
 
 
 def test_answer_without_a_length_ends_with_its_connection():
-    with _upstream(OK_HEAD + b"\r\nhi", then=lambda each: each.close()) as address:
+    with raw_upstream(OK_HEAD + b"\r\nhi", then=lambda each: each.close()) as address:
         connection = _open(address)
         _send(connection)
         assert _read(connection) == (b"hi", BodyEnd.CLOSED)
@@ -112,7 +93,7 @@
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         connection.close()
 
-    with _upstream(OK_HEAD + b"\r\nhi", then=reset) as address:
+    with raw_upstream(OK_HEAD + b"\r\nhi", then=reset) as address:
         connection = _open(address)
         _send(connection)
         body, end = _read(connection)
@@ -121,7 +102,7 @@
 
 
 def test_bytes_after_an_answer_end_the_connection():
-    with _upstream(WHOLE + WHOLE) as address:
+    with raw_upstream(WHOLE + WHOLE) as address:
         connection = _open(address)
         _send(connection)
         assert _read(connection) == (b"hi", BodyEnd.FRAMED)
@@ -129,7 +110,7 @@
 
 
 def test_bytes_that_arrive_on_an_idle_connection_end_it():
-    with _upstream(WHOLE, then=lambda each: (time.sleep(0.1), each.sendall(WHOLE))) as address:
+    with raw_upstream(WHOLE, then=lambda each: (time.sleep(0.1), each.sendall(WHOLE))) as address:
         pool = ConnectionPool(1.0, 4.0)
         connection = pool.new(address)
         connection.connect(1.0)
@@ -142,7 +123,7 @@
 
 def test_another_answer_may_follow_one_that_belongs_to_another_request():
     late = OK_HEAD + b"Content-Length: 4\r\n\r\nlate"
-    with _upstream(late + WHOLE) as address:
+    with raw_upstream(late + WHOLE) as address:
         connection = _open(address)
         _send(connection)
         assert _read(connection)[0] == b"late"
@@ -152,7 +133,7 @@
 
 def test_early_answer_to_a_long_body_ends_the_connection():
     """An upstream that answers early reads other bytes where the rest of the body is due."""
-    with _upstream(WHOLE, then=lambda _: time.sleep(2.0)) as address:
+    with raw_upstream(WHOLE, then=lambda _: time.sleep(2.0)) as address:
         connection = _open(address)
         assert _send(connection, b"x" * 32_000_000, timeout_s=2.0) is None
         assert _read(connection)[0] == b"hi"
@@ -160,7 +141,7 @@
 
 
 def test_silence_is_a_timeout():
-    with _upstream(b"", then=lambda _: time.sleep(1.0)) as address:
+    with raw_upstream(b"", then=lambda _: time.sleep(1.0)) as address:
         connection = _open(address)
         _send(connection)
         assert isinstance(_read(connection, timeout_s=0.1)[1], LinkTimeout)
@@ -169,7 +150,7 @@
 def test_leaving_caller_ends_the_wait_at_once():
     ours, theirs = socket.socketpair()
     ours.settimeout(5.0)
-    with _upstream(b"", then=lambda _: time.sleep(2.0)) as address:
+    with raw_upstream(b"", then=lambda _: time.sleep(2.0)) as address:
         connection = _open(address)
         _send(connection)
         threading.Timer(0.1, theirs.close).start()
--- a/gooseberryquay/platform/tests/test_engine_calls.py
+++ b/gooseberryquay/platform/tests/test_engine_calls.py
@@ -14,6 +14,7 @@
 from gooseberryquay.links.caller_watch import SilentCaller
 from gooseberryquay.links.connection_pool import ConnectionPool
 from gooseberryquay.links.exchange import WholeRequest, exchange
+from gooseberryquay.links.tests.raw_upstream import raw_upstream
 from gooseberryquay.links.upstream_connection import BodyPart
 from gooseberryquay.platform.engine_calls import EngineCalls
 from gooseberryquay.serving.ports import SendTerms, Undecided
@@ -23,25 +24,6 @@
 # A thread may be woken late on a busy machine.
 SLACK_S = 1.0
 RESIDENT_GROWTH_KB_MAX = 64 * 1024
-MANY = 2000
-
-
-@contextmanager
-def _engine_of_requests(*answers):
-    """Give each request on one connection the next answer."""
-    listener = socket.create_server(("127.0.0.1", 0))
-
-    def serve():
-        with suppress(OSError):
-            connection = listener.accept()[0]
-            for answer in answers:
-                connection.recv(65536)
-                connection.sendall(answer)
-            connection.recv(1)
-
-    threading.Thread(target=serve, daemon=True).start()
-    yield Address(*listener.getsockname())
-    listener.close()
 
 
 @contextmanager
@@ -110,7 +92,7 @@
 def test_late_copy_on_a_connection_in_use_again_is_not_taken_for_the_answer(late):
     """The copy comes between the look at the kept connection and its next request."""
     copy = f"HTTP/1.1 200 OK\r\n{late}Content-Length: 5\r\n\r\nother".encode()
-    with _engine_of_requests(_answer(200), copy + _answer(200)) as address:
+    with raw_upstream(_answer(200), copy + _answer(200)) as address:
         calls = EngineCalls(ConnectionPool(1.0, 4.0))
         record = build_record("engine-1", address=address)
         for number in range(2):
