Share a hub's link by its cell, compress lists, serve those that the store refuses

The limit is now shared by the cell as it is, lists are compressed, and an entry that the store refuses takes a large list from a hub all the same.

--- a/gooseberryquay/contracts/node_settings.py
+++ b/gooseberryquay/contracts/node_settings.py
@@ -14,6 +14,7 @@
 
     grace_s: float
     evacuation_s: float
+    config_apply_s: float
     retry_ratio: float
 
 
--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -31,7 +31,7 @@
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.generation_flow import GenerationFlow
 from gooseberryquay.serving.generation_queue import GenerationQueue
-from gooseberryquay.serving.hubs import CELL_MAX, HubChoice
+from gooseberryquay.serving.hubs import HubChoice
 from gooseberryquay.serving.leave_probe import LeaveProbe
 from gooseberryquay.serving.leave_state import LeaveState
 from gooseberryquay.serving.list_readers import UpstreamListReader, ZoneListReader
@@ -71,8 +71,8 @@
 WATCH_RETRY_MAX_S = 10.0
 # The short polls for upstreams notice a hub that is silent, and end those for the other kinds.
 QUIET_POLL_S = 10.0
-# What a hub passes on to its whole cell within this time leaves most of each bound.
-RELAY_SPAN_S = 0.5
+# What a hub passes on to its whole cell within this share of the bound leaves time for the rest.
+RELAY_SHARE = 0.2
 BITS_PER_MBIT = 1_000_000
 BITS_PER_BYTE = 8
 # Entries that lapsed during an outage are back within about two seconds.
@@ -212,9 +212,8 @@
         self._routing.on_change(self._take_limits)
         pool = ConnectionPool(STORE_CONNECT_TIMEOUT_S, STORE_IDLE_LIMIT_S)
         link_bytes_per_s = self._settings.link_mbps * BITS_PER_MBIT / BITS_PER_BYTE
-        configuration = RelayTerms(
-            CONFIGURATION_KIND, QUIET_POLL_S, int(RELAY_SPAN_S * link_bytes_per_s / CELL_MAX)
-        )
+        relay_bytes_max = int(RELAY_SHARE * self._settings.bounds.config_apply_s * link_bytes_per_s)
+        configuration = RelayTerms(CONFIGURATION_KIND, QUIET_POLL_S, relay_bytes_max)
         return [
             self._watch(configuration, self._routing, pool),
             self._watch(RelayTerms(EVACUATION_KIND, QUIET_POLL_S), zones, pool),
@@ -231,6 +230,7 @@
             is_sound=self._follows_store,
             known_revision=lambda: watch.known_revision,
             outage_grace_s=OUTAGE_GRACE_S,
+            cell_size=self._hubs.cell_size,
         )
         direct = StoreKind(pool, self._settings.store_address, kind)
         source = HubSource(terms, direct, self._hubs, pool, self._log)
--- a/gooseberryquay/platform/settings_file.py
+++ b/gooseberryquay/platform/settings_file.py
@@ -19,6 +19,7 @@
 DEFAULTS = {
     "bounds.grace_s": "8",
     "bounds.evacuation_ms": "5000",
+    "bounds.config_apply_ms": "2000",
     "bounds.retry_ratio": "0.2",
     "limits.memory_mb": "128",
     "limits.link_mbps": "10",
@@ -87,6 +88,7 @@
         bounds=NodeBounds(
             grace_s=fields.read("bounds.grace_s", float),
             evacuation_s=fields.read("bounds.evacuation_ms", float) / MS_PER_S,
+            config_apply_s=fields.read("bounds.config_apply_ms", float) / MS_PER_S,
             retry_ratio=fields.read("bounds.retry_ratio", float),
         ),
     )
--- a/gooseberryquay/serving/hubs.py
+++ b/gooseberryquay/serving/hubs.py
@@ -48,6 +48,7 @@
         self._live: tuple[Peer, ...] = ()
         self._hubs: tuple[Peer, ...] = ()
         self._cell: tuple[Peer, ...] = ()
+        self._cell_size = 1
         self._lock = threading.Lock()
 
     def entry_count(self) -> int:
@@ -55,6 +56,11 @@
         self._refresh()
         return max(1, len(self._live))
 
+    def cell_size(self) -> int:
+        """Give the number of entries that share this entry's hub, the hub included."""
+        self._refresh()
+        return self._cell_size
+
     def is_hub(self) -> bool:
         """Tell whether this entry follows the store itself and serves others."""
         myself = self._membership.myself().id
@@ -108,11 +114,11 @@
         self._on_avoid.append(listener)
 
     def _own_cell(self, cells: list[tuple[Peer, ...]]) -> tuple[Peer, ...]:
-        """Give the hubs of this entry's cell, or of one in its zone before it is known."""
+        """Give this entry's cell, its hubs first, or one of its zone before it is known."""
         myself = self._membership.myself().id
         own = [cell for cell in cells if any(each.id == myself for each in cell)]
         near = own or [cell for cell in cells if cell[0].zone == self._zone]
-        return near[0][:HUBS_PER_CELL] if near else ()
+        return near[0] if near else ()
 
     def _refresh(self) -> None:
         now_s = self._clock()
@@ -124,7 +130,8 @@
             self._live = self._membership.live()
             cells = _cells_of(self._live)
             self._hubs = tuple(each for cell in cells for each in cell[:HUBS_PER_CELL])
-            self._cell = self._own_cell(cells)
+            own = self._own_cell(cells)
+            self._cell, self._cell_size = own[:HUBS_PER_CELL], max(1, len(own))
             if len(self._live) <= MESH_MAX:
                 self._hubs = self._live
             if self._hubs != former or len(self._owners) > OWNERS_MAX:
--- a/gooseberryquay/serving/object_relay.py
+++ b/gooseberryquay/serving/object_relay.py
@@ -3,6 +3,7 @@
 import random
 import threading
 import time
+import zlib
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
@@ -45,6 +46,10 @@
 # How often a waiting poll looks whether the hub is still sound.
 SOUND_CHECK_S = 0.25
 SEQUENCE_BITS = 40
+# Names and keys are random; more effort hardly makes them smaller.
+COMPRESSION_LEVEL = 1
+COMPRESSED_TYPE = "application/octet-stream"
+LIST_BYTES_MAX = 16 * 1024 * 1024
 MS_PER_S = 1000.0
 HTTP_BAD_REQUEST = 400
 HTTP_GONE = 410
@@ -81,7 +86,8 @@
 
     kind: str
     wait_s: float = HUB_WAIT_S
-    reply_bytes_max: int | None = None
+    # What the link may carry for all entries of a cell together.
+    cell_bytes_max: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,9 +111,11 @@
         is_sound: Callable[[], bool],
         known_revision: Callable[[], int],
         outage_grace_s: float,
+        cell_size: Callable[[], int] = lambda: 1,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._terms = terms
+        self._cell_size = cell_size
         self._outage_grace_s = outage_grace_s
         self._clock = clock
         self._doubtful_until_s = float("-inf")
@@ -161,11 +169,24 @@
         if self._listing is None or not self._is_sound():
             return Response(status=HTTP_UNAVAILABLE, body=b"{}")
         if after is None:
-            with self._changed:
-                objects = list(self._objects.values())
-                # What lapsed in the outage is back by then.
-                return self._reply(objects, self._clock() < self._doubtful_until_s)
-        return self._wait_for_changes(int(after), int(wait_ms) / MS_PER_S)
+            response = self._reply_with_list()
+        else:
+            response = self._wait_for_changes(int(after), int(wait_ms) / MS_PER_S)
+        if "large" not in request.query and self._is_too_large(response):
+            return Response(status=HTTP_TOO_LARGE, body=b"{}")
+        return response
+
+    def _is_too_large(self, response: Response) -> bool:
+        limit = self._terms.cell_bytes_max
+        if limit is None or not isinstance(response.body, bytes):
+            return False
+        return len(response.body) * self._cell_size() > limit
+
+    def _reply_with_list(self) -> Response:
+        with self._changed:
+            # What lapsed in the outage is back by then.
+            is_doubtful = self._clock() < self._doubtful_until_s
+            return self._reply(list(self._objects.values()), is_doubtful)
 
     def _wait_for_changes(self, after: int, wait_s: float) -> Response:
         until_s = time.monotonic() + min(wait_s, self._terms.wait_s)
@@ -192,16 +213,15 @@
         message = _ObjectsMessage(
             o=records, at=self._sequence, s=self._known_revision(), q=is_doubtful
         )
-        body = message.model_dump_json(by_alias=True).encode()
-        if self._terms.reply_bytes_max is not None and len(body) > self._terms.reply_bytes_max:
-            return Response(status=HTTP_TOO_LARGE, body=b"{}")
-        return Response(body=body)
+        body = zlib.compress(message.model_dump_json(by_alias=True).encode(), COMPRESSION_LEVEL)
+        return Response(body=body, content_type=COMPRESSED_TYPE)
 
 
 class HubSource:
     """Follow a hub while there is a sound one, and the store itself otherwise.
 
-    A hub follows the store, and another hub while it cannot reach the store itself. Sequences of a
+    A hub follows the store, and so does an entry whose hub cannot pass on so large a list; both
+    follow a hub while they cannot reach the store themselves. Sequences of a
     hub and revisions of the store do not compare, so each change of source starts with a list. A
     list that is older than what is known is not taken.
     """
@@ -232,7 +252,7 @@
 
     @property
     def is_at_substitute(self) -> bool:
-        """Tell whether this entry, a hub itself, follows another as it cannot reach the store."""
+        """Tell whether this entry follows a hub only because it cannot reach the store."""
         return self._substitute_until_s is not None
 
     def list(self) -> Result[Listing, SourceFailure]:
@@ -241,13 +261,12 @@
         self._substitute_until_s = None
         # The source is chosen anew in any case.
         self._interrupt.clear()
-        if not self._hubs.is_hub():
-            is_direct = self._clock() < self._direct_until_s
-            return (None if is_direct else self._list_from_hubs()) or self._list_directly()
+        if not self._hubs.is_hub() and self._clock() >= self._direct_until_s:
+            return self._list_from_hubs() or self._list_directly()
         listed = self._list_directly()
         if isinstance(listed, Ok) or listed.err_value is SourceFailure.INTERRUPTED:
             return listed
-        substitute = self._list_from_hubs()
+        substitute = self._list_from_hubs("?large=1")
         if substitute is None:
             return listed
         self._substitute_until_s = self._clock() + SUBSTITUTE_S
@@ -259,9 +278,9 @@
             self._saw(listed.ok_value.objects)
         return listed
 
-    def _list_from_hubs(self) -> Ok[Listing] | None:
+    def _list_from_hubs(self, query: str = "") -> Ok[Listing] | None:
         for hub in self._hubs.usable_hubs()[:HUBS_TRIED]:
-            match self._ask(hub, RELAY_PATH + self._terms.kind, HUB_SLACK_S):
+            match self._ask(hub, RELAY_PATH + self._terms.kind + query, HUB_SLACK_S):
                 case Err(SourceFailure.TOO_LARGE):
                     self._direct_until_s = self._clock() + TOO_LARGE_S
                     return None
@@ -288,6 +307,7 @@
             return watched
         poll_s = min(wait_s, self._terms.wait_s)
         path = f"{RELAY_PATH}{self._terms.kind}?after={revision}&wait_ms={int(poll_s * MS_PER_S)}"
+        path += "&large=1" if self.is_at_substitute else ""
         match self._ask(hub, path, poll_s + HUB_SLACK_S):
             case Ok(message):
                 objects = tuple(each.stored() for each in message.objects)
@@ -304,7 +324,7 @@
 
     def _is_still_to_follow(self, followed: Peer | None) -> bool:
         if self._substitute_until_s is not None:
-            return self._hubs.is_hub() and self._clock() < self._substitute_until_s
+            return self._clock() < self._substitute_until_s
         if self._clock() < self._direct_until_s:
             return followed is None
         hub = self._hubs.my_hub()
@@ -359,6 +379,7 @@
             case _:
                 return Err(SourceFailure.UNREACHABLE)
         try:
-            return Ok(_ObjectsMessage.model_validate_json(body))
-        except ValidationError:
+            plain = zlib.decompressobj().decompress(body, LIST_BYTES_MAX)
+            return Ok(_ObjectsMessage.model_validate_json(plain))
+        except (zlib.error, ValidationError):
             return Err(SourceFailure.MALFORMED)
--- a/gooseberryquay/serving/tests/test_hubs.py
+++ b/gooseberryquay/serving/tests/test_hubs.py
@@ -1,5 +1,6 @@
 """Entries that follow the store for others, and those that follow them."""
 
+import random
 import threading
 import time
 from contextlib import contextmanager
@@ -31,6 +32,8 @@
 GRACE_S = 2.0
 TERMS = RelayTerms("servers")
 UNSERVED = Address("127.0.0.1", 1)
+# Does not get smaller when it is compressed.
+NOISE = random.Random(1).randbytes(300).hex()
 ZONES = ("zone-a", "zone-b", "zone-c")
 
 
@@ -284,9 +287,9 @@
 
 
 def test_configuration_too_large_for_a_hubs_link_is_read_from_the_store_for_a_while():
-    with _relay(False, RelayTerms("config", 10.0, reply_bytes_max=200)) as parts:
+    with _relay(False, RelayTerms("config", 10.0, cell_bytes_max=200)) as parts:
         served, source, direct = parts
-        content = {"routes": "x" * 300}
+        content = {"routes": NOISE}
         served.read_listing(Listing((StoredObject("main", 5, content, False),), 5), False)
         assert source.list().ok_value.revision == 77
         assert source.watch(77, 1.0) == Err(SourceFailure.REFUSED)
@@ -296,15 +299,34 @@
 
 
 def test_configuration_that_grows_too_large_for_a_hubs_link_is_read_from_the_store():
-    with _relay(False, RelayTerms("config", 10.0, reply_bytes_max=200)) as parts:
+    with _relay(False, RelayTerms("config", 10.0, cell_bytes_max=200)) as parts:
         served, source, direct = parts
         served.read_listing(Listing((), 5), False)
         revision = source.list().ok_value.revision
-        served.read_change(StoredObject("main", 6, {"routes": "x" * 300}, False), False)
+        served.read_change(StoredObject("main", 6, {"routes": NOISE}, False), False)
         assert source.watch(revision, 1.0) == Err(SourceFailure.HISTORY_GONE)
         assert source.list().ok_value.revision == 77
 
 
+def test_entry_that_cannot_reach_the_store_gets_what_is_too_large_from_a_hub():
+    """Entries that the store refused for 9 s kept their configuration (large trouble-1, small)."""
+    with _relay(False, RelayTerms("config", 10.0, cell_bytes_max=200)) as parts:
+        served, source, direct = parts
+        content = {"routes": NOISE}
+        served.read_listing(Listing((StoredObject("main", 5, content, False),), 5), False)
+        assert source.list().ok_value.revision == 77
+        direct.listing = Err(SourceFailure.REFUSED)
+        listing = source.list().ok_value
+        assert [each.name for each in listing.objects] == ["main"]
+        served.read_change(StoredObject("main", 6, content, False), False)
+        assert len(source.watch(listing.revision, 1.0).ok_value.objects) == 1
+
+
+def test_limit_of_a_relayed_list_is_shared_by_the_cell():
+    small, large = _choices(12)[0], _choices(60)[0]
+    assert (small.cell_size(), large.cell_size()) == (4, 20)
+
+
 def test_poll_of_a_quiet_kind_ends_when_another_kind_leaves_the_hub(relay):
     """A hub that had died held the long poll for configurations beyond their bound."""
     served, source, _ = relay
