--- a/gooseberryquay/daemons/tests/test_platform_entry.py
+++ b/gooseberryquay/daemons/tests/test_platform_entry.py
@@ -134,6 +134,15 @@
     assert _ask(entry.ports.callers, "/added/1", {"Authorization": "Bearer another"})[0] == 200
 
 
+def test_stream_that_broke_off_does_not_look_complete_to_the_callers_client(site, entry):
+    for engine in site.engines.values():
+        engine.faults.cut_share = 1.0
+    for number in range(4):
+        headers = {"X-Attempt-Id": f"cut-{number}", "X-Model": "m", "X-Token-Usage": "100,40"}
+        with pytest.raises((http.client.IncompleteRead, ConnectionResetError)):
+            _ask(entry.ports.callers, "/note/1", headers, "POST", b"{}")
+
+
 def _begin_notes(entry, count):
     """Ask for notes side by side, and give the list of results and the callers that wait."""
     results = []
--- a/gooseberryquay/links/tests/test_upstream_connection.py
+++ b/gooseberryquay/links/tests/test_upstream_connection.py
@@ -78,6 +78,26 @@
         assert not connection.is_reusable
 
 
+def _reset(connection):
+    linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    connection.close()
+
+
+CHUNKED = OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n2\r\nho\r\n0\r\n\r\n"
+
+
+@pytest.mark.parametrize("end", [socket.socket.close, _reset], ids=["close", "reset"])
+@pytest.mark.parametrize("answer", [WHOLE, CHUNKED], ids=["length", "chunks"])
+def test_answer_cut_at_any_byte_is_never_whole(answer, end):
+    for cut in range(len(answer)):
+        with raw_upstream(answer[:cut], then=end) as address:
+            connection = _open(address)
+            _send(connection)
+            assert isinstance(_read(connection)[1], LinkBroken), cut
+            assert not connection.is_reusable
+
+
 def test_answer_without_a_length_ends_with_its_connection():
     with raw_upstream(OK_HEAD + b"\r\nhi", then=lambda each: each.close()) as address:
         connection = _open(address)
@@ -89,9 +109,7 @@
 def test_answer_without_a_length_that_is_reset_is_not_complete():
     def reset(connection):
         time.sleep(0.1)
-        linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        connection.close()
+        _reset(connection)
 
     with raw_upstream(OK_HEAD + b"\r\nhi", then=reset) as address:
         connection = _open(address)
