Bear SIGHUP while an entry loads its modules

Its log ends with 'stopped' and holds no error, its restart never wrote 'started'. A settings change on the users' platform (hup) meets the same. SIGHUP is now ignored until the handler is there, which comes before the settings are read. What is left: the some 20 ms before Python runs the first line. Test fails on the former code for both ways to start.

--- a/gooseberryquay/daemons/__main__.py
+++ b/gooseberryquay/daemons/__main__.py
@@ -1,5 +1,9 @@
 """Run the entry as `python -m gooseberryquay.daemons`, without the rest of the command line."""
 
-from gooseberryquay.daemons.platform_commands import run_platform_entry
+from gooseberryquay.early_signals import ignore_reload
+
+ignore_reload()
+
+from gooseberryquay.daemons.platform_commands import run_platform_entry  # noqa: E402
 
 run_platform_entry()
--- a/gooseberryquay/daemons/platform_commands.py
+++ b/gooseberryquay/daemons/platform_commands.py
@@ -23,21 +23,22 @@
 def run_platform_entry(path: str | None = None) -> None:
     """Serve callers until SIGTERM, then drain."""
     path = path or os.environ.get(SETTINGS_VARIABLE, "")
+    settings_changed = threading.Event()
+    # Before the settings are read, so that no change of theirs is missed.
+    signal.signal(signal.SIGHUP, lambda *_: settings_changed.set())
     match read_settings(path):
         case Err(problem):
             print(problem, file=sys.stderr)
             sys.exit(1)
         case Ok(settings):
-            _serve(settings, path)
+            _serve(settings, path, settings_changed)
 
 
-def _serve(settings: NodeSettings, path: str) -> None:
+def _serve(settings: NodeSettings, path: str, settings_changed: threading.Event) -> None:
     log = DecisionLog(set_up_decision_log(settings.id))
     stopped = threading.Event()
-    settings_changed = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stopped.set())
     signal.signal(signal.SIGINT, lambda *_: stopped.set())
-    signal.signal(signal.SIGHUP, lambda *_: settings_changed.set())
     try:
         entry = PlatformEntry(settings, log)
         entry.start()
--- a/gooseberryquay/daemons/tests/test_platform_entry.py
+++ b/gooseberryquay/daemons/tests/test_platform_entry.py
@@ -346,3 +346,31 @@
     (ended,) = [each for each in lines if each.get("request") == result.id]
     assert (ended["message"], ended["outcome"]) == ("request ended", "answered 200")
     assert {"version", "upstream", "route", "took_ms"} <= ended.keys()
+
+
+RELOAD_WHILE_LOADING = """
+import os, runpy, signal, sys
+
+class Reload:
+    def find_spec(self, name, path, target=None):
+        if name == "pydantic":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Reload())
+sys.argv = ["gooseberryquay", "entry", "--node_settings=/nonexistent/settings.conf"]
+runpy.run_module(os.environ["MODULE"], run_name="__main__", alter_sys=True)
+"""
+
+
+@pytest.mark.parametrize("module", ["gooseberryquay", "gooseberryquay.daemons"])
+def test_settings_that_change_while_an_entry_starts_do_not_end_it(module):
+    """Soak seed 3 beside load: an entry was told of new settings while it loaded, and was gone."""
+    ended = subprocess.run(
+        [sys.executable, "-c", RELOAD_WHILE_LOADING],
+        env={"MODULE": module, "GOOSEBERRYQUAY_SETTINGS": "/nonexistent/settings.conf"},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert ended.returncode == 1
+    assert "/nonexistent/settings.conf" in ended.stderr
