One rendezvous hash in place of four

machines/rendezvous.py stood beside hashes of their own in owned_claims, watcher_choice and subset, and its subset_of was used by its test alone; that test now holds SubsetRule to the same. Owners of shards change once as versions mix: the conditional write decides, as before.

--- a/gooseberryquay/machines/subset.py
+++ b/gooseberryquay/machines/subset.py
@@ -3,10 +3,9 @@
 from collections import defaultdict
 from collections.abc import Sequence
 
-import xxhash
-
 from gooseberryquay.contracts.upstream import UpstreamDeclaration
 from gooseberryquay.ids import EntryId, ZoneId
+from gooseberryquay.machines.rendezvous import member_weight
 
 __all__ = ["SubsetRule"]
 
@@ -22,7 +21,9 @@
         """Give at most `size` upstreams; all of them where there are no more."""
         if len(upstreams) <= self._size:
             return tuple(upstreams)
-        ranked = sorted(upstreams, key=self._rank)
+        ranked = sorted(
+            upstreams, key=lambda each: member_weight(self._entry, each.id), reverse=True
+        )
         by_zone: dict[ZoneId, list[UpstreamDeclaration]] = defaultdict(list)
         for upstream in ranked:
             by_zone[upstream.zone].append(upstream)
@@ -35,6 +36,3 @@
                 if turn < len(upstreams) and len(chosen) < self._size:
                     chosen.append(upstreams[turn])
         return chosen
-
-    def _rank(self, upstream: UpstreamDeclaration) -> int:
-        return xxhash.xxh64_intdigest(f"{self._entry}\n{upstream.id}".encode())
--- a/gooseberryquay/machines/tests/test_rendezvous.py
+++ b/gooseberryquay/machines/tests/test_rendezvous.py
@@ -1,7 +1,8 @@
 from collections import Counter
 
 from gooseberryquay.ids import EntryId
-from gooseberryquay.machines.rendezvous import first_owners, owner_of, subset_of
+from gooseberryquay.machines.rendezvous import first_owners, owner_of
+from gooseberryquay.machines.subset import SubsetRule
 from gooseberryquay.machines.tests.member_builders import a_peer, an_upstream
 
 KEYS = [f"key-{number}" for number in range(1000)]
@@ -28,7 +29,7 @@
     upstreams = [an_upstream(f"engine-{number}") for number in range(200)]
     readers = Counter()
     for number in range(100):
-        subset = subset_of(EntryId(f"entry-{number}"), upstreams, 30)
+        subset = SubsetRule(EntryId(f"entry-{number}"), 30).choose(upstreams)
         assert len(subset) == 30
         readers.update(each.id for each in subset)
     assert len(readers) == 200
--- a/gooseberryquay/postings/owned_claims.py
+++ b/gooseberryquay/postings/owned_claims.py
@@ -3,7 +3,6 @@
 import threading
 import time
 
-import xxhash
 from pydantic import ValidationError
 from result import Err, Ok, Result
 
@@ -13,6 +12,7 @@
 from gooseberryquay.links.http_server import Request, Response, Router
 from gooseberryquay.links.platform_link import PlatformLink
 from gooseberryquay.machines.peer import Peer, Peers
+from gooseberryquay.machines.rendezvous import owner_of
 from gooseberryquay.postings.claim_index import FREE, KeyState
 from gooseberryquay.postings.claim_logs import ClaimLogs
 from gooseberryquay.postings.claims import AppendFailure, AppendUncertain, KeysFull, NotAppended
@@ -27,10 +27,8 @@
 
 
 def choose_owner(shard: int, live: tuple[Peer, ...]) -> Peer | None:
-    """Choose a shard's owner by rendezvous hash."""
-    return max(
-        live, key=lambda each: xxhash.xxh3_64_intdigest(f"{shard}/{each.id}".encode()), default=None
-    )
+    """Choose a shard's owner, or None while no entry is known to live."""
+    return owner_of(str(shard), live) if live else None
 
 
 class OwnedClaims:
--- a/gooseberryquay/zones/watcher_choice.py
+++ b/gooseberryquay/zones/watcher_choice.py
@@ -2,17 +2,15 @@
 
 from collections.abc import Sequence
 
-import xxhash
-
 from gooseberryquay.ids import EntryId
 from gooseberryquay.machines.peer import Peer
+from gooseberryquay.machines.rendezvous import first_owners
 
 __all__ = ["choose_watchers"]
 
-SALT = "configuration-watch"
+WATCH_KEY = "configuration-watch"
 
 
 def choose_watchers(live: Sequence[Peer], count: int) -> frozenset[EntryId]:
-    """Choose a few live entries by rendezvous hashing."""
-    ranked = sorted(live, key=lambda peer: xxhash.xxh64_intdigest(f"{SALT}:{peer.id}".encode()))
-    return frozenset(peer.id for peer in ranked[:count])
+    """Choose a few live entries, on which all agree."""
+    return frozenset(peer.id for peer in first_owners(WATCH_KEY, live, count))
