Log a request's fingerprint, so that repeats of one request can be joined

Before, no line told that two requests were one request sent again: each repeat carries an id of its own. The lines that name an end, a refusal or a broken attempt now carry a digest of workspace, method, host, target and body.

--- a/gooseberryquay/ids.py
+++ b/gooseberryquay/ids.py
@@ -7,6 +7,7 @@
     "ClaimToken",
     "EntryId",
     "FencingNumber",
+    "Fingerprint",
     "GenerationId",
     "IdempotencyKey",
     "Incarnation",
@@ -25,6 +26,7 @@
 ClaimToken = NewType("ClaimToken", str)
 EntryId = NewType("EntryId", str)
 FencingNumber = NewType("FencingNumber", int)
+Fingerprint = NewType("Fingerprint", str)
 GenerationId = NewType("GenerationId", str)
 IdempotencyKey = NewType("IdempotencyKey", str)
 Incarnation = NewType("Incarnation", int)
--- a/gooseberryquay/serving/accepted.py
+++ b/gooseberryquay/serving/accepted.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from gooseberryquay.ids import ServiceId
+from gooseberryquay.ids import Fingerprint, ServiceId
 from gooseberryquay.links.caller_watch import CallerWatch
 from gooseberryquay.serving.call import Call
 from gooseberryquay.serving.ports import RequestAnswer
@@ -23,3 +23,4 @@
     until_s: float
     caller: CallerWatch
     answer: RequestAnswer
+    fingerprint: Fingerprint
--- a/gooseberryquay/serving/call_flow.py
+++ b/gooseberryquay/serving/call_flow.py
@@ -226,6 +226,7 @@
         self._log.request(
             "attempt failed",
             request.call.id,
+            fingerprint=request.fingerprint,
             upstream=known.record.id,
             upstream_state=known.record.state.value,
             announced_age_s=round(time.monotonic() - known.announced_at_s, 2),
--- a/gooseberryquay/serving/generation_flow.py
+++ b/gooseberryquay/serving/generation_flow.py
@@ -313,7 +313,13 @@
                 code = RefusalReason.TIMED_OUT if attempts.runs else RefusalReason.DEADLINE_PAST
             return Refusal(code, attempts.reason, RETRY_AFTER_S)
         reason = "out of time" if is_late else attempts.reason
-        self._log.failure("stream aborted", request.call.id, reason=reason, last=progress.last_id)
+        self._log.failure(
+            "stream aborted",
+            request.call.id,
+            fingerprint=request.fingerprint,
+            reason=reason,
+            last=progress.last_id,
+        )
         request.answer.abort()
         return None
 
@@ -359,6 +365,7 @@
         self._log.request(
             event,
             active.request.call.id,
+            fingerprint=active.request.fingerprint,
             upstream=known.record.id,
             upstream_state="gone" if known.is_gone else known.record.state.value,
             move=active.state.value,
--- a/gooseberryquay/serving/request_path.py
+++ b/gooseberryquay/serving/request_path.py
@@ -11,6 +11,7 @@
 from gooseberryquay.serving.call import Call
 from gooseberryquay.serving.call_flow import CallFlow, WholeAnswer
 from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.fingerprint import fingerprint_of
 from gooseberryquay.serving.generation_flow import GenerationFlow
 from gooseberryquay.serving.leave_state import LeaveState
 from gooseberryquay.serving.ports import RequestAnswer, RoutingSource
@@ -78,8 +79,9 @@
             return Refusal(reason, "this entry is draining", LEAVING_RETRY_AFTER_S)
         until_s = min(call.deadline_at_s, call.arrived_at_s + route.timeout_s)
         service = route.pick_service(self._random)
+        fingerprint = fingerprint_of(call, _id_of(workspace))
         return AcceptedRequest(
-            call, route, service, workspace, routing.version, until_s, caller, answer
+            call, route, service, workspace, routing.version, until_s, caller, answer, fingerprint
         )
 
     def _workspace_of(
@@ -123,6 +125,7 @@
             service=request.service,
             workspace=_id_of(request.workspace),
             version=request.version,
+            fingerprint=request.fingerprint,
             upstream=upstream,
             outcome=outcome,
             took_ms=round(took_s * 1000.0),
@@ -143,6 +146,7 @@
             call.id,
             route=request.route.name if request is not None else None,
             version=request.version if request is not None else None,
+            fingerprint=request.fingerprint if request is not None else None,
             reason=refusal.reason.code,
             detail=refusal.message,
             status=refusal.reason.status,
--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -19,6 +19,7 @@
 from gooseberryquay.serving.call_flow import CallFlow
 from gooseberryquay.serving.cold_rate import ColdRate
 from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.fingerprint import fingerprint_of
 from gooseberryquay.serving.generation_flow import GenerationFlow
 from gooseberryquay.serving.generation_queue import GenerationQueue, QueueTicket
 from gooseberryquay.serving.migration import Migration
@@ -142,8 +143,10 @@
     until_s = min(call.deadline_at_s, call.arrived_at_s + route.timeout_s)
     service = route.destinations[0].service
     workspace = Workspace(WorkspaceId("studio"), 1)
+    fingerprint = fingerprint_of(call, workspace.id)
+    watch = caller or SilentCaller()
     return AcceptedRequest(
-        call, route, service, workspace, 1, until_s, caller or SilentCaller(), answer or Recorder()
+        call, route, service, workspace, 1, until_s, watch, answer or Recorder(), fingerprint
     )
 
 
