--- /dev/null
+++ b/gooseberryquay/daemons/tests/platform_builders.py
@@ -0,0 +1,133 @@
+"""Whole entries on stand-ins for the users' platform, and callers that send a request again."""
+
+import contextlib
+import http.client
+import json
+import threading
+import time
+from dataclasses import dataclass, field
+
+from gooseberryquay.standins.node_platform.site import HOST, KEY, EntryPorts
+from gooseberryquay.standins.process import ListeningProcess
+
+READY_WITHIN_S = 8.0
+ANSWER_TIMEOUT_S = 8.0
+
+
+def ask(port, path, body, key=KEY, number=[0]):  # noqa: B006
+    """Send one request under an id of its own, and give its answer, if there is one."""
+    number[0] += 1
+    headers = {
+        "Host": HOST,
+        "X-Attempt-Id": f"a-{number[0]}",
+        "X-Deadline-Ms": "6000",
+        "X-Model": "m",
+        "X-Token-Usage": "100,40",
+        "Authorization": f"Bearer {key}",
+    }
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=ANSWER_TIMEOUT_S)
+    try:
+        connection.request("POST", path, body, headers)
+        answer = connection.getresponse()
+        return Answer(answer.status, answer.read(), answer.getheader("retry-after"))
+    except (OSError, http.client.HTTPException):
+        return Answer(None, b"", None)
+    finally:
+        connection.close()
+
+
+@dataclass(frozen=True)
+class Answer:
+    """Hold what a caller got; the status is None where it broke off."""
+
+    status: int | None
+    body: bytes
+    retry_after: str | None
+
+    @property
+    def refusal(self):
+        """Give the type of the entry's own refusal."""
+        with contextlib.suppress(ValueError, KeyError, TypeError):
+            return json.loads(self.body)["error"]["type"]
+        return None
+
+
+class Entry:
+    """Run one entry as a process."""
+
+    def __init__(self, ports, settings, log):
+        self.ports = ports
+        self.log = log
+        self.process = ListeningProcess(
+            "entry", f"--node_settings={settings}", port=ports.callers, log_path=str(log)
+        )
+
+    def start(self):
+        """Start and wait until it is ready."""
+        self.process.start()
+        until_s = time.monotonic() + READY_WITHIN_S
+        while not self._is_ready():
+            assert time.monotonic() < until_s, "the entry is not ready in time"
+            time.sleep(0.05)
+
+    def restart(self):
+        """Kill and start again."""
+        self.process.kill()
+        self.start()
+
+    def _is_ready(self):
+        connection = http.client.HTTPConnection("127.0.0.1", self.ports.readiness, timeout=2.0)
+        with contextlib.suppress(OSError):
+            connection.request("GET", "/api/readyz")
+            return connection.getresponse().status == http.client.OK
+        return False
+
+
+@contextlib.contextmanager
+def running_entries(site, folder, count=3, are_peers=True):
+    """Run entries, which know of each other unless told otherwise."""
+    ports = [EntryPorts(f"entry-{number}") for number in range(count)]
+    seeds = [ports[0].control] if are_peers else []
+    entries = []
+    for each in ports:
+        settings = each.write_settings(folder, site.store.port, seeds)
+        entries.append(Entry(each, settings, folder / f"{each.name}.log"))
+    try:
+        for each in entries:
+            each.start()
+        if are_peers:
+            time.sleep(1.5)  # they learn of each other
+        yield entries
+    finally:
+        for each in entries:
+            each.process.kill()
+
+
+@dataclass
+class Repeats:
+    """Send one request again and again, in turn or side by side, at all entries."""
+
+    ports: list
+    path: str
+    body: bytes
+    pause_s: float = 0.15
+    side_by_side: int = 1
+    answers: list = field(default_factory=list)
+
+    def run(self, span_s):
+        """Send for a while, and wait for the last answers."""
+        until_s = time.monotonic() + span_s
+        callers = [
+            threading.Thread(target=self._call, args=(number, until_s))
+            for number in range(self.side_by_side)
+        ]
+        for each in callers:
+            each.start()
+        for each in callers:
+            each.join()
+
+    def _call(self, number, until_s):
+        while time.monotonic() < until_s:
+            self.answers.append(ask(self.ports[number % len(self.ports)], self.path, self.body))
+            number += 1
+            time.sleep(self.pause_s)
--- a/gooseberryquay/standins/node_platform/run_record.py
+++ b/gooseberryquay/standins/node_platform/run_record.py
@@ -15,6 +15,9 @@
     runs: dict[str, list[str]] = field(default_factory=lambda: defaultdict(list))
     arrivals: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     unasked: list[str] = field(default_factory=list)
+    # When requests that end upstreams reached one, and when upstreams ended by them.
+    crasher_arrivals: list[float] = field(default_factory=list)
+    crashes: list[float] = field(default_factory=list)
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
     def saw_arrival(self, upstream: str) -> None:
@@ -22,6 +25,16 @@
         with self._lock:
             self.arrivals[upstream].append(time.monotonic())
 
+    def saw_crasher(self, _upstream: str) -> None:
+        """Note that a request that ends its upstream reached one."""
+        with self._lock:
+            self.crasher_arrivals.append(time.monotonic())
+
+    def saw_crash(self, _upstream: str) -> None:
+        """Note that an upstream was ended by a request."""
+        with self._lock:
+            self.crashes.append(time.monotonic())
+
     def saw_run(self, request: str, upstream: str) -> None:
         """Note that an upstream began to work on a request."""
         with self._lock:
--- a/gooseberryquay/standins/node_platform/site.py
+++ b/gooseberryquay/standins/node_platform/site.py
@@ -1,6 +1,8 @@
 """One small site: a store, engines and services, and the settings file of each entry."""
 
 import random
+import threading
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -15,6 +17,10 @@
 KEY = "key-1"
 ZONES = ("zone-a", "zone-b")
 GRACE_S = 4
+HEARTBEAT_MS = 1200
+# Three heartbeats.
+LAPSE_S = 3.6
+BACK_AFTER_S = 1.5
 
 
 class EntryPorts:
@@ -38,6 +44,7 @@
             f"listen.control_plane=127.0.0.1:{self.control}",
             f"port_range={self.metrics},{self.metrics}",
             "seeds=" + ",".join(f"127.0.0.1:{each}" for each in seeds),
+            f"heartbeat_ms={HEARTBEAT_MS}",
             f"bounds.grace_s={GRACE_S}",
             f"platform.address=127.0.0.1:{store_port}",
         ]
@@ -57,6 +64,7 @@
         self._random = source
         self._count = 0
         self._version = 0
+        self._is_stopped = False
 
     def start(self, engines: int = 3, services: int = 2) -> None:
         """Start the store and upstreams, and write the first configuration."""
@@ -69,6 +77,7 @@
 
     def stop(self) -> None:
         """Stop everything."""
+        self._is_stopped = True
         for upstream in [*self.engines.values(), *self.services.values()]:
             upstream.stop()
         self.store.stop()
@@ -91,6 +100,7 @@
         engine = ModelEngine(self._new_id(), self.record, self._random, self._by_port)
         engine.start()
         self.engines[engine.id] = engine
+        engine.on_crash = lambda: self._replace(engine)
         self._list(engine, "model", "ready")
         return engine.id
 
@@ -99,6 +109,7 @@
         service = PlainService(self._new_id(), self.record, self._random)
         service.start()
         self.services[service.id] = service
+        service.on_crash = lambda: self._replace(service)
         self._list(service, "ledger", "ready")
         return service.id
 
@@ -117,6 +128,19 @@
         upstream.stop()
         self.store.delete("servers", id)
 
+    def _replace(self, crashed: ModelEngine | PlainService) -> None:
+        """Let a crashed upstream lapse from the list, and another start meanwhile."""
+        _later(BACK_AFTER_S, self._start_another, crashed)
+        _later(LAPSE_S, self.store.delete, "servers", crashed.id)
+
+    def _start_another(self, crashed: ModelEngine | PlainService) -> None:
+        if self._is_stopped:
+            return
+        if isinstance(crashed, ModelEngine):
+            self.add_engine()
+        else:
+            self.add_service()
+
     def _new_id(self) -> str:
         self._count += 1
         return f"i-{self._count}"
@@ -135,6 +159,12 @@
         self.store.put("servers", upstream.id, document)
 
 
+def _later(delay_s: float, action: Callable[..., object], *arguments: object) -> None:
+    timer = threading.Timer(delay_s, action, arguments)
+    timer.daemon = True
+    timer.start()
+
+
 def _model_service() -> dict[str, Any]:
     engine = {"slots": 8, "kv_capacity": 20000, "moves": True, "stride": 4}
     return {"name": "model", "max_conns": 100, "engine": engine}
--- a/gooseberryquay/standins/node_platform/store.py
+++ b/gooseberryquay/standins/node_platform/store.py
@@ -15,6 +15,8 @@
 HISTORY_MAX = 1000
 WAIT_MAX_S = 30.0
 SILENCE_S = 30.0
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
 HTTP_GONE = 410
 HTTP_UNAVAILABLE = 503
 
@@ -47,6 +49,9 @@
         self.mood = StoreMood.WELL
         router = Router()
         router.add("GET", "/api/objects/{kind}", self._get)
+        router.add("GET", "/api/objects/{kind}/{name}", self._read)
+        router.add("POST", "/api/objects/{kind}", self._create)
+        router.add("PUT", "/api/objects/{kind}/{name}", self._replace)
         self._server = HttpServer(host, port, router)
 
     def start(self) -> None:
@@ -95,14 +100,48 @@
         self._history.append(change)
         self._changed.notify_all()
 
-    def _get(self, request: Request) -> Response:
+    def _is_refused(self) -> bool:
         match self.mood:
             case StoreMood.REFUSING:
-                return Response(status=HTTP_UNAVAILABLE, body=b"{}")
+                return True
             case StoreMood.SILENT:
                 time.sleep(SILENCE_S)
             case StoreMood.WELL:
                 pass
+        return False
+
+    def _read(self, request: Request) -> Response:
+        if self._is_refused():
+            return Response(status=HTTP_UNAVAILABLE, body=b"{}")
+        with self._changed:
+            document = self._objects.get((request.path_values["kind"], request.path_values["name"]))
+        return Response(status=HTTP_NOT_FOUND, body=b"{}") if document is None else _json(document)
+
+    def _create(self, request: Request) -> Response:
+        sent = json.loads(request.body)
+        return self._write(request.path_values["kind"], sent["metadata"]["name"], sent)
+
+    def _replace(self, request: Request) -> Response:
+        return self._write(
+            request.path_values["kind"], request.path_values["name"], json.loads(request.body)
+        )
+
+    def _write(self, kind: str, name: str, sent: dict[str, Any]) -> Response:
+        """Write where the revision is the object's, or where there is neither."""
+        if self._is_refused():
+            return Response(status=HTTP_UNAVAILABLE, body=b"{}")
+        with self._changed:
+            found = self._objects.get((kind, name))
+            known = found["metadata"]["revision"] if found is not None else None
+            if known != sent["metadata"].get("revision"):
+                body = json.dumps(found or {}).encode()
+                return Response(status=HTTP_CONFLICT, body=body)
+            self.put(kind, name, sent["spec"])
+            return _json(self._objects[kind, name])
+
+    def _get(self, request: Request) -> Response:
+        if self._is_refused():
+            return Response(status=HTTP_UNAVAILABLE, body=b"{}")
         kind = request.path_values["kind"]
         if "watch" not in request.query:
             return self._list(kind)
--- a/gooseberryquay/standins/node_platform/upstream_server.py
+++ b/gooseberryquay/standins/node_platform/upstream_server.py
@@ -4,13 +4,18 @@
 import random
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
-from gooseberryquay.links.forwarding_server import ForwardingServer
 from gooseberryquay.links.streaming_gateway import CallerGone, StreamingGateway
 from gooseberryquay.links.strict_request import BodyIncomplete, read_whole_body
 from gooseberryquay.standins.node_platform.run_record import RunRecord
+from gooseberryquay.standins.node_platform.upstream_crash import (
+    CrashingServer,
+    CrashMode,
+    crash_mode_of,
+)
 
 __all__ = ["ModelEngine", "PlainService", "UpstreamFaults"]
 
@@ -61,8 +66,13 @@
         self.is_crashed = False
         self.is_leaving = False
         self.born_ms = int(time.time() * MS_PER_S)
+        self.on_crash: Callable[[], None] = lambda: None
         self._random = source
-        self._server = ForwardingServer(
+        self._open: set[StreamingGateway] = set()
+        self._crash_lock = threading.Lock()
+        self._is_silent = False
+        self._released = threading.Event()
+        self._server = CrashingServer(
             "127.0.0.1", 0, self._forward, HEADER_BYTES_MAX, BODY_BYTES_MAX
         )
 
@@ -71,17 +81,47 @@
         self._server.start()
 
     def stop(self) -> None:
-        """Crash: cut everything off."""
+        """End without a crash: cut everything off."""
         self.is_crashed = True
+        self._released.set()
+        self._server.release()
         # The server would wait for connections that callers keep open.
         threading.Thread(target=self._server.stop, daemon=True).start()
 
+    def crash(self, mode: CrashMode) -> None:
+        """End as a process does whose request was too much for it."""
+        with self._crash_lock:
+            if self.is_crashed:
+                return
+            self._is_silent = mode is CrashMode.SILENTLY
+            self.is_crashed = True
+        self._server.vanish(mode)
+        if not self._is_silent:
+            for gateway in list(self._open):
+                gateway.abort()
+            threading.Thread(target=self._server.stop, daemon=True).start()
+        self.record.saw_crash(self.id)
+        self.on_crash()
+
     @property
     def port(self) -> int:
         """Give the bound TCP port."""
         return self._server.port
 
+    def _end_if_crashed(self) -> None:
+        if self.is_crashed:
+            if self._is_silent:
+                self._released.wait()
+            raise CallerGone("the upstream has crashed")
+
     def _forward(self, gateway: StreamingGateway) -> None:
+        self._open.add(gateway)
+        try:
+            self._serve(gateway)
+        finally:
+            self._open.discard(gateway)
+
+    def _serve(self, gateway: StreamingGateway) -> None:
         try:
             body = read_whole_body(gateway.req)
         except BodyIncomplete:
@@ -93,6 +133,7 @@
         }
         heard = _Heard(gateway, headers, body, self._notices())
         try:
+            self._end_if_crashed()
             self._take(heard)
         except CallerGone:
             gateway.abort()
@@ -107,6 +148,12 @@
         if self._draws(self.faults.shed_share):
             heard.answer("503 Service Unavailable", [("X-Not-Executed", "1"), *self._pause()])
             return
+        mode = crash_mode_of(heard.body)
+        if mode is not None:
+            self.record.saw_crasher(self.id)
+            if mode is not CrashMode.MIDWAY:
+                self.crash(mode)
+                self._end_if_crashed()
         if any(name in heard.headers for name in FORGED) or "authorization" in heard.headers:
             self.record.saw_unasked(f"{heard.id} with a caller's own {sorted(heard.headers)}")
         self._run(heard)
@@ -125,6 +172,10 @@
         """Answer a call that is no request of a caller; False if it is one."""
         return False
 
+    def _crash_midway(self, heard: _Heard) -> None:
+        if crash_mode_of(heard.body) is CrashMode.MIDWAY:
+            self.crash(CrashMode.MIDWAY)
+
     def _run(self, heard: _Heard) -> None:
         raise NotImplementedError
 
@@ -137,6 +188,8 @@
     def _run(self, heard: _Heard) -> None:
         self.record.saw_run(heard.id, self.id)
         time.sleep(self.work_s)
+        self._crash_midway(heard)
+        self._end_if_crashed()
         if self._draws(self.faults.lose_answer_share):
             heard.gateway.abort()
         elif self._draws(self.faults.error_share):
@@ -244,8 +297,11 @@
         heard.gateway.start("200 OK", headers)
         while run.made < last:
             time.sleep(self.event_s)
+            if run.made == 1:
+                self._crash_midway(heard)
+            self._end_if_crashed()
             with run.changed:
-                if run.is_stopped or self.is_crashed or run.made == cut_at:
+                if run.is_stopped or run.made == cut_at:
                     heard.gateway.abort()
                     return
                 run.made += 1
