Recognise a request that crashes its upstreams on the platform's path, too

Change: both paths share one list of suspects. CrashGuard tells a run that its upstream's death has ended from one that was broken off (a refused connection, another at its address, another incarnation, the list's loss of one that is silent); crash_verdict refuses a request under which three died, holds one while the fate of silent upstreams is open, and lets one entry try it again after 30 s, then 2 min, 8 min. A request that has finished here is never suspected. Deaths are told to the entries that write the record, who answer with what they know, and from the second on to all; they are written to the store from the first on and read after each own loss, so that entries without peers, after a restart or a freeze, learn of them.

--- a/gooseberryquay/contracts/node_settings.py
+++ b/gooseberryquay/contracts/node_settings.py
@@ -32,4 +32,6 @@
     store_address: Address
     memory_mb: float
     link_mbps: float
+    # How often an upstream announces itself.
+    heartbeat_s: float
     bounds: NodeBounds
--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -11,6 +11,7 @@
 from gooseberryquay.machines.membership import Membership
 from gooseberryquay.machines.peer import Peer
 from gooseberryquay.machines.retry_budget import RetryBudget
+from gooseberryquay.machines.suspect_list import SuspectList
 from gooseberryquay.platform.documents import read_routing, read_upstream
 from gooseberryquay.platform.engine_calls import EngineCalls
 from gooseberryquay.platform.front import Front
@@ -21,6 +22,7 @@
     EVACUATION_KIND,
     UPSTREAM_KIND,
     StoreKind,
+    StoreObjects,
 )
 from gooseberryquay.reports.metrics_api import metrics_router
 from gooseberryquay.serving.active_generation import ActiveGenerations
@@ -28,6 +30,8 @@
 from gooseberryquay.serving.answer_notices import AnswerNotices
 from gooseberryquay.serving.call_flow import CallFlow
 from gooseberryquay.serving.cold_rate import ColdRate
+from gooseberryquay.serving.crash_guard import CrashGuard
+from gooseberryquay.serving.crash_verdict import CRASHES_MAX
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.generation_flow import GenerationFlow
 from gooseberryquay.serving.generation_queue import GenerationQueue
@@ -81,6 +85,10 @@
 LEAVE_NOTICE_S = 2.5
 # Time for the last lines of the log before the kill.
 EXIT_MARGIN_S = 0.5
+# An upstream that is silent for so long is taken off the list.
+HEARTBEATS_TO_LAPSE = 3
+# Several minutes of an entry's requests, in half a MB.
+FINISHED_MAX = 4096
 MS_PER_S = 1000.0
 
 
@@ -116,6 +124,14 @@
         )
         self._counters = RequestCounters()
         self._leave = LeaveState()
+        self._store_pool = ConnectionPool(STORE_CONNECT_TIMEOUT_S, STORE_IDLE_LIMIT_S)
+        self._suspects = SuspectList(
+            self._membership,
+            StoreObjects(self._store_pool, settings.store_address),
+            crash_count_max=CRASHES_MAX,
+            shared_from=CRASHES_MAX - 1,
+            finished_max=FINISHED_MAX,
+        )
         path = self._build_path(placement, source)
         front = Front(path.serve)
         self._caller_server = ForwardingServer(
@@ -158,7 +174,15 @@
         self._book.on_doubt(self._leave_probe.resolve_doubt)
         self._book.on_change(queue.changed)
         self._book.on_change(self._forget_loads)
-        notices = AnswerNotices(self._book, self._loads, self._log)
+        guard = CrashGuard(
+            suspects=self._suspects,
+            calls=calls,
+            log=self._log,
+            lapse_s=HEARTBEATS_TO_LAPSE * self._settings.heartbeat_s,
+        )
+        self._book.on_unlisted(guard.upstream_unlisted)
+        self._book.on_replaced(lambda known: guard.upstream_ended(known, "another has followed it"))
+        notices = AnswerNotices(self._book, self._loads, guard, self._log)
         generation_flow = GenerationFlow(
             calls=calls,
             placement=placement,
@@ -168,6 +192,7 @@
             active=active,
             migration=migration,
             notices=notices,
+            guard=guard,
             log=self._log,
         )
         call_flow = CallFlow(
@@ -176,6 +201,7 @@
             loads=self._loads,
             retries=retries,
             notices=notices,
+            guard=guard,
             memory=AnswerMemory(self._settings.memory_mb),
             log=self._log,
         )
@@ -199,6 +225,7 @@
         router = Router()
         self._membership.add_routes(router)
         self._peers.add_routes(router)
+        self._suspects.add_routes(router)
         for relay in self._relays:
             relay.add_routes(router)
         return router
@@ -210,7 +237,7 @@
         upstreams = UpstreamListReader(self._book, read_upstream, self._log, OUTAGE_GRACE_S)
         zones = ZoneListReader(self._book, self._log)
         self._routing.on_change(self._take_limits)
-        pool = ConnectionPool(STORE_CONNECT_TIMEOUT_S, STORE_IDLE_LIMIT_S)
+        pool = self._store_pool
         link_bytes_per_s = self._settings.link_mbps * BITS_PER_MBIT / BITS_PER_BYTE
         relay_bytes_max = int(RELAY_SHARE * self._settings.bounds.config_apply_s * link_bytes_per_s)
         configuration = RelayTerms(CONFIGURATION_KIND, QUIET_POLL_S, relay_bytes_max)
@@ -287,6 +314,7 @@
         self._control_server.start()
         self._membership.start()
         self._peers.start()
+        self._suspects.start()
         self._leave_probe.start()
         self._readiness_server.start()
         self._metrics_server.start()
--- a/gooseberryquay/daemons/tests/test_platform_crashes.py
+++ b/gooseberryquay/daemons/tests/test_platform_crashes.py
@@ -57,7 +57,7 @@
 @pytest.mark.parametrize("path", ["/check/1", "/read/1", "/post/1"])
 def test_repeats_of_a_request_under_which_upstreams_fall_silent_end(site, tmp_path, path):
     with running_entries(site, tmp_path, ENTRIES) as entries:
-        _repeats(entries, path, CrashMode.SILENTLY, side_by_side=2).run(14.0)
+        _repeats(entries, path, CrashMode.SILENTLY, side_by_side=4).run(14.0)
     assert len(site.record.crashes) >= CRASHES_UNTIL_KNOWN
     assert len(_late_retries(site)) <= RETRIES_MAX
 
--- /dev/null
+++ b/gooseberryquay/daemons/tests/test_platform_suspects.py
@@ -0,0 +1,89 @@
+"""Crash suspects in the users' store, as entries share them."""
+
+import time
+
+import pytest
+
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.ids import UpstreamId
+from gooseberryquay.links.connection_pool import ConnectionPool
+from gooseberryquay.links.platform_link import NO_VERSION, WriteConflict
+from gooseberryquay.machines.suspect_messages import Death, SuspectRecord
+from gooseberryquay.machines.suspect_store import SuspectStore
+from gooseberryquay.machines.suspect_table import SuspectTable
+from gooseberryquay.platform.store import StoreObjects
+from gooseberryquay.standins.node_platform.store import ObjectStore, StoreMood
+
+ONE, TWO = UpstreamId("i-1/1"), UpstreamId("i-2/1")
+
+
+@pytest.fixture
+def store():
+    store = ObjectStore()
+    store.start()
+    yield store
+    store.stop()
+
+
+@pytest.fixture
+def objects(store):
+    return StoreObjects(ConnectionPool(1.0, 4.0), Address("127.0.0.1", store.port))
+
+
+def _entry(objects, finished_max=8):
+    table = SuspectTable(15.0, 3600.0, finished_max=finished_max)
+    return table, SuspectStore(objects, table)
+
+
+def _record(*upstreams):
+    deaths = tuple(Death(upstream=each, at_s=time.time()) for each in upstreams)
+    return SuspectRecord(fingerprint="f", deaths=deaths)
+
+
+def _write(table, store, record):
+    store.add(table.merge([record]))
+    store.write_pending()
+
+
+def test_deaths_that_entries_write_side_by_side_are_all_kept(objects):
+    first, second, third = _entry(objects), _entry(objects), _entry(objects)
+    _write(*first, _record(ONE))
+    _write(*second, _record(TWO))
+    assert third[1].load()
+    assert third[0].get("f").crash_count() == 2
+
+
+def test_write_on_an_older_version_is_refused(objects):
+    assert objects.read("suspects/3").unwrap() is None
+    version = objects.write("suspects/3", "{}", NO_VERSION).unwrap()
+    assert isinstance(objects.write("suspects/3", "{}", NO_VERSION).unwrap_err(), WriteConflict)
+    assert objects.write("suspects/3", '{"records": []}', version).unwrap() > version
+    assert isinstance(objects.write("suspects/3", "{}", version).unwrap_err(), WriteConflict)
+
+
+def test_trial_is_claimed_by_one_entry(objects):
+    first, second = _entry(objects), _entry(objects)
+    for table, _ in (first, second):
+        table.merge([_record(ONE)])
+    assert first[1].write_first(_record(UpstreamId("trial/1")))
+    assert not second[1].write_first(_record(UpstreamId("trial/2")))
+
+
+def test_no_trial_is_claimed_while_the_store_is_away(store, objects):
+    store.mood = StoreMood.REFUSING
+    assert not _entry(objects)[1].write_first(_record(ONE))
+
+
+def test_deaths_told_by_others_count_not_against_a_request_that_finished_here(objects):
+    table, _ = _entry(objects)
+    table.saw_finished("f")
+    (news,) = table.merge([_record(ONE, TWO)])
+    assert news.crash_count() == 0
+
+
+def test_only_the_requests_that_finished_last_are_remembered(objects):
+    table, _ = _entry(objects, finished_max=1)
+    table.saw_finished("f")
+    table.saw_finished("g")
+    (news,) = table.merge([_record(ONE)])
+    assert news.crash_count() == 1
--- a/gooseberryquay/machines/suspect_messages.py
+++ b/gooseberryquay/machines/suspect_messages.py
@@ -23,11 +23,15 @@
 
 
 class Death(_Message):
-    """Record that an upstream died; `is_cleared` once the request has finished elsewhere."""
+    """Record that an upstream died; `is_cleared` once the request has finished elsewhere.
+
+    A death that is not certain is of an upstream that only fell silent, or is none.
+    """
 
     upstream: UpstreamId
     at_s: float
     is_cleared: bool = False
+    is_certain: bool = True
 
     def is_same(self, other: "Death", span_s: float) -> bool:
         """Tell whether two reports are of one death."""
@@ -41,8 +45,16 @@
     deaths: tuple[Death, ...]
 
     def crash_count(self) -> int:
-        """Give the number of deaths that no finished run has cleared."""
-        return sum(not death.is_cleared for death in self.deaths)
+        """Give the number of certain deaths that no finished run has cleared."""
+        return sum(death.is_certain and not death.is_cleared for death in self.deaths)
+
+    def doubts_since(self, since_s: float) -> tuple[Death, ...]:
+        """Give the deaths after a time that are neither certain nor cleared."""
+        return tuple(
+            death
+            for death in self.deaths
+            if death.at_s >= since_s and not death.is_certain and not death.is_cleared
+        )
 
     def last_death_s(self) -> float:
         """Give the time of the last death."""
@@ -60,8 +72,12 @@
             same = next((each for each in kept if each.is_same(death, span_s)), None)
             if same is None:
                 kept.append(death)
-            elif death.is_cleared and not same.is_cleared:
-                kept[kept.index(same)] = same.model_copy(update={"is_cleared": True})
+            else:
+                flags = {
+                    "is_cleared": same.is_cleared or death.is_cleared,
+                    "is_certain": same.is_certain or death.is_certain,
+                }
+                kept[kept.index(same)] = same.model_copy(update=flags)
         return self.model_copy(update={"deaths": tuple(kept)})
 
 
--- a/gooseberryquay/machines/suspect_spread.py
+++ b/gooseberryquay/machines/suspect_spread.py
@@ -1,9 +1,14 @@
 """Spreading of suspected requests from entry to entry."""
 
+import contextlib
 import random
 import threading
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
+from pydantic import ValidationError
+from result import Ok
+
+from gooseberryquay.links.http_client import Reply
 from gooseberryquay.machines.peer import Peer, Peers
 from gooseberryquay.machines.rendezvous import first_owners
 from gooseberryquay.machines.suspect_messages import SuspectRecord, SuspectUpdate
@@ -18,6 +23,7 @@
 MAX_PENDING = 1024
 SEND_TIMEOUT_S = 0.5
 REST_S = 1.0
+HTTP_OK = 200
 
 
 def shard_owners(record: SuspectRecord, peers: Peers) -> tuple[Peer, ...]:
@@ -26,11 +32,23 @@
 
 
 class SuspectSpread:
-    """Send news to a few peers and to those that write them; what peers told, once a second."""
-
-    def __init__(self, peers: Peers, rng: random.Random) -> None:
+    """Send news to a few peers and to those that write them; what peers told, once a second.
+
+    Records with fewer deaths than `shared_from` go only to those that write them, who answer with
+    what they know.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        rng: random.Random,
+        shared_from: int,
+        on_reply: Callable[[Iterable[SuspectRecord]], None],
+    ) -> None:
         self._peers = peers
         self._rng = rng
+        self._shared_from = shared_from
+        self._on_reply = on_reply
         self._pending: dict[str, SuspectRecord] = {}
         self._changed = threading.Condition()
         self._sending = threading.Lock()
@@ -81,9 +99,7 @@
     def _send(self, batch: list[SuspectRecord]) -> None:
         update = SuspectUpdate(records=tuple(batch))
         senders = [
-            threading.Thread(
-                target=self._peers.send, args=(peer, UPDATE_PATH, update, SEND_TIMEOUT_S)
-            )
+            threading.Thread(target=self._tell, args=(peer, update))
             for peer in self._receivers(batch)
         ]
         for sender in senders:
@@ -91,10 +107,20 @@
         for sender in senders:
             sender.join()
 
+    def _tell(self, peer: Peer, update: SuspectUpdate) -> None:
+        match self._peers.send(peer, UPDATE_PATH, update, SEND_TIMEOUT_S):
+            case Ok(Reply(status=status, body=body)) if status == HTTP_OK:
+                with contextlib.suppress(ValidationError):
+                    self._on_reply(SuspectUpdate.model_validate_json(body).records)
+            case _:
+                pass
+
     def _receivers(self, batch: list[SuspectRecord]) -> tuple[Peer, ...]:
         myself = self._peers.myself()
         others = [peer for peer in self._peers.live() if peer.id != myself.id]
-        chosen = {peer.id: peer for peer in self._rng.sample(others, min(FANOUT, len(others)))}
+        is_shared = any(len(each.deaths) >= self._shared_from for each in batch)
+        fanout = min(FANOUT, len(others)) if is_shared else 0
+        chosen = {peer.id: peer for peer in self._rng.sample(others, fanout)}
         for record in batch:
             owners = shard_owners(record, self._peers)
             chosen.update({owner.id: owner for owner in owners if owner.id != myself.id})
--- a/gooseberryquay/machines/suspect_store.py
+++ b/gooseberryquay/machines/suspect_store.py
@@ -3,17 +3,22 @@
 import logging
 import threading
 from collections.abc import Iterable
+from typing import Protocol
 
 import xxhash
 from pydantic import ValidationError
-from result import Err, Ok
+from result import Err, Ok, Result
 
-from gooseberryquay.links.platform_link import NO_VERSION, PlatformLink
+from gooseberryquay.links.platform_link import (
+    NO_VERSION,
+    ReadFailure,
+    WriteFailure,
+)
 from gooseberryquay.links.platform_messages import StoredObject
 from gooseberryquay.machines.suspect_messages import SuspectRecord, SuspectUpdate
 from gooseberryquay.machines.suspect_table import SuspectTable
 
-__all__ = ["SuspectStore", "shard_of"]
+__all__ = ["SuspectObjects", "SuspectStore", "shard_of"]
 
 PREFIX = "suspects/"
 SHARDS = 16
@@ -22,6 +27,21 @@
 log = logging.getLogger(__name__)
 
 
+class SuspectObjects(Protocol):
+    """Hold objects that survive every entry."""
+
+    def list(self, prefix: str) -> Result[tuple[StoredObject, ...], ReadFailure]:
+        """Read all objects under a key prefix; they may be some seconds old."""
+
+    def read(self, key: str) -> Result[StoredObject | None, ReadFailure]:
+        """Read one object, or None where it does not exist."""
+
+    def write(
+        self, key: str, value: str, expected_version: int | None = None
+    ) -> Result[int, WriteFailure]:
+        """Write an object if it has a version; 0 means that it must not exist."""
+
+
 def shard_of(fingerprint: str) -> int:
     """Give the shard that a request's record is in."""
     return xxhash.xxh3_64_intdigest(fingerprint.encode()) % SHARDS
@@ -30,7 +50,7 @@
 class SuspectStore:
     """Join pending records into the platform's shards by conditional writes."""
 
-    def __init__(self, platform: PlatformLink, table: SuspectTable) -> None:
+    def __init__(self, platform: SuspectObjects, table: SuspectTable) -> None:
         self._platform = platform
         self._table = table
         self._pending: set[str] = set()
@@ -62,6 +82,24 @@
                 with self._lock:
                     self._pending.difference_update(fingerprints)
 
+    def write_first(self, record: SuspectRecord) -> bool:
+        """Add to a record; False where another entry has changed it or nothing was written."""
+        key = f"{PREFIX}{shard_of(record.fingerprint)}"
+        match self._platform.read(key):
+            case Err(_):
+                return False
+            case Ok(stored):
+                pass
+        held = {each.fingerprint: each for each in _records_in(stored)}
+        known = held.get(record.fingerprint)
+        if known is not None and self._table.merge([known]):
+            return False
+        self._table.merge([record])
+        joined = self._table.get(record.fingerprint) or record
+        value = SuspectUpdate(records=_newest({**held, joined.fingerprint: joined}.values()))
+        version = NO_VERSION if stored is None else stored.version
+        return self._platform.write(key, value.model_dump_json(), version).is_ok()
+
     def _write_shard(self, key: str, fingerprints: list[str]) -> bool:
         """Read the shard, join it with the table, and write it back where that adds something.
 
--- a/gooseberryquay/machines/suspect_table.py
+++ b/gooseberryquay/machines/suspect_table.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
 from gooseberryquay.ids import UpstreamId
@@ -13,11 +14,20 @@
 
 
 class SuspectTable:
-    """Hold one record for each fingerprint; safe for use by many threads."""
+    """Hold one record for each fingerprint; safe for use by many threads.
+
+    Deaths count for none of the requests that finished last, as many as are to be remembered.
+    """
 
     def __init__(
-        self, same_death_s: float, kept_s: float, clock: Callable[[], float] = time.time
+        self,
+        same_death_s: float,
+        kept_s: float,
+        clock: Callable[[], float] = time.time,
+        finished_max: int = 0,
     ) -> None:
+        self._finished: OrderedDict[str, None] = OrderedDict()
+        self._finished_max = finished_max
         self._same_death_s = same_death_s
         self._kept_s = kept_s
         self._clock = clock
@@ -29,6 +39,16 @@
         record = self._records.get(fingerprint)
         return None if record is None or self._is_old(record) else record
 
+    def saw_finished(self, fingerprint: str) -> None:
+        """Remember that a request ran to its end."""
+        if self._finished_max == 0:
+            return
+        with self._lock:
+            self._finished[fingerprint] = None
+            self._finished.move_to_end(fingerprint)
+            if len(self._finished) > self._finished_max:
+                self._finished.popitem(last=False)
+
     def merge(self, records: Iterable[SuspectRecord]) -> tuple[SuspectRecord, ...]:
         """Join records to those held, and give those that told something new."""
         news = []
@@ -36,6 +56,8 @@
             for record in records:
                 held = self._records.get(record.fingerprint)
                 joined = record if held is None else held.merged(record, self._same_death_s)
+                if record.fingerprint in self._finished:
+                    joined = joined.cleared()
                 if joined != held and not self._is_old(joined):
                     self._records[record.fingerprint] = joined
                     news.append(joined)
--- a/gooseberryquay/machines/tests/test_suspect_list.py
+++ b/gooseberryquay/machines/tests/test_suspect_list.py
@@ -102,3 +102,17 @@
     suspects.upstream_died(ONE, ["request"])
     now_s[0] += 61.0
     assert suspects.verdict("request") is Verdict.NORMAL
+
+
+def test_deaths_that_two_entries_saw_are_joined_before_all_are_told(fleet, platform):
+    members = [fleet("entry-0")]
+    members += [fleet(f"entry-{number}", members[0]) for number in range(1, 8)]
+    wait_until(lambda: all(len(each.names()) == 8 for each in members))
+    lists = [each.add_suspects(platform, 3, shared_from=3) for each in members]
+    lists[0].upstream_died(ONE, ["poison"])
+    lists[1].upstream_died(TWO, ["poison"])
+    assert sum(each.record("poison") is not None for each in lists) < len(lists)
+    lists[2].upstream_died(THREE, ["poison"])
+    # Those that write the record answer with what they know.
+    assert lists[2].verdict("poison") is Verdict.REFUSED
+    wait_until(lambda: all(each.verdict("poison") is Verdict.REFUSED for each in lists))
--- a/gooseberryquay/platform/engine_calls.py
+++ b/gooseberryquay/platform/engine_calls.py
@@ -12,7 +12,7 @@
 from gooseberryquay.links.caller_watch import CallerWatch
 from gooseberryquay.links.connection_pool import ConnectionPool
 from gooseberryquay.links.exchange import WholeReply, WholeRequest, exchange
-from gooseberryquay.links.link_failure import LinkFailure, LinkTimeout
+from gooseberryquay.links.link_failure import LinkBroken, LinkFailure, LinkTimeout
 from gooseberryquay.links.upstream_connection import (
     AnswerHead,
     BodyEnd,
@@ -24,6 +24,7 @@
 from gooseberryquay.serving.call import Call, HeaderPair
 from gooseberryquay.serving.ports import (
     CopyHandle,
+    ListeningState,
     LoadHint,
     MovedCopy,
     MoveFailure,
@@ -91,7 +92,7 @@
         """Send a request and wait for the head of its answer."""
         match self._connect(upstream.address, terms):
             case Err(failure):
-                return Err(NotSent(failure.message))
+                return Err(_not_sent(failure))
             case Ok(connection):
                 pass
         headers = _request_headers(upstream, call, terms)
@@ -122,6 +123,19 @@
             case _:
                 return None
 
+    def listening_state(self, upstream: UpstreamRecord, until_s: float) -> ListeningState:
+        """Open a connection and close it."""
+        connection = self._pool.new(upstream.address)
+        failure = connection.connect(max(0.0, until_s - time.monotonic()))
+        connection.close()
+        match failure:
+            case None:
+                return ListeningState.OPEN
+            case LinkBroken():
+                return ListeningState.REFUSED
+            case LinkTimeout():
+                return ListeningState.SILENT
+
     def free_copy(self, holder: Address, handle: CopyHandle) -> None:
         """Free a copy that is not used."""
         request = WholeRequest("DELETE", names.HANDLE_PATH + handle.name)
@@ -239,6 +253,10 @@
     return False
 
 
+def _not_sent(failure: LinkFailure) -> NotSent:
+    return NotSent(failure.message, is_upstream_gone=isinstance(failure, LinkBroken))
+
+
 def _undecided(failure: LinkFailure) -> Undecided:
     return Undecided(failure.message, isinstance(failure, LinkTimeout))
 
--- a/gooseberryquay/platform/settings_file.py
+++ b/gooseberryquay/platform/settings_file.py
@@ -23,6 +23,7 @@
     "bounds.retry_ratio": "0.2",
     "limits.memory_mb": "128",
     "limits.link_mbps": "10",
+    "heartbeat_ms": "1200",
     "seeds": "",
 }
 
@@ -85,6 +86,7 @@
         store_address=fields.read("platform.address", parse_address),
         memory_mb=fields.read("limits.memory_mb", float),
         link_mbps=fields.read("limits.link_mbps", float),
+        heartbeat_s=fields.read("heartbeat_ms", float) / MS_PER_S,
         bounds=NodeBounds(
             grace_s=fields.read("bounds.grace_s", float),
             evacuation_s=fields.read("bounds.evacuation_ms", float) / MS_PER_S,
--- a/gooseberryquay/platform/store.py
+++ b/gooseberryquay/platform/store.py
@@ -9,8 +9,18 @@
 from result import Err, Ok, Result
 
 from gooseberryquay.contracts.fields import Address
+from gooseberryquay.links import platform_messages
 from gooseberryquay.links.connection_pool import ConnectionPool
 from gooseberryquay.links.exchange import Interrupt, WholeReply, WholeRequest, exchange
+from gooseberryquay.links.platform_link import (
+    NO_VERSION,
+    OutcomeUnknown,
+    PlatformRefused,
+    PlatformUnreachable,
+    ReadFailure,
+    WriteConflict,
+    WriteFailure,
+)
 from gooseberryquay.links.upstream_connection import CallerLeft
 from gooseberryquay.serving.object_source import (
     Changes,
@@ -25,6 +35,7 @@
     "EVACUATION_KIND",
     "UPSTREAM_KIND",
     "StoreKind",
+    "StoreObjects",
 ]
 
 OBJECTS_PATH = "/api/objects/"
@@ -35,6 +46,9 @@
 # Zones to which nothing more is to be sent.
 EVACUATION_KIND = "evacuations"
 HTTP_OK = 200
+HTTP_CREATED = 201
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
 HTTP_GONE = 410
 MS_PER_S = 1000.0
 # Far above the store's usual answer, within the bounds of a configuration.
@@ -42,6 +56,7 @@
 WATCH_SLACK_S = 2.0
 # 100,000 objects.
 PAGES_MAX = 200
+OBJECT_TIMEOUT_S = 1.0
 
 
 class StoreKind:
@@ -124,6 +139,86 @@
         return Ok(document) if isinstance(document, dict) else Err(SourceFailure.MALFORMED)
 
 
+class StoreObjects:
+    """Read and write the system's own objects, by keys of the form KIND/NAME."""
+
+    def __init__(self, pool: ConnectionPool, address: Address) -> None:
+        self._pool = pool
+        self._address = address
+
+    def list(self, prefix: str) -> Result[tuple[platform_messages.StoredObject, ...], ReadFailure]:
+        """Read all objects of a kind."""
+        kind = prefix.rstrip("/")
+        match StoreKind(self._pool, self._address, kind).list():
+            case Err(failure):
+                return Err(PlatformUnreachable(failure.value))
+            case Ok(listing):
+                return Ok(
+                    tuple(
+                        platform_messages.StoredObject(
+                            key=f"{kind}/{each.name}",
+                            version=each.revision,
+                            value=json.dumps(each.content),
+                        )
+                        for each in listing.objects
+                    )
+                )
+
+    def read(self, key: str) -> Result[platform_messages.StoredObject | None, ReadFailure]:
+        """Read one object, or None where it does not exist."""
+        reply = self._call("GET", OBJECTS_PATH + quote(key))
+        if reply is None:
+            return Err(PlatformUnreachable("no answer"))
+        if reply.status == HTTP_NOT_FOUND:
+            return Ok(None)
+        if reply.status != HTTP_OK:
+            return Err(PlatformRefused(reply.status, "refused"))
+        found = _named_object(key, reply.body)
+        return Err(PlatformUnreachable("malformed")) if found is None else Ok(found)
+
+    def write(
+        self, key: str, value: str, expected_version: int | None = None
+    ) -> Result[int, WriteFailure]:
+        """Write an object if it has a version; 0 means that it must not exist."""
+        kind, _, name = key.partition("/")
+        metadata: dict[str, Any] = {"name": name}
+        document = {"metadata": metadata, "spec": json.loads(value)}
+        if expected_version == NO_VERSION:
+            reply = self._call("POST", OBJECTS_PATH + quote(kind), document)
+        else:
+            metadata["revision"] = expected_version
+            reply = self._call("PUT", OBJECTS_PATH + quote(key), document)
+        if reply is None:
+            return Err(OutcomeUnknown("no answer"))
+        if reply.status == HTTP_CONFLICT:
+            return Err(WriteConflict(_named_object(key, reply.body)))
+        if reply.status not in {HTTP_OK, HTTP_CREATED}:
+            return Err(PlatformRefused(reply.status, "refused"))
+        written = _named_object(key, reply.body)
+        return Ok(written.version if written is not None else NO_VERSION)
+
+    def _call(
+        self, method: str, path: str, document: dict[str, Any] | None = None
+    ) -> WholeReply | None:
+        body = b"" if document is None else json.dumps(document).encode()
+        until_s = time.monotonic() + OBJECT_TIMEOUT_S
+        request = WholeRequest(method, path, body)
+        sent = exchange(self._pool, self._address, request, until_s)
+        return sent.ok_value if isinstance(sent, Ok) else None
+
+
+def _named_object(key: str, body: bytes) -> platform_messages.StoredObject | None:
+    try:
+        found = _object_of(json.loads(body), is_deleted=False)
+    except ValueError:
+        return None
+    if found is None:
+        return None
+    return platform_messages.StoredObject(
+        key=key, version=found.revision, value=json.dumps(found.content)
+    )
+
+
 def _object_of(document: Any, is_deleted: bool) -> StoredObject | None:
     """Read one object; what cannot be named is left out."""
     if not isinstance(document, dict) or not isinstance(document.get("metadata"), dict):
--- a/gooseberryquay/serving/answer_notices.py
+++ b/gooseberryquay/serving/answer_notices.py
@@ -1,5 +1,6 @@
 """Take in what upstreams say of themselves beside their answers."""
 
+from gooseberryquay.serving.crash_guard import CrashGuard
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.ports import OpenAnswer
 from gooseberryquay.serving.upstream_book import KnownUpstream, UpstreamBook
@@ -9,9 +10,12 @@
 
 
 class AnswerNotices:
-    """Note an upstream's load, its leaving and the pause that it asks for."""
+    """Note an upstream's life, its load, its leaving and the pause that it asks for."""
 
-    def __init__(self, book: UpstreamBook, loads: LoadTable, log: DecisionLog) -> None:
+    def __init__(
+        self, book: UpstreamBook, loads: LoadTable, guard: CrashGuard, log: DecisionLog
+    ) -> None:
+        self._guard = guard
         self._book = book
         self._loads = loads
         self._log = log
@@ -19,7 +23,9 @@
     def saw(self, known: KnownUpstream, answer: OpenAnswer) -> None:
         """Take in the head of an answer."""
         if answer.is_other_instance:
+            self._guard.upstream_ended(known, "another has its address")
             return
+        self._guard.upstream_heard(known)
         upstream, born_ms = known.record.id, known.record.born_ms
         if answer.load is not None:
             self._loads.saw_hint(upstream, answer.load)
--- a/gooseberryquay/serving/call_flow.py
+++ b/gooseberryquay/serving/call_flow.py
@@ -13,6 +13,7 @@
 from gooseberryquay.serving.answer_memory import AnswerMemory, AnswerSpace
 from gooseberryquay.serving.answer_notices import AnswerNotices
 from gooseberryquay.serving.call import HeaderPair
+from gooseberryquay.serving.crash_guard import CrashGuard, RunLoss
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.placement import Placement
 from gooseberryquay.serving.ports import (
@@ -82,9 +83,11 @@
         loads: LoadTable,
         retries: RetryBudget,
         notices: AnswerNotices,
+        guard: CrashGuard,
         memory: AnswerMemory,
         log: DecisionLog,
     ) -> None:
+        self._guard = guard
         self._notices = notices
         self._memory = memory
         self._calls = calls
@@ -103,6 +106,9 @@
         unarrived = 0
         is_free = True
         while time.monotonic() < request.until_s:
+            suspected = self._guard.refusal(request)
+            if suspected is not None:
+                return suspected if runs == 0 else self._give_up(request, runs, suspected.message)
             if not is_free and not self._retries.may_retry(request.service):
                 last_reason += "; the retry budget is spent"
                 break
@@ -135,10 +141,14 @@
             excluded.add(known.record.id)
             if not self._placement.has_any(request.service, excluded):
                 excluded = {known.record.id} if runs else set()
-        if failed is not None:
-            return failed
+        return failed or self._give_up(request, runs, last_reason)
+
+    def _give_up(self, request: AcceptedRequest, runs: int, reason: str) -> Refusal:
+        if runs:
+            # A caller may send the request again at once, to another entry.
+            self._guard.tell()
         back_in_s = max(RETRY_AFTER_S, self._placement.pause_left_s(request.service))
-        return _refusal(request, runs, last_reason, back_in_s)
+        return _refusal(request, runs, reason, back_in_s)
 
     def _attempt(self, request: AcceptedRequest, known: KnownUpstream, runs: int) -> Attempt:
         upstream = known.record
@@ -150,21 +160,36 @@
             opened = self._calls.open(upstream, request.call, terms, request.caller)
             if isinstance(opened, Ok):
                 return self._read(request, known, opened.ok_value, terms.until_s)
-            return self._failed_open(known, opened.err_value)
+            return self._failed_open(request, known, opened.err_value)
         finally:
             self._loads.end(run)
 
     def _failed_open(
-        self, known: KnownUpstream, failure: NotSent | Undecided | CallerLeft
+        self,
+        request: AcceptedRequest,
+        known: KnownUpstream,
+        failure: NotSent | Undecided | CallerLeft,
     ) -> Attempt:
         match failure:
-            case CallerLeft():
-                return failure
-            case NotSent(reason):
+            case NotSent(reason, is_upstream_gone=is_gone):
                 self._loads.saw_failure(known.record.id, AVOID_S)
+                if is_gone:
+                    self._guard.upstream_ended(known, "refuses connections")
                 return NotRun(reason, has_arrived=False)
-            case Undecided(reason):
+            case Undecided() | CallerLeft():
+                return self._lost(request, known, failure)
+
+    def _lost(
+        self, request: AcceptedRequest, known: KnownUpstream, failure: Undecided | CallerLeft
+    ) -> Attempt:
+        match failure:
+            case CallerLeft():
+                self._guard.lost(request, known, RunLoss.CALLER_LEFT)
+                return failure
+            case Undecided(reason, is_silence):
                 self._loads.saw_failure(known.record.id, AVOID_S)
+                loss = RunLoss.SILENT if is_silence else RunLoss.BROKEN
+                self._guard.lost(request, known, loss)
                 return MayHaveRun(reason)
 
     def _read(
@@ -195,12 +220,9 @@
                     break
                 case Err(failure):
                     answer.close()
-                    if isinstance(failure, CallerLeft):
-                        return failure
-                    if answer.is_not_run:
+                    if answer.is_not_run and isinstance(failure, Undecided):
                         return NotRun("the upstream refused the request", True, is_busy=True)
-                    self._loads.saw_failure(known.record.id, AVOID_S)
-                    return MayHaveRun(failure.reason)
+                    return self._lost(request, known, failure)
         if answer.is_not_run:
             is_busy = not answer.is_other_instance
             return NotRun("the upstream refused the request", True, is_busy)
@@ -208,6 +230,7 @@
             return MayHaveRun(f"status {answer.status} without proof that it has not run")
         if answer.status < SERVER_ERROR:
             self._loads.saw_success(known.record.id)
+            self._guard.finished(request)
         return WholeAnswer(answer.status, answer.headers, bytes(body), known.record.id)
 
     def _attempt_until_s(self, request: AcceptedRequest, runs: int) -> float:
--- a/gooseberryquay/serving/generation_flow.py
+++ b/gooseberryquay/serving/generation_flow.py
@@ -10,8 +10,14 @@
 from gooseberryquay.links.upstream_connection import BodyEnd, BodyPart, CallerLeft
 from gooseberryquay.machines.retry_budget import RetryBudget
 from gooseberryquay.serving.accepted import AcceptedRequest
-from gooseberryquay.serving.active_generation import ActiveGeneration, ActiveGenerations, Copy
+from gooseberryquay.serving.active_generation import (
+    ActiveGeneration,
+    ActiveGenerations,
+    Copy,
+    MoveState,
+)
 from gooseberryquay.serving.answer_notices import AnswerNotices
+from gooseberryquay.serving.crash_guard import CrashGuard, RunLoss
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.generation_queue import GenerationQueue, Placed, QueueTicket
 from gooseberryquay.serving.migration import Migration
@@ -81,8 +87,10 @@
         active: ActiveGenerations,
         migration: Migration,
         notices: AnswerNotices,
+        guard: CrashGuard,
         log: DecisionLog,
     ) -> None:
+        self._guard = guard
         self._calls = calls
         self._placement = placement
         self._queue = queue
@@ -101,6 +109,12 @@
         is_free = True
         while is_free or self._may_try_again(request, attempts):
             is_free = False
+            suspected = self._guard.refusal(request)
+            if suspected is not None:
+                if attempts.runs == 0:
+                    return suspected
+                attempts.reason = suspected.message
+                break
             placed = self._queue.place(self._ticket(request, attempts), request.caller)
             if isinstance(placed, Err):
                 if attempts.runs == 0 or isinstance(placed.err_value, CallerLeft):
@@ -110,6 +124,7 @@
             outcome = self._run(request, progress, attempts, placed.ok_value)
             match outcome:
                 case StreamEnd.COMPLETE:
+                    self._guard.finished(request)
                     self._note_complete(request, progress, placed.ok_value)
                     return None
                 case StreamEnd.CALLER_LEFT | CallerLeft():
@@ -239,11 +254,16 @@
     ) -> Outcome:
         match failure:
             case CallerLeft():
+                self._guard.lost(active.request, active.known, RunLoss.CALLER_LEFT)
                 return failure
-            case NotSent(reason):
+            case NotSent(reason, is_upstream_gone=is_gone):
+                if is_gone:
+                    self._guard.upstream_ended(active.known, "refuses connections")
                 self._note(active, "not sent", reason)
                 return failure
-            case Undecided(reason):
+            case Undecided(reason, is_silence):
+                loss = RunLoss.SILENT if is_silence else RunLoss.BROKEN
+                self._guard.lost(active.request, active.known, loss)
                 if time.monotonic() >= active.request.until_s:
                     return StreamEnd.TIMED_OUT
                 self._note(active, "no answer", reason)
@@ -271,10 +291,23 @@
         end = relay.run()
         if end is StreamEnd.COMPLETE:
             self._loads.saw_success(upstream)
-        elif relay.reason:
-            self._note(active, f"stream {end.value}", relay.reason)
+        else:
+            self._note_lost(active, end)
+            if relay.reason:
+                self._note(active, f"stream {end.value}", relay.reason)
         return end
 
+    def _note_lost(self, active: ActiveGeneration, end: StreamEnd) -> None:
+        if active.state in {MoveState.STOPPING, MoveState.STOPPED}:
+            return
+        loss = {
+            StreamEnd.BROKEN: RunLoss.BROKEN,
+            StreamEnd.TIMED_OUT: RunLoss.SILENT,
+            StreamEnd.CALLER_LEFT: RunLoss.CALLER_LEFT,
+        }.get(end)
+        if loss is not None:
+            self._guard.lost(active.request, active.known, loss)
+
     def _pass_on_failure(
         self,
         active: ActiveGeneration,
@@ -307,6 +340,8 @@
         self, request: AcceptedRequest, progress: StreamProgress, attempts: _Attempts
     ) -> Refusal | None:
         is_late = time.monotonic() >= request.until_s
+        if attempts.runs:
+            self._guard.tell()
         if not progress.is_started:
             code = RefusalReason.OUTCOME_UNKNOWN if attempts.runs else RefusalReason.NOT_RUN
             if is_late:
--- a/gooseberryquay/serving/ports.py
+++ b/gooseberryquay/serving/ports.py
@@ -18,6 +18,7 @@
 __all__ = [
     "Continuation",
     "CopyHandle",
+    "ListeningState",
     "LoadHint",
     "MoveFailure",
     "MoveRefusal",
@@ -71,10 +72,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """Report a request that has certainly not run; it may have arrived and been refused."""
+    """Report a request that has certainly not run; it may have arrived and been refused.
+
+    Nothing listens at the address of an upstream that is gone.
+    """
 
     reason: str
     has_arrived: bool = False
+    is_upstream_gone: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +138,14 @@
     handle: CopyHandle | None = None
 
 
+class ListeningState(Enum):
+    """Say what an address does with a new connection."""
+
+    OPEN = "open"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 class UpstreamCalls(Protocol):
     """Call upstreams."""
 
@@ -149,6 +162,9 @@
     def is_leaving(self, upstream: UpstreamRecord, until_s: float) -> bool | None:
         """Ask an engine whether it leaves; None where that incarnation does not answer."""
 
+    def listening_state(self, upstream: UpstreamRecord, until_s: float) -> ListeningState:
+        """Open a connection and close it."""
+
     def free_copy(self, holder: Address, handle: CopyHandle) -> None:
         """Free a copy that is not used."""
 
--- a/gooseberryquay/serving/refusal.py
+++ b/gooseberryquay/serving/refusal.py
@@ -26,7 +26,7 @@
     OVERLOADED = ("overloaded", 503)
     DEADLINE_PAST = ("deadline_past", 503)
     NOT_RUN = ("not_run", 503)
-    CRASHES_UPSTREAMS = ("crashes_upstreams", 502)
+    CRASHES_UPSTREAMS = ("crashes_upstreams", 503)
     OUTCOME_UNKNOWN = ("outcome_unknown", 502)
     TIMED_OUT = ("timed_out", 504)
 
--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -11,6 +11,8 @@
 from gooseberryquay.links.caller_watch import SilentCaller
 from gooseberryquay.links.upstream_connection import BodyEnd, BodyPart
 from gooseberryquay.machines.retry_budget import RetryBudget
+from gooseberryquay.machines.suspect_messages import Death, SuspectRecord
+from gooseberryquay.machines.suspect_table import SuspectTable
 from gooseberryquay.serving.accepted import AcceptedRequest
 from gooseberryquay.serving.active_generation import ActiveGenerations
 from gooseberryquay.serving.answer_memory import AnswerMemory
@@ -18,13 +20,21 @@
 from gooseberryquay.serving.call import Call, GenerationDemand
 from gooseberryquay.serving.call_flow import CallFlow
 from gooseberryquay.serving.cold_rate import ColdRate
+from gooseberryquay.serving.crash_guard import CrashGuard
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.fingerprint import fingerprint_of
 from gooseberryquay.serving.generation_flow import GenerationFlow
 from gooseberryquay.serving.generation_queue import GenerationQueue, QueueTicket
 from gooseberryquay.serving.migration import Migration
 from gooseberryquay.serving.placement import EngineNeed, NoPeers, Placement
-from gooseberryquay.serving.ports import CopyHandle, MovedCopy, MoveFailure, MoveRefusal, Undecided
+from gooseberryquay.serving.ports import (
+    CopyHandle,
+    ListeningState,
+    MovedCopy,
+    MoveFailure,
+    MoveRefusal,
+    Undecided,
+)
 from gooseberryquay.serving.route import (
     CallLimits,
     Destination,
@@ -238,6 +248,7 @@
     moved: list = field(default_factory=list)
     freed: list = field(default_factory=list)
     leaving: dict = field(default_factory=dict)
+    listening: dict = field(default_factory=dict)
     probed: list = field(default_factory=list)
 
     def open(self, upstream, call, terms, caller):
@@ -253,6 +264,9 @@
         self.probed.append(upstream.id)
         return self.leaving.get(upstream.id, False)
 
+    def listening_state(self, upstream, until_s):
+        return self.listening.get(upstream.id, ListeningState.OPEN)
+
     def free_copy(self, holder, handle):
         self.freed.append(handle)
 
@@ -276,6 +290,52 @@
     return QueueTicket(name, MODEL, need, rank, now_s + late_s, now_s + give_up_s)
 
 
+@dataclass
+class LonelySuspects:
+    """Stand for a list of suspects that no other entry shares."""
+
+    table: SuspectTable
+    clock: Callable[[], float] = time.time
+    may_try: bool = True
+
+    def record(self, fingerprint):
+        return self.table.get(fingerprint)
+
+    def note_death(self, upstream, fingerprints, is_certain=True):
+        death = Death(upstream=upstream, at_s=self.clock(), is_certain=is_certain)
+        self.table.merge(
+            [SuspectRecord(fingerprint=each, deaths=(death,)) for each in fingerprints]
+        )
+
+    def finished(self, fingerprint):
+        self.table.saw_finished(fingerprint)
+        record = self.table.get(fingerprint)
+        if record is not None:
+            self.table.merge([record.cleared()])
+
+    def claim_trial(self, fingerprint, name):
+        self.note_death(name, [fingerprint])
+        return self.may_try
+
+    def load_soon(self):
+        pass
+
+    def tell(self):
+        pass
+
+
+def build_guard(calls, clock=time.monotonic, wall_clock=time.time, may_try=True):
+    suspects = LonelySuspects(SuspectTable(15.0, 3600.0, wall_clock, 64), wall_clock, may_try)
+    return CrashGuard(
+        suspects=suspects,
+        calls=calls,
+        log=DecisionLog(),
+        lapse_s=3.6,
+        clock=clock,
+        wall_clock=wall_clock,
+    )
+
+
 @dataclass
 class Path:
     """Hold the parts of a serving path over scripted calls."""
@@ -310,7 +370,8 @@
     migration = Migration(calls=calls, placement=placement, loads=loads, active=active, log=log)
     book.on_leaving(migration.upstream_leaving)
     book.on_doubt(migration.upstream_in_doubt)
-    notices = AnswerNotices(book, loads, log)
+    guard = build_guard(calls)
+    notices = AnswerNotices(book, loads, guard, log)
     generation_flow = GenerationFlow(
         calls=calls,
         placement=placement,
@@ -320,6 +381,7 @@
         active=active,
         migration=migration,
         notices=notices,
+        guard=guard,
         log=log,
     )
     call_flow = CallFlow(
@@ -328,6 +390,7 @@
         loads=loads,
         retries=retries,
         notices=notices,
+        guard=guard,
         memory=AnswerMemory(memory_mb),
         log=log,
     )
--- /dev/null
+++ b/gooseberryquay/serving/tests/test_crash_guard.py
@@ -0,0 +1,145 @@
+import time
+
+import pytest
+
+from gooseberryquay.serving.crash_guard import RunLoss
+from gooseberryquay.serving.ports import ListeningState
+from gooseberryquay.serving.refusal import RefusalReason
+from gooseberryquay.serving.route import RouteKind
+from gooseberryquay.serving.tests.builders import (
+    FakeClock,
+    ScriptedCalls,
+    build_book,
+    build_guard,
+    build_record,
+    build_request,
+    build_route,
+)
+from gooseberryquay.serving.upstream_record import UpstreamState
+
+LAPSE_S = 3.6
+NAMES = ["i-1", "i-2", "i-3"]
+
+
+class _Guarded:
+    """Hold a guard with three upstreams and one request."""
+
+    def __init__(self, may_try=True):
+        self.clock, self.wall_clock = FakeClock(), FakeClock(1000.0)
+        self.calls = ScriptedCalls()
+        self.guard = build_guard(self.calls, self.clock, self.wall_clock, may_try)
+        self.book = build_book([build_record(each) for each in NAMES], self.clock)
+        self.book.on_unlisted(self.guard.upstream_unlisted)
+        self.book.on_replaced(lambda known: self.guard.upstream_ended(known, "replaced"))
+        self.request = build_request(build_route(RouteKind.IDEMPOTENT))
+
+    def pass_time(self, span_s):
+        self.clock.now_s += span_s
+        self.wall_clock.now_s += span_s
+
+    def lose(self, loss, state, names=NAMES):
+        for name in names:
+            self.calls.listening[name] = state
+            self.guard.lost(self.request, self.book.find(name), loss)
+
+    def is_refused(self):
+        return self.guard.refusal(self.request) is not None
+
+
+@pytest.fixture
+def guarded():
+    return _Guarded()
+
+
+def test_request_is_refused_at_once_after_three_upstreams_refused_connections(guarded):
+    guarded.lose(RunLoss.BROKEN, ListeningState.REFUSED)
+    refusal = guarded.guard.refusal(guarded.request)
+    assert refusal.reason is RefusalReason.CRASHES_UPSTREAMS
+    assert refusal.reason.says_not_run and refusal.retry_after_s > 0.0
+
+
+@pytest.mark.parametrize("loss", list(RunLoss))
+def test_sound_upstream_that_breaks_off_or_stalls_counts_for_nothing(guarded, loss):
+    for _ in range(5):
+        guarded.lose(loss, ListeningState.OPEN)
+    assert not guarded.is_refused()
+
+
+@pytest.mark.parametrize("state", [UpstreamState.DRAINING, UpstreamState.READY])
+def test_upstream_that_ends_as_announced_counts_for_nothing(guarded, state):
+    for name in NAMES:
+        if state is UpstreamState.DRAINING:
+            guarded.book.apply_record(build_record(name, state=state))
+        else:
+            guarded.book.announce_leave(name, 1)
+    guarded.lose(RunLoss.BROKEN, ListeningState.REFUSED)
+    assert not guarded.is_refused()
+
+
+def test_upstream_that_leaves_the_list_first_and_ends_later_counts_for_nothing(guarded):
+    known = [guarded.book.find(name) for name in NAMES]
+    for each in known:
+        guarded.book.remove(each.record.id)
+        guarded.calls.listening[each.record.id] = ListeningState.REFUSED
+        guarded.guard.lost(guarded.request, each, RunLoss.BROKEN)
+    assert not guarded.is_refused()
+
+
+def test_silent_upstreams_count_as_dead_when_the_list_loses_them(guarded):
+    guarded.lose(RunLoss.CALLER_LEFT, ListeningState.SILENT)
+    assert not guarded.is_refused()
+    guarded.pass_time(LAPSE_S)
+    for name in NAMES:
+        guarded.book.remove(name)
+    until_s = time.monotonic() + 2.0
+    while not guarded.is_refused():
+        assert time.monotonic() < until_s
+        time.sleep(0.01)
+
+
+def test_silent_upstreams_that_are_heard_again_count_for_nothing(guarded):
+    guarded.lose(RunLoss.CALLER_LEFT, ListeningState.SILENT)
+    for name in NAMES:
+        known = guarded.book.find(name)
+        guarded.guard.upstream_heard(known)
+        guarded.guard.upstream_ended(known, "refuses connections")
+    assert not guarded.is_refused()
+
+
+def test_run_lost_long_before_its_upstream_died_counts_for_nothing(guarded):
+    guarded.lose(RunLoss.CALLER_LEFT, ListeningState.OPEN)
+    guarded.pass_time(2.0 * LAPSE_S + 0.1)
+    for name in NAMES:
+        guarded.guard.upstream_ended(guarded.book.find(name), "refuses connections")
+    assert not guarded.is_refused()
+
+
+def test_upstream_that_starts_again_under_its_id_is_another_one_that_died(guarded):
+    for born_ms in (1, 2, 3):
+        guarded.book.apply_record(build_record("i-1", born_ms=born_ms))
+        guarded.lose(RunLoss.BROKEN, ListeningState.REFUSED, ["i-1"])
+    assert guarded.is_refused()
+
+
+def test_restart_under_the_same_id_confirms_a_run_lost_there(guarded):
+    guarded.lose(RunLoss.BROKEN, ListeningState.OPEN)
+    for name in NAMES:
+        guarded.book.apply_record(build_record(name, born_ms=2))
+    assert guarded.is_refused()
+
+
+def test_request_that_finished_before_is_not_suspected_later(guarded):
+    guarded.guard.finished(guarded.request)
+    guarded.lose(RunLoss.BROKEN, ListeningState.REFUSED)
+    assert not guarded.is_refused()
+
+
+def test_refused_request_is_tried_again_by_one_entry_alone():
+    for may_try in (True, False):
+        guarded = _Guarded(may_try)
+        guarded.lose(RunLoss.BROKEN, ListeningState.REFUSED)
+        guarded.pass_time(31.0)
+        assert guarded.is_refused() is not may_try
+        guarded.pass_time(1.0)
+        # The trial counts as a death until it has finished.
+        assert guarded.is_refused()
--- a/gooseberryquay/serving/upstream_book.py
+++ b/gooseberryquay/serving/upstream_book.py
@@ -60,6 +60,8 @@
         self._on_leaving: list[Listener] = []
         self._on_doubt: list[Listener] = []
         self._on_change: list[Callable[[], None]] = []
+        self._on_unlisted: list[Callable[[KnownUpstream], None]] = []
+        self._on_replaced: list[Callable[[KnownUpstream], None]] = []
         self._lock = threading.Lock()
 
     def on_leaving(self, listener: Listener) -> None:
@@ -74,13 +76,23 @@
         """Call back after any change of what may be used."""
         self._on_change.append(listener)
 
+    def on_unlisted(self, listener: Callable[[KnownUpstream], None]) -> None:
+        """Call back with each upstream that the list has lost."""
+        self._on_unlisted.append(listener)
+
+    def on_replaced(self, listener: Callable[[KnownUpstream], None]) -> None:
+        """Call back with each incarnation that another has followed under its id."""
+        self._on_replaced.append(listener)
+
     def apply_record(self, record: UpstreamRecord) -> None:
         """Take in what an upstream announces."""
         now_s = self._clock()
+        replaced: KnownUpstream | None = None
         with self._lock:
             known = self._known.get(record.id)
             was_leaving = known is not None and known.is_leaving
             if known is None or known.record.born_ms != record.born_ms:
+                replaced = known
                 known = KnownUpstream(record, now_s, now_s + record.cold_left_s)
                 self._known[record.id] = known
                 notice = self._notices.get(record.id)
@@ -93,6 +105,9 @@
             known.cold_until_s = now_s + record.cold_left_s
             self._index()
             is_leaving = known.is_leaving and not was_leaving
+        if replaced is not None:
+            for listener in self._on_replaced:
+                listener(replaced)
         self._tell(record.id if is_leaving else None)
 
     def doubt(self, upstream: UpstreamId) -> None:
@@ -114,6 +129,8 @@
             was_leaving = known.is_leaving
             known.is_gone = True
             self._index()
+        for listener in self._on_unlisted:
+            listener(known)
         self._tell(None if was_leaving else upstream)
 
     def announce_leave(self, upstream: UpstreamId, born_ms: int | None) -> bool:
--- a/gooseberryquay/standins/node_platform/upstream_server.py
+++ b/gooseberryquay/standins/node_platform/upstream_server.py
@@ -16,6 +16,7 @@
     CrashMode,
     crash_mode_of,
 )
+from gooseberryquay.standins.process import find_free_port
 
 __all__ = ["ModelEngine", "PlainService", "UpstreamFaults"]
 
@@ -73,7 +74,7 @@
         self._is_silent = False
         self._released = threading.Event()
         self._server = CrashingServer(
-            "127.0.0.1", 0, self._forward, HEADER_BYTES_MAX, BODY_BYTES_MAX
+            "127.0.0.1", find_free_port(), self._forward, HEADER_BYTES_MAX, BODY_BYTES_MAX
         )
 
     def start(self) -> None:
