Keep a cold upstream's bound while entries start, part, or are many

Change: an entry sends to cold upstreams only once the number of entries it knows has settled; entries out of sight keep their share for a minute; where there are more than may each send one at the same moment, a part of them, by rendezvous hash, sends. Overage and allowance come from the settings file. The fixture of test_placement.py gave the book another clock than the placement, so that its engines counted as cold; both have one clock now.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -29,10 +29,11 @@
 from gooseberryquay.serving.answer_memory import AnswerMemory
 from gooseberryquay.serving.answer_notices import AnswerNotices
 from gooseberryquay.serving.call_flow import CallFlow
-from gooseberryquay.serving.cold_rate import ColdRate
+from gooseberryquay.serving.cold_rate import ColdRate, ColdTerms
 from gooseberryquay.serving.crash_guard import CrashGuard
 from gooseberryquay.serving.crash_verdict import CRASHES_MAX
 from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.entry_census import EntryCensus
 from gooseberryquay.serving.generation_flow import GenerationFlow
 from gooseberryquay.serving.generation_queue import GenerationQueue
 from gooseberryquay.serving.hubs import HubChoice
@@ -103,7 +104,8 @@
         self._loads = LoadTable()
         self._routing = RoutingKeeper(CONFIGURATION_NAME, read_routing, log)
         self._membership = Membership(_describe(settings), seeds=settings.seeds)
-        self._hubs = HubChoice(self._membership, settings.zone)
+        census = EntryCensus(settings.id)
+        self._hubs = HubChoice(self._membership, settings.zone, on_refresh=census.saw)
         self._peers = PeerLoadExchange(
             loads=self._loads,
             membership=self._membership,
@@ -117,7 +119,10 @@
             book=self._book,
             loads=self._loads,
             peers=self._peers,
-            cold=ColdRate(self._peers.entry_count),
+            cold=ColdRate(
+                census,
+                ColdTerms(settings.bounds.cold_overage, settings.bounds.cold_allowance),
+            ),
             routing=self._routing.current,
             zone=settings.zone,
             source=source,
--- a/gooseberryquay/platform/settings_file.py
+++ b/gooseberryquay/platform/settings_file.py
@@ -21,6 +21,8 @@
     "bounds.evacuation_ms": "5000",
     "bounds.config_apply_ms": "2000",
     "bounds.retry_ratio": "0.2",
+    "bounds.cold_overage": "1.5",
+    "bounds.cold_allowance": "5",
     "limits.memory_mb": "128",
     "limits.link_mbps": "10",
     "heartbeat_ms": "1200",
@@ -92,6 +94,8 @@
             evacuation_s=fields.read("bounds.evacuation_ms", float) / MS_PER_S,
             config_apply_s=fields.read("bounds.config_apply_ms", float) / MS_PER_S,
             retry_ratio=fields.read("bounds.retry_ratio", float),
+            cold_overage=fields.read("bounds.cold_overage", float),
+            cold_allowance=fields.read("bounds.cold_allowance", float),
         ),
     )
 
--- /dev/null
+++ b/gooseberryquay/serving/entry_census.py
@@ -0,0 +1,72 @@
+"""Which entries there are, those out of sight for a while included."""
+
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+from gooseberryquay.ids import EntryId
+from gooseberryquay.machines.peer import Peer
+from gooseberryquay.machines.rendezvous import first_owners
+
+__all__ = ["EntryCensus"]
+
+# Longer than partitions that heal by themselves.
+REMEMBERED_S = 60.0
+# Entries that start together find each other in a few probe periods.
+SETTLE_S = 2.0
+# Entries that join one by one leave the census settled.
+GROWTH_MAX = 1.25
+
+
+class EntryCensus:
+    """Remember each entry that was live lately; safe for use by many threads."""
+
+    def __init__(self, myself: EntryId, clock: Callable[[], float] = time.monotonic) -> None:
+        self._myself = myself
+        self._clock = clock
+        self._seen_at_s: dict[EntryId, float] = {}
+        self._peers: dict[EntryId, Peer] = {}
+        self._is_first: dict[tuple[str, int], bool] = {}
+        self._counted_at_s = float("-inf")
+        self._former_count: int | None = None
+        self._base_count: int | None = None
+        self._lock = threading.Lock()
+
+    def saw(self, live: Iterable[Peer]) -> None:
+        """Take in which entries are live now."""
+        now_s = self._clock()
+        with self._lock:
+            former = set(self._peers)
+            for peer in live:
+                self._seen_at_s[peer.id] = now_s
+                self._peers[peer.id] = peer
+            oldest_s = now_s - REMEMBERED_S
+            for entry in [each for each, at_s in self._seen_at_s.items() if at_s < oldest_s]:
+                del self._seen_at_s[entry], self._peers[entry]
+            if set(self._peers) != former:
+                self._is_first.clear()
+            if now_s - self._counted_at_s >= SETTLE_S:
+                self._counted_at_s = now_s
+                self._base_count, self._former_count = self._former_count, len(self._peers)
+
+    def count(self) -> int:
+        """Give the number of entries, this one included."""
+        with self._lock:
+            return max(1, len(self._peers))
+
+    def is_settled(self) -> bool:
+        """Tell whether the number has hardly grown lately, so that few others are unknown."""
+        with self._lock:
+            base_count = self._base_count
+            return base_count is not None and len(self._peers) <= GROWTH_MAX * base_count
+
+    def is_among_first(self, key: str, count: int) -> bool:
+        """Tell whether this entry is one of the first in a key's order."""
+        with self._lock:
+            if count >= len(self._peers):
+                return True
+            known = self._is_first.get((key, count))
+            if known is None:
+                first = first_owners(key, self._peers.values(), count)
+                known = self._is_first[key, count] = any(each.id == self._myself for each in first)
+            return known
--- a/gooseberryquay/serving/hubs.py
+++ b/gooseberryquay/serving/hubs.py
@@ -37,7 +37,9 @@
         membership: Membership,
         zone: ZoneId,
         clock: Callable[[], float] = time.monotonic,
+        on_refresh: Callable[[tuple[Peer, ...]], None] = lambda _live: None,
     ) -> None:
+        self._on_refresh = on_refresh
         self._membership = membership
         self._zone = zone
         self._clock = clock
@@ -51,11 +53,6 @@
         self._cell_size = 1
         self._lock = threading.Lock()
 
-    def entry_count(self) -> int:
-        """Give the number of live entries, this one included."""
-        self._refresh()
-        return max(1, len(self._live))
-
     def cell_size(self) -> int:
         """Give the number of entries that share this entry's hub, the hub included."""
         self._refresh()
@@ -128,6 +125,7 @@
             self._refreshed_at_s = now_s
             former = self._hubs
             self._live = self._membership.live()
+            self._on_refresh(self._live)
             cells = _cells_of(self._live)
             self._hubs = tuple(each for cell in cells for each in cell[:HUBS_PER_CELL])
             own = self._own_cell(cells)
--- a/gooseberryquay/serving/peer_loads.py
+++ b/gooseberryquay/serving/peer_loads.py
@@ -132,10 +132,6 @@
         """Tell whether an engine's load is mostly of this entry's own cell."""
         return self._hubs.is_own_engine(upstream)
 
-    def entry_count(self) -> int:
-        """Give the number of live entries, this one included."""
-        return self._hubs.entry_count()
-
     def _run(self) -> None:
         while not self._stopped.is_set():
             self._has_news.wait(self._period_s() * random.uniform(0.9, 1.1))
--- a/gooseberryquay/serving/placement.py
+++ b/gooseberryquay/serving/placement.py
@@ -71,9 +71,6 @@
     def is_own_engine(self, upstream: UpstreamId) -> bool:
         """Tell whether this entry's cell places on an engine first."""
 
-    def entry_count(self) -> int:
-        """Give the number of live entries, this one included."""
-
 
 class NoPeers:
     """Stand for entries that do not tell each other their load."""
@@ -86,10 +83,6 @@
         """Place on all engines alike."""
         return True
 
-    def entry_count(self) -> int:
-        """Count this entry alone."""
-        return 1
-
 
 @dataclass(frozen=True, slots=True)
 class EngineNeed:
--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -7,9 +7,18 @@
 from result import Err, Ok
 
 from gooseberryquay.contracts.fields import Address
-from gooseberryquay.ids import RequestId, ServiceId, UpstreamId, WorkspaceId, ZoneId
+from gooseberryquay.ids import (
+    EntryId,
+    Incarnation,
+    RequestId,
+    ServiceId,
+    UpstreamId,
+    WorkspaceId,
+    ZoneId,
+)
 from gooseberryquay.links.caller_watch import SilentCaller
 from gooseberryquay.links.upstream_connection import BodyEnd, BodyPart
+from gooseberryquay.machines.peer import Peer
 from gooseberryquay.machines.retry_budget import RetryBudget
 from gooseberryquay.machines.suspect_messages import Death, SuspectRecord
 from gooseberryquay.machines.suspect_table import SuspectTable
@@ -19,9 +28,10 @@
 from gooseberryquay.serving.answer_notices import AnswerNotices
 from gooseberryquay.serving.call import Call, GenerationDemand
 from gooseberryquay.serving.call_flow import CallFlow
-from gooseberryquay.serving.cold_rate import ColdRate
+from gooseberryquay.serving.cold_rate import ColdRate, ColdTerms
 from gooseberryquay.serving.crash_guard import CrashGuard
 from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.entry_census import EntryCensus
 from gooseberryquay.serving.fingerprint import fingerprint_of
 from gooseberryquay.serving.generation_flow import GenerationFlow
 from gooseberryquay.serving.generation_queue import GenerationQueue, QueueTicket
@@ -285,6 +295,32 @@
     return book
 
 
+def build_peer(number):
+    return Peer(
+        id=EntryId(f"entry-{number}"),
+        incarnation=Incarnation(1),
+        zone=ZONE,
+        control_address=Address("127.0.0.1", 9000),
+    )
+
+
+def build_census(count=1, clock=time.monotonic):
+    """Give what the first of some entries knows of the others."""
+    peers = [build_peer(number) for number in range(count)]
+    census = EntryCensus(peers[0].id, clock)
+    census.saw(peers)
+    return census
+
+
+def build_settled_census(count, clock):
+    """Give what the first of some entries knows once it has known the others for a while."""
+    census = build_census(count, clock)
+    for _ in range(3):
+        clock.now_s += 2.0
+        census.saw([build_peer(number) for number in range(count)])
+    return census
+
+
 def build_ticket(name, rank=1, give_up_s=1.0, late_s=1.0, need=BIG):
     now_s = time.monotonic()
     return QueueTicket(name, MODEL, need, rank, now_s + late_s, now_s + give_up_s)
@@ -359,7 +395,7 @@
         book=book,
         loads=loads,
         peers=NoPeers(),
-        cold=ColdRate(lambda: 1),
+        cold=ColdRate(build_census(), ColdTerms()),
         routing=lambda: routing,
         zone=ZONE,
         source=FixedRandom(),
--- a/gooseberryquay/serving/tests/test_admission.py
+++ b/gooseberryquay/serving/tests/test_admission.py
@@ -7,7 +7,7 @@
 
 from gooseberryquay.links.caller_watch import SilentCaller
 from gooseberryquay.links.upstream_connection import CallerLeft
-from gooseberryquay.serving.cold_rate import ColdRate
+from gooseberryquay.serving.cold_rate import ColdRate, ColdTerms
 from gooseberryquay.serving.leave_state import LeaveState
 from gooseberryquay.serving.placement import EngineNeed
 from gooseberryquay.serving.refusal import RefusalReason
@@ -18,9 +18,11 @@
     OTHER_ZONE,
     ZONE,
     FakeClock,
+    build_census,
     build_path,
     build_record,
     build_route,
+    build_settled_census,
     build_ticket,
 )
 from gooseberryquay.serving.upstream_load import Run
@@ -96,7 +98,7 @@
 
 def test_cold_upstream_gets_its_rate_shared_by_all_entries():
     clock = FakeClock()
-    cold = ColdRate(lambda: 4, clock)
+    cold = ColdRate(build_settled_census(4, clock), ColdTerms(), clock)
     taken = 0
     for _ in range(200):
         taken += cold.take("engine-1", 20.0)
@@ -106,12 +108,17 @@
 
 def test_cold_upstream_bears_no_burst_after_a_pause():
     clock = FakeClock()
-    cold = ColdRate(lambda: 1, clock)
+    cold = ColdRate(build_settled_census(1, clock), ColdTerms(), clock)
     cold.take("engine-1", 20.0)
     clock.now_s += 60.0
     assert sum(cold.take("engine-1", 20.0) for _ in range(100)) <= 10
 
 
+def test_upstreams_without_a_bound_take_whatever_comes():
+    cold = ColdRate(build_census(4, FakeClock()), ColdTerms(), FakeClock())
+    assert all(cold.take("ledger-1", float("inf")) for _ in range(100))
+
+
 def test_leaving_entry_takes_only_what_can_still_end():
     clock = FakeClock()
     leave = LeaveState(clock)
--- a/gooseberryquay/serving/tests/test_placement.py
+++ b/gooseberryquay/serving/tests/test_placement.py
@@ -6,13 +6,14 @@
 import pytest
 
 from gooseberryquay.ids import RequestId, UpstreamId
-from gooseberryquay.serving.cold_rate import ColdRate
+from gooseberryquay.serving.cold_rate import ColdRate, ColdTerms
 from gooseberryquay.serving.peer_loads import NO_LOAD
 from gooseberryquay.serving.placement import EngineNeed, Placement
 from gooseberryquay.serving.tests.builders import (
     MODEL,
     ZONE,
     FakeClock,
+    build_census,
     build_engine_terms,
     build_record,
     build_routing,
@@ -53,9 +54,6 @@
     def is_own_engine(self, upstream):
         return not self._has_own or int(upstream.rpartition("-")[2]) % CELLS == self._cell
 
-    def entry_count(self):
-        return CELLS
-
 
 class _Fleet:
     """Play the load of some cells on engines that read prompts by turns."""
@@ -63,7 +61,7 @@
     def __init__(self, has_own, seed):
         self._random = random.Random(seed)
         self._clock = FakeClock(0.0)
-        book = UpstreamBook()
+        book = UpstreamBook(self._clock)
         for number in range(ENGINES):
             book.apply_record(build_record(f"engine-{number}", slots=24))
         terms = build_engine_terms(slots=24, memory_tokens=MEMORY_TOKENS)
@@ -75,7 +73,7 @@
                 book=book,
                 loads=table,
                 peers=peers,
-                cold=ColdRate(lambda: 1),
+                cold=ColdRate(build_census(), ColdTerms()),
                 routing=lambda: routing,
                 zone=ZONE,
                 source=self._random,
