Keep retries of all entries together within what the site allows

Change: an entry saves up half of its part of the declared allowance, the other half comes back over the declared window, a start brings nothing, and entries out of sight keep their part. A generation that goes on at another engine comes off, too, as it arrives at the service again. The own interface's budget, which has no declared allowance, stays.

--- a/gooseberryquay/contracts/node_settings.py
+++ b/gooseberryquay/contracts/node_settings.py
@@ -16,6 +16,9 @@
     evacuation_s: float
     config_apply_s: float
     retry_ratio: float
+    retry_window_s: float
+    # What all entries together may retry in that window beyond the share of requests.
+    retry_allowance: float
     # What a cold upstream bears in a second: its rate times the first, and the second.
     cold_overage: float
     cold_allowance: float
--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -10,7 +10,7 @@
 from gooseberryquay.links.http_server import HttpServer, Router
 from gooseberryquay.machines.membership import Membership
 from gooseberryquay.machines.peer import Peer
-from gooseberryquay.machines.retry_budget import RetryBudget
+from gooseberryquay.machines.retry_budget import RetryBudget, SharedAllowance
 from gooseberryquay.machines.suspect_list import SuspectList
 from gooseberryquay.platform.documents import read_routing, read_upstream
 from gooseberryquay.platform.engine_calls import EngineCalls
@@ -104,8 +104,8 @@
         self._loads = LoadTable()
         self._routing = RoutingKeeper(CONFIGURATION_NAME, read_routing, log)
         self._membership = Membership(_describe(settings), seeds=settings.seeds)
-        census = EntryCensus(settings.id)
-        self._hubs = HubChoice(self._membership, settings.zone, on_refresh=census.saw)
+        self._census = EntryCensus(settings.id)
+        self._hubs = HubChoice(self._membership, settings.zone, on_refresh=self._census.saw)
         self._peers = PeerLoadExchange(
             loads=self._loads,
             membership=self._membership,
@@ -120,7 +120,7 @@
             loads=self._loads,
             peers=self._peers,
             cold=ColdRate(
-                census,
+                self._census,
                 ColdTerms(settings.bounds.cold_overage, settings.bounds.cold_allowance),
             ),
             routing=self._routing.current,
@@ -157,7 +157,11 @@
 
     def _build_path(self, placement: Placement, source: random.Random) -> RequestPath:
         calls = EngineCalls(ConnectionPool(CONNECT_TIMEOUT_S, IDLE_LIMIT_S))
-        retries = RetryBudget(self._settings.bounds.retry_ratio)
+        bounds = self._settings.bounds
+        allowance = SharedAllowance(
+            bounds.retry_allowance, bounds.retry_window_s, self._census.settled_count
+        )
+        retries = RetryBudget(bounds.retry_ratio, allowance=allowance)
         active = ActiveGenerations()
         migration = Migration(
             calls=calls, placement=placement, loads=self._loads, active=active, log=self._log
--- a/gooseberryquay/machines/retry_budget.py
+++ b/gooseberryquay/machines/retry_budget.py
@@ -9,7 +9,7 @@
 from gooseberryquay.ids import ServiceId
 from gooseberryquay.machines.dispatch_rate import FadingRate
 
-__all__ = ["RetryBudget"]
+__all__ = ["RetryBudget", "SharedAllowance"]
 
 BURST_RETRIES_MIN = 3.0
 BURST_RETRIES_MAX = 10.0
@@ -18,16 +18,30 @@
 BACKOFF_MAX_S = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class SharedAllowance:
+    """Allow all entries together so many retries in any window, beside those that are earned.
+
+    `entry_count` is None while others may be unknown.
+    """
+
+    retries: float
+    window_s: float
+    entry_count: Callable[[], int | None]
+
+
 @dataclass
 class _Bucket:
-    left: float = BURST_RETRIES_MIN
+    left: float
+    filled_at_s: float
     requests: FadingRate = field(default_factory=FadingRate)
 
 
 class RetryBudget:
     """Count requests and retries of each service; safe for use by many threads.
 
-    What is saved up for a burst is at most what the rate of requests earns in `BURST_S`.
+    What is saved up for a burst is at most what the rate of requests earns in `BURST_S`, or half of
+    this entry's part of an allowance; the other half comes back over the allowance's window.
     """
 
     def __init__(
@@ -35,8 +49,10 @@
         ratio: float,
         random_source: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
+        allowance: SharedAllowance | None = None,
     ) -> None:
         self._ratio = ratio
+        self._allowance = allowance
         self._clock = clock
         self._random = random_source or random.Random()
         self._buckets: dict[ServiceId, _Bucket] = {}
@@ -60,15 +76,40 @@
             bucket.left -= 1.0
             return True
 
+    def spend(self, service: ServiceId) -> None:
+        """Count a repeat that cannot be left out; what is owed then comes off later retries."""
+        with self._lock:
+            bucket = self._bucket(service)
+            self._bound(bucket)
+            bucket.left = max(-BURST_RETRIES_MAX, bucket.left - 1.0)
+
     def backoff_s(self, attempt: int) -> float:
         """Give a random wait before a retry; attempt 1 is the first retry."""
         ceiling_s: float = min(BACKOFF_MAX_S, BACKOFF_BASE_S * 2.0 ** max(0, attempt - 1))
         return self._random.uniform(0.0, ceiling_s)
 
     def _bucket(self, service: ServiceId) -> _Bucket:
-        return self._buckets.setdefault(service, _Bucket())
+        bucket = self._buckets.get(service)
+        if bucket is None:
+            saved = BURST_RETRIES_MIN if self._allowance is None else 0.0
+            bucket = self._buckets[service] = _Bucket(saved, self._clock())
+        return bucket
 
     def _bound(self, bucket: _Bucket) -> None:
-        earned = self._ratio * BURST_S * bucket.requests.per_second(self._clock())
-        burst = min(BURST_RETRIES_MAX, max(BURST_RETRIES_MIN, earned))
+        now_s = self._clock()
+        if self._allowance is None:
+            earned = self._ratio * BURST_S * bucket.requests.per_second(now_s)
+            burst = min(BURST_RETRIES_MAX, max(BURST_RETRIES_MIN, earned))
+        else:
+            burst = self._refill(bucket, self._allowance, now_s)
         bucket.left = min(burst, bucket.left)
+
+    def _refill(self, bucket: _Bucket, allowance: SharedAllowance, now_s: float) -> float:
+        """Add what has come back since, and give what may be saved up."""
+        passed_s, bucket.filled_at_s = now_s - bucket.filled_at_s, now_s
+        count = allowance.entry_count()
+        if count is None:
+            return 1.0
+        half_part = allowance.retries / count / 2.0
+        bucket.left += half_part * passed_s / allowance.window_s
+        return max(1.0, half_part)
--- a/gooseberryquay/machines/tests/test_retry_budget.py
+++ b/gooseberryquay/machines/tests/test_retry_budget.py
@@ -2,10 +2,13 @@
 
 import pytest
 
-from gooseberryquay.machines.retry_budget import RetryBudget
+from gooseberryquay.machines.retry_budget import RetryBudget, SharedAllowance
 
 RATE_PER_S = 5.0
 BROWN_OUT_S = 10.0
+# Bounds of the users' rule.
+RATIO = 0.2
+WINDOW_S = 10.0
 
 
 class Clock:
@@ -69,3 +72,60 @@
     waits = [budget.backoff_s(attempt) for attempt in range(1, 40)]
     assert len(set(waits)) == len(waits)
     assert 0 <= min(waits) <= max(waits) <= 1.0
+
+
+def _fleet(count, allowance, clock, counts=None):
+    counted = SharedAllowance(allowance, WINDOW_S, lambda: counts[0] if counts else count)
+    return [RetryBudget(RATIO, clock=clock, allowance=counted) for _ in range(count)]
+
+
+def _press(fleet, clock, span_s, requests_per_s):
+    """Let all entries retry as often as they may, and give when each retry was."""
+    retried_at_s = []
+    for step in range(round(span_s * requests_per_s)):
+        clock.now_s += 1.0 / requests_per_s
+        fleet[step % len(fleet)].saw_request("model")
+        for each in fleet:
+            while each.may_retry("model"):
+                retried_at_s.append(clock.now_s)
+    return retried_at_s
+
+
+def _most_in_a_window(times_s):
+    counts = [sum(first <= each < first + WINDOW_S for each in times_s) for first in set(times_s)]
+    return max(counts, default=0)
+
+
+@pytest.mark.parametrize(("count", "allowance"), [(6, 52), (8, 56), (195, 430)])
+@pytest.mark.parametrize("requests_per_s", [5.0, 30.0, 120.0])
+def test_retries_of_all_entries_stay_within_the_allowance(count, allowance, requests_per_s):
+    clock = Clock()
+    fleet = _fleet(count, allowance, clock)
+    for step in range(round(20.0 * requests_per_s)):
+        clock.now_s += 1.0 / requests_per_s
+        fleet[step % count].saw_request("model")
+    most = _most_in_a_window(_press(fleet, clock, 3 * WINDOW_S, requests_per_s))
+    assert most <= RATIO * requests_per_s * WINDOW_S + allowance
+    assert most >= allowance / 2
+
+
+def test_entries_that_all_start_again_bring_no_retries_with_them():
+    clock, count, allowance = Clock(), 195, 430
+    retried_at_s = []
+    for _ in range(4):
+        fleet = _fleet(count, allowance, clock, counts=[None])
+        retried_at_s += _press(fleet, clock, 2.0, 80.0)
+    assert _most_in_a_window(retried_at_s) <= RATIO * 80.0 * WINDOW_S + allowance
+
+
+def test_moves_that_must_be_made_come_off_later_retries():
+    clock = Clock()
+    (budget,) = _fleet(1, 10, clock)
+    clock.now_s += 30.0
+    for _ in range(7):
+        budget.spend("model")
+    assert not budget.may_retry("model")
+    clock.now_s += 3.0
+    assert not budget.may_retry("model")
+    clock.now_s += 5.0
+    assert budget.may_retry("model")
--- a/gooseberryquay/serving/entry_census.py
+++ b/gooseberryquay/serving/entry_census.py
@@ -60,6 +60,10 @@
             base_count = self._base_count
             return base_count is not None and len(self._peers) <= GROWTH_MAX * base_count
 
+    def settled_count(self) -> int | None:
+        """Give the number of entries, or None while others may be unknown."""
+        return self.count() if self.is_settled() else None
+
     def is_among_first(self, key: str, count: int) -> bool:
         """Tell whether this entry is one of the first in a key's order."""
         with self._lock:
--- a/gooseberryquay/serving/generation_flow.py
+++ b/gooseberryquay/serving/generation_flow.py
@@ -189,6 +189,7 @@
                     was_running = continuation is not None and isinstance(outcome, NotSent)
                     return StreamEnd.BROKEN if was_running else outcome
                 self._go_on_at(active, copy)
+                self._retries.spend(request.service)
                 continuation = Continuation(progress.last_id, copy.handle)
             return StreamEnd.BROKEN
         finally:
