--- a/gooseberryquay/machines/tests/test_retry_budget.py
+++ b/gooseberryquay/machines/tests/test_retry_budget.py
@@ -121,6 +121,7 @@
 def test_moves_that_must_be_made_come_off_later_retries():
     clock = Clock()
     (budget,) = _fleet(1, 10, clock)
+    budget.saw_request("model")
     clock.now_s += 30.0
     for _ in range(7):
         budget.spend("model")
