Ask a platform that refuses less often, and believe an upstream that is heard again

Found on reading: while the store was away, each entry asked it once a second for every shard of suspects that it had to write (each call is priced, also a refused one); an engine that resets connections beyond its number could be taken as ended for good; a malformed list of a peer would have ended the thread that keeps the suspects. One pass now ends at the first failure and rests 3 s, and an upstream that answers is no longer taken as ended.

--- a/gooseberryquay/machines/suspect_list.py
+++ b/gooseberryquay/machines/suspect_list.py
@@ -1,5 +1,6 @@
 """Requests that were in flight at upstreams that died, known to all entries."""
 
+import contextlib
 import random
 import threading
 import time
@@ -32,7 +33,8 @@
 RELOAD_PERIOD_S = 600.0
 # Deaths come in numbers; one list answers for all of them.
 RELOAD_GAP_S = 1.0
-RELOAD_RETRY_S = 3.0
+# What the platform refuses is asked for again after a while.
+RETRY_PERIOD_S = 3.0
 # Entries that were frozen or cut off learn of refused requests when they are back.
 RETELL_PERIOD_S = 2.0
 RETELL_SPAN_S = 60.0
@@ -73,6 +75,7 @@
         self._has_pulled = False
         self._load_at_s = float("-inf")
         self._loaded_at_s = float("-inf")
+        self._write_at_s = float("-inf")
         self._retell_at_s = float("-inf")
         self._woken = threading.Event()
         self._slots = SuspectSlots(peers)
@@ -207,7 +210,8 @@
         asked = self._rng.choice(others)
         match self._peers.send(asked, ALL_RECORDS_PATH, SuspectUpdate(), PULL_TIMEOUT_S):
             case Ok(Reply(status=status, body=body)) if status == HTTP_OK:
-                self._table.merge(SuspectUpdate.model_validate_json(body).records)
+                with contextlib.suppress(ValidationError):
+                    self._table.merge(SuspectUpdate.model_validate_json(body).records)
             case _:
                 pass
 
@@ -219,7 +223,8 @@
                 self._load(now_s)
             if not self._has_pulled:
                 self._pull_from_peer()
-            self._store.write_pending()
+            if now_s >= self._write_at_s and not self._store.write_pending():
+                self._write_at_s = now_s + RETRY_PERIOD_S
             if now_s >= self._retell_at_s:
                 self._retell_at_s = now_s + RETELL_PERIOD_S
                 self._spread.add(self._refused_lately())
@@ -228,7 +233,7 @@
 
     def _load(self, now_s: float) -> None:
         self._loaded_at_s = now_s
-        pause_s = RELOAD_PERIOD_S if self._store.load() else RELOAD_RETRY_S
+        pause_s = RELOAD_PERIOD_S if self._store.load() else RETRY_PERIOD_S
         self._load_at_s = now_s + pause_s * self._rng.uniform(0.5, 1.5)
 
     def _refused_lately(self) -> list[SuspectRecord]:
--- a/gooseberryquay/machines/suspect_store.py
+++ b/gooseberryquay/machines/suspect_store.py
@@ -72,15 +72,20 @@
                 log.info("suspects not read", extra={"failure": repr(failure)})
                 return False
 
-    def write_pending(self) -> None:
-        """Write each shard that has pending records; what fails stays pending."""
+    def write_pending(self) -> bool:
+        """Write each shard that has pending records; False where the platform fails.
+
+        What was not written stays pending.
+        """
         with self._lock:
             pending = sorted(self._pending)
         for shard in sorted({shard_of(fingerprint) for fingerprint in pending}):
             fingerprints = [each for each in pending if shard_of(each) == shard]
-            if self._write_shard(f"{PREFIX}{shard}", fingerprints):
-                with self._lock:
-                    self._pending.difference_update(fingerprints)
+            if not self._write_shard(f"{PREFIX}{shard}", fingerprints):
+                return False
+            with self._lock:
+                self._pending.difference_update(fingerprints)
+        return True
 
     def write_first(self, record: SuspectRecord) -> bool:
         """Add to a record; False where another entry has changed it or nothing was written."""
--- a/gooseberryquay/serving/crash_guard.py
+++ b/gooseberryquay/serving/crash_guard.py
@@ -120,10 +120,12 @@
         self._suspects.tell()
 
     def upstream_heard(self, known: KnownUpstream) -> None:
-        """Take in a sign of life."""
-        if self._losses:
+        """Take in a sign of life, which proves what was taken for an end wrong."""
+        if self._losses or self._ended:
+            incarnation = _incarnation_of(known)
             with self._lock:
-                self._losses.pop(_incarnation_of(known), None)
+                self._losses.pop(incarnation, None)
+                self._ended.pop(incarnation, None)
 
     def upstream_ended(self, known: KnownUpstream, evidence: str) -> None:
         """Take in that an incarnation runs no more."""
--- a/gooseberryquay/serving/tests/test_crash_guard.py
+++ b/gooseberryquay/serving/tests/test_crash_guard.py
@@ -106,6 +106,15 @@
     assert not guarded.is_refused()
 
 
+def test_upstream_that_refused_a_connection_and_lives_is_not_taken_for_dead(guarded):
+    for name in NAMES:
+        known = guarded.book.find(name)
+        guarded.guard.upstream_ended(known, "refuses connections")
+        guarded.guard.upstream_heard(known)
+    guarded.lose(RunLoss.BROKEN, ListeningState.OPEN)
+    assert not guarded.is_refused()
+
+
 def test_run_lost_long_before_its_upstream_died_counts_for_nothing(guarded):
     guarded.lose(RunLoss.CALLER_LEFT, ListeningState.OPEN)
     guarded.pass_time(2.0 * LAPSE_S + 0.1)
