Join what is known of a request's deaths before it is run again

Seen with 14 entries: five upstreams ended under a request sent in turn, where three are the bound, as an entry ran it again itself before those that keep its record had answered.

--- a/gooseberryquay/machines/suspect_list.py
+++ b/gooseberryquay/machines/suspect_list.py
@@ -168,7 +168,7 @@
         if record is None:
             return
         self._slots.release(fingerprint)
-        if any(not death.is_cleared for death in record.deaths):
+        if not record.is_cleared():
             self._take_in([record.cleared()])
 
     def take_slot(self, fingerprint: str, upstream: UpstreamId) -> bool:
--- a/gooseberryquay/machines/suspect_messages.py
+++ b/gooseberryquay/machines/suspect_messages.py
@@ -48,6 +48,10 @@
         """Give the number of certain deaths that no finished run has cleared."""
         return sum(death.is_certain and not death.is_cleared for death in self.deaths)
 
+    def is_cleared(self) -> bool:
+        """Tell whether no death counts against the request."""
+        return all(death.is_cleared for death in self.deaths)
+
     def doubts_since(self, since_s: float) -> tuple[Death, ...]:
         """Give the deaths after a time that are neither certain nor cleared."""
         return tuple(
--- a/gooseberryquay/serving/crash_guard.py
+++ b/gooseberryquay/serving/crash_guard.py
@@ -85,6 +85,11 @@
     def refusal(self, request: AcceptedRequest) -> Refusal | None:
         """Refuse a request that would end its upstream, or None where it may run."""
         record = self._suspects.record(request.fingerprint)
+        if record is None or record.is_cleared():
+            return None
+        # Those that are told of the last death answer with what they know of others.
+        self._suspects.tell()
+        record = self._suspects.record(request.fingerprint)
         match verdict_of(record, self._wall_clock(), self._doubt_s):
             case Runs():
                 return None
