--- a/gooseberryquay/serving/hubs.py
+++ b/gooseberryquay/serving/hubs.py
@@ -8,11 +8,10 @@
 import time
 from collections.abc import Callable
 
-import xxhash
-
 from gooseberryquay.ids import EntryId, UpstreamId, ZoneId
 from gooseberryquay.machines.membership import Membership
 from gooseberryquay.machines.peer import Peer
+from gooseberryquay.machines.rendezvous import first_owners, owner_of
 
 __all__ = ["HubChoice"]
 
@@ -96,8 +95,7 @@
         own = {self._membership.myself().id} if self.is_hub() else {each.id for each in self._cell}
         owner = self._owners.get(upstream)
         if owner is None:
-            owner = max((each.id for each in hubs), key=lambda each: _weight(f"{upstream}:{each}"))
-            self._owners[upstream] = owner
+            owner = self._owners[upstream] = owner_of(upstream, hubs).id
         return owner in own
 
     def avoid(self, hub: EntryId) -> None:
@@ -138,14 +136,10 @@
 
 def _cells_of(live: tuple[Peer, ...]) -> list[tuple[Peer, ...]]:
     """Part the entries of each zone into cells, the hubs of each first."""
-    ranked = sorted(live, key=lambda each: _weight(f"hub:{each.id}"))
+    ranked = first_owners("hub", live, len(live))
     cells: list[tuple[Peer, ...]] = []
     for zone in sorted({each.zone for each in live}):
         members = [each for each in ranked if each.zone == zone]
         count = -(-len(members) // CELL_MAX)
         cells += [tuple(members[number::count]) for number in range(count)]
     return cells
-
-
-def _weight(key: str) -> int:
-    return xxhash.xxh3_64_intdigest(key.encode())
