Judge a generation again when it has waited for an engine

Found on reading: a request that crashes engines was judged on arrival alone. Repeats that waited in the queue while the others' deaths were counted were sent all the same, seconds later. Now it is judged once more before it is sent, and a trial is claimed only then. The test sent the request on the former code.

--- a/gooseberryquay/serving/crash_guard.py
+++ b/gooseberryquay/serving/crash_guard.py
@@ -11,7 +11,7 @@
 from gooseberryquay.ids import Fingerprint, UpstreamId
 from gooseberryquay.machines.suspect_list import SuspectList
 from gooseberryquay.serving.accepted import AcceptedRequest
-from gooseberryquay.serving.crash_verdict import Refused, Runs, Trial, verdict_of
+from gooseberryquay.serving.crash_verdict import Refused, Runs, Trial, Verdict, verdict_of
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.ports import ListeningState, UpstreamCalls
 from gooseberryquay.serving.refusal import Refusal, RefusalReason
@@ -82,22 +82,32 @@
         self._looks: OrderedDict[UpstreamId, _Look] = OrderedDict()
         self._lock = threading.Lock()
 
+    def refusal_on_arrival(self, request: AcceptedRequest) -> Refusal | None:
+        """Refuse a request that would end its upstream before it waits for one."""
+        match self._verdict_of(request):
+            case Refused(left_s, reason):
+                return _refusal(left_s, reason)
+            case Runs() | Trial():
+                return None
+
     def refusal(self, request: AcceptedRequest) -> Refusal | None:
-        """Refuse a request that would end its upstream, or None where it may run."""
-        record = self._suspects.record(request.fingerprint)
-        if record is None or record.is_cleared():
-            return None
-        # Those that are told of the last death answer with what they know of others.
-        self._suspects.tell()
-        record = self._suspects.record(request.fingerprint)
-        match verdict_of(record, self._wall_clock(), self._doubt_s):
+        """Refuse a request that would end its upstream, or None where it is run at once."""
+        match self._verdict_of(request):
             case Runs():
                 return None
             case Trial():
                 return self._try_once(request)
             case Refused(left_s, reason):
-                left_s = max(RETRY_AFTER_MIN_S, left_s)
-                return Refusal(RefusalReason.CRASHES_UPSTREAMS, reason, left_s)
+                return _refusal(left_s, reason)
+
+    def _verdict_of(self, request: AcceptedRequest) -> Verdict:
+        record = self._suspects.record(request.fingerprint)
+        if record is None or record.is_cleared():
+            return Runs()
+        # Those that are told of the last death answer with what they know of others.
+        self._suspects.tell()
+        record = self._suspects.record(request.fingerprint)
+        return verdict_of(record, self._wall_clock(), self._doubt_s)
 
     def finished(self, request: AcceptedRequest) -> None:
         """Take in that a request ran to its end, and crashes no upstream."""
@@ -200,8 +210,7 @@
         if self._suspects.claim_trial(request.fingerprint, trial):
             self._log.belief("suspect tried again", fingerprint=request.fingerprint)
             return None
-        reason = "another entry tries this request, or the store is away"
-        return Refusal(RefusalReason.CRASHES_UPSTREAMS, reason, self._doubt_s)
+        return _refusal(self._doubt_s, "another entry tries this request, or the store is away")
 
     def _note(
         self, event: str, fingerprint: Fingerprint, known: KnownUpstream, evidence: str
@@ -217,6 +226,10 @@
         )
 
 
+def _refusal(left_s: float, reason: str) -> Refusal:
+    return Refusal(RefusalReason.CRASHES_UPSTREAMS, reason, max(RETRY_AFTER_MIN_S, left_s))
+
+
 def _is_planned(known: KnownUpstream) -> bool:
     return known.record.state is UpstreamState.DRAINING or known.notice.is_leaving
 
--- a/gooseberryquay/serving/generation_flow.py
+++ b/gooseberryquay/serving/generation_flow.py
@@ -4,7 +4,7 @@
 import time
 from dataclasses import dataclass, field
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from gooseberryquay.ids import UpstreamId
 from gooseberryquay.links.upstream_connection import BodyEnd, BodyPart, CallerLeft
@@ -109,16 +109,12 @@
         is_free = True
         while is_free or self._may_try_again(request, attempts):
             is_free = False
-            suspected = self._guard.refusal(request)
-            if suspected is not None:
-                if attempts.runs == 0:
-                    return suspected
-                attempts.reason = suspected.message
-                break
-            placed = self._queue.place(self._ticket(request, attempts), request.caller)
+            placed = self._place(request, attempts)
             if isinstance(placed, Err):
-                if attempts.runs == 0 or isinstance(placed.err_value, CallerLeft):
-                    return placed.err_value
+                failure = placed.err_value
+                if attempts.runs == 0 or isinstance(failure, CallerLeft):
+                    return failure
+                attempts.reason = failure.message
                 break
             self._note_placed(request, placed.ok_value)
             outcome = self._run(request, progress, attempts, placed.ok_value)
@@ -142,6 +138,23 @@
             attempts.excluded.add(placed.ok_value.known.record.id)
         return self._give_up(request, progress, attempts)
 
+    def _place(
+        self, request: AcceptedRequest, attempts: _Attempts
+    ) -> Result[Placed, Refusal | CallerLeft]:
+        """Wait for an engine, unless the request would end it, as may turn out meanwhile."""
+        suspected = self._guard.refusal_on_arrival(request)
+        if suspected is not None:
+            return Err(suspected)
+        placed = self._queue.place(self._ticket(request, attempts), request.caller)
+        if isinstance(placed, Err):
+            return placed
+        suspected = self._guard.refusal(request)
+        if suspected is None:
+            return placed
+        self._loads.end(placed.ok_value.run)
+        self._queue.changed()
+        return Err(suspected)
+
     def _may_try_again(self, request: AcceptedRequest, attempts: _Attempts) -> bool:
         if time.monotonic() >= request.until_s:
             return False
--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -385,6 +385,7 @@
     migration: Migration
     call_flow: CallFlow
     generation_flow: GenerationFlow
+    guard: CrashGuard
 
 
 def build_path(records, calls=None, routing=None, retry_ratio=1.0, memory_mb=128):
@@ -430,4 +431,6 @@
         memory=AnswerMemory(memory_mb),
         log=log,
     )
-    return Path(calls, book, loads, placement, queue, active, migration, call_flow, generation_flow)
+    return Path(
+        calls, book, loads, placement, queue, active, migration, call_flow, generation_flow, guard
+    )
--- a/gooseberryquay/serving/tests/test_generation_flow.py
+++ b/gooseberryquay/serving/tests/test_generation_flow.py
@@ -5,7 +5,9 @@
 from result import Err
 
 from gooseberryquay.links.upstream_connection import BodyEnd, CallerLeft
+from gooseberryquay.serving.crash_guard import RunLoss
 from gooseberryquay.serving.ports import (
+    ListeningState,
     MoveFailure,
     MoveRefusal,
     NotSent,
@@ -287,3 +289,21 @@
     path.calls.answers = [first, _stream(3, 4)]
     _, caller = _serve(path)
     assert (caller.body, caller.is_complete) == (events(1, 4), True)
+
+
+def test_request_that_turns_out_to_crash_engines_while_it_waits_is_not_sent():
+    path = _path(_stream(1, 3))
+    request = build_request(build_route(RouteKind.STREAMING))
+    place = path.queue.place
+
+    def place_late(ticket, caller):
+        placed = place(ticket, caller)
+        for number in range(3):
+            path.calls.listening[f"engine-{number}"] = ListeningState.REFUSED
+            path.guard.lost(request, path.book.find(f"engine-{number}"), RunLoss.BROKEN)
+        return placed
+
+    path.queue.place = place_late
+    refusal = path.generation_flow.serve(request)
+    assert refusal.reason is RefusalReason.CRASHES_UPSTREAMS
+    assert path.calls.opened == [] and path.loads.in_flight() == 0
