Count a run that is lost while another finds its upstream dead; one way to read a shard

Found on reading: of two runs that an upstream's death cut off at the same moment, the second could be dropped, if it was noted between the first one's look at the upstream and its verdict (the test fails on the former code).

--- a/gooseberryquay/machines/suspect_store.py
+++ b/gooseberryquay/machines/suspect_store.py
@@ -3,6 +3,7 @@
 import logging
 import threading
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Protocol
 
 import xxhash
@@ -12,6 +13,7 @@
 from gooseberryquay.links.platform_link import (
     NO_VERSION,
     ReadFailure,
+    WriteConflict,
     WriteFailure,
 )
 from gooseberryquay.links.platform_messages import StoredObject
@@ -47,6 +49,15 @@
     return xxhash.xxh3_64_intdigest(fingerprint.encode()) % SHARDS
 
 
+@dataclass(frozen=True)
+class _Shard:
+    """Hold one object as it was read."""
+
+    key: str
+    version: int
+    records: dict[str, SuspectRecord]
+
+
 class SuspectStore:
     """Join pending records into the platform's shards by conditional writes."""
 
@@ -75,55 +86,65 @@
     def write_pending(self) -> bool:
         """Write each shard that has pending records; False where the platform fails.
 
-        What was not written stays pending.
+        What was not written, as another entry wrote at the same time, stays pending.
         """
         with self._lock:
             pending = sorted(self._pending)
-        for shard in sorted({shard_of(fingerprint) for fingerprint in pending}):
-            fingerprints = [each for each in pending if shard_of(each) == shard]
-            if not self._write_shard(f"{PREFIX}{shard}", fingerprints):
+        for number in sorted({shard_of(fingerprint) for fingerprint in pending}):
+            fingerprints = [each for each in pending if shard_of(each) == number]
+            if not self._write_shard(number, fingerprints):
                 return False
-            with self._lock:
-                self._pending.difference_update(fingerprints)
         return True
 
     def write_first(self, record: SuspectRecord) -> bool:
         """Add to a record; False where another entry has changed it or nothing was written."""
-        key = f"{PREFIX}{shard_of(record.fingerprint)}"
-        match self._platform.read(key):
-            case Err(_):
-                return False
-            case Ok(stored):
-                pass
-        held = {each.fingerprint: each for each in _records_in(stored)}
-        known = held.get(record.fingerprint)
+        shard = self._read_shard(shard_of(record.fingerprint))
+        if shard is None:
+            return False
+        known = shard.records.get(record.fingerprint)
         if known is not None and self._table.merge([known]):
             return False
         self._table.merge([record])
         joined = self._table.get(record.fingerprint) or record
-        value = SuspectUpdate(records=_newest({**held, joined.fingerprint: joined}.values()))
-        version = NO_VERSION if stored is None else stored.version
-        return self._platform.write(key, value.model_dump_json(), version).is_ok()
+        return self._write(shard, {joined.fingerprint: joined}).is_ok()
 
-    def _write_shard(self, key: str, fingerprints: list[str]) -> bool:
-        """Read the shard, join it with the table, and write it back where that adds something.
+    def _write_shard(self, number: int, fingerprints: list[str]) -> bool:
+        """Join a shard with the table, and write it back where that adds something.
 
         A lost answer needs no care: the next try reads what was written and adds nothing.
         """
+        shard = self._read_shard(number)
+        if shard is None:
+            return False
+        self._table.merge(shard.records.values())
+        wanted = {each: self._table.get(each) for each in fingerprints}
+        news = {each: record for each, record in wanted.items() if record is not None}
+        if any(shard.records.get(each) != record for each, record in news.items()):
+            match self._write(shard, news):
+                case Err(WriteConflict()):
+                    return True
+                case Err(_):
+                    return False
+                case Ok(_):
+                    pass
+        with self._lock:
+            self._pending.difference_update(fingerprints)
+        return True
+
+    def _read_shard(self, number: int) -> _Shard | None:
+        key = f"{PREFIX}{number}"
         match self._platform.read(key):
             case Err(_):
-                return False
+                return None
             case Ok(stored):
-                pass
-        held = {each.fingerprint: each for each in _records_in(stored)}
-        self._table.merge(held.values())
-        wanted = {each: self._table.get(each) for each in fingerprints}
-        news = {each: record for each, record in wanted.items() if record is not None}
-        if all(held.get(each) == record for each, record in news.items()):
-            return True
-        value = SuspectUpdate(records=_newest({**held, **news}.values())).model_dump_json()
-        version = NO_VERSION if stored is None else stored.version
-        return self._platform.write(key, value, version).is_ok()
+                version = NO_VERSION if stored is None else stored.version
+                records = {each.fingerprint: each for each in _records_in(stored)}
+                return _Shard(key, version, records)
+
+    def _write(self, shard: _Shard, news: dict[str, SuspectRecord]) -> Result[int, WriteFailure]:
+        kept = _newest({**shard.records, **news}.values())
+        value = SuspectUpdate(records=kept).model_dump_json()
+        return self._platform.write(shard.key, value, shard.version)
 
 
 def _newest(records: Iterable[SuspectRecord]) -> tuple[SuspectRecord, ...]:
--- a/gooseberryquay/serving/crash_guard.py
+++ b/gooseberryquay/serving/crash_guard.py
@@ -147,7 +147,7 @@
         incarnation = _incarnation_of(known)
         with self._lock:
             losses = self._losses.pop(incarnation, [])
-            if _is_planned(known) or incarnation in self._ended:
+            if _is_planned(known):
                 return
             self._ended[incarnation] = None
             if len(self._ended) > ENDED_MAX:
--- a/gooseberryquay/serving/tests/test_crash_guard.py
+++ b/gooseberryquay/serving/tests/test_crash_guard.py
@@ -115,6 +115,18 @@
     assert not guarded.is_refused()
 
 
+def test_run_that_is_lost_while_another_finds_its_upstream_dead_counts(guarded):
+    remember = guarded.guard._remember
+
+    def remember_late(fingerprint, known):
+        guarded.guard.upstream_ended(known, "refuses connections")
+        remember(fingerprint, known)
+
+    guarded.guard._remember = remember_late
+    guarded.lose(RunLoss.BROKEN, ListeningState.REFUSED)
+    assert guarded.is_refused()
+
+
 def test_run_lost_long_before_its_upstream_died_counts_for_nothing(guarded):
     guarded.lose(RunLoss.CALLER_LEFT, ListeningState.OPEN)
     guarded.pass_time(2.0 * LAPSE_S + 0.1)
