Log the request rate that an upstream states for all entries

The adapter now reads Server-Limit from any response and an entry logs each change of it ('upstream rate limit', with the rate and who told it). Nothing acts on it yet.

--- a/gooseberryquay/platform/http_upstream_client.py
+++ b/gooseberryquay/platform/http_upstream_client.py
@@ -1,6 +1,7 @@
 """HTTP calls to the platform's engines and services."""
 
 import json
+import math
 import time
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
@@ -62,6 +63,7 @@
     load: LoadHint | None
     is_leaving: bool
     pause_s: float | None
+    rate_limit_per_s: float | None
     connection: UpstreamConnection
     pool: ConnectionPool
 
@@ -220,6 +222,7 @@
         load=load,
         is_leaving=head.value(names.SERVER_LEAVING) is not None,
         pause_s=_pause_of(head),
+        rate_limit_per_s=_rate_limit_of(head.value(names.SERVER_LIMIT)),
         connection=connection,
         pool=pool,
     )
@@ -236,6 +239,15 @@
     return pause_s if pause_s > 0.0 else None
 
 
+def _rate_limit_of(text: str | None) -> float | None:
+    try:
+        requests_per_s = float(text or "")
+    except ValueError:
+        return None
+    is_valid = math.isfinite(requests_per_s) and requests_per_s >= 0.0
+    return requests_per_s if is_valid else None
+
+
 def _load_of(text: str | None) -> LoadHint | None:
     try:
         running, waiting, slots = (int(each) for each in (text or "").split(","))
--- a/gooseberryquay/platform/names.py
+++ b/gooseberryquay/platform/names.py
@@ -22,6 +22,7 @@
     "REPORT_PATH",
     "RETRY_AFTER",
     "SERVER_LEAVING",
+    "SERVER_LIMIT",
     "SYSTEM_HEADERS",
     "TENANT",
     "TOKEN_USAGE",
@@ -39,6 +40,8 @@
 RETRY_AFTER = "retry-after"
 # Set by an engine in all its responses once it starts to drain.
 SERVER_LEAVING = "server-leaving"
+# Requests per second that an engine accepts from all callers together.
+SERVER_LIMIT = "server-limit"
 NOT_EXECUTED = "x-not-executed"
 INSTANCE_ID = "x-instance-id"
 # Running requests, waiting requests and slots.
--- a/gooseberryquay/platform/tests/test_http_upstream_client.py
+++ b/gooseberryquay/platform/tests/test_http_upstream_client.py
@@ -178,3 +178,13 @@
         assert is_closed.wait(SLACK_S)
     grown_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before_kb
     assert grown_kb < RSS_GROWTH_KB_MAX
+
+
+@pytest.mark.parametrize("status", [200, 500, 503])
+@pytest.mark.parametrize(
+    ("text", "requests_per_s"),
+    [("2.4", 2.4), ("0", 0.0), ("many", None), ("-1", None), ("nan", None), ("inf", None)],
+)
+def test_rate_limit_is_read_from_any_response_and_must_be_a_number(status, text, requests_per_s):
+    with _engine([_response(status, f"Server-Limit: {text}")]) as (address, _):
+        assert _open(address)[0].ok_value.rate_limit_per_s == requests_per_s
--- a/gooseberryquay/serving/ports.py
+++ b/gooseberryquay/serving/ports.py
@@ -91,7 +91,11 @@
 
 
 class OpenResponse(Protocol):
-    """Read the response of an upstream; `pause_s` is how long it asks for no new requests."""
+    """Read the response of an upstream.
+
+    `pause_s` is how long it asks for no new requests, and `rate_limit_per_s` how many requests per
+    second it accepts from all entries together.
+    """
 
     status: int
     headers: Sequence[HeaderPair]
@@ -100,6 +104,7 @@
     load: LoadHint | None
     is_leaving: bool
     pause_s: float | None
+    rate_limit_per_s: float | None
 
     def read(
         self, caller: CallerWatch, until_s: float
--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -229,6 +229,7 @@
     load: object = None
     is_leaving: bool = False
     pause_s: float | None = None
+    rate_limit_per_s: float | None = None
     before_part: Callable[[int], None] = lambda _number: None
     is_closed: bool = False
     is_finished: bool = False
--- a/gooseberryquay/serving/upstream_registry.py
+++ b/gooseberryquay/serving/upstream_registry.py
@@ -8,7 +8,13 @@
 from gooseberryquay.ids import ServiceId, UpstreamId, ZoneId
 from gooseberryquay.serving.upstream_record import UpstreamRecord, UpstreamState
 
-__all__ = ["PAUSE_MAX_S", "KnownUpstream", "UpstreamNotice", "UpstreamRegistry"]
+__all__ = [
+    "PAUSE_MAX_S",
+    "KnownUpstream",
+    "RateLimitStatement",
+    "UpstreamNotice",
+    "UpstreamRegistry",
+]
 
 # An upstream that needs a longer pause can announce it in its list entry.
 PAUSE_MAX_S = 300.0
@@ -18,6 +24,14 @@
 Listener = Callable[[UpstreamId], None]
 
 
+@dataclass(frozen=True, slots=True)
+class RateLimitStatement:
+    """Store the request rate that an upstream accepts from all entries, None for any rate."""
+
+    requests_per_s: float | None
+    stated_at_s: float
+
+
 @dataclass
 class UpstreamNotice:
     """Store the status that one incarnation of an upstream reported in its responses."""
@@ -25,6 +39,7 @@
     born_ms: int | None
     is_leaving: bool = False
     paused_until_s: float = 0.0
+    rate_limit: RateLimitStatement | None = None
 
 
 @dataclass
@@ -157,6 +172,20 @@
             if notice is not None:
                 notice.paused_until_s = max(notice.paused_until_s, until_s)
 
+    def state_rate_limit(
+        self, upstream: UpstreamId, born_ms: int | None, statement: RateLimitStatement
+    ) -> bool:
+        """Record the rate that an incarnation accepts; return whether it has changed."""
+        with self._lock:
+            notice = self._notice_of(upstream, born_ms)
+            if notice is None:
+                return False
+            previous = notice.rate_limit
+            if previous is not None and previous.stated_at_s >= statement.stated_at_s:
+                return False
+            notice.rate_limit = statement
+            return statement.requests_per_s != (previous and previous.requests_per_s)
+
     def leaving_notices(self) -> list[tuple[UpstreamId, int | None]]:
         """Return the incarnations that announced that they are leaving but are listed as ready."""
         return [
--- a/gooseberryquay/serving/upstream_signals.py
+++ b/gooseberryquay/serving/upstream_signals.py
@@ -1,20 +1,33 @@
 """Process the status that upstreams report in their response headers."""
 
+import time
+from collections.abc import Callable
+
 from gooseberryquay.serving.crash_guard import CrashGuard
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.ports import OpenResponse
 from gooseberryquay.serving.upstream_load import LoadTable
-from gooseberryquay.serving.upstream_registry import KnownUpstream, UpstreamRegistry
+from gooseberryquay.serving.upstream_registry import (
+    KnownUpstream,
+    RateLimitStatement,
+    UpstreamRegistry,
+)
 
 __all__ = ["UpstreamSignals"]
 
 
 class UpstreamSignals:
-    """Record an upstream's liveness, load, leave announcement and requested pause."""
+    """Record an upstream's liveness, load, leave announcement, requested pause and rate limit."""
 
     def __init__(
-        self, registry: UpstreamRegistry, loads: LoadTable, guard: CrashGuard, log: DecisionLog
+        self,
+        registry: UpstreamRegistry,
+        loads: LoadTable,
+        guard: CrashGuard,
+        log: DecisionLog,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._clock = clock
         self._guard = guard
         self._registry = registry
         self._loads = loads
@@ -34,3 +47,17 @@
         if response.pause_s is not None:
             self._registry.pause(upstream, born_ms, response.pause_s)
             self._log.belief("upstream pauses", upstream=upstream, pause_s=response.pause_s)
+        self._process_rate_limit(known, response.rate_limit_per_s)
+
+    def _process_rate_limit(self, known: KnownUpstream, requests_per_s: float | None) -> None:
+        if requests_per_s is None and known.notice.rate_limit is None:
+            return
+        statement = RateLimitStatement(requests_per_s, self._clock())
+        upstream, born_ms = known.record.id, known.record.born_ms
+        if self._registry.state_rate_limit(upstream, born_ms, statement):
+            self._log.belief(
+                "upstream rate limit",
+                upstream=upstream,
+                requests_per_s=requests_per_s,
+                told_by="answer",
+            )
