--- a/gooseberryquay/standins/node_platform/upstream_server.py
+++ b/gooseberryquay/standins/node_platform/upstream_server.py
@@ -37,6 +37,8 @@
     cut_share: float = 0.0
     # Value of Retry-After in seconds when the upstream sheds a request.
     pause_s: float | None = None
+    # Requests per second that the upstream states in all its responses.
+    rate_limit_per_s: float | None = None
 
 
 @dataclass
@@ -44,14 +46,14 @@
     gateway: StreamingGateway
     headers: dict[str, str]
     body: bytes
-    drain_headers: list[tuple[str, str]]
+    status_headers: list[tuple[str, str]]
 
     @property
     def id(self) -> str:
         return self.headers.get("x-attempt-id", "")
 
     def respond(self, status: str, headers: list[tuple[str, str]], body: bytes = b"") -> None:
-        sent = [*headers, *self.drain_headers, ("X-Attempt-Id", self.id)]
+        sent = [*headers, *self.status_headers, ("X-Attempt-Id", self.id)]
         sent.append(("Content-Length", str(len(body))))
         self.gateway.start(status, sent)
         self.gateway.write_all(body)
@@ -132,7 +134,7 @@
             name.decode().lower(): value.decode("latin-1")
             for name, value in gateway.req.inheaders.pairs
         }
-        received = _ReceivedRequest(gateway, headers, body, self._drain_headers())
+        received = _ReceivedRequest(gateway, headers, body, self._status_headers())
         try:
             self._raise_if_crashed()
             self._handle(received)
@@ -166,8 +168,11 @@
             )
         self._run(received)
 
-    def _drain_headers(self) -> list[tuple[str, str]]:
-        return [("Server-Leaving", "1")] if self.is_leaving else []
+    def _status_headers(self) -> list[tuple[str, str]]:
+        headers = [("Server-Leaving", "1")] if self.is_leaving else []
+        if self.faults.rate_limit_per_s is not None:
+            headers.append(("Server-Limit", f"{self.faults.rate_limit_per_s:.2f}"))
+        return headers
 
     def _retry_after(self) -> list[tuple[str, str]]:
         pause_s = self.faults.pause_s
@@ -303,7 +308,7 @@
             ("Content-Type", "text/event-stream"),
             ("X-Attempt-Id", received.id),
             ("X-Response-Seal", f"{received.id}.s"),
-            *received.drain_headers,
+            *received.status_headers,
         ]
         cut_at = self._rng.randrange(1, last + 1) if self._occurs(self.faults.cut_share) else None
         received.gateway.start("200 OK", headers)
