Refuse no generation for rate limits that do not bind

The commit before refused a generation that was late on its arrival in the queue although nothing limited the rate: test_admission's order of late generations failed. The bound applies to a positive wait only; one that is late already has until it gives up.

--- a/gooseberryquay/serving/generation_queue.py
+++ b/gooseberryquay/serving/generation_queue.py
@@ -155,14 +155,13 @@
         return True
 
     def _refuse_beyond_rate_limits(self, ticket: QueueTicket) -> Refusal | None:
-        """Refuse a generation that rate limits keep from all engines until it is late.
-
-        Later arrivals would overtake it then.
-        """
+        """Refuse a generation that rate limits keep from all engines until others overtake it."""
         with self._lock:
             ahead = sum(each.ticket.service == ticket.service for each in self._waiters)
         wait_s = self._placement.rate_wait_s(ticket.service, ticket.excluded, ahead)
-        if wait_s <= ticket.late_at_s - self._clock():
+        now_s = self._clock()
+        until_s = ticket.late_at_s if ticket.late_at_s > now_s else ticket.give_up_at_s
+        if wait_s <= max(0.0, until_s - now_s):
             return None
         if math.isinf(wait_s):
             wait_s = (1 + ahead) * self._placement.rate_interval_s(ticket.service)
