--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -314,20 +314,20 @@
     )
 
 
-def build_entry_counter(count=1, clock=time.monotonic):
-    """Return the entry counter of the first of `count` entries."""
-    peers = [build_peer(number) for number in range(count)]
-    entry_counter = EntryCounter(peers[0].id, clock)
+def build_entry_counter(count=1, clock=time.monotonic, number=0):
+    """Return the entry counter of one of `count` entries."""
+    peers = [build_peer(each) for each in range(count)]
+    entry_counter = EntryCounter(peers[number].id, clock)
     entry_counter.record_live(peers)
     return entry_counter
 
 
-def build_stable_entry_counter(count, clock):
-    """Return the entry counter of the first of `count` entries once its count is stable."""
-    entry_counter = build_entry_counter(count, clock)
+def build_stable_entry_counter(count, clock, number=0):
+    """Return the entry counter of one of `count` entries once its count is stable."""
+    entry_counter = build_entry_counter(count, clock, number)
     for _ in range(3):
         clock.now_s += 2.0
-        entry_counter.record_live([build_peer(number) for number in range(count)])
+        entry_counter.record_live([build_peer(each) for each in range(count)])
     return entry_counter
 
 
