Share the connections that an upstream accepts among all entries

An upstream that hangs could be sent as many calls as arrive, and resets connections beyond its maximum: calls that must not repeat then end with an unknown outcome. Each entry now opens at most its share of four fifths of it (at least one); other upstreams take the rest, or the call is refused at once. New cases fail before: 1,600 and 39,000 connections where 110, 250 and 1,200 are accepted. On the declared sites the share is 11 or more at 8 entries and 4 or more at 195, and seldom binds.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -132,6 +132,7 @@
             routing=self._routing.current,
             zone=settings.zone,
             rng=rng,
+            entry_count=self._entry_counter.count,
         )
         self._counters = RequestCounters()
         self._drain_state = DrainState()
--- a/gooseberryquay/platform/documents.py
+++ b/gooseberryquay/platform/documents.py
@@ -64,6 +64,7 @@
 class _Service(_Document):
     name: str
     cold_per_s: float = 0.0
+    max_conns: int = 0
     engine: _Engine | None = None
 
 
@@ -164,6 +165,7 @@
     return ServiceTerms(
         id=ServiceId(document.name),
         cold_requests_per_s=document.cold_per_s,
+        connections_max=document.max_conns if document.max_conns > 0 else None,
         engine=_engine_of(engine) if engine is not None else None,
     )
 
--- a/gooseberryquay/serving/placement.py
+++ b/gooseberryquay/serving/placement.py
@@ -47,6 +47,8 @@
 MOVE_OTHER_CELL_PENALTY = 0.6
 # Outweighs any load.
 AVOIDED_PENALTY = 10.0
+# Idle connections and those of entries that have just started need the rest.
+CONNECTION_SHARE = 0.8
 # A cold engine is slow for about 1 s.
 COLD_PENALTY = 0.3
 
@@ -139,6 +141,7 @@
         routing: Callable[[], RoutingTable | None],
         zone: ZoneId,
         rng: random.Random,
+        entry_count: Callable[[], int] = lambda: 1,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._registry = registry
@@ -148,6 +151,7 @@
         self._routing = routing
         self._zone = zone
         self._rng = rng
+        self._entry_count = entry_count
         self._clock = clock
 
     def choose_for_call(
@@ -239,7 +243,7 @@
         self, service: ServiceId, excluded: Collection[UpstreamId], wait_max_s: float
     ) -> RateReservation | None:
         """Reserve the earliest request that the rate limits allow, or return None if too late."""
-        usable = [each for each in self._registry.usable(service) if each.record.id not in excluded]
+        usable = self._connectable(service, excluded)
         if not usable:
             return None
         known = min(usable, key=lambda each: self._rates.budget(each).wait_s())
@@ -280,13 +284,19 @@
     def _candidates(
         self, service: ServiceId, excluded: Collection[UpstreamId]
     ) -> list[KnownUpstream]:
-        found = []
-        for known in self._registry.usable(service):
-            if known.record.id in excluded:
-                continue
-            if self._rates.may_send(known):
-                found.append(known)
-        return found
+        return [each for each in self._connectable(service, excluded) if self._rates.may_send(each)]
+
+    def _connectable(
+        self, service: ServiceId, excluded: Collection[UpstreamId]
+    ) -> list[KnownUpstream]:
+        """Return the upstreams with fewer requests of this entry than its share of connections."""
+        usable = [each for each in self._registry.usable(service) if each.record.id not in excluded]
+        routing = self._routing()
+        terms = routing.services.get(service) if routing is not None else None
+        if terms is None or terms.connections_max is None:
+            return usable
+        share = max(1, int(CONNECTION_SHARE * terms.connections_max / self._entry_count()))
+        return [each for each in usable if len(self._loads.load_at(each.record.id).runs) < share]
 
     def _engine_score(
         self,
--- a/gooseberryquay/serving/route.py
+++ b/gooseberryquay/serving/route.py
@@ -86,6 +86,8 @@
 
     id: ServiceId
     cold_requests_per_s: float
+    # Connections that each upstream accepts from all entries together.
+    connections_max: int | None
     engine: EngineTerms | None
 
 
--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -118,10 +118,10 @@
     return Route(**{**values, **changes})
 
 
-def build_routing(*routes, version=1, engine=None, workspaces=None):
+def build_routing(*routes, version=1, engine=None, workspaces=None, connections_max=None):
     services = {
-        MODEL: ServiceTerms(MODEL, 10.0, engine or build_engine_terms()),
-        LEDGER: ServiceTerms(LEDGER, 10.0, None),
+        MODEL: ServiceTerms(MODEL, 10.0, connections_max, engine or build_engine_terms()),
+        LEDGER: ServiceTerms(LEDGER, 10.0, connections_max, None),
     }
     if workspaces is None:
         workspaces = {KEY: Workspace(WorkspaceId("studio"), 1)}
@@ -421,6 +421,7 @@
         routing=lambda: routing,
         zone=ZONE,
         rng=FixedRandom(),
+        entry_count=entry_counter.count if entry_counter else lambda: 1,
     )
     queue = GenerationQueue(placement, loads)
     active = ActiveGenerations()
--- a/gooseberryquay/serving/tests/test_admission.py
+++ b/gooseberryquay/serving/tests/test_admission.py
@@ -3,6 +3,7 @@
 import threading
 import time
 
+import pytest
 from result import Err, Ok
 
 from gooseberryquay.links.caller_watch import NullCallerWatch
@@ -22,6 +23,7 @@
     build_path,
     build_record,
     build_route,
+    build_routing,
     build_stable_entry_counter,
     build_ticket,
 )
@@ -114,6 +116,27 @@
     assert sum(cold.try_acquire("engine-1", 20.0) for _ in range(100)) <= 10
 
 
+@pytest.mark.parametrize(("count", "connections_max"), [(8, 110), (195, 1200), (195, 250)])
+def test_calls_of_all_entries_need_no_more_connections_than_an_upstream_accepts(
+    count, connections_max
+):
+    routing = build_routing(connections_max=connections_max)
+    counter = build_entry_counter(count)
+    path = build_path(
+        [build_record(each, LEDGER) for each in ("app-0", "app-1")],
+        routing=routing,
+        entry_counter=counter,
+    )
+    for number in range(400):
+        known = path.placement.choose_for_call(LEDGER, ())
+        if known is None:
+            break
+        path.loads.start(Run(f"r-{number}", known.record.id, 0.0))
+    for name in ("app-0", "app-1"):
+        assert 1 <= len(path.loads.runs_at(name)) * count <= connections_max
+    assert path.placement.reserve_for_call(LEDGER, (), 1.0) is None
+
+
 def test_upstreams_without_a_limit_accept_all_requests():
     cold = SharedRate("cold", build_entry_counter(4, FakeClock()), RateTolerance(), FakeClock())
     assert all(cold.try_acquire("ledger-1", float("inf")) for _ in range(100))
