Refuse no generation for a cold rate that ends before its turn

While all engines are cold, an entry without a share of their rates would have refused generations on arrival, though a cold start ends within seconds. The wait ends with the cold start at the latest. A call that waited is not sent to an upstream that paused or left meanwhile.

--- a/gooseberryquay/serving/call_handler.py
+++ b/gooseberryquay/serving/call_handler.py
@@ -190,7 +190,7 @@
             if request.caller.is_disconnected():
                 return CallerLeft()
             time.sleep(min(wait_s, POLL_INTERVAL_S))
-        return None if reserved.known.is_leaving else reserved.known
+        return reserved.known if self._placement.is_usable(reserved.known) else None
 
     def _attempt(self, request: AcceptedRequest, known: KnownUpstream, runs: int) -> Attempt:
         upstream = known.record
--- a/gooseberryquay/serving/placement.py
+++ b/gooseberryquay/serving/placement.py
@@ -246,7 +246,7 @@
         usable = self._connectable(service, excluded)
         if not usable:
             return None
-        known = min(usable, key=lambda each: self._rates.budget(each).wait_s())
+        known = min(usable, key=self._rates.wait_s)
         wait_s = self._rates.reserve(known, wait_max_s)
         return None if wait_s is None else RateReservation(known, wait_s)
 
@@ -266,7 +266,8 @@
         total = RateBudget(
             sum(each.tokens for each in budgets), sum(each.tokens_per_s for each in budgets)
         )
-        return max(total.wait_s(ahead + 1), min(each.wait_s() for each in budgets))
+        wait_s = max(total.wait_s(ahead + 1), min(each.wait_s() for each in budgets))
+        return min(wait_s, *(self._rates.ends_in_s(each) for each in usable))
 
     def rate_interval_s(self, service: ServiceId) -> float:
         """Return the seconds per request that the rate limits allow all entries, 0 without one."""
@@ -277,6 +278,10 @@
         """Return whether any upstream outside `excluded` accepts new work."""
         return any(each.record.id not in excluded for each in self._registry.usable(service))
 
+    def is_usable(self, known: KnownUpstream) -> bool:
+        """Return whether an upstream accepts new work."""
+        return known in self._registry.usable(known.record.service)
+
     def pause_left_s(self, service: ServiceId) -> float:
         """Return the seconds until an upstream accepts work again, 0 if one does now."""
         return self._registry.pause_left_s(service)
--- a/gooseberryquay/serving/rate_gate.py
+++ b/gooseberryquay/serving/rate_gate.py
@@ -57,6 +57,17 @@
             min((each.tokens_per_s for each in budgets), default=math.inf),
         )
 
+    def wait_s(self, known: KnownUpstream) -> float:
+        """Return the seconds until one request is within the limits, or infinity."""
+        return min(self.budget(known).wait_s(), self.ends_in_s(known))
+
+    def ends_in_s(self, known: KnownUpstream) -> float:
+        """Return the seconds until no limit binds an upstream, infinity if that is unknown."""
+        now_s = self._clock()
+        if known.notice.rate_limit_per_s(now_s) is not None:
+            return math.inf
+        return max(0.0, known.cold_until_s - now_s)
+
     def may_send(self, known: KnownUpstream) -> bool:
         """Return whether one more request is within the limits, without counting it."""
         return all(
@@ -75,7 +86,7 @@
     def reserve(self, known: KnownUpstream, wait_max_s: float) -> float | None:
         """Count a request to be sent later; return the wait in seconds, or None if too long."""
         with self._lock:
-            wait_s = self.budget(known).wait_s()
+            wait_s = self.wait_s(known)
             if wait_s > wait_max_s:
                 return None
             self.spend(known)
--- a/gooseberryquay/serving/shared_rate.py
+++ b/gooseberryquay/serving/shared_rate.py
@@ -98,6 +98,8 @@
 
     def spend(self, upstream: UpstreamId, requests_per_s: float) -> None:
         """Count a request that is reserved or mandatory; later ones wait for the debt."""
+        if math.isinf(requests_per_s):
+            return
         with self._lock:
             self._refill(upstream, requests_per_s)
             self._spend(upstream)
--- a/gooseberryquay/serving/tests/test_rate_gate.py
+++ b/gooseberryquay/serving/tests/test_rate_gate.py
@@ -21,6 +21,7 @@
     build_registry,
     build_request,
     build_route,
+    build_routing,
     build_stable_entry_counter,
     build_ticket,
 )
@@ -181,6 +182,26 @@
     assert 2.0 < refused.retry_after_s <= 5.0
 
 
+def test_generation_is_not_refused_while_a_cold_start_ends_before_its_turn():
+    path = build_path(
+        [build_record("engine-0", cold_left_s=0.3)],
+        routing=build_routing(),
+        entry_counter=build_stable_entry_counter(195, FakeClock(), number=3),
+    )
+    known = path.registry.find("engine-0")
+    path.placement.spend(known)
+    path.placement.spend(known)
+    assert 0.0 < path.placement.rate_wait_s(MODEL, ahead=50) <= 0.3
+
+
+def test_call_waits_for_no_upstream_that_leaves_meanwhile():
+    path = _limited_path(2.0, _done(2.0), names=("app-0",))
+    _call(path)
+    path.registry.pause("app-0", 1, 0.3)
+    assert _call(path).reason is RefusalReason.NOT_RUN
+    assert len(path.upstream_client.opened) == 1
+
+
 def test_generation_is_not_refused_before_an_entry_knows_its_share():
     path = build_path(
         [build_record("engine-0", cold_left_s=9.0)], entry_counter=build_entry_counter()
