Let upstreams state rates in the soak, and check these afterwards

Drawn from a generator of its own, so that the faults of the kept seeds (2, 3, 207, 223) stay as they were; the command's runs draw them always.

--- a/gooseberryquay/standins/node_platform/soak.py
+++ b/gooseberryquay/standins/node_platform/soak.py
@@ -5,7 +5,7 @@
 import signal
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -19,7 +19,11 @@
     find_violations,
 )
 from gooseberryquay.standins.node_platform.store import StoreAvailability
-from gooseberryquay.standins.node_platform.upstream_server import UpstreamFaults
+from gooseberryquay.standins.node_platform.upstream_server import (
+    ModelEngine,
+    PlainService,
+    UpstreamFaults,
+)
 from gooseberryquay.standins.process import ListeningProcess
 from gooseberryquay.standins.proxy_messages import (
     CutConnections,
@@ -43,6 +47,11 @@
 DRAIN_S = 2.0
 UPSTREAMS_MIN = 2
 SHED_PAUSE_S = 0.8
+# Requests to an upstream that states a rate, in a window after all entries have been told.
+RATE_WINDOW_S = 4.0
+RATE_OVERAGE, RATE_ALLOWANCE = 1.5, 5.0
+RATE_LIMIT_SHARE = 0.2
+RATES_PER_S = (0.0, 0.5, 2.0, 8.0)
 
 
 @dataclass
@@ -81,11 +90,14 @@
     seed: int
     entry_count: int
     folder: Path
+    has_rate_limits: bool = False
     faults: list[str] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self._rng = random.Random(self.seed)
+        # Draws of its own keep the faults of a seed the same with and without rate limits.
+        self._rate_rng = random.Random(self.seed + 2)
         self._site = Site(random.Random(self.seed + 1))
         self._entries: list[_Entry] = []
         self._pending: list[threading.Thread] = []
@@ -99,8 +111,12 @@
             callers.start()
             for _ in range(FAULTS):
                 self._inject()
+                if self.has_rate_limits and self._rate_rng.random() < RATE_LIMIT_SHARE:
+                    self._limit_upstreams()
                 time.sleep(FAULT_GAP_S * self._rng.uniform(0.2, 1.8))
             self._heal()
+            if self.has_rate_limits:
+                self._check_rate_limit()
             self._check_recovery()
             callers.stop()
         finally:
@@ -248,6 +264,19 @@
         upstream.faults = faults
         self._schedule(2.0, lambda: setattr(upstream, "faults", UpstreamFaults()))
 
+    def _limit_upstreams(self) -> None:
+        """Let some or all upstreams of one kind state a rate for a while."""
+        groups: list[list[ModelEngine | PlainService]] = [
+            [*self._site.engines.values()],
+            [*self._site.services.values()],
+        ]
+        upstreams = self._rate_rng.choice(groups)
+        rate_per_s = self._rate_rng.choice(RATES_PER_S)
+        limited = self._rate_rng.sample(upstreams, self._rate_rng.randint(1, len(upstreams)))
+        for each in limited:
+            each.faults.rate_limit_per_s = rate_per_s
+        self._schedule(self._rate_rng.uniform(1.0, 5.0), lambda: _end_limits(limited))
+
     def _change_configuration(self) -> None:
         self._site.configure(keys=(KEY, f"key-{self._rng.randrange(9)}"))
 
@@ -287,6 +316,22 @@
         if len(self._site.record.arrivals[drained]) > arrivals_at_bound:
             self.violations.append(f"{drained} received requests after its drain limit")
 
+    def _check_rate_limit(self) -> None:
+        """Check that all entries together keep to the rate that an upstream states."""
+        limited = next(iter(self._site.services.values()))
+        limited.faults.rate_limit_per_s = rate_per_s = self._rate_rng.choice(RATES_PER_S)
+        time.sleep(SETTLED_AFTER_S)
+        arrivals_before = len(self._site.record.arrivals[limited.id])
+        time.sleep(RATE_WINDOW_S)
+        arrivals = len(self._site.record.arrivals[limited.id]) - arrivals_before
+        allowed = RATE_OVERAGE * RATE_WINDOW_S * rate_per_s + RATE_ALLOWANCE
+        if arrivals > allowed:
+            self.violations.append(
+                f"{limited.id} received {arrivals} requests at {rate_per_s} per second, "
+                f"allowed {allowed:.0f}"
+            )
+        _end_limits([limited])
+
     def _serves(self, entry: _Entry, kind: CallKind, within_s: float) -> bool:
         rng = random.Random(self.seed)
         deadline_s = time.monotonic() + within_s
@@ -298,6 +343,11 @@
             time.sleep(0.2)
 
 
+def _end_limits(upstreams: Iterable[PlainService | ModelEngine]) -> None:
+    for each in upstreams:
+        each.faults.rate_limit_per_s = None
+
+
 def _resume(process: ListeningProcess) -> None:
     if process.is_running():
         process.send_signal(signal.SIGCONT)
--- a/gooseberryquay/standins/node_platform/soak_command.py
+++ b/gooseberryquay/standins/node_platform/soak_command.py
@@ -14,7 +14,7 @@
     failed_seeds = 0
     for each in range(seed, seed + seeds):
         with tempfile.TemporaryDirectory() as scratch:
-            report = Soak(each, entries, Path(scratch)).run()
+            report = Soak(each, entries, Path(scratch), has_rate_limits=True).run()
             print(_format_report(report), flush=True)
             if report.violations:
                 failed_seeds += 1
--- a/gooseberryquay/standins/node_platform/tests/test_soak.py
+++ b/gooseberryquay/standins/node_platform/tests/test_soak.py
@@ -21,3 +21,10 @@
     report = Soak(seed, ENTRIES, tmp_path).run()
     assert report.violations == []
     assert report.served > 0
+
+
+@pytest.mark.timeout(120)
+def test_every_promise_holds_while_upstreams_state_rates_under_random_faults(tmp_path):
+    report = Soak(2801, ENTRIES, tmp_path, has_rate_limits=True).run()
+    assert report.violations == []
+    assert report.served > 0
