--- a/gooseberryquay/daemons/tests/test_platform_rate_limits.py
+++ b/gooseberryquay/daemons/tests/test_platform_rate_limits.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+import signal
 import threading
 import time
 from dataclasses import dataclass, field
@@ -164,6 +165,29 @@
         assert len(late) >= 0.5 * usual[each.id]
 
 
+def _freeze(entry):
+    entry.process.send_signal(signal.SIGSTOP)
+    time.sleep(STABLE_WINDOW_S)
+    entry.process.send_signal(signal.SIGCONT)
+
+
+@pytest.mark.parametrize("path", ["/check/1", "/read/1"])
+def test_entries_that_freeze_keep_to_the_rate_with_the_others(site, tmp_path, path):
+    limited = list(_upstreams_of(site, path).values())[:2]
+    with running_entries(site, tmp_path, 4) as entries:
+        load = _Load(_ports(entries), path)
+        load.run(STABLE_WINDOW_S)
+        since_s = _state_limits(limited)
+        load.run(STABLE_WINDOW_S)
+        freezes = [threading.Thread(target=_freeze, args=(each,)) for each in entries[2:]]
+        for each in freezes:
+            each.start()
+        load.run(2 * WINDOW_S)
+        for each in freezes:
+            each.join()
+    _assert_within_limit(site, limited, since_s)
+
+
 def test_entry_that_restarts_keeps_to_the_rate_with_the_others(site, tmp_path):
     limited = list(site.services.values())[:2]
     with running_entries(site, tmp_path, 4) as entries:
