--- a/gooseberryquay/serving/tests/test_rate_gate.py
+++ b/gooseberryquay/serving/tests/test_rate_gate.py
@@ -1,6 +1,8 @@
 """Rate limits of an upstream: stated and ended, cold at the same time, reserved and overdrawn."""
 
+import heapq
 import math
+import random
 
 import pytest
 
@@ -217,3 +219,37 @@
         MODEL, build_ticket("a").need, {"engine-0"}, "zone-a"
     )
     assert target is None
+
+
+SPAN_S = 60.0
+RETRY_AFTER_S = 0.3
+
+
+@pytest.mark.parametrize(
+    ("entries", "upstreams", "limit_per_s", "calls_per_s", "wait_max_s"),
+    [(8, 3, 2.4, 22.0, 1.2), (74, 4, 2.4, 68.0, 0.4), (195, 5, 2.4, 50.0, 0.4)],
+)
+def test_most_of_the_stated_rates_serves_callers_that_retry_at_another_entry(
+    entries, upstreams, limit_per_s, calls_per_s, wait_max_s
+):
+    rng, clock = random.Random(1), FakeClock()
+    records = [build_record(f"app-{number}", LEDGER) for number in range(upstreams)]
+    registry = build_registry(records, clock)
+    for each in records:
+        registry.state_rate_limit(each.id, 1, RateLimitStatement(limit_per_s, clock.now_s + 30.0))
+    known = registry.usable(LEDGER)
+    gates = [
+        build_rate_gate(build_stable_entry_counter(entries, FakeClock(), number), clock)
+        for number in range(entries)
+    ]
+    calls = [(clock.now_s + rng.uniform(0.0, SPAN_S), 0) for _ in range(int(SPAN_S * calls_per_s))]
+    heapq.heapify(calls)
+    served = 0
+    while calls:
+        clock.now_s, retries = heapq.heappop(calls)
+        gate = rng.choice(gates)
+        if gate.reserve(min(known, key=gate.wait_s), wait_max_s) is not None:
+            served += 1
+        elif retries == 0:
+            heapq.heappush(calls, (clock.now_s + RETRY_AFTER_S, 1))
+    assert served >= 0.6 * SPAN_S * limit_per_s * upstreams
