--- a/gooseberryquay/standins/node_platform/store.py
+++ b/gooseberryquay/standins/node_platform/store.py
@@ -3,14 +3,15 @@
 import json
 import threading
 import time
-from collections import deque
+from collections import Counter, deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
 
 from gooseberryquay.links.http_server import HttpServer, Request, Response, Router
 
-__all__ = ["ObjectStore", "StoreAvailability"]
+__all__ = ["ObjectStore", "StoreAvailability", "StoreCopy"]
 
 HISTORY_MAX = 1000
 WAIT_MAX_S = 30.0
@@ -37,6 +38,23 @@
     is_deleted: bool
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """Hold the objects at one moment, from which a store may come back later."""
+
+    objects: dict[tuple[str, str], dict[str, Any]]
+    revision: int
+    # Number of writes by operators and upstreams up to then.
+    outside_write_count: int
+
+
+@dataclass(frozen=True)
+class _OutsideWrite:
+    kind: str
+    name: str
+    spec: dict[str, Any] | None
+
+
 class ObjectStore:
     """Store objects, which tests write directly and entries list and watch over HTTP."""
 
@@ -45,13 +63,17 @@
         self._history: deque[_Change] = deque(maxlen=HISTORY_MAX)
         self._compacted_revision = 0
         self._revision = 1
+        self._era = 1
+        self._outside_writes: list[_OutsideWrite] = []
+        # Lists, by kind.
+        self.list_counts: Counter[str] = Counter()
         self._changed = threading.Condition()
         self.availability = StoreAvailability.AVAILABLE
         router = Router()
-        router.add("GET", "/api/objects/{kind}", self._get)
-        router.add("GET", "/api/objects/{kind}/{name}", self._read)
-        router.add("POST", "/api/objects/{kind}", self._create)
-        router.add("PUT", "/api/objects/{kind}/{name}", self._replace)
+        router.add("GET", "/api/objects/{kind}", self._in_era(self._get))
+        router.add("GET", "/api/objects/{kind}/{name}", self._in_era(self._read))
+        router.add("POST", "/api/objects/{kind}", self._in_era(self._create))
+        router.add("PUT", "/api/objects/{kind}/{name}", self._in_era(self._replace))
         self._server = HttpServer(host, port, router)
 
     def start(self) -> None:
@@ -68,7 +90,12 @@
         return self._server.port
 
     def put(self, kind: str, name: str, spec: dict[str, Any]) -> int:
-        """Write an object and return its revision."""
+        """Write an object as an operator or upstream does and return its revision."""
+        with self._changed:
+            self._outside_writes.append(_OutsideWrite(kind, name, spec))
+            return self._put(kind, name, spec)
+
+    def _put(self, kind: str, name: str, spec: dict[str, Any]) -> int:
         with self._changed:
             self._revision += 1
             document = {"metadata": {"name": name, "revision": self._revision}, "spec": spec}
@@ -77,7 +104,12 @@
             return self._revision
 
     def delete(self, kind: str, name: str) -> None:
-        """Delete an object, if it exists."""
+        """Delete an object, if it exists, as an operator or upstream does."""
+        with self._changed:
+            self._outside_writes.append(_OutsideWrite(kind, name, None))
+            self._delete(kind, name)
+
+    def _delete(self, kind: str, name: str) -> None:
         with self._changed:
             document = self._objects.pop((kind, name), None)
             if document is not None:
@@ -89,6 +121,31 @@
         with self._changed:
             return [name for each, name in self._objects if each == kind]
 
+    def take_copy(self) -> StoreCopy:
+        """Copy the objects, as a backup does."""
+        with self._changed:
+            return StoreCopy(dict(self._objects), self._revision, len(self._outside_writes))
+
+    def come_back_from(self, copy: StoreCopy) -> None:
+        """Lose what entries have written since a copy; revisions are given out again.
+
+        Operators and upstreams write again what they have written since.
+        """
+        with self._changed:
+            self._era += 1
+            self._objects = dict(copy.objects)
+            self._revision = copy.revision
+            kept = [each for each in self._history if each.revision <= copy.revision]
+            self._history = deque(kept, maxlen=HISTORY_MAX)
+            writes = self._outside_writes[copy.outside_write_count :]
+            self._outside_writes = self._outside_writes[: copy.outside_write_count]
+            for each in writes:
+                if each.spec is None:
+                    self.delete(each.kind, each.name)
+                else:
+                    self.put(each.kind, each.name, each.spec)
+            self._changed.notify_all()
+
     def forget_history(self) -> None:
         """Drop the change history, which ends waiting watches with status 410."""
         with self._changed:
@@ -100,6 +157,14 @@
         self._history.append(change)
         self._changed.notify_all()
 
+    def _in_era(self, handle: Callable[[Request], Response]) -> Callable[[Request], Response]:
+        def respond(request: Request) -> Response:
+            response = handle(request)
+            response.headers["Store-Era"] = str(self._era)
+            return response
+
+        return respond
+
     def _is_refused(self) -> bool:
         match self.availability:
             case StoreAvailability.REFUSING:
@@ -136,7 +201,7 @@
             if known != sent["metadata"].get("revision"):
                 body = json.dumps(found or {}).encode()
                 return Response(status=HTTP_CONFLICT, body=body)
-            self.put(kind, name, sent["spec"])
+            self._put(kind, name, sent["spec"])
             return _json(self._objects[kind, name])
 
     def _get(self, request: Request) -> Response:
@@ -150,6 +215,7 @@
 
     def _list(self, kind: str) -> Response:
         with self._changed:
+            self.list_counts[kind] += 1
             items = [each for (of, _), each in self._objects.items() if of == kind]
             return _json({"items": items, "has_more": False, "at": self._revision})
 
@@ -157,7 +223,7 @@
         deadline_s = time.monotonic() + wait_s
         with self._changed:
             while True:
-                if revision < self._compacted_revision:
+                if revision < self._compacted_revision or revision > self._revision:
                     return Response(status=HTTP_GONE, body=b"{}")
                 found = [
                     {"object": each.document, "deleted": each.is_deleted}
