--- a/gooseberryquay/daemons/tests/platform_builders.py
+++ b/gooseberryquay/daemons/tests/platform_builders.py
@@ -14,8 +14,8 @@
 ANSWER_TIMEOUT_S = 8.0
 
 
-def send_request(port, path, body, key=KEY, number=[0]):  # noqa: B006
-    """Send one request with a unique attempt id and return its response."""
+def send_request(port, path, body, key=KEY, number=[0], **more):  # noqa: B006
+    """Send one request with a unique attempt id and `more` headers, and return its response."""
     number[0] += 1
     headers = {
         "Host": HOST,
@@ -24,6 +24,7 @@
         "X-Model": "m",
         "X-Token-Usage": "100,40",
         "Authorization": f"Bearer {key}",
+        **{name.replace("_", "-"): value for name, value in more.items()},
     }
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=ANSWER_TIMEOUT_S)
     try:
--- a/gooseberryquay/standins/node_platform/site.py
+++ b/gooseberryquay/standins/node_platform/site.py
@@ -8,6 +8,7 @@
 
 from gooseberryquay.standins.node_platform.run_record import RunRecord
 from gooseberryquay.standins.node_platform.store import ObjectStore
+from gooseberryquay.standins.node_platform.upstream_crash import CrashingPart
 from gooseberryquay.standins.node_platform.upstream_server import ModelEngine, PlainService
 from gooseberryquay.standins.process import find_free_port
 
@@ -64,6 +65,7 @@
         self._rng = rng
         self._count = 0
         self._version = 0
+        self._crashing_part: CrashingPart | None = None
         self._is_stopped = False
 
     def start(self, engines: int = 3, services: int = 2) -> None:
@@ -98,6 +100,7 @@
     def add_engine(self) -> str:
         """Start an engine, add it to the list of upstreams and return its id."""
         engine = ModelEngine(self._new_id(), self.record, self._rng, self._engines_by_port)
+        engine.crashing_part = self._crashing_part
         engine.start()
         self.engines[engine.id] = engine
         engine.on_crash = lambda: self._replace(engine)
@@ -113,6 +116,12 @@
         self._list(service, "ledger", "ready")
         return service.id
 
+    def set_crashing_part(self, part: CrashingPart | None) -> None:
+        """Let a part of a prompt crash each engine, also those that start later."""
+        self._crashing_part = part
+        for engine in list(self.engines.values()):
+            engine.crashing_part = part
+
     def announce_leave(self, id: str) -> None:
         """List an upstream as draining."""
         if id in self.engines:
--- a/gooseberryquay/standins/node_platform/upstream_crash.py
+++ b/gooseberryquay/standins/node_platform/upstream_crash.py
@@ -2,11 +2,12 @@
 
 import contextlib
 import socket
+from dataclasses import dataclass
 from enum import Enum
 
 from gooseberryquay.links.forwarding_server import ForwardingServer
 
-__all__ = ["CrashMode", "CrashingServer", "crash_mode_of"]
+__all__ = ["CrashMode", "CrashingPart", "CrashingServer", "crash_mode_of"]
 
 
 class CrashMode(Enum):
@@ -22,6 +23,19 @@
     return next((each for each in CrashMode if each.value in body), None)
 
 
+@dataclass(frozen=True)
+class CrashingPart:
+    """A part of a prompt that crashes each engine once it has written some events."""
+
+    id: str
+    after_events: int = 0
+
+    def is_in(self, prompt_prefix: str) -> bool:
+        """Return whether a prompt holds the part; the last part belongs to the request itself."""
+        parts = [each.partition(":")[0] for each in prompt_prefix.split(",")]
+        return self.id in parts[:-1]
+
+
 class CrashingServer(ForwardingServer):
     """Serve requests until a simulated crash of the process."""
 
--- a/gooseberryquay/standins/node_platform/upstream_server.py
+++ b/gooseberryquay/standins/node_platform/upstream_server.py
@@ -12,6 +12,7 @@
 from gooseberryquay.links.strict_request import BodyIncomplete, read_whole_body
 from gooseberryquay.standins.node_platform.run_record import RunRecord
 from gooseberryquay.standins.node_platform.upstream_crash import (
+    CrashingPart,
     CrashingServer,
     CrashMode,
     crash_mode_of,
@@ -226,6 +227,7 @@
 
     event_s = 0.01
     copy_s = 0.02
+    crashing_part: CrashingPart | None = None
 
     def __init__(
         self,
@@ -284,6 +286,13 @@
         body = json.dumps({"handle": handle, "created": event_count}).encode()
         received.respond("200 OK", JSON_HEADERS, body)
 
+    def _crashing_part_of(self, received: _ReceivedRequest) -> CrashingPart | None:
+        part = self.crashing_part
+        if part is None or not part.is_in(received.headers.get("x-prompt-prefix", "")):
+            return None
+        self.record.add_crash_request(self.id)
+        return part
+
     def _run(self, received: _ReceivedRequest) -> None:
         last = int(received.headers.get("x-token-usage", "1,8").partition(",")[2]) // 4
         event_count = int(received.headers.get("last-event-id", "0"))
@@ -297,13 +306,17 @@
         else:
             self.record.add_run(received.id, self.id)
         run = _Generation(event_count)
+        part = self._crashing_part_of(received)
+        crash_at = event_count + part.after_events if part is not None else None
         self._running[received.id] = run
         try:
-            self._stream(received, run, last)
+            self._stream(received, run, last, crash_at)
         finally:
             self._running.pop(received.id, None)
 
-    def _stream(self, received: _ReceivedRequest, run: _Generation, last: int) -> None:
+    def _stream(
+        self, received: _ReceivedRequest, run: _Generation, last: int, crash_at: int | None
+    ) -> None:
         headers = [
             ("Content-Type", "text/event-stream"),
             ("X-Attempt-Id", received.id),
@@ -316,6 +329,8 @@
             time.sleep(self.event_s)
             if run.event_count == 1:
                 self._crash_midway(received)
+            if run.event_count == crash_at:
+                self.crash(CrashMode.AT_ARRIVAL)
             self._raise_if_crashed()
             with run.changed:
                 if run.is_stopped or run.event_count == cut_at:
