--- a/gooseberryquay/serving/accepted.py
+++ b/gooseberryquay/serving/accepted.py
@@ -13,7 +13,10 @@
 
 @dataclass(frozen=True, slots=True)
 class AcceptedRequest:
-    """Represent a request with its route, service, workspace and deadline."""
+    """Represent a request with its route, service, workspace and deadline.
+
+    `part_fingerprints` identify the parts of its prompt that other requests may share.
+    """
 
     call: Call
     route: Route
@@ -24,3 +27,4 @@
     caller: CallerWatch
     response_writer: ResponseWriter
     fingerprint: Fingerprint
+    part_fingerprints: tuple[Fingerprint, ...] = ()
--- a/gooseberryquay/serving/crash_guard.py
+++ b/gooseberryquay/serving/crash_guard.py
@@ -37,11 +37,20 @@
     CALLER_LEFT = "caller left"
 
 
+@dataclass(frozen=True, slots=True)
+class _LostRun:
+    """Describe a lost run; `event_count` is the number of events that its upstream had sent."""
+
+    fingerprint: Fingerprint
+    part_fingerprints: tuple[Fingerprint, ...]
+    event_count: int
+
+
 @dataclass(frozen=True, slots=True)
 class _Loss:
     """Record a run lost at an upstream that is not yet known to be dead or alive."""
 
-    fingerprint: Fingerprint
+    run: _LostRun
     at_s: float
 
 
@@ -116,22 +125,29 @@
         """Record that a request ran to completion and does not crash upstreams."""
         self._suspects.finished(request.fingerprint)
 
-    def run_lost(self, request: AcceptedRequest, known: KnownUpstream, loss: RunLoss) -> None:
-        """Record a run that ended without a complete response."""
+    def run_lost(
+        self,
+        request: AcceptedRequest,
+        known: KnownUpstream,
+        loss: RunLoss,
+        event_count: int = 0,
+    ) -> None:
+        """Record a run that ended without a complete response, after `event_count` events."""
         if _is_announced_shutdown(known):
             return
+        run = _LostRun(request.fingerprint, request.part_fingerprints, event_count)
         incarnation = _incarnation_id(known)
         if incarnation in self._ended:
-            self._record_death(request.fingerprint, known, loss.value)
+            self._record_death(run, known, loss.value)
         elif known.is_gone:
             # Some upstreams leave the list first and keep serving for a while.
             if loss is not RunLoss.BROKEN and self._probe_address(known) is not ListeningState.OPEN:
                 self.upstream_ended(known, "gone from the list")
-                self._record_death(request.fingerprint, known, loss.value)
+                self._record_death(run, known, loss.value)
         elif loss is RunLoss.CALLER_LEFT:
-            self._record_loss(request.fingerprint, known)
+            self._record_loss(run, known)
         else:
-            self._classify_loss(request.fingerprint, known, loss)
+            self._classify_loss(run, known, loss)
 
     def send_updates(self) -> None:
         """Notify other entries of lost runs, before the caller learns of the failure."""
@@ -158,7 +174,7 @@
         since_s = self._clock() - self._uncertain_window_s
         for loss in losses:
             if loss.at_s >= since_s:
-                self._record_death(loss.fingerprint, known, evidence)
+                self._record_death(loss.run, known, evidence)
 
     def upstream_removed(self, known: KnownUpstream) -> None:
         """Check whether an upstream that was removed from the list has terminated."""
@@ -169,24 +185,26 @@
         if self._probe_address(known) is not ListeningState.OPEN:
             self.upstream_ended(known, "gone from the list")
 
-    def _classify_loss(self, fingerprint: Fingerprint, known: KnownUpstream, loss: RunLoss) -> None:
-        self._record_loss(fingerprint, known)
+    def _classify_loss(self, run: _LostRun, known: KnownUpstream, loss: RunLoss) -> None:
+        self._record_loss(run, known)
         match self._probe_address(known):
             case ListeningState.REFUSED:
                 self.upstream_ended(known, "refuses connections")
             case ListeningState.SILENT:
-                self._suspects.record_death(_incarnation_id(known), [fingerprint], is_certain=False)
+                self._suspects.record_death(
+                    _incarnation_id(known), [run.fingerprint], is_certain=False
+                )
                 self._suspects.request_reload()
-                self._log_event("run lost in silence", fingerprint, known, loss.value)
+                self._log_event("run lost in silence", run, known, loss.value)
             case ListeningState.OPEN:
                 pass
 
-    def _record_loss(self, fingerprint: Fingerprint, known: KnownUpstream) -> None:
+    def _record_loss(self, run: _LostRun, known: KnownUpstream) -> None:
         now_s = self._clock()
         with self._lock:
             losses = self._losses.setdefault(_incarnation_id(known), [])
             losses[:] = [each for each in losses if each.at_s >= now_s - self._uncertain_window_s]
-            losses.append(_Loss(fingerprint, now_s))
+            losses.append(_Loss(run, now_s))
             if len(self._losses) > LOSSES_MAX:
                 self._losses.popitem(last=False)
 
@@ -202,10 +220,10 @@
                 probe_result.at_s = self._clock()
             return probe_result.state
 
-    def _record_death(self, fingerprint: Fingerprint, known: KnownUpstream, evidence: str) -> None:
-        self._suspects.record_death(_incarnation_id(known), [fingerprint])
+    def _record_death(self, run: _LostRun, known: KnownUpstream, evidence: str) -> None:
+        self._suspects.record_death(_incarnation_id(known), [run.fingerprint])
         self._suspects.request_reload()
-        self._log_event("upstream died under a request", fingerprint, known, evidence)
+        self._log_event("upstream died under a request", run, known, evidence)
 
     def _start_trial(self, request: AcceptedRequest) -> Refusal | None:
         """Let one entry run the request again; the run counts as a crash until it finishes."""
@@ -218,13 +236,13 @@
             "another entry is already trying this request, or the store is unreachable",
         )
 
-    def _log_event(
-        self, event: str, fingerprint: Fingerprint, known: KnownUpstream, evidence: str
-    ) -> None:
-        record = self._suspects.record(fingerprint)
+    def _log_event(self, event: str, run: _LostRun, known: KnownUpstream, evidence: str) -> None:
+        record = self._suspects.record(run.fingerprint)
         self._log.belief(
             event,
-            fingerprint=fingerprint,
+            fingerprint=run.fingerprint,
+            parts=run.part_fingerprints,
+            events=run.event_count,
             upstream=known.record.id,
             born_ms=known.record.born_ms,
             evidence=evidence,
--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -313,12 +313,14 @@
         if end is StreamEnd.COMPLETE:
             self._loads.record_success(upstream)
         else:
-            self._report_stream_loss(active, end)
+            self._report_stream_loss(active, end, relay.event_count)
             if relay.reason:
                 self._record_engine_failure(active, f"stream {end.value}", relay.reason)
         return end
 
-    def _report_stream_loss(self, active: ActiveGeneration, end: StreamEnd) -> None:
+    def _report_stream_loss(
+        self, active: ActiveGeneration, end: StreamEnd, event_count: int
+    ) -> None:
         if active.state in {MoveState.STOPPING, MoveState.STOPPED}:
             return
         loss = {
@@ -327,7 +329,7 @@
             StreamEnd.CALLER_LEFT: RunLoss.CALLER_LEFT,
         }.get(end)
         if loss is not None:
-            self._guard.run_lost(active.request, active.known, loss)
+            self._guard.run_lost(active.request, active.known, loss, event_count)
 
     def _forward_engine_error(
         self,
--- a/gooseberryquay/serving/request_handler.py
+++ b/gooseberryquay/serving/request_handler.py
@@ -12,7 +12,7 @@
 from gooseberryquay.serving.call_handler import CallHandler, WholeAnswer
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.drain_state import DrainState
-from gooseberryquay.serving.fingerprint import fingerprint_of
+from gooseberryquay.serving.fingerprint import fingerprint_of, part_fingerprints_of
 from gooseberryquay.serving.generation_handler import GenerationHandler
 from gooseberryquay.serving.ports import ResponseWriter, RoutingSource
 from gooseberryquay.serving.refusal import Refusal, RefusalReason
@@ -90,6 +90,7 @@
             caller,
             response_writer,
             fingerprint,
+            part_fingerprints_of(call),
         )
 
     def _workspace_of(
--- a/gooseberryquay/serving/stream_relay.py
+++ b/gooseberryquay/serving/stream_relay.py
@@ -69,6 +69,7 @@
     progress: StreamProgress
     response: OpenResponse
     reason: str = ""
+    event_count: int = 0
     # Called with the pause in seconds between events when another engine resumes the stream.
     on_resumed: Callable[[float], None] | None = None
     _splitter: EventSplitter = field(default_factory=EventSplitter)
@@ -112,6 +113,7 @@
 
     def _forward_events(self, content: bytes) -> StreamEnd | None:
         for event in self._splitter.feed(content):
+            self.event_count += 1
             if self.progress.is_duplicate(event):
                 continue
             if not self.progress.is_next(event):
