Block the part of a prompt that crashes engines, and only that one

Cause: the verdict was on a whole request, which is narrower than what harms.

Now each shared part of a prompt has a record of its own in the same list. A run that an engine's end interrupts within its first events makes its parts suspects; eight events, or a whole answer, clear them up to that time, so that a part that turns bad later is found and the record of a common part stays small. The parts that explain most crashes are convicted at three; crashes that they explain don't count against the parts beside them. A convicted part is tried again by one entry at a time, each time four times as long after.

--- a/gooseberryquay/machines/suspect_gossip.py
+++ b/gooseberryquay/machines/suspect_gossip.py
@@ -119,7 +119,10 @@
     def _recipients(self, batch: list[SuspectRecord]) -> tuple[Peer, ...]:
         this_entry = self._peers.this_entry()
         others = [peer for peer in self._peers.live() if peer.id != this_entry.id]
-        is_shared = any(len(each.deaths) >= self._share_min_deaths for each in batch)
+        is_shared = any(
+            len(each.deaths) >= self._share_min_deaths or each.cleared_until_s > 0.0
+            for each in batch
+        )
         fanout = min(FANOUT, len(others)) if is_shared else 0
         chosen = {peer.id: peer for peer in self._rng.sample(others, fanout)}
         for record in batch:
--- a/gooseberryquay/machines/suspect_list.py
+++ b/gooseberryquay/machines/suspect_list.py
@@ -172,6 +172,19 @@
         if not record.is_cleared():
             self._merge_records([record.cleared()])
 
+    def ran_well(self, fingerprints: Iterable[str], span_s: float) -> None:
+        """Clear deaths up to `span_s` from now of what has just been part of a good run."""
+        until_s = self._clock() + span_s
+        for fingerprint in fingerprints:
+            self._table.record_good_run(fingerprint, until_s)
+            record = self._table.get(fingerprint)
+            if record is not None and not record.is_cleared():
+                self._merge_records([record.cleared_up_to(until_s)])
+
+    def records(self) -> tuple[SuspectRecord, ...]:
+        """Return all records."""
+        return self._table.records()
+
     def take_slot(self, fingerprint: str, upstream: UpstreamId) -> bool:
         """Take the single slot for suspected requests at an upstream; return False if taken."""
         return self._slots.take(fingerprint, upstream)
--- a/gooseberryquay/machines/suspect_table.py
+++ b/gooseberryquay/machines/suspect_table.py
@@ -16,7 +16,8 @@
 class SuspectTable:
     """Table with one record for each fingerprint; thread-safe.
 
-    Deaths are cleared for the `finished_max` requests that finished most recently.
+    Deaths are cleared for the `finished_max` requests that finished most recently, and up to their
+    latest good run for as many parts of prompts.
     """
 
     def __init__(
@@ -28,6 +29,7 @@
     ) -> None:
         self._finished: OrderedDict[str, None] = OrderedDict()
         self._finished_max = finished_max
+        self._cleared_until_s: OrderedDict[str, float] = OrderedDict()
         self._death_window_s = death_window_s
         self._retention_s = retention_s
         self._clock = clock
@@ -49,6 +51,16 @@
             if len(self._finished) > self._finished_max:
                 self._finished.popitem(last=False)
 
+    def record_good_run(self, fingerprint: str, cleared_until_s: float) -> None:
+        """Remember that deaths up to a time do not count against a part of a prompt."""
+        if self._finished_max == 0:
+            return
+        with self._lock:
+            previous_s = self._cleared_until_s.pop(fingerprint, 0.0)
+            self._cleared_until_s[fingerprint] = max(previous_s, cleared_until_s)
+            if len(self._cleared_until_s) > self._finished_max:
+                self._cleared_until_s.popitem(last=False)
+
     def merge(self, records: Iterable[SuspectRecord]) -> tuple[SuspectRecord, ...]:
         """Merge records into the table; return those that changed."""
         changed = []
@@ -58,6 +70,10 @@
                 joined = record if held is None else held.merged(record, self._death_window_s)
                 if record.fingerprint in self._finished:
                     joined = joined.cleared()
+                if record.fingerprint in self._cleared_until_s:
+                    joined = joined.cleared_up_to(self._cleared_until_s[record.fingerprint])
+                if held is None and not joined.deaths:
+                    continue
                 if joined != held and not self._is_old(joined):
                     self._records[record.fingerprint] = joined
                     changed.append(joined)
--- a/gooseberryquay/serving/crash_guard.py
+++ b/gooseberryquay/serving/crash_guard.py
@@ -1,4 +1,4 @@
-"""Prevent requests that crash their upstreams from running again."""
+"""Prevent requests, and parts of prompts, that crash their upstreams from running again."""
 
 import threading
 import time
@@ -13,12 +13,19 @@
 from gooseberryquay.serving.accepted import AcceptedRequest
 from gooseberryquay.serving.crash_verdict import Allowed, Refused, Trial, Verdict, verdict_of
 from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.part_verdict import (
+    ConvictedParts,
+    convict_parts,
+    convicted_in,
+    trial_fingerprint_of,
+    verdict_of_parts,
+)
 from gooseberryquay.serving.ports import ListeningState, UpstreamClient
 from gooseberryquay.serving.refusal import Refusal, RefusalReason
 from gooseberryquay.serving.upstream_record import UpstreamState
 from gooseberryquay.serving.upstream_registry import KnownUpstream
 
-__all__ = ["CrashGuard", "RunLoss"]
+__all__ = ["GOOD_RUN_EVENTS", "CrashGuard", "RunLoss"]
 
 # An upstream that resets connections does so within one round trip.
 PROBE_TIMEOUT_S = 0.25
@@ -27,6 +34,10 @@
 ENDED_MAX = 256
 LOSSES_MAX = 1024
 RETRY_AFTER_MIN_S = 0.5
+# A part that crashes engines does so as they begin to write, or a few events later.
+GOOD_RUN_EVENTS = 8
+# Engines that crash together for another reason do so within this time of a part's latest good run.
+GOOD_RUN_SPAN_S = 1.0
 
 
 class RunLoss(Enum):
@@ -45,6 +56,12 @@
     part_fingerprints: tuple[Fingerprint, ...]
     event_count: int
 
+    def suspects(self) -> tuple[Fingerprint, ...]:
+        """Return what may have crashed the upstream."""
+        if self.event_count >= GOOD_RUN_EVENTS:
+            return (self.fingerprint,)
+        return (self.fingerprint, *self.part_fingerprints)
+
 
 @dataclass(frozen=True, slots=True)
 class _Loss:
@@ -93,33 +110,60 @@
 
     def refusal_on_arrival(self, request: AcceptedRequest) -> Refusal | None:
         """Return a refusal if a request would crash its upstream, before it is queued for one."""
-        match self._verdict_of(request):
-            case Refused(remaining_s, reason):
-                return _refusal(remaining_s, reason)
-            case Allowed() | Trial():
-                return None
+        for _, verdict in self._verdicts_of(request):
+            match verdict:
+                case Refused(remaining_s, reason):
+                    return _refusal(remaining_s, reason)
+                case Allowed() | Trial():
+                    pass
+        return None
 
     def refusal(self, request: AcceptedRequest) -> Refusal | None:
         """Return a refusal if a request would crash its upstream, or None if it may run now.
 
         A request whose cooldown has passed is claimed for a trial run by one entry.
         """
-        match self._verdict_of(request):
-            case Allowed():
-                return None
-            case Trial():
-                return self._start_trial(request)
-            case Refused(remaining_s, reason):
-                return _refusal(remaining_s, reason)
-
-    def _verdict_of(self, request: AcceptedRequest) -> Verdict:
-        record = self._suspects.record(request.fingerprint)
-        if record is None or record.is_cleared():
-            return Allowed()
+        verdicts = self._verdicts_of(request)
+        for _, verdict in verdicts:
+            match verdict:
+                case Refused(remaining_s, reason):
+                    return _refusal(remaining_s, reason)
+                case Allowed() | Trial():
+                    pass
+        for fingerprint, verdict in verdicts:
+            if isinstance(verdict, Trial):
+                refused = self._start_trial(fingerprint)
+                if refused is not None:
+                    return refused
+        return None
+
+    def _verdicts_of(self, request: AcceptedRequest) -> list[tuple[Fingerprint, Verdict]]:
+        """Judge the whole request and the shared parts of its prompt, under the name of trials."""
+        fingerprints = (request.fingerprint, *request.part_fingerprints)
+        records = [self._suspects.record(each) for each in fingerprints]
+        if all(record is None or record.is_cleared() for record in records):
+            return []
         # Peers that are notified of the latest crash reply with the crashes that they know of.
         self._suspects.send_updates()
+        now_s = self._wall_clock()
         record = self._suspects.record(request.fingerprint)
-        return verdict_of(record, self._wall_clock(), self._uncertain_window_s)
+        whole = verdict_of(record, now_s, self._uncertain_window_s)
+        convicted = self._convicted_in(request, now_s)
+        if convicted is None:
+            return [(request.fingerprint, whole)]
+        trials = trial_fingerprint_of(convicted)
+        by_parts = verdict_of_parts(convicted, self._suspects.record(trials), now_s)
+        return [(request.fingerprint, whole), (trials, by_parts)]
+
+    def _convicted_in(self, request: AcceptedRequest, now_s: float) -> ConvictedParts | None:
+        if not request.part_fingerprints:
+            return None
+        convicted = convict_parts(self._suspects.records(), now_s - self._uncertain_window_s)
+        return convicted_in(request.part_fingerprints, convicted)
+
+    def ran_well(self, request: AcceptedRequest) -> None:
+        """Record that an engine has written more of an answer than a crashing part lets it."""
+        self._suspects.ran_well(request.part_fingerprints, GOOD_RUN_SPAN_S)
 
     def finished(self, request: AcceptedRequest) -> None:
         """Record that a request ran to completion and does not crash upstreams."""
@@ -192,7 +236,7 @@
                 self.upstream_ended(known, "refuses connections")
             case ListeningState.SILENT:
                 self._suspects.record_death(
-                    _incarnation_id(known), [run.fingerprint], is_certain=False
+                    _incarnation_id(known), run.suspects(), is_certain=False
                 )
                 self._suspects.request_reload()
                 self._log_event("run lost in silence", run, known, loss.value)
@@ -221,15 +265,15 @@
             return probe_result.state
 
     def _record_death(self, run: _LostRun, known: KnownUpstream, evidence: str) -> None:
-        self._suspects.record_death(_incarnation_id(known), [run.fingerprint])
+        self._suspects.record_death(_incarnation_id(known), run.suspects())
         self._suspects.request_reload()
         self._log_event("upstream died under a request", run, known, evidence)
 
-    def _start_trial(self, request: AcceptedRequest) -> Refusal | None:
-        """Let one entry run the request again; the run counts as a crash until it finishes."""
+    def _start_trial(self, fingerprint: Fingerprint) -> Refusal | None:
+        """Let one entry run a request again; the run counts as a crash until it finishes."""
         trial = UpstreamId(f"trial/{uuid.uuid4().hex}")
-        if self._suspects.claim_trial(request.fingerprint, trial):
-            self._log.belief("suspect tried again", fingerprint=request.fingerprint)
+        if self._suspects.claim_trial(fingerprint, trial):
+            self._log.belief("suspect tried again", fingerprint=fingerprint)
             return None
         return _refusal(
             self._uncertain_window_s,
--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -16,7 +16,7 @@
     KvCopy,
     MoveState,
 )
-from gooseberryquay.serving.crash_guard import CrashGuard, RunLoss
+from gooseberryquay.serving.crash_guard import GOOD_RUN_EVENTS, CrashGuard, RunLoss
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.generation_queue import GenerationQueue, PlacedGeneration, QueueTicket
 from gooseberryquay.serving.migration import Migration
@@ -306,12 +306,17 @@
         if response.status != HTTP_OK:
             self._record_engine_failure(active, "engine failed", str(response.status))
             return self._forward_engine_error(active, progress, attempts, response)
+        was_resumed = progress.last_id is not None
         relay = StreamRelay(active, progress, response)
+        relay.on_good_run = functools.partial(self._guard.ran_well, active.request)
+        relay.good_run_events = GOOD_RUN_EVENTS
         if progress.last_number is not None and active.run.is_moved:
             relay.on_resumed = functools.partial(self._report_resumed, active)
         end = relay.run()
         if end is StreamEnd.COMPLETE:
             self._loads.record_success(upstream)
+            if relay.event_count and not was_resumed:
+                self._guard.ran_well(active.request)
         else:
             self._report_stream_loss(active, end, relay.event_count)
             if relay.reason:
--- a/gooseberryquay/serving/stream_relay.py
+++ b/gooseberryquay/serving/stream_relay.py
@@ -72,6 +72,9 @@
     event_count: int = 0
     # Called with the pause in seconds between events when another engine resumes the stream.
     on_resumed: Callable[[float], None] | None = None
+    # Called once the engine has written `good_run_events` events.
+    on_good_run: Callable[[], None] = lambda: None
+    good_run_events: int = 0
     _splitter: EventSplitter = field(default_factory=EventSplitter)
 
     def run(self) -> StreamEnd:
@@ -114,6 +117,8 @@
     def _forward_events(self, content: bytes) -> StreamEnd | None:
         for event in self._splitter.feed(content):
             self.event_count += 1
+            if self.event_count == self.good_run_events:
+                self.on_good_run()
             if self.progress.is_duplicate(event):
                 continue
             if not self.progress.is_next(event):
--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -29,7 +29,7 @@
 from gooseberryquay.serving.crash_guard import CrashGuard
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.entry_counter import EntryCounter
-from gooseberryquay.serving.fingerprint import fingerprint_of
+from gooseberryquay.serving.fingerprint import fingerprint_of, part_fingerprints_of
 from gooseberryquay.serving.generation_handler import GenerationHandler
 from gooseberryquay.serving.generation_queue import GenerationQueue, QueueTicket
 from gooseberryquay.serving.migration import Migration
@@ -176,6 +176,7 @@
         watch,
         response_writer or Recorder(),
         fingerprint,
+        part_fingerprints_of(call),
     )
 
 
@@ -359,6 +360,16 @@
         if record is not None:
             self.table.merge([record.cleared()])
 
+    def ran_well(self, fingerprints, span_s):
+        for fingerprint in fingerprints:
+            self.table.record_good_run(fingerprint, self.clock() + span_s)
+            record = self.table.get(fingerprint)
+            if record is not None:
+                self.table.merge([record.cleared_up_to(self.clock() + span_s)])
+
+    def records(self):
+        return self.table.records()
+
     def claim_trial(self, fingerprint, name):
         self.record_death(name, [fingerprint])
         return self.may_try
