Let a trial that reached no upstream go on to another one

A sound part that is suspected waited 8 s more for its next trial: the claimed request met an upstream that was down, was judged again, and found its own claim. Seen with 12 entries: the trial at 2 s reached nobody. A test fails without the change.

The former test sent its repeat under the same request id, which callers never do; it now uses one of its own and checks that both have one fingerprint.

--- a/gooseberryquay/serving/crash_guard.py
+++ b/gooseberryquay/serving/crash_guard.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from gooseberryquay.ids import Fingerprint, UpstreamId
+from gooseberryquay.ids import Fingerprint, RequestId, UpstreamId
 from gooseberryquay.machines.suspect_list import SuspectList
 from gooseberryquay.serving.accepted import AcceptedRequest
 from gooseberryquay.serving.crash_verdict import Allowed, Refused, Trial, Verdict, verdict_of
@@ -33,6 +33,7 @@
 PROBE_VALID_S = 0.5
 ENDED_MAX = 256
 LOSSES_MAX = 1024
+TRIALS_MAX = 64
 RETRY_AFTER_MIN_S = 0.5
 # A part that crashes engines does so as they begin to write, or a few events later.
 GOOD_RUN_EVENTS = 8
@@ -106,6 +107,8 @@
         self._losses: OrderedDict[UpstreamId, list[_Loss]] = OrderedDict()
         self._ended: OrderedDict[UpstreamId, None] = OrderedDict()
         self._probe_results: OrderedDict[UpstreamId, _ProbeResult] = OrderedDict()
+        # Requests that were claimed for a trial and have not reached an upstream yet.
+        self._trials: OrderedDict[RequestId, None] = OrderedDict()
         self._lock = threading.Lock()
 
     def refusal_on_arrival(self, request: AcceptedRequest) -> Refusal | None:
@@ -132,13 +135,15 @@
                     pass
         for fingerprint, verdict in verdicts:
             if isinstance(verdict, Trial):
-                refused = self._start_trial(fingerprint)
+                refused = self._start_trial(fingerprint, request.call.id)
                 if refused is not None:
                     return refused
         return None
 
     def _verdicts_of(self, request: AcceptedRequest) -> list[tuple[Fingerprint, Verdict]]:
         """Judge the whole request and the shared parts of its prompt, under the name of trials."""
+        if request.call.id in self._trials:
+            return []
         fingerprints = (request.fingerprint, *request.part_fingerprints)
         records = [self._suspects.record(each) for each in fingerprints]
         if all(record is None or record.is_cleared() for record in records):
@@ -177,6 +182,8 @@
         event_count: int = 0,
     ) -> None:
         """Record a run that ended without a complete response, after `event_count` events."""
+        with self._lock:
+            self._trials.pop(request.call.id, None)
         if _is_announced_shutdown(known):
             return
         run = _LostRun(request.fingerprint, request.part_fingerprints, event_count)
@@ -269,11 +276,15 @@
         self._suspects.request_reload()
         self._log_event("upstream died under a request", run, known, evidence)
 
-    def _start_trial(self, fingerprint: Fingerprint) -> Refusal | None:
+    def _start_trial(self, fingerprint: Fingerprint, id: RequestId) -> Refusal | None:
         """Let one entry run a request again; the run counts as a crash until it finishes."""
         trial = UpstreamId(f"trial/{uuid.uuid4().hex}")
         if self._suspects.claim_trial(fingerprint, trial):
             self._log.belief("suspect tried again", fingerprint=fingerprint)
+            with self._lock:
+                self._trials[id] = None
+                if len(self._trials) > TRIALS_MAX:
+                    self._trials.popitem(last=False)
             return None
         return _refusal(
             self._uncertain_window_s,
--- a/gooseberryquay/serving/tests/test_crash_guard.py
+++ b/gooseberryquay/serving/tests/test_crash_guard.py
@@ -163,4 +163,16 @@
         assert guarded.is_refused() is not may_try
         guarded.pass_time(1.0)
         # The trial counts as a crash until it finishes.
-        assert guarded.is_refused()
+        repeat = build_request(build_route(RouteKind.IDEMPOTENT), id="r-2")
+        assert repeat.fingerprint == guarded.request.fingerprint
+        assert guarded.guard.refusal(repeat) is not None
+
+
+def test_trial_that_reached_no_upstream_may_be_sent_to_another():
+    guarded = _Guarded()
+    guarded.lose(RunLoss.BROKEN, ListeningState.REFUSED)
+    guarded.pass_time(31.0)
+    assert not guarded.is_refused()
+    assert not guarded.is_refused()
+    guarded.lose(RunLoss.BROKEN, ListeningState.REFUSED, NAMES[:1])
+    assert guarded.is_refused()
