Write suspect records again after the store comes back from an older copy

Entries that all restarted after such a return let six upstreams crash where three are the bound: the store had lost the record and nobody wrote it again. A rise of Store-Era, in any answer of the store, now makes an entry write the records that it owns and ask the other owners to do the same; nothing is read while the era stays.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -25,6 +25,7 @@
     StoreClient,
     StoreObjectSource,
 )
+from gooseberryquay.platform.store_era import StoreEra
 from gooseberryquay.reports.metrics_api import metrics_router
 from gooseberryquay.serving.active_generation import ActiveGenerations
 from gooseberryquay.serving.call_handler import CallHandler
@@ -137,13 +138,15 @@
         self._counters = RequestCounters()
         self._drain_state = DrainState()
         self._store_pool = ConnectionPool(STORE_CONNECT_TIMEOUT_S, STORE_IDLE_TIMEOUT_S)
+        self._store_era = StoreEra()
         self._suspects = SuspectList(
             self._membership,
-            StoreClient(self._store_pool, settings.store_address),
+            StoreClient(self._store_pool, settings.store_address, self._store_era),
             crash_count_max=CRASHES_MAX,
             share_min_deaths=CRASHES_MAX - 1,
             finished_max=FINISHED_REQUESTS_MAX,
         )
+        self._store_era.on_rise(self._suspects.store_lost_writes)
         request_handler = self._build_request_handler(placement, rng)
         frontend = Frontend(request_handler.serve)
         self._caller_server = ForwardingServer(
@@ -305,7 +308,7 @@
             outage_grace_s=OUTAGE_GRACE_S,
             cell_size=self._hubs.cell_size,
         )
-        direct = StoreObjectSource(pool, self._settings.store_address, kind)
+        direct = StoreObjectSource(pool, self._settings.store_address, kind, self._store_era)
         source = HubSource(options, direct, self._hubs, pool, self._log)
         watch = ObjectWatch(
             kind=kind,
--- a/gooseberryquay/daemons/tests/test_platform_suspects.py
+++ b/gooseberryquay/daemons/tests/test_platform_suspects.py
@@ -12,6 +12,7 @@
 from gooseberryquay.machines.suspect_store import SuspectStore
 from gooseberryquay.machines.suspect_table import SuspectTable
 from gooseberryquay.platform.store import StoreClient
+from gooseberryquay.platform.store_era import StoreEra
 from gooseberryquay.standins.node_platform.store import ObjectStore, StoreAvailability
 
 ONE, TWO = UpstreamId("i-1/1"), UpstreamId("i-2/1")
@@ -27,7 +28,7 @@
 
 @pytest.fixture
 def objects(store):
-    return StoreClient(ConnectionPool(1.0, 4.0), Address("127.0.0.1", store.port))
+    return StoreClient(ConnectionPool(1.0, 4.0), Address("127.0.0.1", store.port), StoreEra())
 
 
 def _suspects_of_entry(objects, finished_max=8):
--- a/gooseberryquay/machines/suspect_gossip.py
+++ b/gooseberryquay/machines/suspect_gossip.py
@@ -3,6 +3,7 @@
 import contextlib
 import random
 import threading
+from collections import defaultdict
 from collections.abc import Callable, Iterable
 
 from pydantic import ValidationError
@@ -75,6 +76,20 @@
                     self._pending[record.fingerprint] = record
             self._changed.notify_all()
 
+    def report_lost(self, records: Iterable[SuspectRecord]) -> None:
+        """Ask the entries that write records to write them again, in the background."""
+        by_owner: dict[Peer, list[SuspectRecord]] = defaultdict(list)
+        own_id = self._peers.this_entry().id
+        for record in records:
+            for owner in shard_owners(record, self._peers):
+                if owner.id != own_id:
+                    by_owner[owner].append(record)
+        for owner, lost in by_owner.items():
+            update = SuspectUpdate(
+                records=tuple(lost[:MAX_RECORDS_PER_MESSAGE]), is_lost_in_store=True
+            )
+            threading.Thread(target=self._send_to, args=(owner, update), daemon=True).start()
+
     def send_pending(self) -> None:
         """Send pending records in this thread; concurrent callers share one message."""
         with self._sending:
--- a/gooseberryquay/machines/suspect_list.py
+++ b/gooseberryquay/machines/suspect_list.py
@@ -193,15 +193,28 @@
         """Release the slot after a run that neither finished nor ended with a death."""
         self._slots.release(fingerprint)
 
-    def _merge_records(self, records: Iterable[SuspectRecord]) -> None:
-        changed = self._table.merge(records)
-        self._gossip.add(changed)
+    def store_lost_writes(self) -> None:
+        """Let the records that the store may have lost be written again."""
+        records = [each for each in self._table.records() if not each.is_cleared()]
+        self._write_again(records)
+        self._gossip.report_lost(records)
+
+    def _write_again(self, records: Iterable[SuspectRecord]) -> None:
+        self._store.add(self._owned(records))
+        self._wake.set()
+
+    def _owned(self, records: Iterable[SuspectRecord]) -> list[SuspectRecord]:
         own_id = self._peers.this_entry().id
-        self._store.add(
+        return [
             record
-            for record in changed
+            for record in records
             if own_id in {owner.id for owner in shard_owners(record, self._peers)}
-        )
+        ]
+
+    def _merge_records(self, records: Iterable[SuspectRecord]) -> None:
+        changed = self._table.merge(records)
+        self._gossip.add(changed)
+        self._store.add(self._owned(changed))
 
     def _handle_update(self, request: Request) -> Response:
         try:
@@ -209,6 +222,8 @@
         except ValidationError:
             return Response(status=HTTP_BAD_REQUEST)
         self._merge_records(update.records)
+        if update.is_lost_in_store:
+            self._write_again(update.records)
         held = [self._table.get(each.fingerprint) for each in update.records]
         return Response.of(SuspectUpdate(records=tuple(each for each in held if each is not None)))
 
--- a/gooseberryquay/machines/suspect_messages.py
+++ b/gooseberryquay/machines/suspect_messages.py
@@ -112,9 +112,13 @@
 
 
 class SuspectUpdate(_Message):
-    """Records as sent between entries and as stored in platform objects."""
+    """Records as sent between entries and as stored in platform objects.
+
+    If `is_lost_in_store`, the recipient writes them again even if it knows them.
+    """
 
     records: tuple[SuspectRecord, ...] = ()
+    is_lost_in_store: bool = False
 
 
 class SlotRequest(_Message):
--- a/gooseberryquay/platform/names.py
+++ b/gooseberryquay/platform/names.py
@@ -23,6 +23,7 @@
     "RETRY_AFTER",
     "SERVER_LEAVING",
     "SERVER_LIMIT",
+    "STORE_ERA",
     "SYSTEM_HEADERS",
     "TENANT",
     "TOKEN_USAGE",
@@ -42,6 +43,8 @@
 SERVER_LEAVING = "server-leaving"
 # Requests per second that an engine accepts from all callers together.
 SERVER_LIMIT = "server-limit"
+# Rises each time the store comes back from an older copy.
+STORE_ERA = "store-era"
 NOT_EXECUTED = "x-not-executed"
 INSTANCE_ID = "x-instance-id"
 # Running requests, waiting requests and slots.
--- a/gooseberryquay/platform/store.py
+++ b/gooseberryquay/platform/store.py
@@ -22,6 +22,7 @@
     WriteFailure,
 )
 from gooseberryquay.links.upstream_connection import CallerLeft
+from gooseberryquay.platform.store_era import StoreEra
 from gooseberryquay.serving.object_source import (
     Changes,
     Listing,
@@ -62,9 +63,10 @@
 class StoreObjectSource:
     """List and watch the objects of one kind."""
 
-    def __init__(self, pool: ConnectionPool, address: Address, kind: str) -> None:
+    def __init__(self, pool: ConnectionPool, address: Address, kind: str, era: StoreEra) -> None:
         self._pool = pool
         self._address = address
+        self._era = era
         self._interrupt = Interrupt()
         self._path = OBJECTS_PATH + quote(kind)
 
@@ -126,8 +128,8 @@
                 return Err(SourceFailure.INTERRUPTED)
             case Err(_):
                 return Err(SourceFailure.UNREACHABLE)
-            case Ok(BufferedReply(status=status, body=body)):
-                pass
+            case Ok(BufferedReply(status=status, body=body, headers=headers)):
+                self._era.observe(headers)
         if status == HTTP_GONE:
             return Err(SourceFailure.HISTORY_GONE)
         if status != HTTP_OK:
@@ -142,14 +144,15 @@
 class StoreClient:
     """Read and write this system's own objects, under keys of the form KIND/NAME."""
 
-    def __init__(self, pool: ConnectionPool, address: Address) -> None:
+    def __init__(self, pool: ConnectionPool, address: Address, era: StoreEra) -> None:
         self._pool = pool
         self._address = address
+        self._era = era
 
     def list(self, prefix: str) -> Result[tuple[platform_messages.StoredObject, ...], ReadFailure]:
         """Read all objects of a kind."""
         kind = prefix.rstrip("/")
-        match StoreObjectSource(self._pool, self._address, kind).list():
+        match StoreObjectSource(self._pool, self._address, kind, self._era).list():
             case Err(failure):
                 return Err(PlatformUnreachable(failure.value))
             case Ok(listing):
@@ -203,8 +206,12 @@
         body = b"" if document is None else json.dumps(document).encode()
         until_s = time.monotonic() + OBJECT_TIMEOUT_S
         request = BufferedRequest(method, path, body)
-        sent = exchange(self._pool, self._address, request, until_s)
-        return sent.ok_value if isinstance(sent, Ok) else None
+        match exchange(self._pool, self._address, request, until_s):
+            case Ok(reply):
+                self._era.observe(reply.headers)
+                return reply
+            case Err(_):
+                return None
 
 
 def _named_object(key: str, body: bytes) -> platform_messages.StoredObject | None:
