--- /dev/null
+++ b/gooseberryquay/daemons/tests/stream_builders.py
@@ -0,0 +1,88 @@
+"""Callers that take broken streams up again, and the software versions that wrote their events."""
+
+import contextlib
+import http.client
+import itertools
+import threading
+from dataclasses import dataclass, field
+
+from gooseberryquay.standins.node_platform.site import HOST, KEY
+
+_NUMBERS = itertools.count()
+TIMEOUT_S = 8.0
+TOKENS_PER_EVENT = 4
+
+
+@dataclass
+class StreamCaller:
+    """Read one stream, over several tries if it is taken up again."""
+
+    path: str = "/check/1"
+    event_count: int = 60
+    id: str = ""
+    first_id: str | None = None
+    numbers: list = field(default_factory=list)
+    versions: list = field(default_factory=list)
+    statuses: list = field(default_factory=list)
+    is_complete: bool = False
+
+    def read(self, port, until_event=None, started=None):
+        """Read from one entry up to an event or to the end; then close the connection."""
+        self.id = f"s-{next(_NUMBERS)}"
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=TIMEOUT_S)
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            connection.request("POST", self.path, b"prompt", self._headers())
+            response = connection.getresponse()
+            self.statuses.append(response.status)
+            if response.status == http.client.OK:
+                self._read_events(response, until_event, started)
+        connection.close()
+        return self
+
+    def _headers(self):
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": self.id,
+            "X-Deadline-Ms": "6000",
+            "X-Model": "m",
+            "X-Token-Usage": f"100,{TOKENS_PER_EVENT * self.event_count}",
+            "X-Prompt-Prefix": "aa01:20,f00:10",
+            "Authorization": f"Bearer {KEY}",
+        }
+        if self.numbers:
+            headers["Last-Event-Id"] = str(self.numbers[-1])
+            headers["Resumes"] = self.first_id
+        return headers
+
+    def _read_events(self, response, until_event, started):
+        pending = b""
+        while part := response.read1(65536):
+            *events, pending = (pending + part).split(b"\n\n")
+            for each in events:
+                number, data = each.decode().split("\n")
+                self.first_id = self.first_id or self.id
+                self.numbers.append(int(number.removeprefix("id: ")))
+                self.versions.append(data.split(" ")[2])
+                if started is not None:
+                    started.release()
+                    started = None
+            if until_event is not None and self.numbers and self.numbers[-1] >= until_event:
+                return
+        self.is_complete = not pending and self.numbers == list(range(1, self.event_count + 1))
+
+    @property
+    def is_joined(self):
+        """Return whether events of several software versions were read."""
+        return len(set(self.versions)) > 1
+
+
+def read_all(callers, ports, until_event=None):
+    """Let all callers read at the same time, from entries in turn."""
+    threads = [
+        threading.Thread(target=each.read, args=(ports[number % len(ports)], until_event))
+        for number, each in enumerate(callers)
+    ]
+    for each in threads:
+        each.start()
+    for each in threads:
+        each.join()
--- a/gooseberryquay/standins/node_platform/site.py
+++ b/gooseberryquay/standins/node_platform/site.py
@@ -97,10 +97,11 @@
         self.store.put("config", "main", document)
         return self._version
 
-    def add_engine(self) -> str:
+    def add_engine(self, version: str = "v1") -> str:
         """Start an engine, add it to the list of upstreams and return its id."""
         engine = ModelEngine(self._new_id(), self.record, self._rng, self._engines_by_port)
         engine.crashing_part = self._crashing_part
+        engine.version = version
         engine.start()
         self.engines[engine.id] = engine
         engine.on_crash = lambda: self._replace(engine)
@@ -146,7 +147,7 @@
         if self._is_stopped:
             return
         if isinstance(crashed, ModelEngine):
-            self.add_engine()
+            self.add_engine(crashed.version)
         else:
             self.add_service()
 
@@ -160,6 +161,7 @@
             "service": service,
             "address": f"127.0.0.1:{upstream.port}",
             "zone": zone,
+            "version": upstream.version,
             "slots": 8,
             "state": state,
             "cold_left_ms": 0,
--- a/gooseberryquay/standins/node_platform/soak_callers.py
+++ b/gooseberryquay/standins/node_platform/soak_callers.py
@@ -77,7 +77,7 @@
 
 def _find_response_fault(kind: CallKind, id: str, last: int, body: bytes) -> str | None:
     if kind in {CallKind.NOTE, CallKind.CHECK}:
-        expected = "".join(f"id: {number}\ndata: {id}\n\n" for number in range(1, last + 1))
+        expected = "".join(f"id: {number}\ndata: {id} v1\n\n" for number in range(1, last + 1))
     else:
         expected = f"done {id}"
     return (
--- a/gooseberryquay/standins/node_platform/upstream_server.py
+++ b/gooseberryquay/standins/node_platform/upstream_server.py
@@ -69,6 +69,7 @@
         self.faults = UpstreamFaults()
         self.is_crashed = False
         self.is_leaving = False
+        self.version = "v1"
         self.born_ms = int(time.time() * MS_PER_S)
         self.on_crash: Callable[[], None] = lambda: None
         self._rng = rng
@@ -337,5 +338,6 @@
                     received.gateway.abort()
                     return
                 run.event_count += 1
-                received.gateway.write(f"id: {run.event_count}\ndata: {received.id}\n\n".encode())
+                event = f"id: {run.event_count}\ndata: {received.id} {self.version}\n\n"
+                received.gateway.write(event.encode())
         received.gateway.write_all(b"")
