Let a stream go on only at the software version that began it

Callers got streams whose first part one software version of the engines wrote and whose rest another: nothing read the version, so that repeats within an answer, moves and take-ups went to any engine.

Now an answer is bound to the version that wrote its first event, moves and repeats choose among engines of that version. For take-ups, entries know which version began a stream: while one version serves, nothing is written but that version; once another appears each entry writes its streams to one object of its own, in batches, and reads the others' only for a stream that it doesn't know. A stream that may have begun at either is refused at once.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -11,6 +11,7 @@
 from gooseberryquay.links.http_server import HttpServer, Router
 from gooseberryquay.machines.membership import Membership
 from gooseberryquay.machines.peer import Peer
+from gooseberryquay.machines.rendezvous import first_owners
 from gooseberryquay.machines.retry_budget import RetryBudget, SharedAllowance
 from gooseberryquay.machines.suspect_list import SuspectList
 from gooseberryquay.platform.documents import read_routing, read_upstream
@@ -51,6 +52,7 @@
 from gooseberryquay.serving.route import RoutingTable
 from gooseberryquay.serving.routing_table_reader import RoutingTableReader
 from gooseberryquay.serving.shared_rate import RateTolerance
+from gooseberryquay.serving.stream_versions import StreamVersions, StreamVersionsOptions
 from gooseberryquay.serving.upstream_load import LoadTable
 from gooseberryquay.serving.upstream_registry import UpstreamRegistry
 from gooseberryquay.serving.upstream_signals import UpstreamSignals
@@ -97,6 +99,8 @@
 # Covers several minutes of an entry's requests in half a MB of memory.
 FINISHED_REQUESTS_MAX = 4096
 MS_PER_S = 1000.0
+# Enough that one of them lives when all others have restarted.
+VERSION_RECORDERS = 3
 
 
 class PlatformEntry:
@@ -146,7 +150,14 @@
             share_min_deaths=CRASHES_MAX - 1,
             finished_max=FINISHED_REQUESTS_MAX,
         )
+        self._stream_versions = StreamVersions(
+            StreamVersionsOptions(settings.id, self._records_versions),
+            self._registry,
+            StoreClient(self._store_pool, settings.store_address, self._store_era),
+            log,
+        )
         self._store_era.on_rise(self._suspects.store_lost_writes)
+        self._store_era.on_rise(self._stream_versions.store_lost_writes)
         request_handler = self._build_request_handler(placement, rng)
         frontend = Frontend(request_handler.serve)
         self._caller_server = ForwardingServer(
@@ -216,6 +227,7 @@
             migration=migration,
             signals=signals,
             guard=guard,
+            versions=self._stream_versions,
             log=self._log,
         )
         call_handler = CallHandler(
@@ -260,6 +272,11 @@
                 told_by="peer",
             )
 
+    def _records_versions(self) -> bool:
+        """Return whether this entry is one of those that record the only version of a service."""
+        owners = first_owners("stream versions", self._membership.live(), VERSION_RECORDERS)
+        return self._settings.id in {each.id for each in owners}
+
     def _engine_services(self) -> list[ServiceId]:
         routing = self._routing.current()
         if routing is None:
@@ -366,6 +383,7 @@
         self._membership.start()
         self._peers.start()
         self._suspects.start()
+        self._stream_versions.start()
         self._leave_probe.start()
         self._readiness_server.start()
         self._metrics_server.start()
--- a/gooseberryquay/ids.py
+++ b/gooseberryquay/ids.py
@@ -16,6 +16,7 @@
     "Revision",
     "ServiceId",
     "SiteId",
+    "SoftwareVersion",
     "UpstreamId",
     "WorkKind",
     "WorkspaceId",
@@ -35,6 +36,7 @@
 Revision = NewType("Revision", int)
 ServiceId = NewType("ServiceId", str)
 SiteId = NewType("SiteId", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
 UpstreamId = NewType("UpstreamId", str)
 WorkKind = NewType("WorkKind", str)
 WorkspaceId = NewType("WorkspaceId", str)
--- a/gooseberryquay/platform/documents.py
+++ b/gooseberryquay/platform/documents.py
@@ -3,7 +3,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from gooseberryquay.contracts.fields import parse_address
-from gooseberryquay.ids import ServiceId, UpstreamId, WorkspaceId, ZoneId
+from gooseberryquay.ids import ServiceId, SoftwareVersion, UpstreamId, WorkspaceId, ZoneId
 from gooseberryquay.serving.object_source import StoredObject
 from gooseberryquay.serving.route import (
     CallLimits,
@@ -98,6 +98,8 @@
     cold_left_ms: float = 0.0
     # Unix time of the start in ms: an upstream that restarts under its id has lost its state.
     born: int | None = None
+    # Version of its software, not of its weights.
+    version: str | int | None = None
 
 
 def read_routing(stored: StoredObject) -> RoutingTable | None:
@@ -132,6 +134,7 @@
             state=UpstreamState(document.state),
             cold_left_s=max(0.0, document.cold_left_ms / MS_PER_S),
             born_ms=document.born,
+            version=None if document.version is None else SoftwareVersion(str(document.version)),
         )
     except (ValidationError, ValueError):
         return None
--- a/gooseberryquay/platform/frontend.py
+++ b/gooseberryquay/platform/frontend.py
@@ -113,6 +113,7 @@
         arrived_at_s=arrived_at_s,
         deadline_at_s=arrived_at_s + _deadline_s(headers.get(names.DEADLINE_MS)),
         resume_after=headers.get(names.LAST_EVENT_ID),
+        resumes=RequestId(headers[names.RESUMES]) if names.RESUMES in headers else None,
         demand=_demand_of(headers),
     )
 
--- a/gooseberryquay/platform/names.py
+++ b/gooseberryquay/platform/names.py
@@ -20,6 +20,7 @@
     "PROMPT_PREFIX",
     "READY_PATH",
     "REPORT_PATH",
+    "RESUMES",
     "RETRY_AFTER",
     "SERVER_LEAVING",
     "SERVER_LIMIT",
@@ -38,6 +39,8 @@
 PROMPT_PREFIX = "x-prompt-prefix"
 LENGTH_HINT = "x-length-hint"
 LAST_EVENT_ID = "last-event-id"
+# Id of the attempt that brought the first event of the stream that is resumed.
+RESUMES = "resumes"
 RETRY_AFTER = "retry-after"
 # Set by an engine in all its responses once it starts to drain.
 SERVER_LEAVING = "server-leaving"
--- a/gooseberryquay/serving/call.py
+++ b/gooseberryquay/serving/call.py
@@ -32,7 +32,8 @@
 class Call:
     """Represent one request.
 
-    `target` is the raw path and query; `headers` are those to be forwarded.
+    `target` is the raw path and query; `headers` are those to be forwarded. A caller that takes a
+    stream up again after the event `resume_after` names in `resumes` the request that began it.
     """
 
     id: RequestId
@@ -47,3 +48,4 @@
     deadline_at_s: float
     resume_after: str | None
     demand: GenerationDemand | None
+    resumes: RequestId | None = None
--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -2,11 +2,12 @@
 
 import functools
 import time
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
 
-from gooseberryquay.ids import UpstreamId
+from gooseberryquay.ids import SoftwareVersion, UpstreamId
 from gooseberryquay.links.upstream_connection import BodyEnd, BodyPart, CallerLeft
 from gooseberryquay.machines.retry_budget import RetryBudget
 from gooseberryquay.serving.accepted import AcceptedRequest
@@ -30,7 +31,13 @@
     UpstreamClient,
 )
 from gooseberryquay.serving.refusal import Refusal, RefusalReason
-from gooseberryquay.serving.stream_relay import StreamEnd, StreamProgress, StreamRelay
+from gooseberryquay.serving.stream_relay import (
+    StreamEnd,
+    StreamProgress,
+    StreamRelay,
+    StreamSource,
+)
+from gooseberryquay.serving.stream_versions import StreamVersions, VersionUnknown
 from gooseberryquay.serving.upstream_load import LoadTable
 from gooseberryquay.serving.upstream_signals import UpstreamSignals
 
@@ -88,9 +95,11 @@
         migration: Migration,
         signals: UpstreamSignals,
         guard: CrashGuard,
+        versions: StreamVersions,
         log: DecisionLog,
     ) -> None:
         self._guard = guard
+        self._versions = versions
         self._upstream_client = upstream_client
         self._placement = placement
         self._queue = queue
@@ -106,10 +115,15 @@
         self._retries.record_request(request.service)
         progress = StreamProgress(last_id=request.call.resume_after)
         attempts = _Attempts()
+        if progress.last_id is not None and request.route.is_resumable:
+            version = self._versions.version_of(request.call.resumes, request.service)
+            if isinstance(version, VersionUnknown):
+                return _version_unknown()
+            progress.origin = StreamSource(version)
         is_budget_exempt = True
         while is_budget_exempt or self._may_retry(request, attempts):
             is_budget_exempt = False
-            placed = self._place(request, attempts)
+            placed = self._place(request, progress, attempts)
             if isinstance(placed, Err):
                 failure = placed.err_value
                 if attempts.runs == 0 or isinstance(failure, CallerLeft):
@@ -139,22 +153,41 @@
         return self._give_up(request, progress, attempts)
 
     def _place(
-        self, request: AcceptedRequest, attempts: _Attempts
+        self, request: AcceptedRequest, progress: StreamProgress, attempts: _Attempts
     ) -> Result[PlacedGeneration, Refusal | CallerLeft]:
         """Wait for an engine; refuse a request found to crash engines before or after the wait."""
         suspected = self._guard.refusal_on_arrival(request)
         if suspected is not None:
             return Err(suspected)
-        placed = self._queue.place(self._ticket(request, attempts), request.caller)
+        placed = self._place_at_version(request, progress, attempts)
         if isinstance(placed, Err):
             return placed
         suspected = self._guard.refusal(request)
         if suspected is None:
             return placed
-        self._loads.end(placed.ok_value.run)
-        self._queue.changed()
+        self._release(placed.ok_value)
         return Err(suspected)
 
+    def _place_at_version(
+        self, request: AcceptedRequest, progress: StreamProgress, attempts: _Attempts
+    ) -> Result[PlacedGeneration, Refusal | CallerLeft]:
+        """Wait for an engine whose software may go on with the stream."""
+        origin = progress.origin
+        if origin is None:
+            return self._queue.place(self._ticket(request, attempts), request.caller)
+        while True:
+            others = self._placement.of_other_versions(request.service, origin.version)
+            ticket = self._ticket(request, attempts, others)
+            placed = self._queue.place(ticket, request.caller)
+            if isinstance(placed, Err) or placed.ok_value.known.record.version == origin.version:
+                return placed
+            # Listed during the wait, or replaced by newer software.
+            self._release(placed.ok_value)
+
+    def _release(self, placed: PlacedGeneration) -> None:
+        self._loads.end(placed.run)
+        self._queue.changed()
+
     def _may_retry(self, request: AcceptedRequest, attempts: _Attempts) -> bool:
         if time.monotonic() >= request.until_s:
             return False
@@ -168,7 +201,12 @@
     def _may_run_again(self, request: AcceptedRequest, runs: int) -> bool:
         return request.route.is_retryable and runs < request.route.attempts_max
 
-    def _ticket(self, request: AcceptedRequest, attempts: _Attempts) -> QueueTicket:
+    def _ticket(
+        self,
+        request: AcceptedRequest,
+        attempts: _Attempts,
+        excluded: Collection[UpstreamId] = (),
+    ) -> QueueTicket:
         call, route = request.call, request.route
         return QueueTicket(
             id=call.id,
@@ -177,7 +215,7 @@
             rank=rank_of(request),
             late_at_s=call.arrived_at_s + QUEUE_SHARE * route.goal_s,
             give_up_at_s=min(request.until_s, call.arrived_at_s + QUEUE_GOALS_MAX * route.goal_s),
-            excluded=frozenset(attempts.excluded),
+            excluded=frozenset(attempts.excluded).union(excluded),
         )
 
     def _run(
@@ -261,11 +299,13 @@
             needs_new_connection=not request.route.is_retryable,
             continuation=continuation,
         )
+        # The entry of the list may change during the run.
+        version = active.known.record.version
         opened = self._upstream_client.open(
             active.known.record, request.call, options, request.caller
         )
         if isinstance(opened, Ok):
-            return self._relay_response(active, progress, attempts, opened.ok_value)
+            return self._relay_response(active, progress, attempts, opened.ok_value, version)
         return self._failed_open(active, opened.err_value)
 
     def _failed_open(
@@ -294,6 +334,7 @@
         progress: StreamProgress,
         attempts: _Attempts,
         response: OpenResponse,
+        version: SoftwareVersion | None,
     ) -> Outcome:
         upstream = active.known.record.id
         self._signals.process_response(active.known, response)
@@ -310,6 +351,8 @@
         relay = StreamRelay(active, progress, response)
         relay.on_good_run = functools.partial(self._guard.ran_well, active.request)
         relay.good_run_events = GOOD_RUN_EVENTS
+        relay.version = version
+        relay.on_begun = functools.partial(self._record_begun, active.request, version)
         if progress.last_number is not None and active.run.is_moved:
             relay.on_resumed = functools.partial(self._report_resumed, active)
         end = relay.run()
@@ -323,6 +366,10 @@
                 self._record_engine_failure(active, f"stream {end.value}", relay.reason)
         return end
 
+    def _record_begun(self, request: AcceptedRequest, version: SoftwareVersion | None) -> None:
+        if request.route.is_resumable:
+            self._versions.record(request.call.id, request.service, version)
+
     def _report_stream_loss(
         self, active: ActiveGeneration, end: StreamEnd, event_count: int
     ) -> None:
@@ -437,6 +484,11 @@
         )
 
 
+def _version_unknown() -> Refusal:
+    reason = "the software version that began this stream is not known"
+    return Refusal(RefusalReason.NOT_RUN, reason, RETRY_AFTER_S)
+
+
 def _estimate_need(request: AcceptedRequest) -> EngineNeed:
     demand = request.call.demand
     if demand is None:
--- a/gooseberryquay/serving/list_readers.py
+++ b/gooseberryquay/serving/list_readers.py
@@ -69,6 +69,7 @@
                 upstream=upstream,
                 state=record.state.value,
                 zone=record.zone,
+                version=record.version,
                 cold_left_s=record.cold_left_s,
                 revision=changed.revision,
             )
--- a/gooseberryquay/serving/migration.py
+++ b/gooseberryquay/serving/migration.py
@@ -125,10 +125,16 @@
     def _choose_target(self, active: ActiveGeneration, tried: set[UpstreamId]) -> _Target | None:
         run = active.run
         need = EngineNeed(run.held_tokens, max(0.0, run.expected_tokens - run.generated_tokens))
+        version = active.known.record.version
+        excluded = tried | self._placement.of_other_versions(active.request.service, version)
         known = self._placement.choose_move_target(
-            active.request.service, need, tried, active.known.record.zone
+            active.request.service, need, excluded, active.known.record.zone
         )
-        if known is None or not self._placement.try_acquire(known):
+        if (
+            known is None
+            or known.record.version != version
+            or not self._placement.try_acquire(known)
+        ):
             return None
         moved = Run(
             run.id,
--- a/gooseberryquay/serving/placement.py
+++ b/gooseberryquay/serving/placement.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from gooseberryquay.ids import ServiceId, UpstreamId, ZoneId
+from gooseberryquay.ids import ServiceId, SoftwareVersion, UpstreamId, ZoneId
 from gooseberryquay.serving.rate_gate import RateGate
 from gooseberryquay.serving.route import EngineTerms, RoutingTable
 from gooseberryquay.serving.shared_rate import RateBudget
@@ -282,6 +282,12 @@
         """Return whether an upstream accepts new work."""
         return known in self._registry.usable(known.record.service)
 
+    def of_other_versions(
+        self, service: ServiceId, version: SoftwareVersion | None
+    ) -> frozenset[UpstreamId]:
+        """Return the upstreams at which a stream that a version began can't go on."""
+        return self._registry.of_other_versions(service, version)
+
     def pause_left_s(self, service: ServiceId) -> float:
         """Return the seconds until an upstream accepts work again, 0 if one does now."""
         return self._registry.pause_left_s(service)
--- a/gooseberryquay/serving/stream_relay.py
+++ b/gooseberryquay/serving/stream_relay.py
@@ -7,13 +7,14 @@
 
 from result import Err, Ok, Result
 
+from gooseberryquay.ids import SoftwareVersion
 from gooseberryquay.links.streaming_gateway import CallerDisconnected
 from gooseberryquay.links.upstream_connection import BodyEnd, BodyPart, CallerLeft
 from gooseberryquay.serving.active_generation import ActiveGeneration
 from gooseberryquay.serving.event_stream import EventSplitter, StreamEvent
 from gooseberryquay.serving.ports import IndeterminateOutcome, OpenResponse
 
-__all__ = ["StreamEnd", "StreamProgress", "StreamRelay"]
+__all__ = ["StreamEnd", "StreamProgress", "StreamRelay", "StreamSource"]
 
 
 class StreamEnd(Enum):
@@ -26,6 +27,13 @@
     TIMED_OUT = "timed out"
 
 
+@dataclass(frozen=True, slots=True)
+class StreamSource:
+    """Identify the software at which a stream may go on; None if engines state no version."""
+
+    version: SoftwareVersion | None
+
+
 @dataclass
 class StreamProgress:
     """Track the events sent to the caller of one generation."""
@@ -36,6 +44,8 @@
     first_at_s: float = 0.0
     last_at_s: float = 0.0
     longest_pause_s: float = 0.0
+    # Engine software that wrote the stream's first event; set once the stream goes on only there.
+    origin: StreamSource | None = None
 
     def is_duplicate(self, event: StreamEvent) -> bool:
         """Return whether an event was already sent to the caller."""
@@ -75,6 +85,9 @@
     # Called once the engine has written `good_run_events` events.
     on_good_run: Callable[[], None] = lambda: None
     good_run_events: int = 0
+    # Software of the engine as it was when the request was sent.
+    version: SoftwareVersion | None = None
+    on_begun: Callable[[], None] = lambda: None
     _splitter: EventSplitter = field(default_factory=EventSplitter)
 
     def run(self) -> StreamEnd:
@@ -150,3 +163,6 @@
                 self.response.status, self.response.headers
             )
             self.progress.is_started = True
+            if self.progress.origin is None:
+                self.progress.origin = StreamSource(self.version)
+                self.on_begun()
--- /dev/null
+++ b/gooseberryquay/serving/stream_versions.py
@@ -0,0 +1,270 @@
+"""Software version that began each stream, for callers that take a stream up again."""
+
+import random
+import threading
+import time
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from result import Err, Ok
+
+from gooseberryquay.ids import EntryId, RequestId, ServiceId, SoftwareVersion
+from gooseberryquay.links.platform_client import NO_VERSION
+from gooseberryquay.machines.suspect_store import SuspectObjects
+from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.upstream_registry import UpstreamRegistry
+from gooseberryquay.serving.version_history import (
+    StoredStreams,
+    StreamOrigin,
+    VersionHistory,
+    newest_history,
+)
+
+__all__ = ["StreamVersions", "StreamVersionsOptions", "VersionUnknown"]
+
+PREFIX = "streams/"
+# Streams of two versions may be taken up for about as long as a caller waits for an answer.
+STREAM_LIFETIME_S = 90.0
+STREAMS_MAX = 4096
+WRITE_INTERVAL_S = 0.2
+# Entries that learn of a version together spread their first writes over this time.
+FIRST_WRITE_SPREAD_S = 0.2
+RETRY_INTERVAL_S = 2.0
+# Records of streams that began just before their entry ended may be about to be written.
+READ_AGAIN_S = 0.25
+READ_INTERVAL_S = 0.1
+# Entries that saw the previous version have recorded their streams by then.
+CHANGE_SETTLED_S = 5.0
+# Entries that restart together see the list within this time.
+RESTART_SPREAD_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class VersionUnknown:
+    """Report that a stream may have begun at any of several versions."""
+
+
+@dataclass(frozen=True, slots=True)
+class StreamVersionsOptions:
+    """Configure which entry this is, and whether it writes while one version serves."""
+
+    entry: EntryId
+    writes_history: Callable[[], bool] = lambda: True
+    lifetime_s: float = STREAM_LIFETIME_S
+
+
+class StreamVersions:
+    """Record and look up the software versions of streams; thread-safe.
+
+    While one version of a service serves, nothing is written but that version. Once another
+    appears, each entry writes its streams to an object of its own, in batches.
+    """
+
+    def __init__(
+        self,
+        options: StreamVersionsOptions,
+        registry: UpstreamRegistry,
+        platform: SuspectObjects,
+        log: DecisionLog,
+        clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._options = options
+        self._registry = registry
+        self._platform = platform
+        self._log = log
+        self._clock = clock
+        self._started_at_s = clock()
+        self._own: OrderedDict[RequestId, StreamOrigin] = OrderedDict()
+        self._read: dict[RequestId, StreamOrigin] = {}
+        self._history = VersionHistory()
+        self._was_read = False
+        self._read_at_s = float("-inf")
+        self._is_dirty = True
+        # Revision of the own object; None if it has to be read before it is written.
+        self._revision: int | None = None
+        self._changed = threading.Event()
+        self._stopping = threading.Event()
+        self._lock = threading.Lock()
+        self._read_lock = threading.Lock()
+        self._thread = threading.Thread(target=self._run, name="stream versions", daemon=True)
+
+    def start(self) -> None:
+        """Read what other entries have recorded, then write own streams in the background."""
+        self._registry.on_change(self._observe_list)
+        self._observe_list()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Write own streams a last time and stop the background thread."""
+        self._stopping.set()
+        self._changed.set()
+        self._thread.join()
+
+    def record(
+        self, stream: RequestId, service: ServiceId, version: SoftwareVersion | None
+    ) -> None:
+        """Record the version that began a stream."""
+        with self._lock:
+            self._own.pop(stream, None)
+            self._own[stream] = StreamOrigin(
+                service=service, version=version or "", at_s=self._clock()
+            )
+            if len(self._own) > STREAMS_MAX:
+                self._own.popitem(last=False)
+            self._is_dirty = True
+            is_mixed = self._history.is_mixed(service, self._oldest_s())
+        if is_mixed:
+            self._changed.set()
+
+    def version_of(
+        self, stream: RequestId | None, service: ServiceId
+    ) -> SoftwareVersion | VersionUnknown | None:
+        """Return the version that began a stream; None stands for engines that state none.
+
+        Reads the store only if the stream is unknown here and several versions have served lately.
+        """
+        found: str | VersionUnknown | None = self._find(stream, service)
+        for delay_s in (0.0, READ_AGAIN_S):
+            if found is not None:
+                break
+            time.sleep(delay_s)
+            self._load()
+            found = self._find(stream, service)
+        if found is None:
+            found = self._assume(service)
+        if isinstance(found, VersionUnknown):
+            return found
+        return SoftwareVersion(found) if found else None
+
+    def _find(self, stream: RequestId | None, service: ServiceId) -> str | None:
+        with self._lock:
+            origin = self._own.get(stream) or self._read.get(stream) if stream else None
+            if origin is not None:
+                return origin.version
+            self._observe_list_locked()
+            if not self._was_read:
+                return None
+            return self._history.only_version(service, self._oldest_s())
+
+    def _assume(self, service: ServiceId) -> str | VersionUnknown:
+        """Assume the previous version for streams of entries that ended before they saw another."""
+        with self._lock:
+            change = self._history.latest_change(service, self._oldest_s())
+        now_s = self._clock()
+        if change is None or not self._was_read:
+            return VersionUnknown()
+        is_new = now_s - change.at_s <= CHANGE_SETTLED_S
+        was_up = self._started_at_s - RESTART_SPREAD_S <= change.at_s
+        if not (is_new and was_up) or change.previous is None:
+            return VersionUnknown()
+        return change.previous
+
+    def _oldest_s(self) -> float:
+        return self._clock() - self._options.lifetime_s
+
+    def _observe_list(self) -> None:
+        with self._lock:
+            has_changed = self._observe_list_locked()
+        if has_changed:
+            self._changed.set()
+
+    def _observe_list_locked(self) -> bool:
+        has_changed = self._history.observe(self._registry.versions(), self._clock())
+        self._is_dirty = self._is_dirty or has_changed
+        return has_changed
+
+    def _run(self) -> None:
+        while not self._was_read and not self._stopping.is_set():
+            if not self._load():
+                self._stopping.wait(RETRY_INTERVAL_S * random.uniform(0.5, 1.5))
+        while not self._stopping.is_set():
+            self._changed.wait()
+            self._changed.clear()
+            self._stopping.wait(FIRST_WRITE_SPREAD_S * random.random())
+            while self._needs_write() and not self._stopping.is_set():
+                self._stopping.wait(WRITE_INTERVAL_S if self._write() else RETRY_INTERVAL_S)
+        if self._needs_write():
+            self._write()
+
+    def _needs_write(self) -> bool:
+        with self._lock:
+            if not self._is_dirty:
+                return False
+            if self._history.is_any_mixed(self._oldest_s()):
+                return True
+            return self._history.has_versions() and self._options.writes_history()
+
+    def _load(self) -> bool:
+        """Read what all entries have recorded, unless this was done just now."""
+        with self._read_lock:
+            if time.monotonic() - self._read_at_s < READ_INTERVAL_S:
+                return self._was_read
+            match self._platform.list(PREFIX):
+                case Err(failure):
+                    self._log.belief("stream versions not read", failure=repr(failure))
+                    return False
+                case Ok(objects):
+                    self._merge([StoredStreams.parse(each.value) for each in objects])
+            self._read_at_s = time.monotonic()
+            return True
+
+    def _merge(self, stored: Iterable[StoredStreams]) -> None:
+        documents = list(stored)
+        oldest_s = self._oldest_s()
+        with self._lock:
+            self._read = {
+                RequestId(name): origin
+                for each in documents
+                for name, origin in each.streams.items()
+                if origin.at_s >= oldest_s
+            }
+            self._history.merge(newest_history(documents, self._clock()))
+            self._was_read = True
+
+    def _write(self) -> bool:
+        """Write the own object; streams of an earlier process of this entry are kept."""
+        if self._revision is None and not self._read_own():
+            return False
+        oldest_s = self._oldest_s()
+        with self._lock:
+            self._is_dirty = False
+            streams = {
+                str(name): origin for name, origin in self._own.items() if origin.at_s >= oldest_s
+            }
+            history = self._history.kept(oldest_s)
+        document = StoredStreams(written_at_s=self._clock(), streams=streams, history=history)
+        match self._platform.write(self._key(), document.model_dump_json(), self._revision):
+            case Ok(revision) if revision != NO_VERSION:
+                self._revision = revision
+                return True
+            case Ok(_):
+                self._revision = None
+                return True
+            case Err(_):
+                self._revision = None
+                with self._lock:
+                    self._is_dirty = True
+                return False
+
+    def _read_own(self) -> bool:
+        match self._platform.read(self._key()):
+            case Err(_):
+                return False
+            case Ok(stored):
+                pass
+        self._revision = NO_VERSION if stored is None else stored.version
+        earlier = StoredStreams.parse(stored.value if stored is not None else "{}")
+        with self._lock:
+            for name, origin in earlier.streams.items():
+                self._own.setdefault(RequestId(name), origin)
+        return True
+
+    def store_lost_writes(self) -> None:
+        """Write the own object again after the store has come back from an older copy."""
+        with self._lock:
+            self._is_dirty = True
+        self._changed.set()
+
+    def _key(self) -> str:
+        return f"{PREFIX}{self._options.entry}"
--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -55,6 +55,7 @@
     Workspace,
 )
 from gooseberryquay.serving.shared_rate import RateTolerance
+from gooseberryquay.serving.stream_versions import StreamVersions, StreamVersionsOptions
 from gooseberryquay.serving.upstream_load import LoadTable
 from gooseberryquay.serving.upstream_record import UpstreamRecord, UpstreamState
 from gooseberryquay.serving.upstream_registry import UpstreamRegistry
@@ -337,6 +338,19 @@
     return QueueTicket(name, MODEL, need, rank, now_s + late_s, now_s + give_up_s)
 
 
+class EmptyStore:
+    """Simulate a store that holds nothing and takes every write."""
+
+    def list(self, prefix):
+        return Ok(())
+
+    def read(self, key):
+        return Ok(None)
+
+    def write(self, key, value, expected_version=None):
+        return Ok(1)
+
+
 @dataclass
 class LocalSuspects:
     """Simulate a suspect list that is not shared with other entries."""
@@ -454,6 +468,9 @@
         migration=migration,
         signals=signals,
         guard=guard,
+        versions=StreamVersions(
+            StreamVersionsOptions(EntryId("entry-1")), registry, EmptyStore(), log
+        ),
         log=log,
     )
     call_handler = CallHandler(
--- /dev/null
+++ b/gooseberryquay/serving/tests/test_stream_versions.py
@@ -0,0 +1,156 @@
+import pytest
+from result import Err, Ok
+
+from gooseberryquay.ids import EntryId
+from gooseberryquay.links.platform_client import PlatformUnreachable, WriteConflict
+from gooseberryquay.links.platform_messages import StoredObject
+from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.stream_versions import (
+    STREAM_LIFETIME_S,
+    StreamVersions,
+    StreamVersionsOptions,
+    VersionUnknown,
+)
+from gooseberryquay.serving.tests.builders import MODEL, FakeClock, build_record, build_registry
+
+
+class _Store:
+    """Keep objects by key, with versions; unreachable on demand."""
+
+    def __init__(self):
+        self.objects = {}
+        self.is_away = False
+        self.call_count = 0
+
+    def list(self, prefix):
+        self.call_count += 1
+        if self.is_away:
+            return Err(PlatformUnreachable("away"))
+        return Ok(tuple(self.objects.values()))
+
+    def read(self, key):
+        self.call_count += 1
+        return Err(PlatformUnreachable("away")) if self.is_away else Ok(self.objects.get(key))
+
+    def write(self, key, value, expected_version=None):
+        self.call_count += 1
+        if self.is_away:
+            return Err(PlatformUnreachable("away"))
+        held = self.objects.get(key)
+        if (held.version if held is not None else 0) != expected_version:
+            return Err(WriteConflict(held))
+        self.objects[key] = StoredObject(key=key, version=expected_version + 1, value=value)
+        return Ok(expected_version + 1)
+
+
+class _Fleet:
+    """Entries that share a store and see one list of engines."""
+
+    def __init__(self):
+        self.clock = FakeClock(1000.0)
+        self.store = _Store()
+        self.registry = build_registry([build_record("i-1", version="v1")])
+        self.entries = []
+
+    def start(self, name):
+        options = StreamVersionsOptions(EntryId(name))
+        entry = StreamVersions(options, self.registry, self.store, DecisionLog(), self.clock)
+        entry.start()
+        self.entries.append(entry)
+        return entry
+
+    def end(self, entry):
+        entry.stop()
+        self.entries.remove(entry)
+
+    def add_newer(self):
+        self.clock.now_s += 1.0
+        self.registry.apply_record(build_record("i-2", version="v2"))
+
+    def remove_older(self):
+        self.registry.remove("i-1")
+
+
+@pytest.fixture
+def fleet():
+    fleet = _Fleet()
+    yield fleet
+    for each in list(fleet.entries):
+        fleet.end(each)
+
+
+def test_stream_is_known_where_it_began(fleet):
+    entry = fleet.start("e-1")
+    fleet.add_newer()
+    entry.record("s-1", MODEL, "v2")
+    assert entry.version_of("s-1", MODEL) == "v2"
+
+
+def test_stream_is_known_at_another_entry_after_the_first_one_ended(fleet):
+    first = fleet.start("e-1")
+    fleet.add_newer()
+    first.record("s-1", MODEL, "v2")
+    fleet.end(first)
+    assert fleet.start("e-2").version_of("s-1", MODEL) == "v2"
+
+
+def test_entry_that_restarts_keeps_the_streams_of_its_earlier_process(fleet):
+    first = fleet.start("e-1")
+    fleet.add_newer()
+    first.record("s-1", MODEL, "v1")
+    fleet.end(first)
+    again = fleet.start("e-1")
+    again.record("s-2", MODEL, "v2")
+    fleet.end(again)
+    third = fleet.start("e-1")
+    assert third.version_of("s-1", MODEL) == "v1"
+    assert third.version_of("s-2", MODEL) == "v2"
+
+
+def test_unknown_stream_is_not_taken_up_once_versions_have_been_mixed_for_a_while(fleet):
+    entry = fleet.start("e-1")
+    fleet.add_newer()
+    fleet.clock.now_s += 20.0
+    assert entry.version_of("s-9", MODEL) == VersionUnknown()
+    assert entry.version_of(None, MODEL) == VersionUnknown()
+
+
+def test_unknown_stream_goes_on_at_the_only_version_without_a_call_of_the_store(fleet):
+    entry = fleet.start("e-1")
+    assert entry.version_of("s-9", MODEL) == "v1"
+    before = fleet.store.call_count
+    assert entry.version_of("s-8", MODEL) == "v1"
+    assert fleet.store.call_count == before
+
+
+def test_stream_of_a_version_that_left_while_all_entries_were_down_stays_there(fleet):
+    fleet.end(fleet.start("e-1"))
+    fleet.clock.now_s += 3.0
+    fleet.add_newer()
+    fleet.remove_older()
+    assert fleet.start("e-1").version_of("s-1", MODEL) == "v1"
+
+
+def test_version_is_forgotten_a_stream_lifetime_after_it_left(fleet):
+    entry = fleet.start("e-1")
+    fleet.add_newer()
+    fleet.remove_older()
+    fleet.clock.now_s += STREAM_LIFETIME_S + 1.0
+    assert entry.version_of("s-9", MODEL) == "v2"
+
+
+def test_stream_is_unknown_while_the_store_is_away_and_the_entry_has_just_started(fleet):
+    fleet.store.is_away = True
+    entry = fleet.start("e-1")
+    assert entry.version_of("s-1", MODEL) == VersionUnknown()
+    fleet.store.is_away = False
+
+
+def test_streams_are_written_in_batches(fleet):
+    entry = fleet.start("e-1")
+    fleet.add_newer()
+    for number in range(500):
+        entry.record(f"s-{number}", MODEL, "v1")
+    fleet.end(entry)
+    assert fleet.store.call_count < 12
+    assert fleet.start("e-2").version_of("s-499", MODEL) == "v1"
--- a/gooseberryquay/serving/upstream_record.py
+++ b/gooseberryquay/serving/upstream_record.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from gooseberryquay.contracts.fields import Address
-from gooseberryquay.ids import ServiceId, UpstreamId, ZoneId
+from gooseberryquay.ids import ServiceId, SoftwareVersion, UpstreamId, ZoneId
 
 __all__ = ["UpstreamRecord", "UpstreamState"]
 
@@ -28,3 +28,4 @@
     state: UpstreamState
     cold_left_s: float
     born_ms: int | None
+    version: SoftwareVersion | None = None
--- a/gooseberryquay/serving/upstream_registry.py
+++ b/gooseberryquay/serving/upstream_registry.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from gooseberryquay.ids import ServiceId, UpstreamId, ZoneId
+from gooseberryquay.ids import ServiceId, SoftwareVersion, UpstreamId, ZoneId
 from gooseberryquay.serving.upstream_record import UpstreamRecord, UpstreamState
 
 __all__ = [
@@ -263,6 +263,20 @@
         """Return the ids of the listed upstreams."""
         return list(self._known)
 
+    def versions(self) -> dict[ServiceId, frozenset[SoftwareVersion | None]]:
+        """Return the software versions of each service's listed upstreams."""
+        return {
+            service: frozenset(each.record.version for each in known)
+            for service, known in self._by_service.items()
+        }
+
+    def of_other_versions(
+        self, service: ServiceId, version: SoftwareVersion | None
+    ) -> frozenset[UpstreamId]:
+        """Return the upstreams of a service whose software has another version."""
+        known = self._by_service.get(service, ())
+        return frozenset(each.record.id for each in known if each.record.version != version)
+
     def _rebuild_index(self) -> None:
         by_service: dict[ServiceId, list[KnownUpstream]] = {}
         for known in self._known.values():
