Send a request again to an upstream that refused it on a new connection

A faulty upstream wrote its refusal once more on the kept connection. Where it was the only one left, the second attempt went there under the same request id, so that the copy was taken for its answer: not run, while the upstream ran it, and a third attempt ran it again. Continuations of a generation get a connection of their own for the same reason.

--- a/gooseberryquay/serving/call_handler.py
+++ b/gooseberryquay/serving/call_handler.py
@@ -108,6 +108,7 @@
         """Try upstreams until one responds or no further attempt is allowed."""
         self._retries.record_request(request.service)
         excluded: set[UpstreamId] = set()
+        sent_to: set[UpstreamId] = set()
         runs = 0
         failed: WholeAnswer | None = None
         last_reason = "no upstream takes new work"
@@ -126,7 +127,8 @@
             if known is None:
                 break
             is_budget_exempt = False
-            attempt = self._attempt(request, known, runs)
+            attempt = self._attempt(request, known, runs, known.record.id in sent_to)
+            sent_to.add(known.record.id)
             self._log_attempt(request, known, attempt)
             match attempt:
                 case CallerLeft():
@@ -192,11 +194,18 @@
             time.sleep(min(wait_s, POLL_INTERVAL_S))
         return reserved.known if self._placement.is_usable(reserved.known) else None
 
-    def _attempt(self, request: AcceptedRequest, known: KnownUpstream, runs: int) -> Attempt:
+    def _attempt(
+        self, request: AcceptedRequest, known: KnownUpstream, runs: int, was_sent_before: bool
+    ) -> Attempt:
         upstream = known.record
         run = Run(request.call.id, upstream.id, time.monotonic())
         workspace = request.workspace.id if request.workspace is not None else None
-        options = SendOptions(workspace, self._attempt_until_s(request, runs))
+        options = SendOptions(
+            workspace,
+            self._attempt_until_s(request, runs),
+            # A second copy of an earlier answer to this request would carry the right id.
+            needs_new_connection=was_sent_before,
+        )
         self._loads.start(run)
         try:
             opened = self._upstream_client.open(upstream, request.call, options, request.caller)
--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -296,7 +296,8 @@
             workspace=request.workspace.id if request.workspace is not None else None,
             until_s=request.until_s,
             priority=rank_of(request),
-            needs_new_connection=not request.route.is_retryable,
+            # A second copy of an earlier answer to this request would carry the right id.
+            needs_new_connection=not request.route.is_retryable or continuation is not None,
             continuation=continuation,
         )
         # The entry of the list may change during the run.
