Let three entries record the only version of a service, once they know the others

At a start every entry knew itself alone and all of them would have written: two calls each, 390 at 195 entries (calculated), where six are enough.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -101,6 +101,7 @@
 MS_PER_S = 1000.0
 # Enough that one of them lives when all others have restarted.
 VERSION_RECORDERS = 3
+MEMBERSHIP_SETTLED_S = 2.0
 
 
 class PlatformEntry:
@@ -109,6 +110,7 @@
     def __init__(self, settings: NodeSettings, log: DecisionLog) -> None:
         self._settings = settings
         self._log = log
+        self._started_at_s = time.monotonic()
         rng = random.Random()
         self._registry = UpstreamRegistry()
         self._loads = LoadTable()
@@ -273,7 +275,12 @@
             )
 
     def _records_versions(self) -> bool:
-        """Return whether this entry is one of those that record the only version of a service."""
+        """Return whether this entry is one of those that record the only version of a service.
+
+        An entry that has just started does not know the others yet.
+        """
+        if time.monotonic() - self._started_at_s < MEMBERSHIP_SETTLED_S:
+            return False
         owners = first_owners("stream versions", self._membership.live(), VERSION_RECORDERS)
         return self._settings.id in {each.id for each in owners}
 
--- a/gooseberryquay/serving/stream_versions.py
+++ b/gooseberryquay/serving/stream_versions.py
@@ -31,6 +31,8 @@
 # Entries that learn of a version together spread their first writes over this time.
 FIRST_WRITE_SPREAD_S = 0.2
 RETRY_INTERVAL_S = 2.0
+# An entry may become one of those that record the only version of a service.
+HISTORY_CHECK_S = 1.0
 # Records of streams that began just before their entry ended may be about to be written.
 READ_AGAIN_S = 0.25
 READ_INTERVAL_S = 0.1
@@ -179,7 +181,7 @@
             if not self._load():
                 self._stopping.wait(RETRY_INTERVAL_S * random.uniform(0.5, 1.5))
         while not self._stopping.is_set():
-            self._changed.wait()
+            self._changed.wait(HISTORY_CHECK_S)
             self._changed.clear()
             self._stopping.wait(FIRST_WRITE_SPREAD_S * random.random())
             while self._needs_write() and not self._stopping.is_set():
