--- a/gooseberryquay/daemons/tests/prompt_part_builders.py
+++ b/gooseberryquay/daemons/tests/prompt_part_builders.py
@@ -7,6 +7,15 @@
 
 from gooseberryquay.daemons.tests.platform_builders import send_request
 
+# Bounds of the requirement on parts of prompts that crash engines.
+CRASHES_UNTIL_BLOCKED = 5
+STABLE_WINDOW_S = 3.0
+LATE_REQUESTS_MAX = 3
+# Callers of sound requests are to notice nothing, but for those that run where an engine ends.
+SOUND_SERVED_MIN = 0.9
+BAD, FIRST, OTHER = "bad0", "aa01", "bb02"
+ENTRIES = 3
+
 _NUMBERS = itertools.count()
 
 
@@ -62,3 +71,29 @@
 def share_served(responses):
     """Return the share of requests that were answered with success."""
     return sum(each.status == 200 for each in responses) / len(responses)
+
+
+def prompt_callers(entries, path, *parts, **changes):
+    """Return callers of all entries whose prompts hold some parts."""
+    return PromptCallers([each.ports.callers for each in entries], path, parts, **changes)
+
+
+def check_blocked(site, sound):
+    """Check the bound, and that sound requests with the other parts are served."""
+    crashes = sorted(site.record.crashes)
+    assert len(crashes) >= 3
+    if len(crashes) >= CRASHES_UNTIL_BLOCKED:
+        blocked_at_s = crashes[CRASHES_UNTIL_BLOCKED - 1] + STABLE_WINDOW_S
+        late = [each for each in site.record.crash_request_arrivals if each > blocked_at_s]
+        assert len(late) <= LATE_REQUESTS_MAX
+    assert share_served(sound.run(STABLE_WINDOW_S)) >= SOUND_SERVED_MIN
+
+
+def check_part_is_blocked(site, entries, path, parts):
+    """Check that prompts with the crashing part are refused and their neighbors served."""
+    bad = prompt_callers(entries, path, *parts)
+    sound = prompt_callers(entries, path, *[each for each in parts if each != BAD])
+    run_together(2 * STABLE_WINDOW_S + 3.0, bad, sound)
+    check_blocked(site, sound)
+    assert bad.responses[-1].refusal == "crashes_upstreams"
+    assert bad.responses[-1].status == 503 and float(bad.responses[-1].retry_after) > 0
--- a/gooseberryquay/daemons/tests/stream_builders.py
+++ b/gooseberryquay/daemons/tests/stream_builders.py
@@ -26,7 +26,7 @@
     statuses: list = field(default_factory=list)
     is_complete: bool = False
 
-    def read(self, port, until_event=None, started=None):
+    def read(self, port, until_event=None):
         """Read from one entry up to an event or to the end; then close the connection."""
         self.id = f"s-{next(_NUMBERS)}"
         connection = http.client.HTTPConnection("127.0.0.1", port, timeout=TIMEOUT_S)
@@ -35,7 +35,7 @@
             response = connection.getresponse()
             self.statuses.append(response.status)
             if response.status == http.client.OK:
-                self._read_events(response, until_event, started)
+                self._read_events(response, until_event)
         connection.close()
         return self
 
@@ -54,7 +54,7 @@
             headers["Resumes"] = self.first_id
         return headers
 
-    def _read_events(self, response, until_event, started):
+    def _read_events(self, response, until_event):
         pending = b""
         while part := response.read1(65536):
             *events, pending = (pending + part).split(b"\n\n")
@@ -63,9 +63,6 @@
                 self.first_id = self.first_id or self.id
                 self.numbers.append(int(number.removeprefix("id: ")))
                 self.versions.append(data.split(" ")[2])
-                if started is not None:
-                    started.release()
-                    started = None
             if until_event is not None and self.numbers and self.numbers[-1] >= until_event:
                 return
         self.is_complete = not pending and self.numbers == list(range(1, self.event_count + 1))
