Bound the deaths of a suspect record and the object that stores it

64 deaths a record and 1,000 records an object could exceed the 1 MB that the store takes for an object, which would then never be written. Now 16 deaths and 450 records: the largest object fits. Tests: the size, the newest deaths kept, memory and calls of the store in a burst, and a common part that an entry cut off from all engines takes for a crashing one.

--- a/gooseberryquay/daemons/tests/test_platform_suspects.py
+++ b/gooseberryquay/daemons/tests/test_platform_suspects.py
@@ -8,13 +8,19 @@
 from gooseberryquay.ids import UpstreamId
 from gooseberryquay.links.connection_pool import ConnectionPool
 from gooseberryquay.links.platform_client import NO_VERSION, WriteConflict
-from gooseberryquay.machines.suspect_messages import Death, SuspectRecord
-from gooseberryquay.machines.suspect_store import SuspectStore
+from gooseberryquay.machines.suspect_messages import (
+    DEATHS_MAX,
+    Death,
+    SuspectRecord,
+    SuspectUpdate,
+)
+from gooseberryquay.machines.suspect_store import MAX_STORED_RECORDS, SuspectStore
 from gooseberryquay.machines.suspect_table import SuspectTable
 from gooseberryquay.platform.store import StoreClient
 from gooseberryquay.platform.store_era import StoreEra
 from gooseberryquay.standins.node_platform.store import ObjectStore, StoreAvailability
 
+VALUE_BYTES_MAX = 1048576
 ONE, TWO = UpstreamId("i-1/1"), UpstreamId("i-2/1")
 
 
@@ -92,3 +98,23 @@
     table.record_finished("g")
     (changed,) = table.merge([_record(ONE)])
     assert changed.crash_count() == 1
+
+
+def test_largest_object_of_records_is_small_enough_for_the_store():
+    deaths = tuple(
+        Death(upstream=UpstreamId(f"i-{number:010x}/1775153579315"), at_s=time.time() + number)
+        for number in range(DEATHS_MAX)
+    )
+    records = [
+        SuspectRecord(fingerprint=f"part/{number:032x}", deaths=deaths, cleared_until_s=1.5)
+        for number in range(MAX_STORED_RECORDS)
+    ]
+    assert len(SuspectUpdate(records=tuple(records)).model_dump_json()) <= VALUE_BYTES_MAX
+
+
+def test_record_keeps_only_its_newest_deaths():
+    deaths = [Death(upstream=UpstreamId(f"i-{n}/1"), at_s=1000.0 + n) for n in range(100)]
+    record = SuspectRecord(fingerprint="f", deaths=(deaths[0],))
+    for death in deaths[1:]:
+        record = record.merged(SuspectRecord(fingerprint="f", deaths=(death,)), span_s=0.0)
+    assert record.deaths == tuple(deaths[-DEATHS_MAX:])
--- a/gooseberryquay/machines/suspect_messages.py
+++ b/gooseberryquay/machines/suspect_messages.py
@@ -10,7 +10,7 @@
 __all__ = ["Death", "SlotRequest", "SlotResponse", "SuspectRecord", "SuspectUpdate", "Verdict"]
 
 # More deaths than any cooldown distinguishes.
-DEATHS_MAX = 64
+DEATHS_MAX = 16
 
 
 class Verdict(Enum):
--- a/gooseberryquay/machines/suspect_store.py
+++ b/gooseberryquay/machines/suspect_store.py
@@ -24,7 +24,8 @@
 
 PREFIX = "suspects/"
 SHARDS = 16
-MAX_STORED_RECORDS = 1000
+# Even with as many deaths as records keep, an object stays below the 1 MB that the store takes.
+MAX_STORED_RECORDS = 450
 
 log = logging.getLogger(__name__)
 
--- a/gooseberryquay/machines/tests/test_suspect_fleet.py
+++ b/gooseberryquay/machines/tests/test_suspect_fleet.py
@@ -3,6 +3,7 @@
 import random
 import threading
 import time
+import tracemalloc
 
 import pytest
 from result import Err, Ok
@@ -25,6 +26,9 @@
 STABLE_WINDOW_S = 5.0
 # A burst of crashes may cost each owner of a record a read and a write of its shard each second.
 CALLS_PER_CRASH_MAX = 40
+CRASHES = 60
+# A small part of the smallest instance's memory.
+BYTES_PER_ENTRY_MAX = 4 * 1024 * 1024
 
 
 class _Store:
@@ -100,6 +104,8 @@
         return suspects
 
     def stop(self):
+        # Messages that are still pending would be processed by one interpreter for all entries.
+        self.handlers.clear()
         for each in self.lists:
             each.stop()
 
@@ -123,6 +129,13 @@
     fleet.stop()
 
 
+@pytest.fixture
+def small_fleet():
+    fleet = _Fleet(16)
+    yield fleet
+    fleet.stop()
+
+
 def test_crashing_part_is_known_to_a_large_fleet_in_time_and_a_common_one_is_cleared(fleet):
     rng = random.Random(1)
     time.sleep(0.5)
@@ -142,3 +155,38 @@
     assert calls <= 5 * CALLS_PER_CRASH_MAX
     assert max(len(each.records()) for each in fleet.lists) <= 7
     print(f"{calls} calls of the store, {fleet.message_count} messages among entries")
+
+
+def test_common_part_is_not_suspected_for_an_entry_that_is_cut_off_from_all_engines(fleet):
+    """Such an entry takes every engine for crashed; others go on with the same part."""
+    rng = random.Random(2)
+    cut_off, others = fleet.lists[0], fleet.lists[1:]
+    for _ in range(4):
+        for each in rng.sample(others, 30):
+            each.ran_well([FIRST], 1.0)
+        for number in range(12):
+            cut_off.record_death(UpstreamId(f"i-{number}"), [f"request-{number}", FIRST])
+        cut_off.send_updates()
+        time.sleep(0.5)
+    for each in rng.sample(others, 30):
+        each.ran_well([FIRST], 1.0)
+    wait_until(lambda: max(fleet.count_of(FIRST)) == 0)
+
+
+def test_records_of_a_long_burst_of_crashes_stay_within_memory_and_calls(small_fleet):
+    """Each crash has a request, a part of its own and a common part."""
+    fleet = small_fleet
+    before = fleet.store.reads + fleet.store.writes
+    tracemalloc.start()
+    for number in range(CRASHES):
+        entry = fleet.lists[number % len(fleet.lists)]
+        deaths = [f"request-{number}", f"part/{number}", BAD, FIRST]
+        entry.record_death(UpstreamId(f"i-{number}"), deaths)
+        time.sleep(0.01)
+    calls = fleet.store.reads + fleet.store.writes - before
+    held_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert calls <= CRASHES * CALLS_PER_CRASH_MAX
+    assert held_bytes / len(fleet.lists) <= BYTES_PER_ENTRY_MAX
+    assert max(len(each.record(BAD).deaths) for each in fleet.lists if each.record(BAD)) <= 16
+    print(f"{calls} calls of the store, {held_bytes / len(fleet.lists) / 1024:.0f} KiB an entry")
