Ask the store which versions serve before a stream is taken up at the only one

An entry whose list was behind (cut off from the store, just woken) saw one version where others served, and joined a stream that it did not know to it. The list alone now decides only while the store is away, and not if another entry has seen a newer list. Take-ups within 0.2 s share one call.

StreamSource becomes PinnedVersion.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -153,7 +153,7 @@
             finished_max=FINISHED_REQUESTS_MAX,
         )
         self._stream_versions = StreamVersions(
-            StreamVersionsOptions(settings.id, self._records_versions),
+            StreamVersionsOptions(settings.id, self._records_versions, self._is_list_behind),
             self._registry,
             StoreClient(self._store_pool, settings.store_address, self._store_era),
             log,
@@ -284,6 +284,9 @@
         owners = first_owners("stream versions", self._membership.live(), VERSION_RECORDERS)
         return self._settings.id in {each.id for each in owners}
 
+    def _is_list_behind(self) -> bool:
+        return any(each.kind == UPSTREAM_KIND and each.is_behind_peers() for each in self._watches)
+
     def _engine_services(self) -> list[ServiceId]:
         routing = self._routing.current()
         if routing is None:
--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -32,10 +32,10 @@
 )
 from gooseberryquay.serving.refusal import Refusal, RefusalReason
 from gooseberryquay.serving.stream_relay import (
+    PinnedVersion,
     StreamEnd,
     StreamProgress,
     StreamRelay,
-    StreamSource,
 )
 from gooseberryquay.serving.stream_versions import StreamVersions, VersionUnknown
 from gooseberryquay.serving.upstream_load import LoadTable
@@ -119,7 +119,7 @@
             version = self._versions.version_of(request.call.resumes, request.service)
             if isinstance(version, VersionUnknown):
                 return _version_unknown()
-            progress.origin = StreamSource(version)
+            progress.pinned = PinnedVersion(version)
         is_budget_exempt = True
         while is_budget_exempt or self._may_retry(request, attempts):
             is_budget_exempt = False
@@ -172,14 +172,14 @@
         self, request: AcceptedRequest, progress: StreamProgress, attempts: _Attempts
     ) -> Result[PlacedGeneration, Refusal | CallerLeft]:
         """Wait for an engine whose software may go on with the stream."""
-        origin = progress.origin
-        if origin is None:
+        pinned = progress.pinned
+        if pinned is None:
             return self._queue.place(self._ticket(request, attempts), request.caller)
         while True:
-            others = self._placement.of_other_versions(request.service, origin.version)
+            others = self._placement.of_other_versions(request.service, pinned.version)
             ticket = self._ticket(request, attempts, others)
             placed = self._queue.place(ticket, request.caller)
-            if isinstance(placed, Err) or placed.ok_value.known.record.version == origin.version:
+            if isinstance(placed, Err) or placed.ok_value.known.record.version == pinned.version:
                 return placed
             # Listed during the wait, or replaced by newer software.
             self._release(placed.ok_value)
--- a/gooseberryquay/serving/object_watch.py
+++ b/gooseberryquay/serving/object_watch.py
@@ -104,7 +104,7 @@
         now_s = self._clock()
         if self._failures and now_s - self._failing_since_s > STALE_AFTER_S:
             return False
-        if self._is_behind() and now_s - self._behind_since_s > STALE_AFTER_S:
+        if self.is_behind_peers() and now_s - self._behind_since_s > STALE_AFTER_S:
             return False
         return now_s - self.last_success_at_s < self._max_wait_s() + OUTAGE_WAIT_S
 
@@ -121,9 +121,9 @@
     def record_peer_revision(self, revision: int) -> None:
         """Resync the watch if a peer has been ahead for longer than the propagation grace."""
         now_s = self._clock()
-        was_behind = self._is_behind()
+        was_behind = self.is_behind_peers()
         self._peer_revision = max(self._peer_revision, revision)
-        if not self._is_behind():
+        if not self.is_behind_peers():
             return
         if not was_behind:
             self._behind_since_s = now_s
@@ -138,7 +138,8 @@
             )
             self.resync(is_behind=True)
 
-    def _is_behind(self) -> bool:
+    def is_behind_peers(self) -> bool:
+        """Return whether another entry has seen a newer revision."""
         return self._peer_revision > self.known_revision
 
     def _run(self) -> None:
--- a/gooseberryquay/serving/stream_relay.py
+++ b/gooseberryquay/serving/stream_relay.py
@@ -14,7 +14,7 @@
 from gooseberryquay.serving.event_stream import EventSplitter, StreamEvent
 from gooseberryquay.serving.ports import IndeterminateOutcome, OpenResponse
 
-__all__ = ["StreamEnd", "StreamProgress", "StreamRelay", "StreamSource"]
+__all__ = ["StreamEnd", "StreamProgress", "StreamRelay", "PinnedVersion"]
 
 
 class StreamEnd(Enum):
@@ -28,8 +28,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StreamSource:
-    """Identify the software at which a stream may go on; None if engines state no version."""
+class PinnedVersion:
+    """Software version at which alone a stream may go on; None if its engines state none."""
 
     version: SoftwareVersion | None
 
@@ -44,8 +44,8 @@
     first_at_s: float = 0.0
     last_at_s: float = 0.0
     longest_pause_s: float = 0.0
-    # Engine software that wrote the stream's first event; set once the stream goes on only there.
-    origin: StreamSource | None = None
+    # Set with the stream's first event, or before it if the caller takes the stream up again.
+    pinned: PinnedVersion | None = None
 
     def is_duplicate(self, event: StreamEvent) -> bool:
         """Return whether an event was already sent to the caller."""
@@ -163,6 +163,6 @@
                 self.response.status, self.response.headers
             )
             self.progress.is_started = True
-            if self.progress.origin is None:
-                self.progress.origin = StreamSource(self.version)
+            if self.progress.pinned is None:
+                self.progress.pinned = PinnedVersion(self.version)
                 self.on_begun()
--- a/gooseberryquay/serving/stream_versions.py
+++ b/gooseberryquay/serving/stream_versions.py
@@ -35,7 +35,7 @@
 HISTORY_CHECK_S = 1.0
 # Records of streams that began just before their entry ended may be about to be written.
 READ_AGAIN_S = 0.25
-READ_INTERVAL_S = 0.1
+READ_INTERVAL_S = 0.2
 # Entries that saw the previous version have recorded their streams by then.
 CHANGE_SETTLED_S = 5.0
 # Entries that restart together see the list within this time.
@@ -49,10 +49,11 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamVersionsOptions:
-    """Configure which entry this is, and whether it writes while one version serves."""
+    """Configure which entry this is, whether it writes while one version serves, and its list."""
 
     entry: EntryId
     writes_history: Callable[[], bool] = lambda: True
+    is_list_behind: Callable[[], bool] = lambda: False
     lifetime_s: float = STREAM_LIFETIME_S
 
 
@@ -122,33 +123,48 @@
     def version_of(
         self, stream: RequestId | None, service: ServiceId
     ) -> SoftwareVersion | VersionUnknown | None:
-        """Return the version that began a stream; None stands for engines that state none.
+        """Return the version that began a stream; None stands for engines that state none."""
+        found = self._look_up(stream, service)
+        if isinstance(found, VersionUnknown):
+            return found
+        return SoftwareVersion(found) if found else None
 
-        Reads the store only if the stream is unknown here and several versions have served lately.
+    def _look_up(self, stream: RequestId | None, service: ServiceId) -> str | VersionUnknown:
+        """Return what is known here, or else what other entries have recorded in the store.
+
+        The list of upstreams alone may be behind, and then shows one version where others serve.
         """
-        found: str | VersionUnknown | None = self._find(stream, service)
+        known = self._recorded(stream)
+        if known is not None:
+            return known
+        if not self._load():
+            return self._without_store(service)
         for delay_s in (0.0, READ_AGAIN_S):
+            if delay_s:
+                time.sleep(delay_s)
+                self._load()
+            found = self._recorded(stream) or self._only_version(service)
             if found is not None:
-                break
-            time.sleep(delay_s)
-            self._load()
-            found = self._find(stream, service)
-        if found is None:
-            found = self._assume(service)
-        if isinstance(found, VersionUnknown):
-            return found
-        return SoftwareVersion(found) if found else None
+                return found
+        return self._assume(service)
 
-    def _find(self, stream: RequestId | None, service: ServiceId) -> str | None:
+    def _recorded(self, stream: RequestId | None) -> str | None:
         with self._lock:
             origin = self._own.get(stream) or self._read.get(stream) if stream else None
-            if origin is not None:
-                return origin.version
+            return origin.version if origin is not None else None
+
+    def _only_version(self, service: ServiceId) -> str | None:
+        with self._lock:
             self._observe_list_locked()
-            if not self._was_read:
-                return None
             return self._history.only_version(service, self._oldest_s())
 
+    def _without_store(self, service: ServiceId) -> str | VersionUnknown:
+        """Trust the list while the store is away, unless other entries know a newer one."""
+        only = self._only_version(service) if self._was_read else None
+        if only is None or self._options.is_list_behind():
+            return VersionUnknown()
+        return only
+
     def _assume(self, service: ServiceId) -> str | VersionUnknown:
         """Assume the previous version for streams of entries that ended before they saw another."""
         with self._lock:
@@ -201,7 +217,7 @@
         """Read what all entries have recorded, unless this was done just now."""
         with self._read_lock:
             if time.monotonic() - self._read_at_s < READ_INTERVAL_S:
-                return self._was_read
+                return True
             match self._platform.list(PREFIX):
                 case Err(failure):
                     self._log.belief("stream versions not read", failure=repr(failure))
