--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -36,6 +36,7 @@
 from gooseberryquay.serving.drain_state import DrainState
 from gooseberryquay.serving.entry_counter import EntryCounter
 from gooseberryquay.serving.generation_handler import GenerationHandler
+from gooseberryquay.serving.generation_placer import GenerationPlacer
 from gooseberryquay.serving.generation_queue import GenerationQueue
 from gooseberryquay.serving.hubs import HubSelector
 from gooseberryquay.serving.leave_probe import LeaveProbe
@@ -222,6 +223,9 @@
         generation_handler = GenerationHandler(
             upstream_client=upstream_client,
             placement=placement,
+            placer=GenerationPlacer(
+                queue=queue, placement=placement, loads=self._loads, guard=guard
+            ),
             queue=queue,
             loads=self._loads,
             retries=retries,
--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -2,10 +2,9 @@
 
 import functools
 import time
-from collections.abc import Collection
 from dataclasses import dataclass, field
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from gooseberryquay.ids import SoftwareVersion, UpstreamId
 from gooseberryquay.links.upstream_connection import BodyEnd, BodyPart, CallerLeft
@@ -19,9 +18,10 @@
 )
 from gooseberryquay.serving.crash_guard import GOOD_RUN_EVENTS, CrashGuard, RunLoss
 from gooseberryquay.serving.decision_log import DecisionLog
-from gooseberryquay.serving.generation_queue import GenerationQueue, PlacedGeneration, QueueTicket
+from gooseberryquay.serving.generation_placer import GenerationPlacer, rank_of
+from gooseberryquay.serving.generation_queue import GenerationQueue, PlacedGeneration
 from gooseberryquay.serving.migration import Migration
-from gooseberryquay.serving.placement import EngineNeed, Placement
+from gooseberryquay.serving.placement import Placement
 from gooseberryquay.serving.ports import (
     Continuation,
     IndeterminateOutcome,
@@ -52,14 +52,6 @@
 MOVE_WAIT_S = 2.0
 # A few steps of an engine's batch.
 RETRY_AFTER_S = 0.5
-# Leaves time to prefill the prompt before the first token is due.
-QUEUE_SHARE = 0.85
-# Callers prefer a late response to none, but not one that takes their whole deadline.
-QUEUE_GOALS_MAX = 3.0
-# Outputs are mostly shorter than the maximum that the caller allows.
-DEFAULT_OUTPUT_SHARE = 0.5
-RANKS_PER_WORKSPACE = 3
-RANK_MAX = 9
 # More migrations than can occur during the longest generation.
 MOVES_MAX = 12
 # Same as for unary calls.
@@ -88,6 +80,7 @@
         *,
         upstream_client: UpstreamClient,
         placement: Placement,
+        placer: GenerationPlacer,
         queue: GenerationQueue,
         loads: LoadTable,
         retries: RetryBudget,
@@ -102,6 +95,7 @@
         self._versions = versions
         self._upstream_client = upstream_client
         self._placement = placement
+        self._placer = placer
         self._queue = queue
         self._loads = loads
         self._retries = retries
@@ -123,7 +117,7 @@
         is_budget_exempt = True
         while is_budget_exempt or self._may_retry(request, attempts):
             is_budget_exempt = False
-            placed = self._place(request, progress, attempts)
+            placed = self._placer.place(request, progress.pinned, attempts.excluded)
             if isinstance(placed, Err):
                 failure = placed.err_value
                 if attempts.runs == 0 or isinstance(failure, CallerLeft):
@@ -152,42 +146,6 @@
             attempts.excluded.add(placed.ok_value.known.record.id)
         return self._give_up(request, progress, attempts)
 
-    def _place(
-        self, request: AcceptedRequest, progress: StreamProgress, attempts: _Attempts
-    ) -> Result[PlacedGeneration, Refusal | CallerLeft]:
-        """Wait for an engine; refuse a request found to crash engines before or after the wait."""
-        suspected = self._guard.refusal_on_arrival(request)
-        if suspected is not None:
-            return Err(suspected)
-        placed = self._place_at_version(request, progress, attempts)
-        if isinstance(placed, Err):
-            return placed
-        suspected = self._guard.refusal(request)
-        if suspected is None:
-            return placed
-        self._release(placed.ok_value)
-        return Err(suspected)
-
-    def _place_at_version(
-        self, request: AcceptedRequest, progress: StreamProgress, attempts: _Attempts
-    ) -> Result[PlacedGeneration, Refusal | CallerLeft]:
-        """Wait for an engine whose software may go on with the stream."""
-        pinned = progress.pinned
-        if pinned is None:
-            return self._queue.place(self._ticket(request, attempts), request.caller)
-        while True:
-            others = self._placement.of_other_versions(request.service, pinned.version)
-            ticket = self._ticket(request, attempts, others)
-            placed = self._queue.place(ticket, request.caller)
-            if isinstance(placed, Err) or placed.ok_value.known.record.version == pinned.version:
-                return placed
-            # Listed during the wait, or replaced by newer software.
-            self._release(placed.ok_value)
-
-    def _release(self, placed: PlacedGeneration) -> None:
-        self._loads.end(placed.run)
-        self._queue.changed()
-
     def _may_retry(self, request: AcceptedRequest, attempts: _Attempts) -> bool:
         if time.monotonic() >= request.until_s:
             return False
@@ -201,23 +159,6 @@
     def _may_run_again(self, request: AcceptedRequest, runs: int) -> bool:
         return request.route.is_retryable and runs < request.route.attempts_max
 
-    def _ticket(
-        self,
-        request: AcceptedRequest,
-        attempts: _Attempts,
-        excluded: Collection[UpstreamId] = (),
-    ) -> QueueTicket:
-        call, route = request.call, request.route
-        return QueueTicket(
-            id=call.id,
-            service=request.service,
-            need=_estimate_need(request),
-            rank=rank_of(request),
-            late_at_s=call.arrived_at_s + QUEUE_SHARE * route.goal_s,
-            give_up_at_s=min(request.until_s, call.arrived_at_s + QUEUE_GOALS_MAX * route.goal_s),
-            excluded=frozenset(attempts.excluded).union(excluded),
-        )
-
     def _run(
         self,
         request: AcceptedRequest,
@@ -488,18 +429,3 @@
 def _version_unknown() -> Refusal:
     reason = "the software version that began this stream is not known"
     return Refusal(RefusalReason.NOT_RUN, reason, RETRY_AFTER_S)
-
-
-def _estimate_need(request: AcceptedRequest) -> EngineNeed:
-    demand = request.call.demand
-    if demand is None:
-        return EngineNeed(0, 0.0)
-    expected = demand.output_tokens_hint or DEFAULT_OUTPUT_SHARE * demand.output_tokens_max
-    return EngineNeed(demand.prompt_tokens, float(min(expected, demand.output_tokens_max)))
-
-
-def rank_of(request: AcceptedRequest) -> int:
-    """Return the queue rank by workspace, then by route; the lowest rank goes first."""
-    workspace = request.workspace.priority if request.workspace is not None else 0
-    route = min(request.route.priority, RANKS_PER_WORKSPACE - 1)
-    return min(RANK_MAX, max(0, workspace * RANKS_PER_WORKSPACE + route))
--- /dev/null
+++ b/gooseberryquay/serving/generation_placer.py
@@ -0,0 +1,112 @@
+"""Find an engine for a generation that may run, at the software version that it is bound to."""
+
+from collections.abc import Collection
+
+from result import Err, Result
+
+from gooseberryquay.ids import UpstreamId
+from gooseberryquay.links.upstream_connection import CallerLeft
+from gooseberryquay.serving.accepted import AcceptedRequest
+from gooseberryquay.serving.crash_guard import CrashGuard
+from gooseberryquay.serving.generation_queue import GenerationQueue, PlacedGeneration, QueueTicket
+from gooseberryquay.serving.placement import EngineNeed, Placement
+from gooseberryquay.serving.refusal import Refusal
+from gooseberryquay.serving.stream_relay import PinnedVersion
+from gooseberryquay.serving.upstream_load import LoadTable
+
+__all__ = ["GenerationPlacer", "rank_of"]
+
+# Leaves time to prefill the prompt before the first token is due.
+QUEUE_SHARE = 0.85
+# Callers prefer a late response to none, but not one that takes their whole deadline.
+QUEUE_GOALS_MAX = 3.0
+# Outputs are mostly shorter than the maximum that the caller allows.
+DEFAULT_OUTPUT_SHARE = 0.5
+RANKS_PER_WORKSPACE = 3
+RANK_MAX = 9
+
+
+class GenerationPlacer:
+    """Queue generations for engines, and refuse those found to crash engines."""
+
+    def __init__(
+        self,
+        *,
+        queue: GenerationQueue,
+        placement: Placement,
+        loads: LoadTable,
+        guard: CrashGuard,
+    ) -> None:
+        self._queue = queue
+        self._placement = placement
+        self._loads = loads
+        self._guard = guard
+
+    def place(
+        self,
+        request: AcceptedRequest,
+        pinned: PinnedVersion | None,
+        excluded: Collection[UpstreamId],
+    ) -> Result[PlacedGeneration, Refusal | CallerLeft]:
+        """Wait for an engine; refuse a request found to crash engines before or after the wait."""
+        suspected = self._guard.refusal_on_arrival(request)
+        if suspected is not None:
+            return Err(suspected)
+        placed = self._place_at_version(request, pinned, excluded)
+        if isinstance(placed, Err):
+            return placed
+        suspected = self._guard.refusal(request)
+        if suspected is None:
+            return placed
+        self._release(placed.ok_value)
+        return Err(suspected)
+
+    def _place_at_version(
+        self,
+        request: AcceptedRequest,
+        pinned: PinnedVersion | None,
+        excluded: Collection[UpstreamId],
+    ) -> Result[PlacedGeneration, Refusal | CallerLeft]:
+        """Wait for an engine whose software may go on with the stream."""
+        if pinned is None:
+            return self._queue.place(_ticket(request, excluded), request.caller)
+        while True:
+            others = self._placement.of_other_versions(request.service, pinned.version)
+            ticket = _ticket(request, others.union(excluded))
+            placed = self._queue.place(ticket, request.caller)
+            if isinstance(placed, Err) or placed.ok_value.known.record.version == pinned.version:
+                return placed
+            # Listed during the wait, or replaced by newer software.
+            self._release(placed.ok_value)
+
+    def _release(self, placed: PlacedGeneration) -> None:
+        self._loads.end(placed.run)
+        self._queue.changed()
+
+
+def rank_of(request: AcceptedRequest) -> int:
+    """Return the queue rank by workspace, then by route; the lowest rank goes first."""
+    workspace = request.workspace.priority if request.workspace is not None else 0
+    route = min(request.route.priority, RANKS_PER_WORKSPACE - 1)
+    return min(RANK_MAX, max(0, workspace * RANKS_PER_WORKSPACE + route))
+
+
+def _ticket(request: AcceptedRequest, excluded: Collection[UpstreamId]) -> QueueTicket:
+    call, route = request.call, request.route
+    return QueueTicket(
+        id=call.id,
+        service=request.service,
+        need=_estimate_need(request),
+        rank=rank_of(request),
+        late_at_s=call.arrived_at_s + QUEUE_SHARE * route.goal_s,
+        give_up_at_s=min(request.until_s, call.arrived_at_s + QUEUE_GOALS_MAX * route.goal_s),
+        excluded=frozenset(excluded),
+    )
+
+
+def _estimate_need(request: AcceptedRequest) -> EngineNeed:
+    demand = request.call.demand
+    if demand is None:
+        return EngineNeed(0, 0.0)
+    expected = demand.output_tokens_hint or DEFAULT_OUTPUT_SHARE * demand.output_tokens_max
+    return EngineNeed(demand.prompt_tokens, float(min(expected, demand.output_tokens_max)))
--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -31,6 +31,7 @@
 from gooseberryquay.serving.entry_counter import EntryCounter
 from gooseberryquay.serving.fingerprint import fingerprint_of, part_fingerprints_of
 from gooseberryquay.serving.generation_handler import GenerationHandler
+from gooseberryquay.serving.generation_placer import GenerationPlacer
 from gooseberryquay.serving.generation_queue import GenerationQueue, QueueTicket
 from gooseberryquay.serving.migration import Migration
 from gooseberryquay.serving.placement import EngineNeed, NoPeerLoads, Placement
@@ -461,6 +462,7 @@
     generation_handler = GenerationHandler(
         upstream_client=upstream_client,
         placement=placement,
+        placer=GenerationPlacer(queue=queue, placement=placement, loads=loads, guard=guard),
         queue=queue,
         loads=loads,
         retries=retries,
