Log errors of request threads, and answer them with a status that promises nothing

Cause: cheroot's error log was discarded, so an exception in a request's thread left no line; cheroot answers 408 to a TimeoutError there, which promises that the request has not run, whatever was sent before.

Change: errors go to the decision log with their traceback; the request is answered with 502.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -4,6 +4,7 @@
 import random
 import time
 
+from gooseberryquay.contracts.fields import Address
 from gooseberryquay.contracts.node_settings import NodeSettings
 from gooseberryquay.ids import Incarnation, ServiceId
 from gooseberryquay.links.connection_pool import ConnectionPool
@@ -164,21 +165,33 @@
         request_handler = self._build_request_handler(placement, rng)
         frontend = Frontend(request_handler.serve)
         self._caller_server = ForwardingServer(
-            *settings.caller_address, frontend.forward, HEADER_BYTES_MAX, BODY_BYTES_MAX
+            *settings.caller_address,
+            frontend.forward,
+            HEADER_BYTES_MAX,
+            BODY_BYTES_MAX,
+            log_error=self._log_server_error,
         )
-        self._readiness_server = HttpServer(
-            *settings.readiness_address, readiness_router(self.is_ready), min_threads=1
+        self._readiness_server = self._build_server(
+            settings.readiness_address, readiness_router(self.is_ready), min_threads=1
         )
-        self._metrics_server = HttpServer(
-            *settings.metrics_address, metrics_router(self._counters.text), min_threads=1
+        self._metrics_server = self._build_server(
+            settings.metrics_address, metrics_router(self._counters.text), min_threads=1
         )
         self._relays: list[ObjectRelay] = []
         self._sources: list[HubSource] = []
         self._watches = self._build_watches()
-        self._control_server = HttpServer(
-            *settings.control_address, self._control_router(), min_threads=2
+        self._control_server = self._build_server(
+            settings.control_address, self._control_router(), min_threads=2
         )
 
+    def _build_server(self, address: Address, router: Router, min_threads: int) -> HttpServer:
+        return HttpServer(
+            *address, router, min_threads=min_threads, log_error=self._log_server_error
+        )
+
+    def _log_server_error(self, message: str, error: BaseException | None) -> None:
+        self._log.error("http server error", error, detail=message)
+
     def _build_request_handler(self, placement: Placement, rng: random.Random) -> RequestHandler:
         upstream_client = HttpUpstreamClient(ConnectionPool(CONNECT_TIMEOUT_S, IDLE_TIMEOUT_S))
         bounds = self._settings.bounds
--- a/gooseberryquay/links/forwarding_server.py
+++ b/gooseberryquay/links/forwarding_server.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from gooseberryquay.links.http_server import HttpServer, Router
+from gooseberryquay.links.http_server import HttpServer, LogServerError, Router
 from gooseberryquay.links.streaming_gateway import StreamingGateway
 from gooseberryquay.links.strict_request import StrictConnection
 
@@ -18,10 +18,22 @@
     """Pass each parsed request to a forwarder, which writes the complete response."""
 
     def __init__(
-        self, host: str, port: int, forward: Forwarder, header_bytes_max: int, body_bytes_max: int
+        self,
+        host: str,
+        port: int,
+        forward: Forwarder,
+        header_bytes_max: int,
+        body_bytes_max: int,
+        *,
+        log_error: LogServerError | None = None,
     ) -> None:
         super().__init__(
-            host, port, Router(), max_body_bytes=body_bytes_max, min_threads=MIN_THREADS
+            host,
+            port,
+            Router(),
+            max_body_bytes=body_bytes_max,
+            min_threads=MIN_THREADS,
+            log_error=log_error,
         )
         self._forward = forward
         self._server.ConnectionClass = StrictConnection
--- a/gooseberryquay/links/http_server.py
+++ b/gooseberryquay/links/http_server.py
@@ -1,6 +1,8 @@
 """HTTP server on cheroot with typed requests, typed responses and path patterns."""
 
+import logging
 import re
+import sys
 import threading
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
@@ -16,11 +18,14 @@
     HEADER_CODING,
     AfterResponse,
     BodyWriter,
+    CallerDisconnected,
     StreamingGateway,
 )
 from gooseberryquay.links.thread_pool import GrowingThreadPool
 
-__all__ = ["HttpServer", "Request", "Response", "Router", "StreamOpener"]
+__all__ = ["HttpServer", "LogServerError", "Request", "Response", "Router", "StreamOpener"]
+
+logger = logging.getLogger("gooseberryquay.http")
 
 MAX_HEADER_BYTES = 32 * 1024
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -82,6 +87,8 @@
 
 
 Handler = Callable[[Request], Response]
+# Called with a message and the exception of a thread that serves connections.
+LogServerError = Callable[[str, BaseException | None], None]
 
 
 @dataclass(frozen=True)
@@ -136,9 +143,11 @@
         max_threads: int = 2048,
         max_body_bytes: int = MAX_BODY_BYTES,
         min_threads: int = MIN_THREADS,
+        log_error: LogServerError | None = None,
     ) -> None:
         threading.stack_size(STACK_BYTES)
         self._router = router
+        self._log_error = log_error or _write_to_log
         self._server = HTTPServer((host, port), self._open_gateway)
         self._server.request_queue_size = LISTEN_BACKLOG
         self._server.timeout = KEEP_ALIVE_TIMEOUT_S
@@ -148,7 +157,7 @@
         self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.max_request_body_size = max_body_bytes
         self._server.keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTIONS
-        setattr(self._server, "error_log", _ignore_error)  # noqa: B010
+        setattr(self._server, "error_log", self._report_error)  # noqa: B010
         self._is_closing_connections = threading.Event()
         self._thread: threading.Thread | None = None
 
@@ -171,6 +180,12 @@
         """Return the bound TCP port."""
         return int(self._server.bind_addr[1])
 
+    def _report_error(self, message: object = "", *_args: Any, **_options: Any) -> None:
+        """Log an error of cheroot, unless the caller has closed its connection."""
+        error = sys.exc_info()[1]
+        if not isinstance(error, CallerDisconnected):
+            self._log_error(str(message), error)
+
     def _open_gateway(self, request: Any) -> StreamingGateway:
         return StreamingGateway(request, self._respond, self._is_closing_connections.is_set)
 
@@ -199,8 +214,8 @@
         return pairs
 
 
-def _ignore_error(*_args: Any, **_kwargs: Any) -> None:
-    """Discard cheroot's error log, which reports connections that callers closed."""
+def _write_to_log(message: str, error: BaseException | None) -> None:
+    logger.error("HTTP server error: %s", message, exc_info=error)
 
 
 def _status_line(status: int) -> str:
--- a/gooseberryquay/links/tests/test_strict_request.py
+++ b/gooseberryquay/links/tests/test_strict_request.py
@@ -134,3 +134,23 @@
     answer = _send_raw(server.port, b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
     assert b"connection: close" in answer.lower()
     server.stop()
+
+
+def test_exception_in_a_request_thread_is_logged_with_its_traceback():
+    errors = []
+
+    def fail(gateway):
+        raise KeyError("unexpected")
+
+    def log_error(message, error):
+        errors.append((message, error))
+
+    server = ForwardingServer("127.0.0.1", 0, fail, 16384, 100_000, log_error=log_error)
+    server.start()
+    try:
+        assert _send_raw(server.port, HEAD + b"\r\n").startswith(b"HTTP/1.1 500 ")
+    finally:
+        server.stop()
+    ((message, error),) = errors
+    assert "unexpected" in message
+    assert isinstance(error, KeyError) and error.__traceback__ is not None
--- a/gooseberryquay/serving/decision_log.py
+++ b/gooseberryquay/serving/decision_log.py
@@ -6,6 +6,7 @@
 import sys
 import threading
 import time
+import traceback
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -91,6 +92,11 @@
         """Write the failure of a request; these lines have a separate rate limit."""
         self._write_limited("failure", event, {"request": request, **fields})
 
+    def error(self, event: str, error: BaseException | None, **fields: Any) -> None:
+        """Write an unexpected exception with its traceback; these have a separate rate limit."""
+        lines = traceback.format_exception(error) if error is not None else []
+        self._write_limited("error", event, {"traceback": "".join(lines), **fields})
+
     def _write_limited(self, kind: str, event: str, fields: dict[str, Any]) -> None:
         with self._lock:
             now_s = self._clock()
--- a/gooseberryquay/serving/refusal.py
+++ b/gooseberryquay/serving/refusal.py
@@ -27,6 +27,7 @@
     DEADLINE_PAST = ("deadline_past", 503)
     NOT_RUN = ("not_run", 503)
     CRASHES_UPSTREAMS = ("crashes_upstreams", 503)
+    INTERNAL_ERROR = ("internal_error", 502)
     OUTCOME_UNKNOWN = ("outcome_unknown", 502)
     TIMED_OUT = ("timed_out", 504)
 
--- a/gooseberryquay/serving/request_handler.py
+++ b/gooseberryquay/serving/request_handler.py
@@ -60,6 +60,10 @@
                 self._serve_accepted(accepted)
             except CallerDisconnected:
                 self._finish(accepted, "caller left")
+            except Exception as error:
+                self._log.error("request failed", error, request=call.id)
+                refusal = Refusal(RefusalReason.INTERNAL_ERROR, "this entry failed")
+                self._refuse(call, accepted, response_writer, refusal)
 
     def _accept(
         self, call: Call, caller: CallerWatch, response_writer: ResponseWriter
--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -28,6 +28,7 @@
 from gooseberryquay.serving.call_handler import CallHandler
 from gooseberryquay.serving.crash_guard import CrashGuard
 from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.drain_state import DrainState
 from gooseberryquay.serving.entry_counter import EntryCounter
 from gooseberryquay.serving.fingerprint import fingerprint_of, part_fingerprints_of
 from gooseberryquay.serving.generation_handler import GenerationHandler
@@ -44,6 +45,8 @@
     MoveRefusal,
 )
 from gooseberryquay.serving.rate_gate import RateGate
+from gooseberryquay.serving.request_counters import RequestCounters
+from gooseberryquay.serving.request_handler import RequestHandler
 from gooseberryquay.serving.response_buffer_budget import ResponseBufferBudget
 from gooseberryquay.serving.route import (
     CallLimits,
@@ -497,3 +500,25 @@
         generation_handler,
         guard,
     )
+
+
+@dataclass(frozen=True)
+class FixedRouting:
+    """Provide one routing table."""
+
+    table: RoutingTable
+
+    def current(self):
+        return self.table
+
+
+def build_request_handler(path, routing, drain_state=None):
+    return RequestHandler(
+        routing=FixedRouting(routing),
+        drain_state=drain_state or DrainState(),
+        call_handler=path.call_handler,
+        generation_handler=path.generation_handler,
+        counters=RequestCounters(),
+        log=DecisionLog(),
+        rng=FixedRandom(),
+    )
