Decide in one place whether a request may have run

Callers: streams that may run once got an engine's 408, 421, 429 or 503 although they had run (68 of 1,404 requests with 503, 29 to 73 with the others), and a sealed status 421 made postings and streams run again (126 of 1,306) or be refused (103). Each of these statuses promises that the request has not run.

Cause: the handlers of calls and of streams judged this apart, each from its own count of runs, and the adapter took every 421 for a proof. The class: a guarantee given by a part that does not know all sends.

Change: each request has one Execution, through which all sends go; a send counts until its outcome disproves it. Refusals of this entry and statuses of upstreams pass through one check. A 421 proves nothing if it bears the seal of a run or names the instance that was expected. A refused retry of a stream no longer uses up its attempts.

--- a/gooseberryquay/platform/http_upstream_client.py
+++ b/gooseberryquay/platform/http_upstream_client.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from gooseberryquay.contracts.fields import Address
-from gooseberryquay.ids import RequestId
+from gooseberryquay.ids import RequestId, UpstreamId
 from gooseberryquay.links.caller_watch import CallerWatch
 from gooseberryquay.links.connection_pool import ConnectionPool
 from gooseberryquay.links.exchange import BufferedReply, BufferedRequest, exchange
@@ -106,7 +106,7 @@
         if failed is not None:
             connection.close()
             return Err(_indeterminate(failed))
-        return self._read_response(connection, call, options, caller)
+        return self._read_response(connection, upstream.id, call, options, caller)
 
     def move(
         self, source: UpstreamRecord, id: RequestId, target: Address, is_final: bool, until_s: float
@@ -159,7 +159,12 @@
         return Ok(connection) if failure is None else Err(failure)
 
     def _read_response(
-        self, connection: UpstreamConnection, call: Call, options: SendOptions, caller: CallerWatch
+        self,
+        connection: UpstreamConnection,
+        expected: UpstreamId,
+        call: Call,
+        options: SendOptions,
+        caller: CallerWatch,
     ) -> Result[EngineResponse, NotExecuted | IndeterminateOutcome | CallerLeft]:
         for _ in range(STRAY_RESPONSES_MAX):
             match connection.read_head(caller, options.until_s):
@@ -172,7 +177,7 @@
             # On a reused connection, a response without an id may be a late duplicate for another.
             is_own = owner == call.id if connection.response_count else owner in {None, call.id}
             if is_own:
-                return Ok(_response_of(head, connection, self._pool))
+                return Ok(_response_of(head, expected, connection, self._pool))
             if not _skip_body(connection, caller, options.until_s):
                 break
             connection.expect_another_response()
@@ -208,10 +213,13 @@
 
 
 def _response_of(
-    head: ResponseHead, connection: UpstreamConnection, pool: ConnectionPool
+    head: ResponseHead,
+    expected: UpstreamId,
+    connection: UpstreamConnection,
+    pool: ConnectionPool,
 ) -> EngineResponse:
     is_marked = head.value(names.NOT_EXECUTED) is not None
-    is_other = head.status == HTTP_MISDIRECTED
+    is_other = _is_other_instance(head, expected)
     headers = tuple(pair for pair in head.headers if pair[0] not in names.HOP_BY_HOP_HEADERS)
     load = _load_of(head.value(names.INSTANCE_LOAD))
     return EngineResponse(
@@ -228,6 +236,16 @@
     )
 
 
+def _is_other_instance(head: ResponseHead, expected: UpstreamId) -> bool:
+    """Return whether an instance rejects a request that was addressed to another one.
+
+    An engine seals only the responses to requests that it has executed.
+    """
+    if head.status != HTTP_MISDIRECTED or head.value(names.RESPONSE_SEAL) is not None:
+        return False
+    return head.value(names.INSTANCE_ID) != expected
+
+
 def _pause_of(head: ResponseHead) -> float | None:
     """Return for how many seconds an engine that rejected a request asks for no more."""
     if head.status != HTTP_UNAVAILABLE:
--- a/gooseberryquay/platform/names.py
+++ b/gooseberryquay/platform/names.py
@@ -20,6 +20,7 @@
     "PROMPT_PREFIX",
     "READY_PATH",
     "REPORT_PATH",
+    "RESPONSE_SEAL",
     "RESUMES",
     "RETRY_AFTER",
     "SERVER_LEAVING",
@@ -49,6 +50,7 @@
 # Rises each time the store comes back from an older copy.
 STORE_ERA = "store-era"
 NOT_EXECUTED = "x-not-executed"
+RESPONSE_SEAL = "x-response-seal"
 INSTANCE_ID = "x-instance-id"
 # Running requests, waiting requests and slots.
 INSTANCE_LOAD = "x-instance-load"
--- a/gooseberryquay/platform/tests/test_http_upstream_client.py
+++ b/gooseberryquay/platform/tests/test_http_upstream_client.py
@@ -188,3 +188,25 @@
 def test_rate_limit_is_read_from_any_response_and_must_be_a_number(status, text, requests_per_s):
     with _engine([_response(status, f"Server-Limit: {text}")]) as (address, _):
         assert _open(address)[0].ok_value.rate_limit_per_s == requests_per_s
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "is_not_run"),
+    [
+        (503, ["X-Not-Executed: 1"], True),
+        (503, [], False),
+        (503, ["X-Response-Seal: s"], False),
+        (429, ["X-Response-Seal: s"], False),
+        (421, [], True),
+        (421, ["X-Instance-Id: engine-2"], True),
+        (421, ["X-Instance-Id: engine-2", "X-Response-Seal: s"], False),
+        (421, ["X-Response-Seal: s"], False),
+        (421, ["X-Instance-Id: engine-1"], False),
+        (421, ["X-Instance-Id: engine-1", "X-Not-Executed: 1"], True),
+    ],
+)
+def test_refusal_that_does_not_prove_it_counts_as_a_run(status, headers, is_not_run):
+    """A sealed status 421 was taken for a proof, and the request ran again."""
+    with _engine([_response(status, *headers)]) as (address, _):
+        opened, _ = _open(address)
+        assert opened.ok_value.is_not_run is is_not_run
--- a/gooseberryquay/platform/tests/test_repeated_answers.py
+++ b/gooseberryquay/platform/tests/test_repeated_answers.py
@@ -10,7 +10,6 @@
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.links.connection_pool import ConnectionPool
 from gooseberryquay.platform.http_upstream_client import HttpUpstreamClient
-from gooseberryquay.serving.call_handler import WholeAnswer
 from gooseberryquay.serving.refusal import Refusal, RefusalReason
 from gooseberryquay.serving.route import RouteKind
 from gooseberryquay.serving.tests.builders import (
@@ -22,6 +21,7 @@
     build_route,
     events,
 )
+from gooseberryquay.serving.whole_answer import WholeAnswer
 
 ID = "X-Attempt-Id: r-1\r\n"
 REFUSAL = f"HTTP/1.1 503 Busy\r\n{ID}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
--- a/gooseberryquay/serving/accepted.py
+++ b/gooseberryquay/serving/accepted.py
@@ -1,11 +1,12 @@
 """Requests that passed routing and authorization."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from gooseberryquay.ids import Fingerprint, ServiceId
 from gooseberryquay.links.caller_watch import CallerWatch
 from gooseberryquay.serving.call import Call
-from gooseberryquay.serving.ports import ResponseWriter
+from gooseberryquay.serving.execution import Execution
+from gooseberryquay.serving.final_response import FinalResponse
 from gooseberryquay.serving.route import Route, Workspace
 
 __all__ = ["AcceptedRequest"]
@@ -25,6 +26,15 @@
     version: int
     until_s: float
     caller: CallerWatch
-    response_writer: ResponseWriter
+    response_writer: FinalResponse
     fingerprint: Fingerprint
     part_fingerprints: tuple[Fingerprint, ...] = ()
+    execution: Execution = field(default_factory=Execution)
+
+    @property
+    def may_run_again(self) -> bool:
+        """Return whether another run is allowed after those that may have happened."""
+        run_count = self.execution.run_count
+        if run_count == 0:
+            return True
+        return self.route.is_retryable and run_count < self.route.attempts_max
--- a/gooseberryquay/serving/call_handler.py
+++ b/gooseberryquay/serving/call_handler.py
@@ -1,8 +1,8 @@
 """Forward unary calls to upstreams and return their complete responses."""
 
 import time
-from collections.abc import Collection, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Collection
+from dataclasses import dataclass
 
 from result import Err, Ok
 
@@ -10,9 +10,10 @@
 from gooseberryquay.links.upstream_connection import BodyEnd, BodyPart, CallerLeft
 from gooseberryquay.machines.retry_budget import RetryBudget
 from gooseberryquay.serving.accepted import AcceptedRequest
-from gooseberryquay.serving.call import HeaderPair
 from gooseberryquay.serving.crash_guard import CrashGuard, RunLoss
 from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.execution import guarantees_not_run
+from gooseberryquay.serving.final_refusal import final_refusal, guaranteed_refusal
 from gooseberryquay.serving.placement import Placement
 from gooseberryquay.serving.ports import (
     IndeterminateOutcome,
@@ -21,7 +22,7 @@
     SendOptions,
     UpstreamClient,
 )
-from gooseberryquay.serving.refusal import Refusal, RefusalReason
+from gooseberryquay.serving.refusal import Refusal
 from gooseberryquay.serving.response_buffer_budget import (
     ResponseBufferBudget,
     ResponseBufferReservation,
@@ -29,10 +30,10 @@
 from gooseberryquay.serving.upstream_load import LoadTable, Run
 from gooseberryquay.serving.upstream_registry import KnownUpstream
 from gooseberryquay.serving.upstream_signals import UpstreamSignals
+from gooseberryquay.serving.whole_answer import WholeAnswer
 
 __all__ = ["CallHandler"]
 
-NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 SERVER_ERROR = 500
 # Doubles with each consecutive failure; short compared to the seconds that a restart takes.
 AVOID_BASE_S = 0.5
@@ -51,16 +52,6 @@
 RETRY_AFTER_S = 0.3
 
 
-@dataclass(frozen=True, slots=True)
-class WholeAnswer:
-    """Represent a response that was read completely."""
-
-    status: int
-    headers: Sequence[HeaderPair]
-    body: bytes
-    upstream: UpstreamId | None = field(default=None, compare=False)
-
-
 @dataclass(frozen=True, slots=True)
 class NotRun:
     """Report an attempt that was certainly not executed."""
@@ -109,15 +100,14 @@
         self._retries.record_request(request.service)
         excluded: set[UpstreamId] = set()
         sent_to: set[UpstreamId] = set()
-        runs = 0
         failed: WholeAnswer | None = None
         last_reason = "no upstream takes new work"
         undelivered = 0
         is_budget_exempt = True
-        while time.monotonic() < request.until_s:
+        while time.monotonic() < request.until_s and not request.execution.is_withdrawn:
             suspected = self._guard.refusal(request)
             if suspected is not None:
-                return suspected if runs == 0 else self._give_up(request, runs, suspected.message)
+                return guaranteed_refusal(request, suspected)
             if not is_budget_exempt and not self._retries.may_retry(request.service):
                 last_reason += "; the retry budget is spent"
                 break
@@ -127,7 +117,7 @@
             if known is None:
                 break
             is_budget_exempt = False
-            attempt = self._attempt(request, known, runs, known.record.id in sent_to)
+            attempt = self._attempt(request, known, known.record.id in sent_to)
             sent_to.add(known.record.id)
             self._log_attempt(request, known, attempt)
             match attempt:
@@ -142,38 +132,35 @@
                         time.sleep(BUSY_RETRY_DELAY_S)
                 case MayHaveRun(reason):
                     last_reason = reason
-                    runs += 1
                 case WholeAnswer(status) if status < SERVER_ERROR:
                     return attempt
                 case WholeAnswer():
                     failed = attempt
-                    runs += 1
-            if runs and (not request.route.is_retryable or runs >= request.route.attempts_max):
+            if not request.may_run_again:
                 break
             excluded.add(known.record.id)
-            excluded = self._drop_if_exhaustive(request, excluded, known, runs)
-        return failed or self._give_up(request, runs, last_reason)
+            excluded = self._drop_if_exhaustive(request, excluded, known)
+        return failed or self._give_up(request, last_reason)
 
     def _drop_if_exhaustive(
         self,
         request: AcceptedRequest,
         excluded: set[UpstreamId],
         last: KnownUpstream,
-        runs: int,
     ) -> set[UpstreamId]:
         """Return the upstreams to exclude, at most the last one if no other is left."""
         if self._placement.has_candidate(request.service, excluded):
             return excluded
-        return {last.record.id} if runs else set()
+        return {last.record.id} if request.execution.may_have_run else set()
 
-    def _give_up(self, request: AcceptedRequest, runs: int, reason: str) -> Refusal:
-        if runs:
+    def _give_up(self, request: AcceptedRequest, reason: str) -> Refusal:
+        if request.execution.may_have_run:
             # The caller may retry immediately through another entry.
             self._guard.send_updates()
         interval_s = min(RETRY_AFTER_MAX_S, self._placement.rate_interval_s(request.service))
         pause_s = self._placement.pause_left_s(request.service)
         retry_in_s = max(RETRY_AFTER_S, interval_s, pause_s)
-        return _refusal(request, runs, reason, retry_in_s)
+        return final_refusal(request, reason, retry_in_s)
 
     def _next_upstream(
         self, request: AcceptedRequest, excluded: Collection[UpstreamId]
@@ -195,20 +182,22 @@
         return reserved.known if self._placement.is_usable(reserved.known) else None
 
     def _attempt(
-        self, request: AcceptedRequest, known: KnownUpstream, runs: int, was_sent_before: bool
+        self, request: AcceptedRequest, known: KnownUpstream, was_sent_before: bool
     ) -> Attempt:
         upstream = known.record
         run = Run(request.call.id, upstream.id, time.monotonic())
         workspace = request.workspace.id if request.workspace is not None else None
         options = SendOptions(
             workspace,
-            self._attempt_until_s(request, runs),
+            self._attempt_until_s(request),
             # A second copy of an earlier answer to this request would carry the right id.
             needs_new_connection=was_sent_before,
         )
         self._loads.start(run)
         try:
-            opened = self._upstream_client.open(upstream, request.call, options, request.caller)
+            opened = request.execution.send(
+                self._upstream_client, upstream, request.call, options, request.caller
+            )
             if isinstance(opened, Ok):
                 return self._read(request, known, opened.ok_value, options.until_s)
             return self._failed_open(request, known, opened.err_value)
@@ -280,7 +269,7 @@
         if response.is_not_run:
             is_busy = not response.is_other_instance
             return NotRun("the upstream refused the request", True, is_busy)
-        if response.status in NOT_EXECUTED_STATUSES and not request.route.is_retryable:
+        if guarantees_not_run(response.status):
             return MayHaveRun(
                 f"status {response.status} without proof that the request was not executed"
             )
@@ -289,9 +278,10 @@
             self._guard.finished(request)
         return WholeAnswer(response.status, response.headers, bytes(body), known.record.id)
 
-    def _attempt_until_s(self, request: AcceptedRequest, runs: int) -> float:
+    def _attempt_until_s(self, request: AcceptedRequest) -> float:
         """Return the deadline of an attempt, which leaves time for another one if allowed."""
-        if not request.route.is_retryable or runs + 1 >= request.route.attempts_max:
+        is_last = request.execution.run_count + 1 >= request.route.attempts_max
+        if not request.route.is_retryable or is_last:
             return request.until_s
         remaining_s = request.until_s - time.monotonic()
         span_s = max(request.route.goal_s, FIRST_ATTEMPT_SHARE * remaining_s)
@@ -312,12 +302,3 @@
             outcome=type(attempt).__name__,
             detail=str(getattr(attempt, "reason", getattr(attempt, "status", ""))),
         )
-
-
-def _refusal(request: AcceptedRequest, runs: int, reason: str, retry_in_s: float) -> Refusal:
-    is_late = time.monotonic() >= request.until_s
-    if runs:
-        code = RefusalReason.TIMED_OUT if is_late else RefusalReason.OUTCOME_UNKNOWN
-        return Refusal(code, reason)
-    code = RefusalReason.DEADLINE_PAST if is_late else RefusalReason.NOT_RUN
-    return Refusal(code, reason, retry_in_s)
--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -18,6 +18,8 @@
 )
 from gooseberryquay.serving.crash_guard import GOOD_RUN_EVENTS, CrashGuard, RunLoss
 from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.execution import guarantees_not_run
+from gooseberryquay.serving.final_refusal import final_refusal
 from gooseberryquay.serving.generation_placer import GenerationPlacer, rank_of
 from gooseberryquay.serving.generation_queue import GenerationQueue, PlacedGeneration
 from gooseberryquay.serving.migration import Migration
@@ -40,6 +42,7 @@
 from gooseberryquay.serving.stream_versions import StreamVersions, VersionUnknown
 from gooseberryquay.serving.upstream_load import LoadTable
 from gooseberryquay.serving.upstream_signals import UpstreamSignals
+from gooseberryquay.serving.whole_answer import WholeAnswer
 
 __all__ = ["GenerationHandler"]
 
@@ -59,14 +62,13 @@
 # Error messages of engines are short.
 ENGINE_ERROR_BYTES_MAX = 1024 * 1024
 
-Outcome = StreamEnd | NotExecuted | CallerLeft
+Outcome = StreamEnd | WholeAnswer | NotExecuted | CallerLeft
 
 
 @dataclass
 class _Attempts:
     """Track the attempts made for one request."""
 
-    runs: int = 0
     undelivered: int = 0
     excluded: set[UpstreamId] = field(default_factory=set)
     reason: str = "no engine takes new work"
@@ -104,8 +106,8 @@
         self._signals = signals
         self._log = log
 
-    def serve(self, request: AcceptedRequest) -> Refusal | CallerLeft | None:
-        """Relay a generation; return a refusal only if nothing was sent to the caller yet."""
+    def serve(self, request: AcceptedRequest) -> Refusal | WholeAnswer | CallerLeft | None:
+        """Relay a generation; return a response only if nothing was sent to the caller yet."""
         self._retries.record_request(request.service)
         progress = StreamProgress(last_id=request.call.resume_after)
         attempts = _Attempts()
@@ -120,13 +122,16 @@
             placed = self._placer.place(request, progress.pinned, attempts.excluded)
             if isinstance(placed, Err):
                 failure = placed.err_value
-                if attempts.runs == 0 or isinstance(failure, CallerLeft):
+                if isinstance(failure, CallerLeft) or not request.execution.may_have_run:
                     return failure
                 attempts.reason = failure.message
                 break
             self._log_placed(request, placed.ok_value)
             outcome = self._run(request, progress, attempts, placed.ok_value)
             match outcome:
+                case WholeAnswer():
+                    self._guard.finished(request)
+                    return outcome
                 case StreamEnd.COMPLETE:
                     self._guard.finished(request)
                     self._log_complete(request, progress, placed.ok_value)
@@ -134,10 +139,9 @@
                 case StreamEnd.CALLER_LEFT | CallerLeft():
                     return CallerLeft()
                 case StreamEnd.TIMED_OUT | StreamEnd.OUT_OF_ORDER:
-                    attempts.runs += 1
                     break
                 case StreamEnd.BROKEN:
-                    attempts.runs += 1
+                    pass
                 case NotExecuted(reason, has_arrived):
                     attempts.reason = reason
                     # Only attempts that reached an upstream count as retries.
@@ -147,18 +151,15 @@
         return self._give_up(request, progress, attempts)
 
     def _may_retry(self, request: AcceptedRequest, attempts: _Attempts) -> bool:
-        if time.monotonic() >= request.until_s:
+        if time.monotonic() >= request.until_s or request.execution.is_withdrawn:
             return False
-        if attempts.runs and not self._may_run_again(request, attempts.runs):
+        if not request.may_run_again:
             return False
         if not self._retries.may_retry(request.service):
             attempts.reason += "; the retry budget is spent"
             return False
         return True
 
-    def _may_run_again(self, request: AcceptedRequest, runs: int) -> bool:
-        return request.route.is_retryable and runs < request.route.attempts_max
-
     def _run(
         self,
         request: AcceptedRequest,
@@ -243,8 +244,8 @@
         )
         # The entry of the list may change during the run.
         version = active.known.record.version
-        opened = self._upstream_client.open(
-            active.known.record, request.call, options, request.caller
+        opened = request.execution.send(
+            self._upstream_client, active.known.record, request.call, options, request.caller
         )
         if isinstance(opened, Ok):
             return self._relay_response(active, progress, attempts, opened.ok_value, version)
@@ -288,7 +289,7 @@
             )
         if response.status != HTTP_OK:
             self._record_engine_failure(active, "engine failed", str(response.status))
-            return self._forward_engine_error(active, progress, attempts, response)
+            return self._read_engine_error(active.request, progress, attempts, response)
         was_resumed = progress.last_id is not None
         relay = StreamRelay(active, progress, response)
         relay.on_good_run = functools.partial(self._guard.ran_well, active.request)
@@ -325,17 +326,22 @@
         if loss is not None:
             self._guard.run_lost(active.request, active.known, loss, event_count)
 
-    def _forward_engine_error(
+    def _read_engine_error(
         self,
-        active: ActiveGeneration,
+        request: AcceptedRequest,
         progress: StreamProgress,
         attempts: _Attempts,
         response: OpenResponse,
     ) -> Outcome:
-        """Forward an engine's error response, unless the request may run again."""
-        request = active.request
-        may_run_again = self._may_run_again(request, attempts.runs + 1)
-        if progress.is_started or (may_run_again and response.status >= SERVER_ERROR):
+        """Read an engine's error response, unless another engine may run the request.
+
+        Without proof that the request was not executed, a status that guarantees this is withheld.
+        """
+        status = response.status
+        if guarantees_not_run(status):
+            attempts.reason = f"status {status} without proof that the request was not executed"
+        may_retry = request.may_run_again and status >= SERVER_ERROR
+        if progress.is_started or may_retry or guarantees_not_run(status):
             response.close()
             return StreamEnd.BROKEN
         body = bytearray()
@@ -345,8 +351,7 @@
                     body += content
                 case Ok(BodyEnd()):
                     response.finish()
-                    request.response_writer.send(response.status, response.headers, bytes(body))
-                    return StreamEnd.COMPLETE
+                    return WholeAnswer(status, response.headers, bytes(body))
                 case Err(failure):
                     response.close()
                     return failure if isinstance(failure, CallerLeft) else StreamEnd.BROKEN
@@ -357,13 +362,10 @@
         self, request: AcceptedRequest, progress: StreamProgress, attempts: _Attempts
     ) -> Refusal | None:
         is_late = time.monotonic() >= request.until_s
-        if attempts.runs:
+        if request.execution.may_have_run:
             self._guard.send_updates()
         if not progress.is_started:
-            code = RefusalReason.OUTCOME_UNKNOWN if attempts.runs else RefusalReason.NOT_RUN
-            if is_late:
-                code = RefusalReason.TIMED_OUT if attempts.runs else RefusalReason.DEADLINE_PAST
-            return Refusal(code, attempts.reason, RETRY_AFTER_S)
+            return final_refusal(request, attempts.reason, RETRY_AFTER_S)
         reason = "out of time" if is_late else attempts.reason
         self._log.failure(
             "stream aborted",
--- a/gooseberryquay/serving/refusal.py
+++ b/gooseberryquay/serving/refusal.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from gooseberryquay.serving.call import HeaderPair
+from gooseberryquay.serving.execution import guarantees_not_run
 
 __all__ = ["Refusal", "RefusalReason"]
 
@@ -14,7 +15,7 @@
 class RefusalReason(Enum):
     """Enumerate why this entry responds instead of an upstream, with code and HTTP status.
 
-    Statuses 408, 421, 429 and 503 guarantee that the request was not and will not be executed.
+    Some statuses guarantee that the request was not and will not be executed.
     """
 
     NO_CONFIGURATION = ("no_configuration", 503)
@@ -38,7 +39,7 @@
     @property
     def promises_not_run(self) -> bool:
         """Return whether the response guarantees that the request was not executed."""
-        return self.status in {408, 421, 429, 503}
+        return guarantees_not_run(self.status)
 
 
 @dataclass(frozen=True, slots=True)
--- a/gooseberryquay/serving/request_handler.py
+++ b/gooseberryquay/serving/request_handler.py
@@ -9,15 +9,18 @@
 from gooseberryquay.links.upstream_connection import CallerLeft
 from gooseberryquay.serving.accepted import AcceptedRequest
 from gooseberryquay.serving.call import Call
-from gooseberryquay.serving.call_handler import CallHandler, WholeAnswer
+from gooseberryquay.serving.call_handler import CallHandler
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.drain_state import DrainState
+from gooseberryquay.serving.final_refusal import guaranteed_refusal
+from gooseberryquay.serving.final_response import FinalResponse
 from gooseberryquay.serving.fingerprint import fingerprint_of, part_fingerprints_of
 from gooseberryquay.serving.generation_handler import GenerationHandler
 from gooseberryquay.serving.ports import ResponseWriter, RoutingSource
 from gooseberryquay.serving.refusal import Refusal, RefusalReason
 from gooseberryquay.serving.request_counters import RequestCounters
 from gooseberryquay.serving.route import Route, RouteKind, RoutingTable, Workspace
+from gooseberryquay.serving.whole_answer import WholeAnswer
 
 __all__ = ["RequestHandler"]
 
@@ -52,21 +55,32 @@
     def serve(self, call: Call, caller: CallerWatch, response_writer: ResponseWriter) -> None:
         """Serve a request up to its final response."""
         with self._counters.in_flight():
-            accepted = self._accept(call, caller, response_writer)
-            if isinstance(accepted, Refusal):
-                self._refuse(call, None, response_writer, accepted)
+            response = FinalResponse(response_writer)
+            routed = self._route(call, caller, response)
+            if isinstance(routed, Refusal):
+                self._refuse(call, None, response, routed)
                 return
-            try:
-                self._serve_accepted(accepted)
-            except CallerDisconnected:
-                self._finish(accepted, "caller left")
-            except Exception as error:
-                self._log.error("request failed", error, request=call.id)
-                refusal = Refusal(RefusalReason.INTERNAL_ERROR, "this entry failed")
-                self._refuse(call, accepted, response_writer, refusal)
-
-    def _accept(
-        self, call: Call, caller: CallerWatch, response_writer: ResponseWriter
+            self._serve_routed(routed)
+
+    def _serve_routed(self, request: AcceptedRequest) -> None:
+        call = request.call
+        if not self._drain_state.accepts(request.route):
+            self._refuse(call, None, request.response_writer, _entry_leaving())
+            return
+        try:
+            self._serve_accepted(request)
+        except CallerDisconnected:
+            self._finish(request, "caller left")
+        except Exception as error:
+            self._log.error("request failed", error, request=call.id)
+            if request.response_writer.is_begun:
+                request.response_writer.abort()
+                return
+            refusal = Refusal(RefusalReason.INTERNAL_ERROR, "this entry failed")
+            self._refuse(call, request, request.response_writer, refusal)
+
+    def _route(
+        self, call: Call, caller: CallerWatch, response: FinalResponse
     ) -> AcceptedRequest | Refusal:
         routing = self._routing.current()
         if routing is None:
@@ -78,22 +92,16 @@
         workspace = self._workspace_of(routing, route, call)
         if isinstance(workspace, Refusal):
             return workspace
-        if not self._drain_state.accepts(route):
-            reason = RefusalReason.ENTRY_LEAVING
-            return Refusal(reason, "this entry is draining", LEAVING_RETRY_AFTER_S)
-        until_s = min(call.deadline_at_s, call.arrived_at_s + route.timeout_s)
-        service = route.pick_service(self._rng)
-        fingerprint = fingerprint_of(call, _id_of(workspace))
         return AcceptedRequest(
             call,
             route,
-            service,
+            route.pick_service(self._rng),
             workspace,
             routing.version,
-            until_s,
+            min(call.deadline_at_s, call.arrived_at_s + route.timeout_s),
             caller,
-            response_writer,
-            fingerprint,
+            response,
+            fingerprint_of(call, _id_of(workspace)),
             part_fingerprints_of(call),
         )
 
@@ -121,7 +129,8 @@
                 request.response_writer.send(end.status, end.headers, end.body)
                 self._finish(request, f"answered {end.status}", end.upstream)
             case Refusal():
-                self._refuse(request.call, request, request.response_writer, end)
+                refusal = guaranteed_refusal(request, end)
+                self._refuse(request.call, request, request.response_writer, refusal)
             case CallerLeft():
                 self._finish(request, "caller left")
                 request.response_writer.abort()
@@ -169,5 +178,9 @@
         response_writer.send(refusal.reason.status, refusal.headers(), refusal.body())
 
 
+def _entry_leaving() -> Refusal:
+    return Refusal(RefusalReason.ENTRY_LEAVING, "this entry is draining", LEAVING_RETRY_AFTER_S)
+
+
 def _id_of(workspace: Workspace | None) -> WorkspaceId | None:
     return workspace.id if workspace is not None else None
--- a/gooseberryquay/serving/tests/test_call_handler.py
+++ b/gooseberryquay/serving/tests/test_call_handler.py
@@ -5,7 +5,6 @@
 import pytest
 
 from gooseberryquay.links.upstream_connection import CallerLeft
-from gooseberryquay.serving.call_handler import WholeAnswer
 from gooseberryquay.serving.ports import NotExecuted
 from gooseberryquay.serving.refusal import Refusal, RefusalReason
 from gooseberryquay.serving.route import RouteKind
@@ -19,9 +18,11 @@
     build_request,
     build_route,
 )
+from gooseberryquay.serving.whole_answer import WholeAnswer
 
 RECORDS = [build_record(f"app-{number}", LEDGER) for number in range(3)]
 SHED = ScriptedResponse(503, is_not_run=True)
+GUARANTEEING = [408, 421, 429, 503]
 
 
 def _serve(kind, *responses, records=RECORDS, retry_ratio=1.0, **changes):
@@ -68,8 +69,19 @@
     assert len(set(upstream_client.upstreams())) == 2
 
 
-def test_status_503_without_the_not_executed_mark_is_an_unknown_outcome():
-    end, _ = _serve(RouteKind.NON_IDEMPOTENT, ScriptedResponse(503, [b"busy"]))
+@pytest.mark.parametrize("status", GUARANTEEING)
+def test_guaranteeing_status_without_proof_is_an_unknown_outcome(status):
+    end, upstream_client = _serve(RouteKind.NON_IDEMPOTENT, ScriptedResponse(status, [b"busy"]))
+    assert end.reason is RefusalReason.OUTCOME_UNKNOWN
+    assert len(upstream_client.opened) == 1
+
+
+@pytest.mark.parametrize("status", GUARANTEEING)
+def test_guaranteeing_status_without_proof_is_retried_if_the_request_may_run_again(status):
+    end, _ = _serve(RouteKind.IDEMPOTENT, ScriptedResponse(status, [b"busy"]), _ok())
+    assert end == WholeAnswer(200, [], b"done")
+    again = [ScriptedResponse(status, [b"busy"]) for _ in range(2)]
+    end, _ = _serve(RouteKind.IDEMPOTENT, *again, _ok())
     assert end.reason is RefusalReason.OUTCOME_UNKNOWN
 
 
--- a/gooseberryquay/serving/tests/test_generation_handler.py
+++ b/gooseberryquay/serving/tests/test_generation_handler.py
@@ -2,6 +2,7 @@
 
 import time
 
+import pytest
 from result import Err
 
 from gooseberryquay.links.upstream_connection import BodyEnd, CallerLeft
@@ -29,10 +30,12 @@
     events,
 )
 from gooseberryquay.serving.upstream_record import UpstreamState
+from gooseberryquay.serving.whole_answer import WholeAnswer
 
 RECORDS = [build_record(f"engine-{number}") for number in range(3)]
 FAILED_MOVE = MoveFailure(MoveRefusal.FAILED)
 REFUSED = ScriptedResponse(503, is_not_run=True)
+GUARANTEEING = [408, 421, 429, 503]
 
 
 def _stream(first, last, end=BodyEnd.FRAMED, **changes):
@@ -238,8 +241,50 @@
 
 def test_error_response_of_an_engine_is_forwarded_if_the_request_is_not_retryable():
     path = _path(ScriptedResponse(500, [b"oops"], headers=[("seal", "s")]))
-    _, caller = _serve(path)
-    assert (caller.status, caller.headers, caller.body) == (500, [("seal", "s")], b"oops")
+    end, caller = _serve(path)
+    assert end == WholeAnswer(500, [("seal", "s")], b"oops")
+    assert caller.status is None
+
+
+@pytest.mark.parametrize("status", GUARANTEEING)
+def test_guaranteeing_status_without_proof_is_not_forwarded_for_a_stream_that_runs_once(status):
+    """Engines that had run a stream answered 503, which was forwarded as it was."""
+    path = _path(ScriptedResponse(status, [b"busy"]), _stream(1, 2))
+    end, caller = _serve(path)
+    assert end.reason is RefusalReason.OUTCOME_UNKNOWN
+    assert caller.status is None and len(path.upstream_client.opened) == 1
+
+
+@pytest.mark.parametrize("status", GUARANTEEING)
+def test_guaranteeing_status_without_proof_is_retried_for_a_resumable_stream(status):
+    path = _path(ScriptedResponse(status, [b"busy"]), _stream(1, 2))
+    _, caller = _serve(path, is_resumable=True)
+    assert caller.is_complete and caller.body == events(1, 2)
+    path = _path(*[ScriptedResponse(status, [b"busy"]) for _ in range(2)], _stream(1, 2))
+    end, _ = _serve(path, is_resumable=True)
+    assert end.reason is RefusalReason.OUTCOME_UNKNOWN
+
+
+@pytest.mark.parametrize("is_not_run", [False, True])
+@pytest.mark.parametrize("status", GUARANTEEING)
+def test_refusal_after_a_move_before_the_first_event_promises_nothing(status, is_not_run):
+    path = _path(moves=[copied(), copied()])
+    refusal = ScriptedResponse(status, [b"busy"], is_not_run=is_not_run)
+    path.upstream_client.responses = [
+        ScriptedResponse(200, [], BROKEN, before_part=_leaving_before(path, 0)),
+        refusal,
+        refusal,
+    ]
+    end, caller = _serve(path)
+    assert not end.reason.promises_not_run
+    assert caller.status is None
+
+
+def test_retry_that_was_refused_does_not_count_as_a_run():
+    """A marked refusal of the second engine used up the attempts of a stream that may resume."""
+    path = _path(_stream(1, 2, BROKEN), REFUSED, _stream(3, 4))
+    _, caller = _serve(path, is_resumable=True)
+    assert caller.is_complete and caller.body == events(1, 4)
 
 
 def test_no_engine_leads_to_an_immediate_refusal():
