Accept a request on a draining entry only if its time limit lies before the exit

Cause: calls were judged by twice their latency goal, streams by the balancer's notice, and neither by how long they may last. The class: work that is accepted on an estimate and ended by a limit that does not know it.

Change: one rule for all routes, the time limit of the request against the exit; requests that were not sent yet when the drain begins are judged by it again. What is still open at the exit is withdrawn, so that it is not sent any more, and gets 502 if it may have run, else 503; streams that have begun are cut, as before.

New cases fail on the former code.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -162,8 +162,8 @@
         )
         self._store_era.on_rise(self._suspects.store_lost_writes)
         self._store_era.on_rise(self._stream_versions.store_lost_writes)
-        request_handler = self._build_request_handler(placement, rng)
-        frontend = Frontend(request_handler.serve)
+        self._request_handler = self._build_request_handler(placement, rng)
+        frontend = Frontend(self._request_handler.serve)
         self._caller_server = ForwardingServer(
             *settings.caller_address,
             frontend.forward,
@@ -422,16 +422,20 @@
         began_at_s = time.monotonic()
         self._log.lifecycle("draining")
         grace_s = self._settings.bounds.grace_s - EXIT_MARGIN_S
-        self._drain_state.begin(LEAVE_NOTICE_S, grace_s)
-        self._membership.announce_leave()
+        self._drain_state.begin(grace_s)
         self._caller_server.close_connections_after_responses()
+        self._request_handler.refuse_unsent()
+        self._membership.announce_leave()
         time.sleep(LEAVE_NOTICE_S)
         is_idle = self._counters.wait_until_idle(max(0.0, grace_s - LEAVE_NOTICE_S))
         # Requests accepted in the meantime must end before the process exits.
         self._drain_state.close()
         self._counters.wait_until_idle(max(0.0, began_at_s + grace_s - time.monotonic()))
+        unfinished = self._request_handler.end_open()
         took_s = time.monotonic() - began_at_s
-        self._log.lifecycle("stopped", took_s=round(took_s, 2), is_idle=is_idle)
+        self._log.lifecycle(
+            "stopped", took_s=round(took_s, 2), is_idle=is_idle, unfinished=unfinished
+        )
 
     @property
     def port(self) -> int:
--- a/gooseberryquay/serving/final_response.py
+++ b/gooseberryquay/serving/final_response.py
@@ -31,6 +31,14 @@
         self._begin()
         self._writer.send(status, headers, body)
 
+    def try_send(self, status: int, headers: Sequence[HeaderPair], body: bytes) -> bool:
+        """Send a complete response, unless one has begun."""
+        try:
+            self.send(status, headers, body)
+        except CallerDisconnected:
+            return False
+        return True
+
     def start_stream(self, status: int, headers: Sequence[HeaderPair]) -> None:
         """Send the headers of a response whose body follows in parts."""
         self._begin()
--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -117,7 +117,9 @@
                 return _version_unknown()
             progress.pinned = PinnedVersion(version)
         is_budget_exempt = True
-        while is_budget_exempt or self._may_retry(request, attempts):
+        while not request.execution.is_withdrawn:
+            if not is_budget_exempt and not self._may_retry(request, attempts):
+                break
             is_budget_exempt = False
             placed = self._placer.place(request, progress.pinned, attempts.excluded)
             if isinstance(placed, Err):
@@ -151,7 +153,7 @@
         return self._give_up(request, progress, attempts)
 
     def _may_retry(self, request: AcceptedRequest, attempts: _Attempts) -> bool:
-        if time.monotonic() >= request.until_s or request.execution.is_withdrawn:
+        if time.monotonic() >= request.until_s:
             return False
         if not request.may_run_again:
             return False
--- a/gooseberryquay/serving/request_handler.py
+++ b/gooseberryquay/serving/request_handler.py
@@ -12,7 +12,7 @@
 from gooseberryquay.serving.call_handler import CallHandler
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.drain_state import DrainState
-from gooseberryquay.serving.final_refusal import guaranteed_refusal
+from gooseberryquay.serving.final_refusal import final_refusal, guaranteed_refusal
 from gooseberryquay.serving.final_response import FinalResponse
 from gooseberryquay.serving.fingerprint import fingerprint_of, part_fingerprints_of
 from gooseberryquay.serving.generation_handler import GenerationHandler
@@ -51,6 +51,7 @@
         self._counters = counters
         self._log = log
         self._rng = rng
+        self._open: dict[int, AcceptedRequest] = {}
 
     def serve(self, call: Call, caller: CallerWatch, response_writer: ResponseWriter) -> None:
         """Serve a request up to its final response."""
@@ -60,11 +61,51 @@
             if isinstance(routed, Refusal):
                 self._refuse(call, None, response, routed)
                 return
-            self._serve_routed(routed)
+            # Registered before the check, so that a drain that begins now finds it in either place.
+            self._open[id(routed)] = routed
+            try:
+                self._serve_routed(routed)
+            finally:
+                del self._open[id(routed)]
+
+    def refuse_unsent(self) -> None:
+        """Refuse at once the requests that were not sent yet and cannot end before the exit."""
+        for request in list(self._open.values()):
+            if not self._drain_state.can_end(request.until_s):
+                request.execution.withdraw_unsent()
+                if request.execution.is_withdrawn:
+                    self._end_open(request, _entry_leaving())
+
+    def end_open(self) -> int:
+        """Answer the requests that are still open as the process exits, and return their number.
+
+        Streams that have begun cannot get another response.
+        """
+        requests = list(self._open.values())
+        for request in requests:
+            request.execution.withdraw()
+            message = "this entry exited before the response was complete"
+            self._end_open(request, final_refusal(request, message, LEAVING_RETRY_AFTER_S))
+        return len(requests)
+
+    def _end_open(self, request: AcceptedRequest, refusal: Refusal) -> None:
+        status, body = refusal.reason.status, refusal.body()
+        is_answered = request.response_writer.try_send(status, refusal.headers(), body)
+        if is_answered:
+            # Wakes the request's thread, which then finds its caller disconnected.
+            request.response_writer.abort()
+        self._log.failure(
+            "request ended by the drain",
+            request.call.id,
+            route=request.route.name,
+            runs=request.execution.run_count,
+            until_ms=round((request.until_s - time.monotonic()) * 1000.0),
+            status=status if is_answered else None,
+        )
 
     def _serve_routed(self, request: AcceptedRequest) -> None:
         call = request.call
-        if not self._drain_state.accepts(request.route):
+        if not self._drain_state.accepts(request.until_s):
             self._refuse(call, None, request.response_writer, _entry_leaving())
             return
         try:
--- a/gooseberryquay/serving/tests/test_admission.py
+++ b/gooseberryquay/serving/tests/test_admission.py
@@ -11,7 +11,6 @@
 from gooseberryquay.serving.drain_state import DrainState
 from gooseberryquay.serving.placement import EngineNeed
 from gooseberryquay.serving.refusal import RefusalReason
-from gooseberryquay.serving.route import RouteKind
 from gooseberryquay.serving.shared_rate import RateTolerance, SharedRate
 from gooseberryquay.serving.tests.builders import (
     LEDGER,
@@ -22,7 +21,6 @@
     build_entry_counter,
     build_path,
     build_record,
-    build_route,
     build_routing,
     build_stable_entry_counter,
     build_ticket,
@@ -142,18 +140,16 @@
     assert all(cold.try_acquire("ledger-1", float("inf")) for _ in range(100))
 
 
-def test_draining_entry_accepts_only_requests_that_can_still_end():
-    clock = FakeClock()
+def test_draining_entry_accepts_only_requests_that_end_before_its_exit():
+    """Calls were accepted by their latency goal, and lost when they took longer."""
+    clock = FakeClock(100.0)
     drain_state = DrainState(clock)
-    stream = build_route(RouteKind.STREAMING)
-    call = build_route(RouteKind.NON_IDEMPOTENT, goal_s=0.5)
-    assert drain_state.accepts(stream) and not drain_state.is_leaving
-    drain_state.begin(2.5, 7.5)
-    assert drain_state.is_leaving and drain_state.accepts(stream)
-    clock.now_s += 3.0
-    assert not drain_state.accepts(stream) and drain_state.accepts(call)
-    clock.now_s += 4.0
-    assert not drain_state.accepts(call)
+    assert drain_state.accepts(1000.0) and not drain_state.is_leaving
+    drain_state.begin(7.5)
+    assert drain_state.is_leaving
+    assert drain_state.accepts(107.5) and not drain_state.accepts(107.6)
+    clock.now_s += 7.0
+    assert drain_state.accepts(107.5) and not drain_state.accepts(107.6)
 
 
 def test_closed_entry_accepts_nothing():
@@ -162,9 +158,9 @@
     Found in the run keys-taken-while-stopping.
     """
     drain_state = DrainState(FakeClock())
-    drain_state.begin(2.5, 7.5)
+    drain_state.begin(7.5)
     drain_state.close()
-    assert not drain_state.accepts(build_route(RouteKind.IDEMPOTENT))
+    assert not drain_state.accepts(100.0)
 
 
 def test_generations_spread_over_engines_by_memory():
--- a/gooseberryquay/serving/tests/test_request_handler.py
+++ b/gooseberryquay/serving/tests/test_request_handler.py
@@ -1,11 +1,19 @@
 """Which guarantees a final response gives, whichever way the handling of a request ended."""
 
+import contextlib
+import threading
+import time
+
 import pytest
+from result import Err
 
 from gooseberryquay.links.caller_watch import NullCallerWatch
+from gooseberryquay.serving.call import GenerationDemand
+from gooseberryquay.serving.drain_state import DrainState
 from gooseberryquay.serving.refusal import RefusalReason
 from gooseberryquay.serving.route import RouteKind
 from gooseberryquay.serving.tests.builders import (
+    BROKEN,
     LEDGER,
     MODEL,
     Recorder,
@@ -17,6 +25,7 @@
     build_request_handler,
     build_route,
     build_routing,
+    build_ticket,
     events,
 )
 
@@ -72,3 +81,85 @@
     recorder = Recorder()
     build_request_handler(path, routing).serve(build_call(), NullCallerWatch(), recorder)
     assert recorder.status in {502, 504}
+
+
+def _wait_until(condition, within_s=5.0):
+    until_s = time.monotonic() + within_s
+    while not condition():
+        assert time.monotonic() < until_s
+        time.sleep(0.01)
+
+
+class _BlockingClient:
+    """Hold each send until it is released, then report that the outcome is unknown."""
+
+    def __init__(self):
+        self.is_sent = threading.Event()
+        self.released = threading.Event()
+
+    def open(self, upstream, call, options, caller):
+        self.is_sent.set()
+        self.released.wait(5.0)
+        return Err(BROKEN)
+
+
+@contextlib.contextmanager
+def _served(handler, call, recorder):
+    thread = threading.Thread(target=handler.serve, args=(call, NullCallerWatch(), recorder))
+    thread.start()
+    yield
+    thread.join(5.0)
+    assert not thread.is_alive()
+
+
+@pytest.mark.parametrize("kind", RouteKind)
+def test_request_in_flight_at_the_exit_gets_an_answer_that_promises_nothing(kind):
+    """Calls that were in flight as the process exited were cut without an answer."""
+    routing = build_routing(build_route(kind))
+    client, recorder, drain_state = _BlockingClient(), Recorder(), DrainState()
+    records = [build_record("app-1", LEDGER), build_record("engine-1", MODEL)]
+    handler = build_request_handler(build_path(records, client, routing), routing, drain_state)
+    with _served(handler, build_call(), recorder):
+        assert client.is_sent.wait(5.0)
+        drain_state.begin(0.5)
+        handler.refuse_unsent()
+        assert recorder.status is None
+        assert handler.end_open() == 1
+        assert (recorder.status, recorder.is_complete) == (502, True)
+        client.released.set()
+    assert recorder.status == 502
+
+
+def test_queued_generation_that_cannot_end_before_the_exit_is_refused_at_once():
+    """Generations waited at an entry that drained, and were cut at its exit."""
+    routing = build_routing(build_route(RouteKind.STREAMING, goal_s=30.0, timeout_s=30.0))
+    path = build_path([build_record("engine-1", MODEL)], ScriptedCalls(), routing)
+    path.queue.place(build_ticket("other"), NullCallerWatch())
+    recorder, drain_state = Recorder(), DrainState()
+    handler = build_request_handler(path, routing, drain_state)
+    call = build_call(
+        deadline_at_s=time.monotonic() + 30.0, demand=GenerationDemand("m", 6000, 400, 400, ())
+    )
+    with _served(handler, call, recorder):
+        _wait_until(lambda: path.queue.length() == 1)
+        drain_state.begin(7.5)
+        handler.refuse_unsent()
+        assert (recorder.status, recorder.is_complete) == (503, True)
+        assert recorder.is_aborted
+        for run in path.loads.runs_at("engine-1"):
+            path.loads.end(run)
+        path.queue.changed()
+    assert path.upstream_client.opened == []
+
+
+def test_request_that_arrives_while_the_entry_drains_is_accepted_only_if_it_ends_before_the_exit():
+    routing = build_routing(build_route(RouteKind.NON_IDEMPOTENT, goal_s=0.1, timeout_s=2.0))
+    for grace_s, status in [(1.9, 503), (5.0, 200)]:
+        client = ScriptedCalls([ScriptedResponse(200, [b"done"])])
+        path = build_path([build_record("app-1", LEDGER)], client, routing)
+        drain_state, recorder = DrainState(), Recorder()
+        drain_state.begin(grace_s)
+        handler = build_request_handler(path, routing, drain_state)
+        handler.serve(build_call(), NullCallerWatch(), recorder)
+        assert recorder.status == status
+        assert len(client.opened) == (status == 200)
