Show that a generation goes on elsewhere while its source works on it

What callers saw: nothing; the engines worked on a request twice. Cause: a link to an engine that leaves or misses from the list fails; the generation goes on at another engine from a copy that was made in advance, and the engine before is never told to stop. One that goes on after a closed connection works beside the other.

--- /dev/null
+++ b/gooseberryquay/daemons/tests/test_platform_migration_faults.py
@@ -0,0 +1,53 @@
+"""Migrations whose link to the source fails while the source goes on generating."""
+
+import random
+import threading
+import time
+
+import pytest
+
+from gooseberryquay.daemons.tests.platform_builders import running_entries
+from gooseberryquay.daemons.tests.stream_builders import StreamCaller
+from gooseberryquay.daemons.tests.stubborn_engine_builders import StubbornSite
+from gooseberryquay.standins.proxy_messages import CutConnections, ResetConnections
+
+STREAMS = 6
+EVENTS = 300
+# Longer than a copy that an entry makes final at once.
+SLOW_COPY_S = 0.2
+
+
+@pytest.fixture
+def site():
+    site = StubbornSite(random.Random(1))
+    site.start(engines=3, services=1)
+    yield site
+    site.stop()
+
+
+@pytest.mark.parametrize("fault", [ResetConnections(), CutConnections()], ids=["reset", "cut"])
+@pytest.mark.parametrize("change", ["missing", "leaving"])
+def test_generation_does_not_go_on_elsewhere_while_its_source_works_on_it(
+    site, tmp_path, change, fault
+):
+    callers = [StreamCaller(path="/note/1", event_count=EVENTS) for _ in range(STREAMS)]
+    with running_entries(site, tmp_path, 1) as entries:
+        port = entries[0].ports.callers
+        threads = [threading.Thread(target=each.read, args=(port,)) for each in callers]
+        for each in threads:
+            each.start()
+        time.sleep(0.5)
+        source = max(site.engines.values(), key=lambda engine: len(engine.spans))
+        source.copy_s = SLOW_COPY_S
+        if change == "missing":
+            site.store.delete("servers", source.id)
+        else:
+            site.announce_leave(source.id)
+        time.sleep(2 * SLOW_COPY_S)
+        site.proxies[source.id].apply_fault(fault)
+        for each in threads:
+            each.join()
+        time.sleep(EVENTS * source.event_s)
+    assert sum(len(engine.spans) for engine in site.engines.values()) > STREAMS
+    assert site.overlaps() == []
+    assert all(each.is_complete for each in callers)
