Stop a generation at its engine before it goes on from an earlier copy

What callers saw: nothing; two engines worked on one request at a time. Cause: a stream that broke was resumed at once from a copy that had been made in advance, while nothing had told the engine before to stop; closing the connection does not reach each engine. Two migrations of one generation could also change its state in turn, and the older one name the newer engine as its source.

Change: before such a copy is used, the engine before is asked for a final copy, again until it has stopped, knows no such run, or does not listen any more. One that listens and cannot be stopped within 2 s ends the generation. A final copy whose answer was lost is asked for again the same way. Each migration has a number.

Two tests had an engine that dies and still counts as listening; their engine now refuses connections, as a dead one does. The assertions are the same.

--- a/gooseberryquay/serving/active_generation.py
+++ b/gooseberryquay/serving/active_generation.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -36,6 +37,10 @@
     run: Run
     stopped_source: KnownUpstream | None = None
 
+    def is_final(self, run: Run) -> bool:
+        """Return whether the source has stopped the run of which this is a copy."""
+        return self.stopped_source is not None or self.run is run
+
     def at_source(self, run: Run) -> "KvCopy | None":
         """Return a reference to the KV cache that the stopped source keeps, if there is one."""
         if self.stopped_source is None:
@@ -54,22 +59,56 @@
     state: MoveState = MoveState.STAYING
     copy: KvCopy | None = None
     is_ended: bool = False
+    # Set while the relay, whose stream broke, takes over from the migration.
+    is_interrupted: bool = False
+    # Number of migrations begun; each may change the state only while it is the latest.
+    move_number: int = 0
+    # Stops the run at its source; returns None if it may still be going on.
+    stop_run: Callable[[KvCopy], KvCopy | None] = lambda copy: copy
     changed: threading.Condition = field(default_factory=threading.Condition)
 
-    def set_state(self, state: MoveState) -> None:
+    def begin_move(self) -> int | None:
+        """Begin a migration and return its number, or None if there is nothing to migrate."""
+        with self.changed:
+            if self.state is not MoveState.STAYING or self.is_ended or self.is_interrupted:
+                return None
+            self.state = MoveState.COPYING
+            self.move_number += 1
+            return self.move_number
+
+    def is_moving(self, number: int) -> bool:
+        """Return whether a migration is the latest and neither ended nor interrupted."""
+        with self.changed:
+            return self._is_moving(number)
+
+    def _is_moving(self, number: int) -> bool:
+        is_over = self.is_ended or self.is_interrupted or self.state is MoveState.STAYING
+        return number == self.move_number and not is_over
+
+    def try_stop(self, number: int) -> bool:
+        """Let a migration stop the run; return False if it is over."""
+        with self.changed:
+            if not self._is_moving(number):
+                return False
+            self.state = MoveState.STOPPING
+            return True
+
+    def set_state(self, state: MoveState, number: int) -> None:
         """Change the state of a migration in progress and wake the relay."""
         with self.changed:
-            if self.state is not MoveState.STAYING:
+            if number == self.move_number and self.state is not MoveState.STAYING:
                 self.state = state
             self.changed.notify_all()
 
-    def set_copy(self, copy: KvCopy) -> Run | None:
+    def set_copy(self, copy: KvCopy, number: int) -> Run | None:
         """Store a newer copy, unless the relay has continued without it.
 
         Returns the run of the previous copy at another engine, which is no longer needed.
         """
         with self.changed:
-            if self.state is MoveState.STAYING:
+            is_awaited = not self.is_interrupted or self.state is MoveState.STOPPING
+            is_over = number != self.move_number or self.state is MoveState.STAYING
+            if is_over or not is_awaited:
                 return None
             previous, self.copy = self.copy, copy
             return previous.run if previous is not None and previous.run is not copy.run else None
@@ -80,11 +119,21 @@
             return run is self.run or (self.copy is not None and run is self.copy.run)
 
     def take_copy(self, timeout_s: float) -> KvCopy | None:
-        """Wait for the end of a migration that stops the run, then detach the newest copy."""
+        """Detach the newest copy once the source has stopped the run; None if it may go on.
+
+        A migration that is about to stop the run may take `timeout_s` to do so.
+        """
         with self.changed:
+            self.is_interrupted = True
             self.changed.wait_for(lambda: self.state is not MoveState.STOPPING, timeout_s)
-            copy, self.copy = self.copy, None
+            copy = self.copy
+        if copy is not None and not copy.is_final(self.run):
+            copy = self.stop_run(copy)
+        with self.changed:
+            if copy is not None:
+                self.copy = None
             self.state = MoveState.STAYING
+            self.is_interrupted = False
             return copy
 
     def end(self) -> KvCopy | None:
--- a/gooseberryquay/serving/migration.py
+++ b/gooseberryquay/serving/migration.py
@@ -1,5 +1,6 @@
 """Migrate running generations away from engines that are leaving."""
 
+import functools
 import threading
 import time
 from collections.abc import Callable
@@ -16,7 +17,13 @@
 )
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.placement import EngineNeed, Placement
-from gooseberryquay.serving.ports import MovedCopy, MoveFailure, MoveRefusal, UpstreamClient
+from gooseberryquay.serving.ports import (
+    ListeningState,
+    MovedCopy,
+    MoveFailure,
+    MoveRefusal,
+    UpstreamClient,
+)
 from gooseberryquay.serving.upstream_load import LoadTable, Run
 from gooseberryquay.serving.upstream_registry import KnownUpstream
 
@@ -35,6 +42,8 @@
 TARGETS_MAX = 4
 # Twice the usual notice of engines.
 MOVE_TIMEOUT_S = 4.0
+# Callers abandon a stream after a longer gap.
+STOP_TIMEOUT_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +52,18 @@
     run: Run
 
 
+@dataclass(frozen=True, slots=True)
+class _Move:
+    active: ActiveGeneration
+    source: KnownUpstream
+    number: int
+    began_at_s: float
+
+    @property
+    def is_needed(self) -> bool:
+        return self.source.is_leaving or self.source.is_missing
+
+
 class Migration:
     """Copy the KV cache of a running generation, then stop it and resume it at another engine."""
 
@@ -81,34 +102,38 @@
         engine = self._placement.engine_terms(active.request.service)
         if engine is None or not engine.can_move:
             return
-        with active.changed:
-            if active.state is not MoveState.STAYING or active.is_ended:
-                return
-            active.state = MoveState.COPYING
-        threading.Thread(target=self._move, args=(active,), daemon=True).start()
-
-    def _move(self, active: ActiveGeneration) -> None:
-        began_at_s = self._clock()
-        tried: set[UpstreamId] = {active.known.record.id}
-        while len(tried) <= TARGETS_MAX and not self._is_over(active, began_at_s):
-            target = self._choose_target(active, tried)
+        source = active.known
+        number = active.begin_move()
+        if number is None:
+            return
+        active.stop_run = functools.partial(self._stop_lost_run, active, source)
+        move = _Move(active, source, number, self._clock())
+        threading.Thread(target=self._move, args=(move,), daemon=True).start()
+
+    def _move(self, move: _Move) -> None:
+        active = move.active
+        tried: set[UpstreamId] = {move.source.record.id}
+        while len(tried) <= TARGETS_MAX and not self._is_over(move):
+            target = self._choose_target(move, tried)
             if target is None:
                 time.sleep(RETRY_PAUSE_S)
                 continue
             tried.add(target.known.record.id)
-            if self._move_to(active, target, began_at_s):
+            if self._move_to(move, target):
                 return
             if not active.needs(target.run):
                 self._loads.end(target.run)
-        if _is_needed(active):
-            if active.state is not MoveState.STAYING:
-                active.set_state(MoveState.FAILED)
+        if move.is_needed:
+            active.set_state(MoveState.FAILED, move.number)
         else:
-            self._cancel_move(active)
+            self._cancel_move(move)
 
-    def _cancel_move(self, active: ActiveGeneration) -> None:
+    def _cancel_move(self, move: _Move) -> None:
         """Keep a generation at an engine whose list entry had only expired, and free the copy."""
+        active = move.active
         with active.changed:
+            if not active.is_moving(move.number):
+                return
             copy, active.copy = active.copy, None
             active.state = MoveState.STAYING
             active.changed.notify_all()
@@ -117,18 +142,19 @@
                 self._loads.end(copy.run)
             self._upstream_client.free_copy(copy.handle.source, copy.handle)
 
-    def _is_over(self, active: ActiveGeneration, began_at_s: float) -> bool:
-        if active.is_ended or active.state is MoveState.STAYING or not _is_needed(active):
+    def _is_over(self, move: _Move) -> bool:
+        if not move.active.is_moving(move.number) or not move.is_needed:
             return True
-        return self._clock() - began_at_s > MOVE_TIMEOUT_S
+        return self._clock() - move.began_at_s > MOVE_TIMEOUT_S
 
-    def _choose_target(self, active: ActiveGeneration, tried: set[UpstreamId]) -> _Target | None:
+    def _choose_target(self, move: _Move, tried: set[UpstreamId]) -> _Target | None:
+        active, source = move.active, move.source.record
         run = active.run
         need = EngineNeed(run.held_tokens, max(0.0, run.expected_tokens - run.generated_tokens))
-        version = active.known.record.version
+        version = source.version
         excluded = tried | self._placement.of_other_versions(active.request.service, version)
         known = self._placement.choose_move_target(
-            active.request.service, need, excluded, active.known.record.zone
+            active.request.service, need, excluded, source.zone
         )
         if (
             known is None
@@ -148,77 +174,103 @@
         self._loads.start(moved)
         return _Target(known, moved)
 
-    def _move_to(self, active: ActiveGeneration, target: _Target, began_at_s: float) -> bool:
+    def _move_to(self, move: _Move, target: _Target) -> bool:
         """Copy until little is left, then stop the run.
 
         Returns False if another target is needed.
         """
-        while not target.known.is_leaving and not self._is_over(active, began_at_s):
+        while not target.known.is_leaving and not self._is_over(move):
             started_at_s = self._clock()
-            match self._copy(active, target, is_final=False):
+            match self._copy(move, target, is_final=False):
                 case Ok(copy):
-                    self._record_copy(active, KvCopy(target.known, copy.handle, target.run))
+                    self._record_copy(move, KvCopy(target.known, copy.handle, target.run))
                     took_s = self._clock() - started_at_s
-                    is_late = self._clock() - began_at_s > STOP_AFTER_S
-                    if active.known.is_leaving and (took_s < QUICK_COPY_S or is_late):
-                        return self._stop(active, target)
-                    if not active.known.is_leaving:
+                    is_late = self._clock() - move.began_at_s > STOP_AFTER_S
+                    if move.source.is_leaving and (took_s < QUICK_COPY_S or is_late):
+                        return self._stop(move, target)
+                    if not move.source.is_leaving:
                         time.sleep(COPY_INTERVAL_S)
                 case Err(MoveFailure(MoveRefusal.UNKNOWN_RUN | MoveRefusal.IN_PROGRESS)):
                     time.sleep(RETRY_PAUSE_S)
                 case Err(failure):
-                    self._log_event(active, target, "copy refused", failure)
+                    self._log_event(move, target, "copy refused", failure)
                     return False
         return False
 
-    def _stop(self, active: ActiveGeneration, target: _Target) -> bool:
-        active.set_state(MoveState.STOPPING)
-        match self._copy(active, target, is_final=True):
+    def _stop(self, move: _Move, target: _Target) -> bool:
+        active = move.active
+        if not active.try_stop(move.number):
+            return False
+        match self._copy(move, target, is_final=True):
             case Ok(copy):
-                self._record_copy(
-                    active, KvCopy(target.known, copy.handle, target.run, active.known)
-                )
+                self._record_copy(move, KvCopy(target.known, copy.handle, target.run, move.source))
                 self._log.request(
                     "generation moved",
                     active.request.call.id,
-                    source=active.known.record.id,
+                    source=move.source.record.id,
                     upstream=target.known.record.id,
                     events=copy.events,
                 )
-                active.set_state(MoveState.STOPPED)
+                active.set_state(MoveState.STOPPED, move.number)
             case Err(failure):
-                self._log_event(active, target, "stop refused", failure)
+                self._log_event(move, target, "stop refused", failure)
                 if failure.handle is not None:
-                    self._record_copy(active, KvCopy(active.known, failure.handle, active.run))
-                active.set_state(MoveState.FAILED)
+                    self._record_copy(move, KvCopy(move.source, failure.handle, active.run))
+                active.set_state(MoveState.FAILED, move.number)
         return True
 
-    def _record_copy(self, active: ActiveGeneration, copy: KvCopy) -> None:
-        unneeded = active.set_copy(copy)
-        if unneeded is not None and unneeded is not active.run:
+    def _stop_lost_run(
+        self, active: ActiveGeneration, source: KnownUpstream, copy: KvCopy
+    ) -> KvCopy | None:
+        """Stop a run whose stream broke, as not every engine notices that by itself.
+
+        Returns the copy to resume from, or None if the source may still be working.
+        """
+        until_s = self._clock() + STOP_TIMEOUT_S
+        address = copy.holder.record.address
+        while True:
+            stopped = self._upstream_client.move(
+                source.record, active.request.call.id, address, True, until_s
+            )
+            match stopped:
+                case Ok(final):
+                    return KvCopy(copy.holder, final.handle, copy.run, source)
+                case Err(MoveFailure(MoveRefusal.UNKNOWN_RUN)):
+                    return copy
+                case Err(MoveFailure(_, handle)) if handle is not None:
+                    self._loads.end(copy.run)
+                    return KvCopy(source, handle, active.run)
+                case Err(MoveFailure(MoveRefusal.FAILED)):
+                    listening = self._upstream_client.listening_state(source.record, until_s)
+                    if listening is not ListeningState.OPEN:
+                        return copy
+            if self._clock() + RETRY_PAUSE_S >= until_s:
+                self._log.request(
+                    "lost run may go on", active.request.call.id, source=source.record.id
+                )
+                return None
+            time.sleep(RETRY_PAUSE_S)
+
+    def _record_copy(self, move: _Move, copy: KvCopy) -> None:
+        unneeded = move.active.set_copy(copy, move.number)
+        if unneeded is not None and unneeded is not move.active.run:
             self._loads.end(unneeded)
 
-    def _copy(
-        self, active: ActiveGeneration, target: _Target, is_final: bool
-    ) -> Result[MovedCopy, MoveFailure]:
+    def _copy(self, move: _Move, target: _Target, is_final: bool) -> Result[MovedCopy, MoveFailure]:
         until_s = self._clock() + COPY_TIMEOUT_S
-        source = active.known.record
-        address = target.known.record.address
         return self._upstream_client.move(
-            source, active.request.call.id, address, is_final, until_s
+            move.source.record,
+            move.active.request.call.id,
+            target.known.record.address,
+            is_final,
+            until_s,
         )
 
-    def _log_event(
-        self, active: ActiveGeneration, target: _Target, event: str, failure: MoveFailure
-    ) -> None:
+    def _log_event(self, move: _Move, target: _Target, event: str, failure: MoveFailure) -> None:
         self._log.request(
             event,
-            active.request.call.id,
-            source=active.known.record.id,
+            move.active.request.call.id,
+            source=move.source.record.id,
             upstream=target.known.record.id,
             reason=failure.refusal.value,
         )
-
-
-def _is_needed(active: ActiveGeneration) -> bool:
-    return active.known.is_leaving or active.known.is_missing
--- a/gooseberryquay/serving/tests/test_generation_handler.py
+++ b/gooseberryquay/serving/tests/test_generation_handler.py
@@ -34,6 +34,9 @@
 
 RECORDS = [build_record(f"engine-{number}") for number in range(3)]
 FAILED_MOVE = MoveFailure(MoveRefusal.FAILED)
+FAILED_FINAL = Err(FAILED_MOVE)
+IN_PROGRESS = Err(MoveFailure(MoveRefusal.IN_PROGRESS))
+UNKNOWN_RUN = Err(MoveFailure(MoveRefusal.UNKNOWN_RUN))
 REFUSED = ScriptedResponse(503, is_not_run=True)
 GUARANTEEING = [408, 421, 429, 503]
 
@@ -161,6 +164,7 @@
 def test_early_copy_is_used_when_the_engine_dies_before_the_migration_ends():
     refused = Err(MoveFailure(MoveRefusal.FAILED))
     path = _path(moves=[copied("ahead"), refused])
+    path.upstream_client.listening["engine-0"] = ListeningState.REFUSED
     path.upstream_client.responses = [
         _stream(1, 2, BROKEN, before_part=_leaving_before(path, 2)),
         _stream(3, 3),
@@ -173,6 +177,7 @@
 def test_generation_resumed_from_an_early_copy_is_counted_at_its_new_engine():
     """The migration ended the run that the generation had just resumed with."""
     path = _path()
+    path.upstream_client.listening["engine-0"] = ListeningState.REFUSED
     counted = []
 
     def move(_source, _id, _target, _is_final, _until_s):
@@ -198,6 +203,51 @@
     assert counted == [1, 1]
 
 
+def _break_after_a_copy(path, answers):
+    """Let a stream break once its engine is missing and copied; return the final moves."""
+    finals, copies = [], [copied("ahead")]
+
+    def move(source, _id, _target, is_final, _until_s):
+        if is_final:
+            finals.append(source.id)
+            return answers.pop(0) if answers else FAILED_FINAL
+        return copies.pop() if copies else FAILED_FINAL
+
+    path.upstream_client.move = move
+    hook = _missing_before(path, 2, lambda _active: None)
+    path.upstream_client.responses = [_stream(1, 2, BROKEN, before_part=hook), _stream(3, 3)]
+    return finals
+
+
+@pytest.mark.parametrize(
+    ("answers", "copy"),
+    [
+        ([copied("last")], "last"),
+        ([FAILED_FINAL, IN_PROGRESS, copied("last")], "last"),
+        ([UNKNOWN_RUN], "ahead"),
+        ([Err(MoveFailure(MoveRefusal.NO_ROOM, copied("kept").ok_value.handle))], "kept"),
+    ],
+)
+def test_run_whose_stream_broke_is_stopped_before_its_copy_is_used(answers, copy):
+    """The engine before went on beside the one that had the copy."""
+    path = _path()
+    count = len(answers)
+    finals = _break_after_a_copy(path, list(answers))
+    _, caller = _serve(path)
+    assert caller.is_complete
+    assert path.upstream_client.opened[1][1].continuation.copy.name == copy
+    assert finals == ["engine-0"] * count
+
+
+def test_generation_does_not_go_on_if_its_engine_listens_but_cannot_be_stopped():
+    path = _path()
+    finals = _break_after_a_copy(path, [])
+    _, caller = _serve(path)
+    assert set(finals) == {"engine-0"}
+    assert (caller.body, caller.is_aborted) == (events(1, 2), True)
+    assert [each.name for each in path.upstream_client.freed] == ["ahead"]
+
+
 def test_full_target_is_replaced_by_another():
     no_room = Err(MoveFailure(MoveRefusal.NO_ROOM))
     path = _path(moves=[no_room, copied(), copied()])
