--- a/gooseberryquay/serving/request_handler.py
+++ b/gooseberryquay/serving/request_handler.py
@@ -55,18 +55,17 @@
 
     def serve(self, call: Call, caller: CallerWatch, response_writer: ResponseWriter) -> None:
         """Serve a request up to its final response."""
-        with self._counters.in_flight():
-            response = FinalResponse(response_writer)
-            routed = self._route(call, caller, response)
-            if isinstance(routed, Refusal):
-                self._refuse(call, None, response, routed)
-                return
-            # Registered before the check, so that a drain that begins now finds it in either place.
-            self._open[id(routed)] = routed
-            try:
-                self._serve_routed(routed)
-            finally:
-                del self._open[id(routed)]
+        response = FinalResponse(response_writer)
+        routed = self._route(call, caller, response)
+        if isinstance(routed, Refusal):
+            self._refuse(call, None, response, routed)
+            return
+        # Registered before the check, so that a drain that begins now finds it in either place.
+        self._open[id(routed)] = routed
+        try:
+            self._serve_routed(routed)
+        finally:
+            del self._open[id(routed)]
 
     def refuse_unsent(self) -> None:
         """Refuse at once the requests that were not sent yet and cannot end before the exit."""
