Refuse a request whose body ends before its declared length

Callers saw: a posting whose connection ended within its body (Content-Length declared, last byte missing) was answered 200 and had run with the part that arrived; a repeat with the whole body then counted as another request under a used key.

Cause: cheroot's reader of a body with a known length returns what it has at the end of the connection, and the server of the caller API passed that on.

Change: the body is read as on the forwarding server; one that ends early or is not framed as declared gets 400, and the connection closes.

--- a/gooseberryquay/daemons/tests/test_operations.py
+++ b/gooseberryquay/daemons/tests/test_operations.py
@@ -1,10 +1,19 @@
 """Non-idempotent operations run at most once; other operations get their own response."""
 
+import json
+import socket
 import threading
 
 import pytest
 
-from gooseberryquay.daemons.tests.builders import FIND_PATH, POST_PATH, call, small_plan, wait_until
+from gooseberryquay.daemons.tests.builders import (
+    FIND_PATH,
+    POST_PATH,
+    WORKSPACE,
+    call,
+    small_plan,
+    wait_until,
+)
 from gooseberryquay.standins.local_fleet import LocalFleet
 from gooseberryquay.standins.platform_control import PlatformControl
 from gooseberryquay.standins.platform_faults import Outage, PlatformFaults
@@ -63,6 +72,22 @@
     assert refused.error["ran"] == "no"
 
 
+def test_posting_whose_body_ends_early_is_not_run(fleet):
+    body = json.dumps({"kg": 1, "reference": "whole"}).encode()
+    head = (
+        f"POST {POST_PATH} HTTP/1.1\r\nHost: entry\r\nX-Workspace: {WORKSPACE}\r\n"
+        f"Idempotency-Key: cut-body\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    with socket.create_connection(fleet.entry_addresses()[0], timeout=20) as connection:
+        connection.sendall(head.encode() + body[:-1])
+        connection.shutdown(socket.SHUT_WR)
+        answer = b"".join(iter(lambda: connection.recv(4096), b""))
+    assert answer.startswith(b"HTTP/1.1 400 ")
+    assert _runs(fleet, "cut-body") == 0
+    whole = call(fleet.entry_addresses()[1], POST_PATH, json.loads(body), "cut-body")
+    assert (whole.status, whole.body["reference"]) == (200, "whole")
+
+
 @pytest.mark.parametrize(
     "fault", [CrossAnswers(), BreakAfterRun(), TruncateAnswers()], ids=lambda fault: fault.kind
 )
--- a/gooseberryquay/links/http_server.py
+++ b/gooseberryquay/links/http_server.py
@@ -18,6 +18,7 @@
     BodyWriter,
     StreamingGateway,
 )
+from gooseberryquay.links.strict_request import BodyIncomplete, read_whole_body
 from gooseberryquay.links.thread_pool import GrowingThreadPool
 
 __all__ = ["HttpServer", "Request", "Response", "Router", "StreamOpener"]
@@ -179,9 +180,13 @@
             gateway.start(_status_line(HTTPStatus.OK), self._header_list(content_type, headers))
             return gateway
 
-        response = self._router.handle(
-            _read_request(gateway.req, open_stream, gateway.after_response)
-        )
+        try:
+            request = _read_request(gateway.req, open_stream, gateway.after_response)
+        except BodyIncomplete:
+            gateway.req.close_connection = True
+            response = Response(HTTPStatus.BAD_REQUEST, b"{}")
+        else:
+            response = self._router.handle(request)
         if response.is_sent:
             return
         headers = self._header_list(response.content_type, response.headers, response.is_closing)
@@ -214,14 +219,13 @@
         name.decode(HEADER_CODING).lower().replace("_", "-"): value.decode(HEADER_CODING)
         for name, value in request.inheaders.items()
     }
-    has_body = "content-length" in headers or request.chunked_read
     headers.pop("content-length", None)
     return Request(
         method=request.method.decode(HEADER_CODING),
         path=request.path.decode(HEADER_CODING),
         query=_read_query(request.qs),
         headers=headers,
-        body=request.rfile.read() if has_body else b"",
+        body=read_whole_body(request),
         open_stream=open_stream,
         after_response=after_response,
     )
