Take a response whose head ends early for a broken connection

Callers saw: an engine that stops within the head of its 503 (or of any error) and closes counted as an engine that did not run the request, and the caller was told "ran: no"; a service that stops within the head of its answer to a posting gave a complete answer with an empty body.

Cause: http.client takes the end of the connection for the end of the headers.

Change: connections of HttpClient read the head with a response class that raises if the connection ends within it.

--- a/gooseberryquay/links/coalescing_connection.py
+++ b/gooseberryquay/links/coalescing_connection.py
@@ -4,6 +4,8 @@
 
 from urllib3.connection import HTTPConnection
 
+from gooseberryquay.links.response_head import CompleteHeadResponse
+
 __all__ = ["CoalescingConnection"]
 
 MAX_COALESCED_BYTES = 64 * 1024
@@ -12,6 +14,7 @@
 class CoalescingConnection(HTTPConnection):
     """Send a request in one system call, so that the server wakes up once instead of twice."""
 
+    response_class = CompleteHeadResponse
     _parts: list[bytes] | None = None
 
     def request(self, method: str, url: str, body: Any = None, *args: Any, **options: Any) -> None:
--- a/gooseberryquay/links/tests/test_generation_relay.py
+++ b/gooseberryquay/links/tests/test_generation_relay.py
@@ -3,6 +3,7 @@
 from contextlib import contextmanager, suppress
 from itertools import chain, repeat
 
+import pytest
 from result import Err, Ok
 
 from gooseberryquay.contracts.fields import Address
@@ -91,6 +92,13 @@
     assert result.unwrap_err().ran is Ran.MAYBE
 
 
+@pytest.mark.parametrize("length", range(1, len(UNAVAILABLE)))
+def test_refusal_that_ends_within_its_head_does_not_say_not_run(length):
+    with _engine(UNAVAILABLE[:length], b"") as address:
+        result, _ = _generate([_place_at(1, address), OVERLOADED])
+    assert result.unwrap_err().ran is Ran.MAYBE
+
+
 def test_generation_whose_resume_is_refused_may_have_run():
     with _engine(b"", UNAVAILABLE) as address:
         result, dispatcher = _generate([_place_at(1, address), OVERLOADED])
--- a/gooseberryquay/links/tests/test_service_client.py
+++ b/gooseberryquay/links/tests/test_service_client.py
@@ -60,10 +60,22 @@
         HEAD.format(200, "request-1", 5) + "ok",
         HEAD.format(200, "request-1", 2).replace("Content-Length: 2\r\n", "") + "ok",
         "HTTP/1.1 200 OK\r\nContent-Le",
+        HEAD.format(200, "request-1", 0)[:-2],
+        HEAD.format(503, "request-1", 0)[:-2],
         "",
         None,
     ],
-    ids=["misdirected", "misdirected refusal", "cut", "no length", "cut head", "closed", "no data"],
+    ids=[
+        "misdirected",
+        "misdirected refusal",
+        "cut",
+        "no length",
+        "cut head",
+        "cut after the last header",
+        "refusal cut after the last header",
+        "closed",
+        "no data",
+    ],
 )
 def test_bad_response_to_an_operation_that_may_not_repeat_is_undecided_after_one_attempt(answer):
     with serving(answer, HEAD.format(200, "request-1", 2) + "ok") as (client, opened):
