Let only a 503 to this request prove that an engine did not run it

Callers saw: a generation that an engine may have run was reported with "ran: no" if the engine answered 400, 401, 403, 405, 411, 413, 415, 422 or 429, or a 503 that names another request.

Cause: the engine client kept a list of its own of statuses that count as "not run"; the protocol for upstreams gives this meaning only to 503, and the plain services' client asked for the echo of the request id as well.

Change: links/execution_proof.py says what proves that a request was not executed. Whatever else an engine answers, the generation is cancelled there, and the failure says "maybe".

--- a/gooseberryquay/links/engine_client.py
+++ b/gooseberryquay/links/engine_client.py
@@ -7,6 +7,7 @@
 
 from gooseberryquay.contracts.upstream import UpstreamDeclaration
 from gooseberryquay.ids import GenerationId
+from gooseberryquay.links.execution_proof import proves_not_executed
 from gooseberryquay.links.http_client import HttpClient, ReplyStream, TransportFailure
 from gooseberryquay.machines.load_report import LoadReport, parse_load_report
 
@@ -14,21 +15,19 @@
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
-NOT_RUN_STATUSES = frozenset({400, 401, 403, 405, 411, 413, 415, 422, 429, 503})
 CANCEL_TIMEOUT_S = 1.0
 
 
 @dataclass(frozen=True)
 class EngineRefusal:
-    """Report an error status from the engine instead of a stream."""
+    """Report an error status from the engine instead of a stream.
+
+    `is_not_executed` is True only if the response proves that a new generation did not run.
+    """
 
     status: int
     report: LoadReport | None
-
-    @property
-    def is_not_run(self) -> bool:
-        """Return whether the status means that a new request was not run."""
-        return self.status in NOT_RUN_STATUSES
+    is_not_executed: bool
 
 
 @dataclass(frozen=True)
@@ -65,7 +64,7 @@
             "X-Priority": str(priority),
         }
         opened = self._client.open("POST", path, body, headers, first_token_timeout_s)
-        return _check_status(opened)
+        return _check_status(opened, generation)
 
     def resume(
         self, generation: GenerationId, from_index: int, idle_timeout_s: float
@@ -73,7 +72,8 @@
         """Read a generation's events from an index on, over a new connection."""
         self._replace_connections()
         path = f"/generations/{quote(generation, safe='')}?from={from_index}"
-        return _check_status(self._client.open("GET", path, read_timeout_s=idle_timeout_s))
+        opened = self._client.open("GET", path, read_timeout_s=idle_timeout_s)
+        return _check_status(opened, generation)
 
     def cancel(self, generation: GenerationId) -> None:
         """Ask the engine to cancel a generation; on failure its own timeout ends it."""
@@ -96,7 +96,7 @@
 
 
 def _check_status(
-    opened: Result[ReplyStream, TransportFailure],
+    opened: Result[ReplyStream, TransportFailure], generation: GenerationId
 ) -> Result[ReplyStream, OpenFailure]:
     match opened:
         case Err(failure):
@@ -104,7 +104,8 @@
         case Ok(stream) if stream.status == HTTP_OK:
             return Ok(stream)
         case Ok(stream):
-            refusal = EngineRefusal(stream.status, load_report_of(stream))
+            is_not_executed = proves_not_executed(stream.status, stream.headers, generation)
+            refusal = EngineRefusal(stream.status, load_report_of(stream), is_not_executed)
             is_unknown = stream.status == HTTP_NOT_FOUND
             stream.close()
             return Err(GenerationUnknown() if is_unknown else refusal)
--- a/gooseberryquay/links/generation_relay.py
+++ b/gooseberryquay/links/generation_relay.py
@@ -20,6 +20,7 @@
 from gooseberryquay.links.event_forwarder import EventForwarder
 from gooseberryquay.links.event_sink import EventSink
 from gooseberryquay.links.event_validator import EventValidator
+from gooseberryquay.links.execution_proof import was_never_sent
 from gooseberryquay.links.generation_name import EventPosition, GenerationName
 from gooseberryquay.links.http_client import (
     ConnectionBroken,
@@ -214,9 +215,9 @@
 def _refusal_of(opened: Result[ReplyStream, OpenFailure]) -> _StreamEnd | None:
     """Return how a generation ended that its engine provably never accepted, else None."""
     match opened:
-        case Err(EngineRefusal(is_not_run=True)):
+        case Err(EngineRefusal(is_not_executed=True)):
             return _StreamEnd.REFUSED
-        case Err(ConnectionBroken(was_sent=False) | TransportTimeout(was_sent=False)):
+        case Err((ConnectionBroken() | TransportTimeout()) as failure) if was_never_sent(failure):
             return _StreamEnd.UNREACHABLE
         case _:
             return None
--- a/gooseberryquay/links/tests/test_generation_relay.py
+++ b/gooseberryquay/links/tests/test_generation_relay.py
@@ -99,6 +99,24 @@
     assert result.unwrap_err().ran is Ran.MAYBE
 
 
+@pytest.mark.parametrize(
+    "status", [400, 401, 403, 404, 405, 408, 409, 411, 413, 415, 421, 422, 429, 500, 502, 504]
+)
+def test_status_that_is_no_proof_does_not_say_not_run(status):
+    answer = f"HTTP/1.1 {status} Failed\r\nContent-Length: 0\r\n\r\n".encode()
+    with _engine(answer) as address:
+        result, dispatcher = _generate([_place_at(1, address), OVERLOADED])
+    assert dispatcher.placed[0].outcome is Outcome.BROKEN
+    assert result.unwrap_err().ran is Ran.MAYBE
+
+
+def test_refusal_of_another_request_does_not_say_not_run():
+    crossed = UNAVAILABLE.replace(b"\r\n\r\n", b"\r\nX-Request-Id: engine-1~w~other\r\n\r\n")
+    with _engine(crossed) as address:
+        result, _ = _generate([_place_at(1, address), OVERLOADED])
+    assert result.unwrap_err().ran is Ran.MAYBE
+
+
 def test_generation_whose_resume_is_refused_may_have_run():
     with _engine(b"", UNAVAILABLE) as address:
         result, dispatcher = _generate([_place_at(1, address), OVERLOADED])
--- a/gooseberryquay/links/tests/test_retries.py
+++ b/gooseberryquay/links/tests/test_retries.py
@@ -24,7 +24,7 @@
 from gooseberryquay.standins.service import ServiceSettings, ServiceStandIn
 from gooseberryquay.standins.service_messages import BreakAfterRun
 
-REFUSED = Err(EngineRefusal(503, None))
+REFUSED = Err(EngineRefusal(503, None, is_not_executed=True))
 LOST = Err(GenerationUnknown())
 LOOKUP = ServiceCall("find-lot", "request-1", b"{}", RepeatPolicy.ALLOWED, 10.0)
 
