Do not pass on a service's 408, 421 or 429 to an operation that must run once

Callers saw: a posting that its service had run and answered 408, 421 or 429 was answered with that status, which callers take for "not run", and it was recorded as the key's answer.

Cause: every complete answer with the request's id, other than 503, was the operation's own response.

Change: the service client asks links/execution_proof.py. A status that promises "not run" without being a proof makes the outcome of an operation that may not be repeated unknown; lookups get their service's answer as before. The service stand-in can answer with any status after a run.

--- a/gooseberryquay/daemons/tests/test_operations.py
+++ b/gooseberryquay/daemons/tests/test_operations.py
@@ -18,6 +18,7 @@
 from gooseberryquay.standins.platform_control import PlatformControl
 from gooseberryquay.standins.platform_faults import Outage, PlatformFaults
 from gooseberryquay.standins.service_messages import (
+    AnswerAfterRun,
     BreakAfterRun,
     CrossAnswers,
     DelayAnswers,
@@ -103,6 +104,17 @@
     assert _runs(fleet, key) == 1
 
 
+@pytest.mark.parametrize("status", [408, 421, 429])
+def test_status_of_a_posting_that_ran_is_not_passed_on_as_a_promise_that_it_did_not(fleet, status):
+    key = f"ran-{status}"
+    fleet.inject(SERVICE, AnswerAfterRun(status=status))
+    first = call(fleet.entry_addresses()[0], POST_PATH, {"kg": 7}, key)
+    assert (first.status, first.error["ran"]) == (409, "maybe")
+    again = call(fleet.entry_addresses()[1], POST_PATH, {"kg": 7}, key)
+    assert (again.status, again.error["ran"]) == (409, "maybe")
+    assert _runs(fleet, key) == 1
+
+
 def test_lookup_gets_its_own_response_when_responses_are_swapped(fleet):
     fleet.inject(SERVICE, CrossAnswers())
     response = call(fleet.entry_addresses()[0], FIND_PATH, {"lot": 3}, "lookup-3")
--- a/gooseberryquay/links/service_client.py
+++ b/gooseberryquay/links/service_client.py
@@ -19,11 +19,16 @@
     UpstreamResponse,
     join_attempts,
 )
+from gooseberryquay.links.execution_proof import (
+    PROMISES_NOT_EXECUTED,
+    answers_request,
+    proves_not_executed,
+    was_never_sent,
+)
 from gooseberryquay.links.http_client import HttpClient, ReplyStream, TransportFailure
 
 __all__ = ["ServiceCall", "ServiceClient"]
 
-HTTP_UNAVAILABLE = 503
 DEFAULT_CONNECT_TIMEOUT_S = 0.5
 DEFAULT_IDLE_TIMEOUT_S = 5.0
 RETRY_AFTER_S = 1.0
@@ -136,9 +141,9 @@
 
 
 def _outcome_of(failure: TransportFailure) -> DispatchOutcome:
-    if failure.was_sent:
-        return IndeterminateOutcome(failure.message)
-    return _not_executed(failure.message)
+    if was_never_sent(failure):
+        return _not_executed(failure.message)
+    return IndeterminateOutcome(failure.message)
 
 
 def _not_executed(message: str) -> NotExecuted:
@@ -146,7 +151,7 @@
 
 
 def _read_response(stream: ReplyStream, call: ServiceCall, deadline_at_s: float) -> DispatchOutcome:
-    if stream.headers.get("x-request-id") != call.request_id:
+    if not answers_request(stream.headers, call.request_id):
         stream.close()
         return IndeterminateOutcome("the response does not match the request id")
     parts: list[bytes] = []
@@ -167,7 +172,7 @@
         stream.close()
         return IndeterminateOutcome("the response is incomplete")
     stream.release()
-    return _to_outcome(stream, body)
+    return _to_outcome(stream, body, call)
 
 
 def _is_whole(stream: ReplyStream, body: bytes) -> bool:
@@ -176,9 +181,12 @@
     return stream.headers.get("content-length") == str(len(body))
 
 
-def _to_outcome(stream: ReplyStream, body: bytes) -> DispatchOutcome:
-    if stream.status == HTTP_UNAVAILABLE:
+def _to_outcome(stream: ReplyStream, body: bytes, call: ServiceCall) -> DispatchOutcome:
+    if proves_not_executed(stream.status, stream.headers, call.request_id):
         return RefusedByUpstream("the upstream did not run the operation", _retry_after_s(stream))
+    if stream.status in PROMISES_NOT_EXECUTED and call.repeat is RepeatPolicy.NEVER:
+        message = f"the upstream's status {stream.status} does not prove that it did not run"
+        return IndeterminateOutcome(message)
     content_type = stream.headers.get("content-type", "application/json")
     return UpstreamResponse(stream.status, content_type, body)
 
--- a/gooseberryquay/standins/service.py
+++ b/gooseberryquay/standins/service.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from pydantic import BaseModel, ValidationError
 
@@ -11,6 +12,7 @@
 from gooseberryquay.standins.connection_break import broken_body
 from gooseberryquay.standins.later import call_later
 from gooseberryquay.standins.service_messages import (
+    AnswerAfterRun,
     BreakAfterRun,
     CrossAnswers,
     DelayAnswers,
@@ -39,7 +41,9 @@
     reference: str = ""
 
 
-CountedFault = CrossAnswers | DelayAnswers | BreakAfterRun | TruncateAnswers | RefuseBeforeRun
+CountedFault = (
+    AnswerAfterRun | CrossAnswers | DelayAnswers | BreakAfterRun | TruncateAnswers | RefuseBeforeRun
+)
 
 
 class ServiceStandIn(UpstreamStandIn):
@@ -162,4 +166,5 @@
     if isinstance(fault, TruncateAnswers):
         headers["Content-Length"] = str(len(body))
         return Response(body=broken_body(body[: len(body) // 2]), headers=headers)
-    return Response(body=body, headers=headers)
+    status = fault.status if isinstance(fault, AnswerAfterRun) else HTTPStatus.OK
+    return Response(status, body, headers=headers)
--- a/gooseberryquay/standins/service_messages.py
+++ b/gooseberryquay/standins/service_messages.py
@@ -5,6 +5,7 @@
 from pydantic import BaseModel, Field, TypeAdapter
 
 __all__ = [
+    "AnswerAfterRun",
     "BreakAfterRun",
     "CrossAnswers",
     "DelayAnswers",
@@ -72,6 +73,14 @@
     count: int = 1
 
 
+class AnswerAfterRun(BaseModel):
+    """Run the next requests and answer them with `status`."""
+
+    kind: Literal["answer_after_run"] = "answer_after_run"
+    status: int
+    count: int = 1
+
+
 class RefuseBeforeRun(BaseModel):
     """Refuse the next requests with status 503 without running them."""
 
@@ -93,7 +102,8 @@
 
 
 ServiceFault = Annotated[
-    CrossAnswers
+    AnswerAfterRun
+    | CrossAnswers
     | DelayAnswers
     | BreakAfterRun
     | TruncateAnswers
