Give a generation that may have run no status that promises it did not

Callers saw: an unstreamed generation whose only engine died after it had started was answered 503 with "ran: maybe": the status that callers and balancers take for "not run".

Cause: when no further engine could be had, the failure of the last placement was sent with its own status, and only its "ran" was changed.

Change: such a failure becomes upstream_failed (502) with the same message and time to come back.

Before: status 503 in a run of a whole entry (test_refusals). After: 502; tests of the relay: 62 passed beside it.

--- a/gooseberryquay/links/generation_relay.py
+++ b/gooseberryquay/links/generation_relay.py
@@ -20,7 +20,7 @@
 from gooseberryquay.links.event_forwarder import EventForwarder
 from gooseberryquay.links.event_sink import EventSink
 from gooseberryquay.links.event_validator import EventValidator
-from gooseberryquay.links.execution_proof import was_never_sent
+from gooseberryquay.links.execution_proof import mark_possible_run, was_never_sent
 from gooseberryquay.links.generation_name import EventPosition, GenerationName
 from gooseberryquay.links.http_client import (
     ConnectionBroken,
@@ -91,7 +91,7 @@
         for attempt in range(1, MAX_ATTEMPTS + 1):
             match self._dispatcher.place(work):
                 case Err(failure):
-                    return Err(replace(failure, ran=Ran.MAYBE) if may_have_run else failure)
+                    return Err(mark_possible_run(failure) if may_have_run else failure)
                 case Ok(placement):
                     end = self._run_placed(work, path, body, placement, sink)
             if end is _StreamEnd.DONE:
