Say "maybe" in a refusal to resume a generation

Callers saw: a request with Last-Event-ID that was refused (another or an unknown workspace, a deadline that is past, a malformed header, an unknown event id) said "ran: no", though its generation had run.

Cause: only idempotency keys were taken for a sign of an earlier run.

Change: a Last-Event-ID is one too, and the refusals of a resume are marked like those of a key.

--- a/gooseberryquay/links/caller_api.py
+++ b/gooseberryquay/links/caller_api.py
@@ -17,6 +17,7 @@
 )
 from gooseberryquay.ids import RequestId
 from gooseberryquay.links.caller_request import (
+    LAST_EVENT_ID_HEADER,
     CallerContext,
     mark_possible_earlier_run,
     read_context,
@@ -87,7 +88,7 @@
     def _check(self, request: Request) -> Failure | None:
         if len(request.body) > self._body_bytes_max:
             return RequestTooLarge(f"the body is over {self._body_bytes_max} bytes")
-        is_resume = "last-event-id" in request.headers
+        is_resume = LAST_EVENT_ID_HEADER in request.headers
         match self._state.refusal():
             case EntryLeaving() if is_resume:
                 return None
--- a/gooseberryquay/links/caller_request.py
+++ b/gooseberryquay/links/caller_request.py
@@ -13,6 +13,7 @@
 from gooseberryquay.zones.configuration import Configuration
 
 __all__ = [
+    "LAST_EVENT_ID_HEADER",
     "CallerContext",
     "is_first_attempt",
     "mark_possible_earlier_run",
@@ -24,6 +25,7 @@
 KIND_PATTERN = re.compile(r"[A-Za-z0-9_.-]{1,64}")
 DEFAULT_KIND = WorkKind("default")
 FIRST_RETRY_COUNT = "0"
+LAST_EVENT_ID_HEADER = "last-event-id"
 MAX_DEADLINE_MS = 24 * 3600 * 1000
 RANDOM_BYTES = 12
 
@@ -53,14 +55,15 @@
 
 
 def mark_possible_earlier_run(failure: Failure, request: Request) -> Failure:
-    """Change `ran` to "maybe" if an earlier request with the same idempotency key may have run.
+    """Change `ran` to "maybe" if an earlier request for the same key or generation may have run.
 
     Idempotency records are not checked before a request is accepted. The earlier request may have
     been accepted because it had other headers, came under another configuration or reached an
-    entry with a different one.
+    entry with a different one. A request that resumes a generation follows one that started it.
     """
     is_repeat = "idempotency-key" in request.headers and not is_first_attempt(request)
-    return replace(failure, ran=Ran.MAYBE) if is_repeat else failure
+    is_resume = LAST_EVENT_ID_HEADER in request.headers
+    return replace(failure, ran=Ran.MAYBE) if is_repeat or is_resume else failure
 
 
 def read_context(
--- a/gooseberryquay/links/completion_api.py
+++ b/gooseberryquay/links/completion_api.py
@@ -15,7 +15,11 @@
     WrongWorkspace,
 )
 from gooseberryquay.ids import RequestId, ServiceId
-from gooseberryquay.links.caller_request import CallerContext
+from gooseberryquay.links.caller_request import (
+    LAST_EVENT_ID_HEADER,
+    CallerContext,
+    mark_possible_earlier_run,
+)
 from gooseberryquay.links.completion_request import (
     DEFAULT_MAX_TOKENS,
     CompletionRequest,
@@ -50,7 +54,7 @@
 
     def complete(self, request: Request, context: CallerContext) -> Response:
         """Serve one request to a completion path."""
-        position = request.headers.get("last-event-id")
+        position = request.headers.get(LAST_EVENT_ID_HEADER)
         if position is not None:
             return self._resume(request, context, position)
         match self._read(request, context):
@@ -94,12 +98,12 @@
     def _resume(self, request: Request, context: CallerContext, event_id: str) -> Response:
         match EventPosition.parse(event_id):
             case Err(failure):
-                return refuse(failure, context.request_id)
+                return refuse(mark_possible_earlier_run(failure, request), context.request_id)
             case Ok(position):
                 pass
         if not position.generation.belongs_to(context.workspace):
-            wrong_workspace = WrongWorkspace("the generation belongs to another workspace")
-            return refuse(wrong_workspace, context.request_id)
+            foreign = WrongWorkspace("the generation belongs to another workspace")
+            return refuse(mark_possible_earlier_run(foreign, request), context.request_id)
         record = _start_record(context, RESUMED_SERVICE, float("inf"))
         sink = StreamSink(request.open_stream, _headers_of(context), record)
         return self._stream(context, sink, lambda: self._relay.resume(position, sink))
