--- a/gooseberryquay/daemons/tests/test_operations.py
+++ b/gooseberryquay/daemons/tests/test_operations.py
@@ -1,14 +1,24 @@
 """Non-idempotent operations run at most once; other operations get their own response."""
 
+import json
+import socket
 import threading
 
 import pytest
 
-from gooseberryquay.daemons.tests.builders import FIND_PATH, POST_PATH, call, small_plan, wait_until
+from gooseberryquay.daemons.tests.builders import (
+    FIND_PATH,
+    POST_PATH,
+    WORKSPACE,
+    call,
+    small_plan,
+    wait_until,
+)
 from gooseberryquay.standins.local_fleet import LocalFleet
 from gooseberryquay.standins.platform_control import PlatformControl
 from gooseberryquay.standins.platform_faults import Outage, PlatformFaults
 from gooseberryquay.standins.service_messages import (
+    AnswerAfterRun,
     BreakAfterRun,
     CrossAnswers,
     DelayAnswers,
@@ -63,6 +73,22 @@
     assert refused.error["ran"] == "no"
 
 
+def test_posting_whose_body_ends_early_is_not_run(fleet):
+    body = json.dumps({"kg": 1, "reference": "whole"}).encode()
+    head = (
+        f"POST {POST_PATH} HTTP/1.1\r\nHost: entry\r\nX-Workspace: {WORKSPACE}\r\n"
+        f"Idempotency-Key: cut-body\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    with socket.create_connection(fleet.entry_addresses()[0], timeout=20) as connection:
+        connection.sendall(head.encode() + body[:-1])
+        connection.shutdown(socket.SHUT_WR)
+        answer = b"".join(iter(lambda: connection.recv(4096), b""))
+    assert answer.startswith(b"HTTP/1.1 400 ")
+    assert _runs(fleet, "cut-body") == 0
+    whole = call(fleet.entry_addresses()[1], POST_PATH, json.loads(body), "cut-body")
+    assert (whole.status, whole.body["reference"]) == (200, "whole")
+
+
 @pytest.mark.parametrize(
     "fault", [CrossAnswers(), BreakAfterRun(), TruncateAnswers()], ids=lambda fault: fault.kind
 )
@@ -78,6 +104,17 @@
     assert _runs(fleet, key) == 1
 
 
+@pytest.mark.parametrize("status", [408, 421, 429])
+def test_status_of_a_posting_that_ran_is_not_passed_on_as_a_promise_that_it_did_not(fleet, status):
+    key = f"ran-{status}"
+    fleet.inject(SERVICE, AnswerAfterRun(status=status))
+    first = call(fleet.entry_addresses()[0], POST_PATH, {"kg": 7}, key)
+    assert (first.status, first.error["ran"]) == (409, "maybe")
+    again = call(fleet.entry_addresses()[1], POST_PATH, {"kg": 7}, key)
+    assert (again.status, again.error["ran"]) == (409, "maybe")
+    assert _runs(fleet, key) == 1
+
+
 def test_lookup_gets_its_own_response_when_responses_are_swapped(fleet):
     fleet.inject(SERVICE, CrossAnswers())
     response = call(fleet.entry_addresses()[0], FIND_PATH, {"lot": 3}, "lookup-3")
