Judge lost requests and responses that end early in the soak

Callers of real processes saw connections that ended without a response, and the soak judged them by nothing: such a call had no status and no violation. Each call now records how its connection ended, by its bytes, and when the request had been sent. A call that an upstream received, or that was sent more than 0.2 s before, and that was cut is a violation of LOST, unless the entry was killed or frozen, or the link of its caller faulted, during the call. Planned stops excuse only streams that began before them and ran until the end of the grace; upstreams that broke off, and the time limit, only streams that had begun. Bytes that are no response, a truncated head, a missing seal and a failure under another response's seal are MIXED.

Stops of one entry that overlap start it once, no longer twice.

--- /dev/null
+++ b/gooseberryquay/standins/node_platform/entry_history.py
@@ -0,0 +1,63 @@
+"""What a soak did to an entry and to the links of its callers."""
+
+import math
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+__all__ = ["Disruption", "EntryHistory"]
+
+
+@dataclass
+class Disruption:
+    """Time in which an entry was killed or frozen, or the link to one of its ports faulted.
+
+    `port` is None for a disruption of the process itself.
+    """
+
+    from_s: float
+    until_s: float = math.inf
+    port: int | None = None
+
+
+@dataclass
+class EntryHistory:
+    """Disruptions and planned stops of one entry, in seconds of the monotonic clock."""
+
+    grace_s: float = 0.0
+    disruptions: list[Disruption] = field(default_factory=list)
+    stops: list[float] = field(default_factory=list)
+
+    @contextmanager
+    def disrupted(self, port: int | None = None) -> Iterator[Disruption]:
+        """Record a disruption that lasts as long as the context."""
+        disruption = self.begin_disruption(port)
+        try:
+            yield disruption
+        finally:
+            disruption.until_s = time.monotonic()
+
+    def begin_disruption(self, port: int | None = None) -> Disruption:
+        """Record a disruption without an end."""
+        disruption = Disruption(time.monotonic(), port=port)
+        self.disruptions.append(disruption)
+        return disruption
+
+    def add_stop(self) -> None:
+        """Record a planned stop."""
+        self.stops.append(time.monotonic())
+
+    def is_disrupted(self, from_s: float, until_s: float, port: int) -> bool:
+        """Return whether a disruption overlaps an exchange on a port."""
+        return any(
+            each.from_s <= until_s and from_s <= each.until_s and each.port in {None, port}
+            for each in list(self.disruptions)
+        )
+
+    def is_link_disrupted(self, from_s: float, until_s: float, port: int) -> bool:
+        """Return whether a fault of the callers' link overlaps an exchange on a port."""
+        return any(
+            each.from_s <= until_s and from_s <= each.until_s and each.port == port
+            for each in list(self.disruptions)
+        )
--- a/gooseberryquay/standins/node_platform/run_record.py
+++ b/gooseberryquay/standins/node_platform/run_record.py
@@ -17,16 +17,33 @@
 
     runs: dict[str, list[str]] = field(default_factory=lambda: defaultdict(list))
     arrivals: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    # Upstreams that each request reached, whether they ran it or not.
+    receivers: dict[str, list[str]] = field(default_factory=lambda: defaultdict(list))
+    # Requests whose stream an upstream broke off after its first bytes.
+    broken_off: set[str] = field(default_factory=set)
+    # Status codes of the sealed responses to each request.
+    sealed_statuses: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))
     unexpected_requests: list[str] = field(default_factory=list)
     # Arrival times of requests that crash their upstream, and the times of these crashes.
     crash_request_arrivals: list[float] = field(default_factory=list)
     crashes: list[float] = field(default_factory=list)
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
-    def add_arrival(self, upstream: str) -> None:
+    def add_arrival(self, upstream: str, request: str) -> None:
         """Record that a request reached an upstream."""
         with self._lock:
             self.arrivals[upstream].append(time.monotonic())
+            self.receivers[request].append(upstream)
+
+    def add_broken_off(self, request: str) -> None:
+        """Record that an upstream broke off a stream that had begun."""
+        with self._lock:
+            self.broken_off.add(request)
+
+    def add_sealed_status(self, request: str, status: int) -> None:
+        """Record the status of a sealed response."""
+        with self._lock:
+            self.sealed_statuses[request].append(status)
 
     def add_crash_request(self, _upstream: str) -> None:
         """Record that a request that crashes its upstream reached one."""
@@ -52,3 +69,18 @@
         """Return the upstreams that executed a request, in order of execution."""
         with self._lock:
             return list(self.runs.get(request, ()))
+
+    def receivers_of(self, request: str) -> list[str]:
+        """Return the upstreams that received a request, in order of arrival."""
+        with self._lock:
+            return list(self.receivers.get(request, ()))
+
+    def was_broken_off(self, request: str) -> bool:
+        """Return whether an upstream broke off a stream of the request."""
+        with self._lock:
+            return request in self.broken_off
+
+    def sealed_statuses_of(self, request: str) -> list[int]:
+        """Return the status codes of the sealed responses to a request."""
+        with self._lock:
+            return list(self.sealed_statuses.get(request, ()))
--- a/gooseberryquay/standins/node_platform/soak.py
+++ b/gooseberryquay/standins/node_platform/soak.py
@@ -11,13 +11,11 @@
 
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.standins.fault_proxy import FaultProxy
-from gooseberryquay.standins.node_platform.site import KEY, EntryPorts, Site
-from gooseberryquay.standins.node_platform.soak_callers import (
-    Callers,
-    CallKind,
-    call_once,
-    find_violations,
-)
+from gooseberryquay.standins.node_platform.call_result import CallKind
+from gooseberryquay.standins.node_platform.entry_history import Disruption, EntryHistory
+from gooseberryquay.standins.node_platform.site import GRACE_S, KEY, EntryPorts, Site
+from gooseberryquay.standins.node_platform.soak_callers import Callers, call_once
+from gooseberryquay.standins.node_platform.soak_judges import Rule, Violation, find_violations
 from gooseberryquay.standins.node_platform.store import StoreAvailability
 from gooseberryquay.standins.node_platform.upstream_server import (
     ModelEngine,
@@ -45,6 +43,7 @@
 # IN_FORCE_S holds for changes made after the store has been available for this long.
 SETTLED_AFTER_S = 3.0
 DRAIN_S = 2.0
+STOP_TIMEOUT_S = 20.0
 UPSTREAMS_MIN = 2
 SHED_PAUSE_S = 0.8
 # Requests to an upstream that states a rate, in a window after all entries have been told.
@@ -61,6 +60,8 @@
     store_proxy: FaultProxy
     log_path: str
     process: ListeningProcess
+    history: EntryHistory = field(default_factory=lambda: EntryHistory(GRACE_S))
+    restart_lock: threading.Lock = field(default_factory=threading.Lock)
 
     def start(self) -> None:
         self.process = ListeningProcess(
@@ -80,7 +81,7 @@
     requests: int
     served: int
     faults: list[str]
-    violations: list[str]
+    violations: list[Violation]
 
 
 @dataclass
@@ -92,7 +93,7 @@
     folder: Path
     has_rate_limits: bool = False
     faults: list[str] = field(default_factory=list)
-    violations: list[str] = field(default_factory=list)
+    violations: list[Violation] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self._rng = random.Random(self.seed)
@@ -124,7 +125,8 @@
                 entry.process.kill()
                 entry.store_proxy.stop()
             self._site.stop()
-        self.violations += find_violations(callers.results, self._site.record)
+        histories = {each.ports.callers: each.history for each in self._entries}
+        self.violations += find_violations(callers.results, self._site.record, histories)
         served = sum(each.status == http.client.OK for each in callers.results)
         return SoakReport(self.seed, len(callers.results), served, self.faults, self.violations)
 
@@ -183,16 +185,28 @@
 
     def _restart(self, entry: _Entry, how: signal.Signals) -> None:
         process = entry.process
-        if process.is_running():
+        if not process.is_running():
+            return
+        if how is signal.SIGKILL:
+            with entry.history.disrupted():
+                process.send_signal(how)
+                process.wait(STOP_TIMEOUT_S)
+        else:
+            entry.history.add_stop()
             process.send_signal(how)
-            process.wait(20.0)
-            entry.start()
+            process.wait(STOP_TIMEOUT_S)
+        with entry.restart_lock:
+            # Another stop that overlapped this one may have started the entry again.
+            if entry.process is process:
+                entry.start()
 
     def _pause_entry(self) -> None:
-        process = self._rng.choice(self._entries).process
+        entry = self._rng.choice(self._entries)
+        process = entry.process
         if process.is_running():
+            disruption = entry.history.begin_disruption()
             process.send_signal(signal.SIGSTOP)
-            self._schedule(self._rng.uniform(0.5, 3.0), lambda: _resume(process))
+            self._schedule(self._rng.uniform(0.5, 3.0), lambda: _resume(process, disruption))
 
     def _reload_entry(self) -> None:
         process = self._rng.choice(self._entries).process
@@ -291,11 +305,14 @@
         for entry in self._entries:
             entry.store_proxy.apply_fault(HealLink())
 
+    def _report(self, rule: Rule, description: str) -> None:
+        self.violations.append(Violation(rule, description))
+
     def _check_recovery(self) -> None:
         """Check that each entry serves, applies the newest configuration and honors a drain."""
         for entry in self._entries:
             if not self._serves(entry, CallKind.POST, RECOVERY_S):
-                self.violations.append(f"{entry.ports.name} does not serve after the faults")
+                self._report(Rule.RECOVER, f"{entry.ports.name} does not serve after the faults")
         time.sleep(SETTLED_AFTER_S)
         drained = next(iter(self._site.services))
         self._replace(drained)
@@ -307,14 +324,14 @@
         for entry in self._entries:
             status = call_once(entry.ports.callers, CallKind.READ, rng).status
             if status != http.client.UNAUTHORIZED:
-                self.violations.append(f"{entry.ports.name} responds {status} to a removed key")
+                self._report(Rule.CONFIG, f"{entry.ports.name} responds {status} to a removed key")
         self._site.configure()
         time.sleep(IN_FORCE_S)
         for entry in self._entries:
             if not self._serves(entry, CallKind.READ, 0.0):
-                self.violations.append(f"{entry.ports.name} rejects an added key")
+                self._report(Rule.CONFIG, f"{entry.ports.name} rejects an added key")
         if len(self._site.record.arrivals[drained]) > arrivals_at_bound:
-            self.violations.append(f"{drained} received requests after its drain limit")
+            self._report(Rule.DRAIN, f"{drained} received requests after its drain limit")
 
     def _check_rate_limit(self) -> None:
         """Check that all entries together keep to the rate that an upstream states."""
@@ -326,9 +343,10 @@
         arrivals = len(self._site.record.arrivals[limited.id]) - arrivals_before
         allowed = RATE_OVERAGE * RATE_WINDOW_S * rate_per_s + RATE_ALLOWANCE
         if arrivals > allowed:
-            self.violations.append(
+            self._report(
+                Rule.RATE,
                 f"{limited.id} received {arrivals} requests at {rate_per_s} per second, "
-                f"allowed {allowed:.0f}"
+                f"allowed {allowed:.0f}",
             )
         _end_limits([limited])
 
@@ -348,6 +366,7 @@
         each.faults.rate_limit_per_s = None
 
 
-def _resume(process: ListeningProcess) -> None:
+def _resume(process: ListeningProcess, disruption: Disruption) -> None:
     if process.is_running():
         process.send_signal(signal.SIGCONT)
+    disruption.until_s = time.monotonic()
--- a/gooseberryquay/standins/node_platform/soak_callers.py
+++ b/gooseberryquay/standins/node_platform/soak_callers.py
@@ -6,44 +6,23 @@
 import time
 import uuid
 from dataclasses import dataclass, field
-from enum import Enum
 
-from gooseberryquay.standins.node_platform.run_record import RunRecord
+from gooseberryquay.standins.node_platform.call_result import CallEnd, CallKind, CallResult
+from gooseberryquay.standins.node_platform.caller_connection import CallerConnection, Exchange
 from gooseberryquay.standins.node_platform.site import HOST, KEY
+from gooseberryquay.standins.node_platform.soak_judges import find_violations
+from gooseberryquay.standins.node_platform.upstream_server import failure_body
 
 __all__ = ["CallKind", "CallResult", "Callers", "call_once", "find_violations"]
 
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 RESPONSE_TIMEOUT_S = 12.0
 PAUSE_S = 0.05
 LAST_EVENTS = (2, 20, 80)
 TOKENS_PER_EVENT = 4
 
 
-class CallKind(Enum):
-    """Kinds of requests to a site; the value is the first part of the path."""
-
-    NOTE = "note"
-    CHECK = "check"
-    POST = "post"
-    READ = "read"
-
-
-@dataclass(frozen=True)
-class CallResult:
-    """Outcome of one request; `status` is None if the connection failed or timed out."""
-
-    id: str
-    kind: CallKind
-    port: int
-    began_at_s: float
-    ended_at_s: float
-    status: int | None
-    fault: str | None = None
-
-
 def call_once(
-    port: int, kind: CallKind, rng: random.Random, pooled: http.client.HTTPConnection | None = None
+    port: int, kind: CallKind, rng: random.Random, pooled: CallerConnection | None = None
 ) -> CallResult:
     """Send one request and check its response.
 
@@ -53,38 +32,49 @@
     last = rng.choice(LAST_EVENTS) if kind is CallKind.NOTE else LAST_EVENTS[0]
     headers = {"Host": HOST, "X-Attempt-Id": id, "X-Deadline-Ms": "10000", "X-Hold": "forged"}
     headers["Authorization"] = f"Bearer {KEY}"
-    if kind in {CallKind.NOTE, CallKind.CHECK}:
+    if kind.is_streaming:
         headers["X-Model"] = "m"
         headers["X-Token-Usage"] = f"100,{last * TOKENS_PER_EVENT}"
-    connection = pooled or http.client.HTTPConnection("127.0.0.1", port, timeout=RESPONSE_TIMEOUT_S)
+    connection = pooled or CallerConnection(port, RESPONSE_TIMEOUT_S)
     began_at_s = time.monotonic()
-    status, fault = None, None
-    try:
-        connection.request("POST", f"/{kind.value}/{id}", b"{}", headers)
-        response = connection.getresponse()
-        body = response.read()
-        status = response.status
-        if status == http.client.OK:
-            fault = _find_response_fault(kind, id, last, body)
-    except TimeoutError:
-        fault = "no response before the timeout"
-    except (OSError, http.client.HTTPException):
-        pass
-    if pooled is None or status is None:
+    exchange = connection.exchange(f"/{kind.value}/{id}", headers, b"{}")
+    ended_at_s = time.monotonic()
+    if pooled is None:
         connection.close()
-    return CallResult(id, kind, port, began_at_s, time.monotonic(), status, fault)
+    return CallResult(
+        id,
+        kind,
+        port,
+        began_at_s,
+        ended_at_s,
+        exchange.status if exchange.end is CallEnd.COMPLETE else None,
+        _find_response_fault(kind, id, last, exchange),
+        exchange.end,
+        exchange.sent_at_s,
+        has_begun=exchange.status == http.client.OK,
+        seal=exchange.headers.get("x-response-seal"),
+    )
 
 
-def _find_response_fault(kind: CallKind, id: str, last: int, body: bytes) -> str | None:
-    if kind in {CallKind.NOTE, CallKind.CHECK}:
+def _find_response_fault(kind: CallKind, id: str, last: int, exchange: Exchange) -> str | None:
+    if exchange.end is CallEnd.MALFORMED:
+        return "the connection carried bytes that are no response to the request"
+    if exchange.end is not CallEnd.COMPLETE:
+        return None
+    seal = exchange.headers.get("x-response-seal")
+    if exchange.status != http.client.OK and seal is None:
+        return None
+    if exchange.status != http.client.OK:
+        expected = failure_body(id)
+    elif kind.is_streaming:
         expected = "".join(f"id: {number}\ndata: {id} v1\n\n" for number in range(1, last + 1))
     else:
         expected = f"done {id}"
-    return (
-        None
-        if body == expected.encode()
-        else f"response of {len(body)} bytes does not belong to the request"
-    )
+    if exchange.body != expected.encode():
+        return f"response of {len(exchange.body)} bytes does not belong to the request"
+    if exchange.status == http.client.OK and seal != f"{id}.s":
+        return f"successful response with the seal {seal!r}"
+    return None
 
 
 @dataclass
@@ -114,25 +104,12 @@
     def _run(self, number: int) -> None:
         rng = random.Random(f"{self.seed}/{number}")
         port = rng.choice(self.ports)
-        pooled = http.client.HTTPConnection("127.0.0.1", port, timeout=RESPONSE_TIMEOUT_S)
+        pooled = CallerConnection(port, RESPONSE_TIMEOUT_S)
         while not self._stopped.is_set():
             result = call_once(port, rng.choice(list(CallKind)), rng, pooled)
             self.results.append(result)
             if result.status is None:
                 pooled.close()
                 port = rng.choice(self.ports)
-                pooled = http.client.HTTPConnection("127.0.0.1", port, timeout=RESPONSE_TIMEOUT_S)
+                pooled = CallerConnection(port, RESPONSE_TIMEOUT_S)
             time.sleep(PAUSE_S * rng.random())
-
-
-def find_violations(results: list[CallResult], record: RunRecord) -> list[str]:
-    """Return a description of each guarantee that a response or a run violates."""
-    found = [f"{each.kind.value} {each.id}: {each.fault}" for each in results if each.fault]
-    found += [f"unexpected request: {each}" for each in record.unexpected_requests]
-    for result in results:
-        runs = record.runs_of(result.id)
-        if result.kind in {CallKind.NOTE, CallKind.POST} and len(runs) > 1:
-            found.append(f"{result.kind.value} {result.id} ran at {runs}")
-        if result.status in NOT_RUN_STATUSES and runs and result.kind is not CallKind.READ:
-            found.append(f"{result.kind.value} {result.id} got {result.status}, but ran at {runs}")
-    return found
--- a/gooseberryquay/standins/node_platform/soak_command.py
+++ b/gooseberryquay/standins/node_platform/soak_command.py
@@ -27,7 +27,9 @@
     line = f"seed {report.seed}: {report.requests} requests, {report.served} served"
     if not report.violations:
         return line
-    return "\n  ".join([f"{line}; faults {' '.join(report.faults)}", *report.violations[:20]])
+    return "\n  ".join(
+        [f"{line}; faults {' '.join(report.faults)}", *map(str, report.violations[:20])]
+    )
 
 
 def _keep_logs(scratch: Path, folder: Path) -> None:
--- a/gooseberryquay/standins/node_platform/upstream_server.py
+++ b/gooseberryquay/standins/node_platform/upstream_server.py
@@ -1,5 +1,6 @@
 """Model engine and plain service, as the users' platform runs them."""
 
+import http.client
 import json
 import random
 import threading
@@ -19,7 +20,7 @@
 )
 from gooseberryquay.standins.process import find_free_port
 
-__all__ = ["ModelEngine", "PlainService", "UpstreamFaults"]
+__all__ = ["ModelEngine", "PlainService", "UpstreamFaults", "failure_body"]
 
 MS_PER_S = 1000.0
 HEADER_BYTES_MAX = 65536
@@ -28,6 +29,11 @@
 JSON_HEADERS = [("Content-Type", "application/json")]
 
 
+def failure_body(request: str) -> str:
+    """Return the body with which an upstream responds that a request has failed."""
+    return f"failed {request}"
+
+
 @dataclass
 class UpstreamFaults:
     """Probability of each fault for a request to an upstream."""
@@ -146,7 +152,7 @@
     def _handle(self, received: _ReceivedRequest) -> None:
         if self._handle_control(received):
             return
-        self.record.add_arrival(self.id)
+        self.record.add_arrival(self.id, received.id)
         if received.headers.get("x-expect-instance", self.id) != self.id:
             received.respond("421 Misdirected Request", [("X-Instance-Id", self.id)])
             return
@@ -191,6 +197,12 @@
         if crash_mode_of(received.body) is CrashMode.MIDWAY:
             self.crash(CrashMode.MIDWAY)
 
+    def _respond_failed(self, received: _ReceivedRequest, status_line: str) -> None:
+        """Respond that a request that was run has failed."""
+        self.record.add_sealed_status(received.id, int(status_line[:3]))
+        seal = ("X-Response-Seal", f"{received.id}.e")
+        received.respond(status_line, [seal], failure_body(received.id).encode())
+
     def _run(self, received: _ReceivedRequest) -> None:
         raise NotImplementedError
 
@@ -208,8 +220,9 @@
         if self._occurs(self.faults.lose_answer_share):
             received.gateway.abort()
         elif self._occurs(self.faults.error_share):
-            received.respond("500 Internal Server Error", [("X-Response-Seal", f"{received.id}.e")])
+            self._respond_failed(received, "500 Internal Server Error")
         else:
+            self.record.add_sealed_status(received.id, http.client.OK)
             body = f"done {received.id}".encode()
             received.respond("200 OK", [("X-Response-Seal", f"{received.id}.s")], body)
 
@@ -325,6 +338,7 @@
             *received.status_headers,
         ]
         cut_at = self._rng.randrange(1, last + 1) if self._occurs(self.faults.cut_share) else None
+        self.record.add_sealed_status(received.id, http.client.OK)
         received.gateway.start("200 OK", headers)
         while run.event_count < last:
             time.sleep(self.event_s)
@@ -332,6 +346,8 @@
                 self._crash_midway(received)
             if run.event_count == crash_at:
                 self.crash(CrashMode.AT_ARRIVAL)
+            if self.is_crashed or run.event_count == cut_at:
+                self.record.add_broken_off(received.id)
             self._raise_if_crashed()
             with run.changed:
                 if run.is_stopped or run.event_count == cut_at:
