Fault the links of callers and upstreams in the soak, and responses after a run

The soak faulted only links to the store, and its operations of 20 ms ended far below their latency goal. A wide soak adds, with random draws of its own so that the faults of a seed stay: the six faults of a link on links of callers and of upstreams, upstreams that run a request and then refuse it without the mark that it was not executed, or stop within the head, operations from a tenth to eight times the latency goal, series of SIGTERM that overlap, and callers that keep, idle on or renew their connections. An entry that runs on after its grace or does not start is a violation as well. A report names the entry of each violation and the log lines of its request.

`gooseberryquay soak` runs it, with 24 callers unless told otherwise.

--- a/gooseberryquay/cli.py
+++ b/gooseberryquay/cli.py
@@ -58,9 +58,16 @@
             print("either --base and --overlay or --node_settings is required", file=sys.stderr)
             sys.exit(1)
 
-    def soak(self, seed: int = 1, seeds: int = 1, entries: int = 3, folder: str = "out") -> None:
+    def soak(
+        self,
+        seed: int = 1,
+        seeds: int = 1,
+        entries: int = 3,
+        callers: int = 24,
+        folder: str = "out",
+    ) -> None:
         """Run SEEDS seeded fault-injection runs, starting at SEED, and print the violations."""
-        run_soak(seed, seeds, entries, folder)
+        run_soak(seed, seeds, entries, callers, folder)
 
     def demo(self) -> None:
         """Run stand-ins and two entries in this process and send one request of each kind."""
--- a/gooseberryquay/standins/node_platform/entry_history.py
+++ b/gooseberryquay/standins/node_platform/entry_history.py
@@ -48,6 +48,11 @@
         """Record a planned stop."""
         self.stops.append(time.monotonic())
 
+    def has_stopped_since(self, since_s: float) -> bool:
+        """Return whether the process was stopped or disrupted at or after a time."""
+        disrupted = [each.from_s for each in list(self.disruptions) if each.port is None]
+        return any(each >= since_s for each in [*self.stops, *disrupted])
+
     def is_disrupted(self, from_s: float, until_s: float, port: int) -> bool:
         """Return whether a disruption overlaps an exchange on a port."""
         return any(
--- a/gooseberryquay/standins/node_platform/site.py
+++ b/gooseberryquay/standins/node_platform/site.py
@@ -6,18 +6,21 @@
 from pathlib import Path
 from typing import Any
 
+from gooseberryquay.contracts.fields import Address
+from gooseberryquay.standins.fault_proxy import FaultProxy
 from gooseberryquay.standins.node_platform.run_record import RunRecord
 from gooseberryquay.standins.node_platform.store import ObjectStore
 from gooseberryquay.standins.node_platform.upstream_crash import CrashingPart
 from gooseberryquay.standins.node_platform.upstream_server import ModelEngine, PlainService
 from gooseberryquay.standins.process import find_free_port
 
-__all__ = ["HOST", "KEY", "EntryPorts", "Site"]
+__all__ = ["GOAL_MS", "GRACE_S", "HOST", "KEY", "EntryPorts", "Site"]
 
 HOST = "site.example"
 KEY = "key-1"
 ZONES = ("zone-a", "zone-b")
 GRACE_S = 4
+GOAL_MS = 300
 HEARTBEAT_MS = 1200
 # A list entry expires after three missed heartbeats.
 EXPIRY_S = 3.6
@@ -54,14 +57,20 @@
 
 
 class Site:
-    """Run the platform in this process, for entries that run as separate processes."""
+    """Run the platform in this process, for entries that run as separate processes.
 
-    def __init__(self, rng: random.Random) -> None:
+    With `has_proxies`, entries reach each upstream through a fault proxy.
+    """
+
+    def __init__(self, rng: random.Random, has_proxies: bool = False) -> None:
         self.record = RunRecord()
         self.store = ObjectStore()
         self.engines: dict[str, ModelEngine] = {}
         self.services: dict[str, PlainService] = {}
         self._engines_by_port: dict[int, ModelEngine] = {}
+        self.proxies: dict[str, FaultProxy] = {}
+        self.work_range_s: tuple[float, float] | None = None
+        self._has_proxies = has_proxies
         self._rng = rng
         self._count = 0
         self._version = 0
@@ -80,10 +89,22 @@
     def stop(self) -> None:
         """Stop the store and all upstreams."""
         self._is_stopped = True
-        for upstream in [*self.engines.values(), *self.services.values()]:
+        for upstream in self.upstreams():
             upstream.stop()
+        for proxy in list(self.proxies.values()):
+            proxy.stop()
         self.store.stop()
 
+    def upstreams(self) -> list[ModelEngine | PlainService]:
+        """Return the engines and plain services, without those that were removed."""
+        return [*self.engines.values(), *self.services.values()]
+
+    def set_work_range(self, range_s: tuple[float, float] | None) -> None:
+        """Set the shortest and longest operation of each plain service, also of later ones."""
+        self.work_range_s = range_s
+        for each in list(self.services.values()):
+            each.work_range_s = range_s
+
     def configure(self, *routes: dict[str, Any], keys: tuple[str, ...] = (KEY,)) -> int:
         """Write a configuration with the default and the given routes, and return its version."""
         self._version += self._rng.randrange(1, 4)
@@ -103,6 +124,7 @@
         engine.crashing_part = self._crashing_part
         engine.version = version
         engine.start()
+        self._engines_by_port[self._start_proxy(engine)] = engine
         self.engines[engine.id] = engine
         engine.on_crash = lambda: self._replace(engine)
         self._list(engine, "model", "ready")
@@ -111,7 +133,9 @@
     def add_service(self) -> str:
         """Start a plain service, add it to the list of upstreams and return its id."""
         service = PlainService(self._new_id(), self.record, self._rng)
+        service.work_range_s = self.work_range_s
         service.start()
+        self._start_proxy(service)
         self.services[service.id] = service
         service.on_crash = lambda: self._replace(service)
         self._list(service, "ledger", "ready")
@@ -136,10 +160,12 @@
         """Stop an upstream and remove it from the list."""
         upstream = self.engines.pop(id, None) or self.services.pop(id)
         upstream.stop()
+        self._stop_proxy(id)
         self.store.delete("servers", id)
 
     def _replace(self, crashed: ModelEngine | PlainService) -> None:
         """Let the list entry of a crashed upstream expire, and start a replacement before that."""
+        self._stop_proxy(crashed.id)
         _schedule(RESTART_S, self._start_replacement, crashed)
         _schedule(EXPIRY_S, self.store.delete, "servers", crashed.id)
 
@@ -151,15 +177,31 @@
         else:
             self.add_service()
 
+    def _start_proxy(self, upstream: ModelEngine | PlainService) -> int:
+        """Start the proxy of an upstream, if any, and return the port that entries use."""
+        if not self._has_proxies:
+            return upstream.port
+        proxy = FaultProxy(Address("127.0.0.1", upstream.port))
+        proxy.start()
+        self.proxies[upstream.id] = proxy
+        return proxy.port
+
+    def _stop_proxy(self, id: str) -> None:
+        proxy = self.proxies.pop(id, None)
+        if proxy is not None:
+            proxy.stop()
+
     def _new_id(self) -> str:
         self._count += 1
         return f"i-{self._count}"
 
     def _list(self, upstream: ModelEngine | PlainService, service: str, state: str) -> None:
         zone = ZONES[int(upstream.id.rpartition("-")[2]) % len(ZONES)]
+        proxy = self.proxies.get(upstream.id)
+        port = proxy.port if proxy is not None else upstream.port
         document = {
             "service": service,
-            "address": f"127.0.0.1:{upstream.port}",
+            "address": f"127.0.0.1:{port}",
             "zone": zone,
             "version": upstream.version,
             "slots": 8,
@@ -199,6 +241,6 @@
         "service": service,
         "max_attempts": attempts,
         "timeout_ms": 2000,
-        "goal_ms": 300,
+        "goal_ms": GOAL_MS,
         **more,
     }
--- a/gooseberryquay/standins/node_platform/soak.py
+++ b/gooseberryquay/standins/node_platform/soak.py
@@ -13,8 +13,9 @@
 from gooseberryquay.standins.fault_proxy import FaultProxy
 from gooseberryquay.standins.node_platform.call_result import CallKind
 from gooseberryquay.standins.node_platform.entry_history import Disruption, EntryHistory
-from gooseberryquay.standins.node_platform.site import GRACE_S, KEY, EntryPorts, Site
-from gooseberryquay.standins.node_platform.soak_callers import Callers, call_once
+from gooseberryquay.standins.node_platform.site import GOAL_MS, KEY, EntryPorts, Site
+from gooseberryquay.standins.node_platform.soak_callers import Callers, CallerStyle, call_once
+from gooseberryquay.standins.node_platform.soak_entry import SoakEntry
 from gooseberryquay.standins.node_platform.soak_judges import Rule, Violation, find_violations
 from gooseberryquay.standins.node_platform.store import StoreAvailability
 from gooseberryquay.standins.node_platform.upstream_server import (
@@ -22,19 +23,13 @@
     PlainService,
     UpstreamFaults,
 )
+from gooseberryquay.standins.node_platform.wide_faults import LINK_FAULTS, WideFaults
 from gooseberryquay.standins.process import ListeningProcess
 from gooseberryquay.standins.proxy_messages import (
-    CutConnections,
-    DelayBytes,
     HealLink,
-    ProxyFault,
-    RefuseConnections,
-    ResetConnections,
-    SilenceConnections,
-    StallBytes,
 )
 
-__all__ = ["Soak", "SoakReport"]
+__all__ = ["CALLERS", "Soak", "SoakReport"]
 
 FAULTS = 14
 FAULT_GAP_S = 0.6
@@ -43,7 +38,10 @@
 # IN_FORCE_S holds for changes made after the store has been available for this long.
 SETTLED_AFTER_S = 3.0
 DRAIN_S = 2.0
-STOP_TIMEOUT_S = 20.0
+CALLERS = 8
+# From a tenth to eight times the latency goal of plain services.
+WORK_RANGE_S = (0.1 * GOAL_MS / 1000.0, 8.0 * GOAL_MS / 1000.0)
+LOG_LINES_MAX = 8
 UPSTREAMS_MIN = 2
 SHED_PAUSE_S = 0.8
 # Requests to an upstream that states a rate, in a window after all entries have been told.
@@ -53,24 +51,17 @@
 RATES_PER_S = (0.0, 0.5, 2.0, 8.0)
 
 
-@dataclass
-class _Entry:
-    ports: EntryPorts
-    settings: Path
-    store_proxy: FaultProxy
-    log_path: str
-    process: ListeningProcess
-    history: EntryHistory = field(default_factory=lambda: EntryHistory(GRACE_S))
-    restart_lock: threading.Lock = field(default_factory=threading.Lock)
-
-    def start(self) -> None:
-        self.process = ListeningProcess(
-            "entry",
-            f"--node_settings={self.settings}",
-            port=self.ports.callers,
-            log_path=self.log_path,
-        )
-        self.process.start()
+@dataclass(frozen=True)
+class TracedViolation:
+    """A violation, the entry that received the request and its log lines about it."""
+
+    violation: Violation
+    entry: str | None = None
+    log_lines: tuple[str, ...] = ()
+
+    def __str__(self) -> str:
+        where = f" at {self.entry}" if self.entry is not None else ""
+        return "\n    ".join([f"{self.violation}{where}", *self.log_lines])
 
 
 @dataclass
@@ -81,17 +72,24 @@
     requests: int
     served: int
     faults: list[str]
-    violations: list[Violation]
+    violations: list[TracedViolation]
+    # Resident memory of all entries at the end.
+    memory_mb: float
 
 
 @dataclass
 class Soak:
-    """Run the fault schedule of one seed."""
+    """Run the fault schedule of one seed.
+
+    A wide soak has more callers, slow operations and the faults of `WideFaults` as well.
+    """
 
     seed: int
     entry_count: int
     folder: Path
     has_rate_limits: bool = False
+    is_wide: bool = False
+    callers: int = CALLERS
     faults: list[str] = field(default_factory=list)
     violations: list[Violation] = field(default_factory=list)
 
@@ -99,19 +97,27 @@
         self._rng = random.Random(self.seed)
         # Draws of its own keep the faults of a seed the same with and without rate limits.
         self._rate_rng = random.Random(self.seed + 2)
-        self._site = Site(random.Random(self.seed + 1))
-        self._entries: list[_Entry] = []
+        self._site = Site(random.Random(self.seed + 1), has_proxies=self.is_wide)
+        self._entries: list[SoakEntry] = []
         self._pending: list[threading.Thread] = []
+        self.memory_mb = 0.0
+        self._wide_faults = WideFaults(
+            random.Random(f"wide {self.seed}"), self._site, self._entries, self._schedule
+        )
 
     def run(self) -> SoakReport:
         """Start the site and entries, inject overlapping faults and check the guarantees."""
+        if self.is_wide:
+            self._site.set_work_range(WORK_RANGE_S)
         self._site.start(engines=4, services=3)
+        groups: list[Callers] = []
         try:
             self._start_entries()
-            callers = Callers([each.ports.callers for each in self._entries], self.seed)
-            callers.start()
+            groups = self._start_callers()
             for _ in range(FAULTS):
                 self._inject()
+                if self.is_wide:
+                    self._inject_wide()
                 if self.has_rate_limits and self._rate_rng.random() < RATE_LIMIT_SHARE:
                     self._limit_upstreams()
                 time.sleep(FAULT_GAP_S * self._rng.uniform(0.2, 1.8))
@@ -119,16 +125,62 @@
             if self.has_rate_limits:
                 self._check_rate_limit()
             self._check_recovery()
-            callers.stop()
+            self.memory_mb = sum(each.process.resident_mb() for each in self._entries)
+            for group in groups:
+                group.stop()
         finally:
             for entry in self._entries:
                 entry.process.kill()
-                entry.store_proxy.stop()
+                entry.stop_links()
             self._site.stop()
-        histories = {each.ports.callers: each.history for each in self._entries}
-        self.violations += find_violations(callers.results, self._site.record, histories)
-        served = sum(each.status == http.client.OK for each in callers.results)
-        return SoakReport(self.seed, len(callers.results), served, self.faults, self.violations)
+        results = [each for group in groups for each in group.results]
+        self.violations += find_violations(results, self._site.record, self._histories())
+        served = sum(each.status == http.client.OK for each in results)
+        return SoakReport(
+            self.seed,
+            len(results),
+            served,
+            self.faults,
+            [self._trace(each) for each in self.violations],
+            self.memory_mb,
+        )
+
+    def _start_callers(self) -> list[Callers]:
+        groups = [Callers([each.ports.callers for each in self._entries], self.seed)]
+        if self.is_wide:
+            proxied = [each.caller_proxy.port for each in self._entries]
+            more = self.callers - CALLERS
+            count = more // 3
+            groups += [
+                Callers(groups[0].ports, f"{self.seed}/direct", more - count, tuple(CallerStyle)),
+                Callers(proxied, f"{self.seed}/proxied", count, tuple(CallerStyle)),
+            ]
+        for each in groups:
+            each.start()
+        return groups
+
+    def _histories(self) -> dict[int, EntryHistory]:
+        return {
+            port: each.history
+            for each in self._entries
+            for port in (each.ports.callers, each.caller_proxy.port)
+        }
+
+    def _trace(self, violation: Violation) -> TracedViolation:
+        """Return a violation with its entry and the log lines that name the request."""
+        entry = next(
+            (
+                each
+                for each in self._entries
+                if violation.port in {each.ports.callers, each.caller_proxy.port}
+            ),
+            None,
+        )
+        if entry is None:
+            return TracedViolation(violation)
+        lines = entry.log_path.read_text(errors="replace").splitlines()
+        named = [each for each in lines if violation.request and violation.request in each]
+        return TracedViolation(violation, entry.ports.name, tuple(named[:LOG_LINES_MAX]))
 
     def _start_entries(self) -> None:
         ports = [EntryPorts(f"entry-{number}") for number in range(self.entry_count)]
@@ -137,9 +189,10 @@
             proxy = FaultProxy(Address("127.0.0.1", self._site.store.port))
             proxy.start()
             settings = each.write_settings(self.folder, proxy.port, seeds)
-            log_path = str(self.folder / f"{each.name}-{self.seed}.log")
-            process = ListeningProcess(port=each.callers)
-            self._entries.append(_Entry(each, settings, proxy, log_path, process))
+            log_path = self.folder / f"{each.name}-{self.seed}.log"
+            entry = SoakEntry(each, settings, proxy, log_path, self.violations)
+            entry.caller_proxy.start()
+            self._entries.append(entry)
         starters = [threading.Thread(target=each.start) for each in self._entries]
         for starter in starters:
             starter.start()
@@ -166,6 +219,11 @@
         self.faults.append(fault.__name__.strip("_"))
         fault()
 
+    def _inject_wide(self) -> None:
+        name = self._wide_faults.inject()
+        if name is not None:
+            self.faults.append(name)
+
     def _schedule(self, wait_s: float, action: Callable[[], object]) -> None:
         def act() -> None:
             time.sleep(wait_s)
@@ -177,28 +235,11 @@
 
     def _stop_entry(self) -> None:
         entry = self._rng.choice(self._entries)
-        self._schedule(0.0, lambda: self._restart(entry, signal.SIGTERM))
+        self._schedule(0.0, lambda: entry.restart(signal.SIGTERM))
 
     def _kill_entry(self) -> None:
         entry = self._rng.choice(self._entries)
-        self._schedule(0.0, lambda: self._restart(entry, signal.SIGKILL))
-
-    def _restart(self, entry: _Entry, how: signal.Signals) -> None:
-        process = entry.process
-        if not process.is_running():
-            return
-        if how is signal.SIGKILL:
-            with entry.history.disrupted():
-                process.send_signal(how)
-                process.wait(STOP_TIMEOUT_S)
-        else:
-            entry.history.add_stop()
-            process.send_signal(how)
-            process.wait(STOP_TIMEOUT_S)
-        with entry.restart_lock:
-            # Another stop that overlapped this one may have started the entry again.
-            if entry.process is process:
-                entry.start()
+        self._schedule(0.0, lambda: entry.restart(signal.SIGKILL))
 
     def _pause_entry(self) -> None:
         entry = self._rng.choice(self._entries)
@@ -215,15 +256,7 @@
 
     def _harm_store_link(self) -> None:
         proxy = self._rng.choice(self._entries).store_proxy
-        faults: list[ProxyFault] = [
-            CutConnections(),
-            ResetConnections(),
-            SilenceConnections(),
-            StallBytes(),
-            RefuseConnections(),
-            DelayBytes(delay_s=0.3),
-        ]
-        proxy.apply_fault(self._rng.choice(faults))
+        proxy.apply_fault(self._rng.choice(LINK_FAULTS))
         self._schedule(self._rng.uniform(0.5, 3.0), lambda: proxy.apply_fault(HealLink()))
 
     def _harm_store(self) -> None:
@@ -271,8 +304,7 @@
             self._site.remove(id)
 
     def _harm_upstream(self) -> None:
-        upstreams = [*self._site.engines.values(), *self._site.services.values()]
-        upstream = self._rng.choice(upstreams)
+        upstream = self._rng.choice(self._site.upstreams())
         faults = UpstreamFaults(*(self._rng.choice([0.0, 0.3]) for _ in range(4)))
         faults.pause_s = SHED_PAUSE_S if faults.shed_share else None
         upstream.faults = faults
@@ -304,6 +336,9 @@
         self._site.store.availability = StoreAvailability.AVAILABLE
         for entry in self._entries:
             entry.store_proxy.apply_fault(HealLink())
+        if self.is_wide:
+            self._wide_faults.heal()
+            self._site.set_work_range(None)
 
     def _report(self, rule: Rule, description: str) -> None:
         self.violations.append(Violation(rule, description))
@@ -350,7 +385,7 @@
             )
         _end_limits([limited])
 
-    def _serves(self, entry: _Entry, kind: CallKind, within_s: float) -> bool:
+    def _serves(self, entry: SoakEntry, kind: CallKind, within_s: float) -> bool:
         rng = random.Random(self.seed)
         deadline_s = time.monotonic() + within_s
         while True:
--- a/gooseberryquay/standins/node_platform/soak_callers.py
+++ b/gooseberryquay/standins/node_platform/soak_callers.py
@@ -6,6 +6,7 @@
 import time
 import uuid
 from dataclasses import dataclass, field
+from enum import Enum
 
 from gooseberryquay.standins.node_platform.call_result import CallEnd, CallKind, CallResult
 from gooseberryquay.standins.node_platform.caller_connection import CallerConnection, Exchange
@@ -13,10 +14,9 @@
 from gooseberryquay.standins.node_platform.soak_judges import find_violations
 from gooseberryquay.standins.node_platform.upstream_server import failure_body
 
-__all__ = ["CallKind", "CallResult", "Callers", "call_once", "find_violations"]
+__all__ = ["CallKind", "CallResult", "CallerStyle", "Callers", "call_once", "find_violations"]
 
 RESPONSE_TIMEOUT_S = 12.0
-PAUSE_S = 0.05
 LAST_EVENTS = (2, 20, 80)
 TOKENS_PER_EVENT = 4
 
@@ -77,13 +77,29 @@
     return None
 
 
+class CallerStyle(Enum):
+    """How a caller uses connections; the value is the longest pause between two requests."""
+
+    # Keeps each connection until it fails.
+    KEPT = 0.05
+    IDLE = 1.5
+    # Opens a connection for each request.
+    FRESH = 0.1
+
+    @property
+    def pause_s(self) -> float:
+        """Return the longest pause between two requests in seconds."""
+        return self.value
+
+
 @dataclass
 class Callers:
-    """Call entries from many threads, each with a persistent connection."""
+    """Call entries from many threads, in each style in turn."""
 
     ports: list[int]
-    seed: int
+    seed: int | str
     threads: int = 8
+    styles: tuple[CallerStyle, ...] = (CallerStyle.KEPT,)
     results: list[CallResult] = field(default_factory=list)
     _stopped: threading.Event = field(default_factory=threading.Event)
     _threads: list[threading.Thread] = field(default_factory=list)
@@ -103,13 +119,14 @@
 
     def _run(self, number: int) -> None:
         rng = random.Random(f"{self.seed}/{number}")
+        style = self.styles[number % len(self.styles)]
         port = rng.choice(self.ports)
         pooled = CallerConnection(port, RESPONSE_TIMEOUT_S)
         while not self._stopped.is_set():
             result = call_once(port, rng.choice(list(CallKind)), rng, pooled)
             self.results.append(result)
-            if result.status is None:
+            if result.status is None or style is CallerStyle.FRESH:
                 pooled.close()
                 port = rng.choice(self.ports)
                 pooled = CallerConnection(port, RESPONSE_TIMEOUT_S)
-            time.sleep(PAUSE_S * rng.random())
+            time.sleep(style.pause_s * rng.random())
--- a/gooseberryquay/standins/node_platform/soak_command.py
+++ b/gooseberryquay/standins/node_platform/soak_command.py
@@ -4,17 +4,27 @@
 import tempfile
 from pathlib import Path
 
-from gooseberryquay.standins.node_platform.soak import Soak, SoakReport
+from gooseberryquay.standins.node_platform.soak import CALLERS, Soak, SoakReport
 
 __all__ = ["run_soak"]
 
 
-def run_soak(seed: int, seeds: int, entries: int, folder: str) -> None:
+ENTRIES_MAX = 100
+VIOLATIONS_MAX = 40
+THREADS_MAX = 1000
+
+
+def run_soak(seed: int, seeds: int, entries: int, callers: int, folder: str) -> None:
     """Run seeds one after the other; the exit status is 1 if a guarantee was violated."""
+    if not 1 <= entries <= ENTRIES_MAX:
+        raise ValueError(f"entries is {entries}, but must be from 1 to {ENTRIES_MAX}")
+    if not CALLERS <= callers <= THREADS_MAX:
+        raise ValueError(f"callers is {callers}, but must be from {CALLERS} to {THREADS_MAX}")
     failed_seeds = 0
     for each in range(seed, seed + seeds):
         with tempfile.TemporaryDirectory() as scratch:
-            report = Soak(each, entries, Path(scratch), has_rate_limits=True).run()
+            soak = Soak(each, entries, Path(scratch), True, is_wide=True, callers=callers)
+            report = soak.run()
             print(_format_report(report), flush=True)
             if report.violations:
                 failed_seeds += 1
@@ -24,11 +34,14 @@
 
 
 def _format_report(report: SoakReport) -> str:
-    line = f"seed {report.seed}: {report.requests} requests, {report.served} served"
+    line = (
+        f"seed {report.seed}: {report.requests} requests, {report.served} served, "
+        f"entries {report.memory_mb:.0f} MB"
+    )
     if not report.violations:
         return line
     return "\n  ".join(
-        [f"{line}; faults {' '.join(report.faults)}", *map(str, report.violations[:20])]
+        [f"{line}; faults {' '.join(report.faults)}", *map(str, report.violations[:VIOLATIONS_MAX])]
     )
 
 
--- a/gooseberryquay/standins/node_platform/soak_judges.py
+++ b/gooseberryquay/standins/node_platform/soak_judges.py
@@ -31,6 +31,7 @@
     DRAIN = "DRAIN"
     RATE = "RATE"
     RECOVER = "RECOVER"
+    FAULT = "FAULT"
 
 
 @dataclass(frozen=True)
--- a/gooseberryquay/standins/node_platform/upstream_server.py
+++ b/gooseberryquay/standins/node_platform/upstream_server.py
@@ -1,10 +1,13 @@
 """Model engine and plain service, as the users' platform runs them."""
 
+import contextlib
 import http.client
 import json
+import math
 import random
 import threading
 import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -20,12 +23,21 @@
 )
 from gooseberryquay.standins.process import find_free_port
 
-__all__ = ["ModelEngine", "PlainService", "UpstreamFaults", "failure_body"]
+__all__ = ["AnswerFaults", "ModelEngine", "PlainService", "UpstreamFaults", "failure_body"]
 
 MS_PER_S = 1000.0
 HEADER_BYTES_MAX = 65536
 BODY_BYTES_MAX = 4 * 1024 * 1024
 RESERVED_HEADERS = ("x-hold", "x-pin-ms")
+NOT_RUN_STATUS_LINES = (
+    "408 Request Timeout",
+    "421 Misdirected Request",
+    "429 Too Many Requests",
+    "503 Service Unavailable",
+)
+# A stream whose engine has ended it may still be on the link for this time.
+ON_LINK_S = 1.0
+ENDED_MAX = 1000
 JSON_HEADERS = [("Content-Type", "application/json")]
 
 
@@ -48,6 +60,14 @@
     rate_limit_per_s: float | None = None
 
 
+@dataclass(frozen=True)
+class AnswerFaults:
+    """Probability that an upstream runs a request, then refuses it or stops within the head."""
+
+    unmarked_refusal_share: float = 0.0
+    head_cut_share: float = 0.0
+
+
 @dataclass
 class _ReceivedRequest:
     gateway: StreamingGateway
@@ -65,6 +85,14 @@
         self.gateway.start(status, sent)
         self.gateway.write_all(body)
 
+    def cut_head(self, status: str, headers: list[tuple[str, str]], share: float) -> None:
+        """Send a share of the bytes of a head, then close the connection."""
+        lines = [f"HTTP/1.1 {status}", *(f"{name}: {value}" for name, value in headers), ""]
+        head = "\r\n".join(lines).encode()
+        with contextlib.suppress(OSError):
+            self.gateway.connection.sendall(head[: int(share * len(head))])
+        self.gateway.abort()
+
 
 class _Upstream:
     """Apply the checks common to all upstreams, then run the request."""
@@ -73,12 +101,15 @@
         self.id = id
         self.record = record
         self.faults = UpstreamFaults()
+        self.answer_faults = AnswerFaults()
         self.is_crashed = False
         self.is_leaving = False
         self.version = "v1"
         self.born_ms = int(time.time() * MS_PER_S)
         self.on_crash: Callable[[], None] = lambda: None
         self._rng = rng
+        # Draws of its own keep the other faults of a seed the same.
+        self._answer_rng = random.Random(id)
         self._open: set[StreamingGateway] = set()
         self._crash_lock = threading.Lock()
         self._is_silent = False
@@ -119,6 +150,9 @@
         """Return the bound TCP port."""
         return self._server.port
 
+    def record_broken_link(self) -> None:
+        """Record that the link has broken beneath all streams in progress."""
+
     def _raise_if_crashed(self) -> None:
         if self.is_crashed:
             if self._is_silent:
@@ -157,9 +191,7 @@
             received.respond("421 Misdirected Request", [("X-Instance-Id", self.id)])
             return
         if self._occurs(self.faults.shed_share):
-            received.respond(
-                "503 Service Unavailable", [("X-Not-Executed", "1"), *self._retry_after()]
-            )
+            self._shed(received)
             return
         mode = crash_mode_of(received.body)
         if mode is not None:
@@ -176,6 +208,26 @@
             )
         self._run(received)
 
+    def _shed(self, received: _ReceivedRequest) -> None:
+        headers = [("X-Not-Executed", "1"), *self._retry_after()]
+        if self._answer_rng.random() < self.answer_faults.head_cut_share:
+            received.cut_head("503 Service Unavailable", headers, self._answer_rng.random())
+        else:
+            received.respond("503 Service Unavailable", headers)
+
+    def _fails_to_answer(self, received: _ReceivedRequest) -> bool:
+        """Refuse a request that was run, or stop within the head, if the faults say so."""
+        faults = self.answer_faults
+        if self._answer_rng.random() < faults.unmarked_refusal_share:
+            self._respond_failed(received, self._answer_rng.choice(NOT_RUN_STATUS_LINES))
+            return True
+        if self._answer_rng.random() < faults.head_cut_share:
+            status = self._answer_rng.choice(("200 OK", *NOT_RUN_STATUS_LINES))
+            seal = ("X-Response-Seal", f"{received.id}.e")
+            received.cut_head(status, [seal], self._answer_rng.random())
+            return True
+        return False
+
     def _status_headers(self) -> list[tuple[str, str]]:
         headers = [("Server-Leaving", "1")] if self.is_leaving else []
         if self.faults.rate_limit_per_s is not None:
@@ -208,15 +260,26 @@
 
 
 class PlainService(_Upstream):
-    """Run operations of a fixed duration."""
+    """Run operations of a fixed duration, or of one drawn from a range."""
 
     work_s = 0.02
+    # Shortest and longest operation, if they differ.
+    work_range_s: tuple[float, float] | None = None
+
+    def _work_s(self, request: str) -> float:
+        """Return the duration of a request's operation, the same wherever it runs."""
+        if self.work_range_s is None:
+            return self.work_s
+        shortest, longest = map(math.log, self.work_range_s)
+        return math.exp(random.Random(request).uniform(shortest, longest))
 
     def _run(self, received: _ReceivedRequest) -> None:
         self.record.add_run(received.id, self.id)
-        time.sleep(self.work_s)
+        time.sleep(self._work_s(received.id))
         self._crash_midway(received)
         self._raise_if_crashed()
+        if self._fails_to_answer(received):
+            return
         if self._occurs(self.faults.lose_answer_share):
             received.gateway.abort()
         elif self._occurs(self.faults.error_share):
@@ -253,6 +316,7 @@
         super().__init__(id, record, rng)
         self._engines_by_port = engines_by_port
         self._running: dict[str, _Generation] = {}
+        self._ended: deque[tuple[float, str]] = deque(maxlen=ENDED_MAX)
         self._kv_copies: dict[str, int] = {}
         self._lock = threading.Lock()
 
@@ -261,6 +325,13 @@
         super().start()
         self._engines_by_port[self.port] = self
 
+    def record_broken_link(self) -> None:
+        """Record that the link has broken beneath all streams in progress."""
+        since_s = time.monotonic() - ON_LINK_S
+        on_link = [id for ended_at_s, id in list(self._ended) if ended_at_s >= since_s]
+        for id in [*list(self._running), *on_link]:
+            self.record.add_broken_off(id)
+
     def store_kv_copy(self, handle: str, event_count: int) -> None:
         """Store a KV cache copy for the request that resumes from it."""
         with self._lock:
@@ -319,6 +390,8 @@
                 return
         else:
             self.record.add_run(received.id, self.id)
+            if self._fails_to_answer(received):
+                return
         run = _Generation(event_count)
         part = self._crashing_part_of(received)
         crash_at = event_count + part.after_events if part is not None else None
@@ -327,6 +400,7 @@
             self._stream(received, run, last, crash_at)
         finally:
             self._running.pop(received.id, None)
+            self._ended.append((time.monotonic(), received.id))
 
     def _stream(
         self, received: _ReceivedRequest, run: _Generation, last: int, crash_at: int | None
