Report in the soak how far it lagged itself, and grow it with its entries

A request that waits unread may wait for the entry or for the proxies and callers of the soak, which share one process. A report now says how late the threads of the soak ran during each violation, whether the connection was kept, and whether the request came through a proxy, and counts violations by rule. Upstreams and faults grow with the number of entries above 16 and 14.

--- a/gooseberryquay/standins/node_platform/call_result.py
+++ b/gooseberryquay/standins/node_platform/call_result.py
@@ -53,3 +53,4 @@
     # Whether the head of a successful response was received.
     has_begun: bool = False
     seal: str | None = None
+    is_kept: bool = False
--- a/gooseberryquay/standins/node_platform/caller_connection.py
+++ b/gooseberryquay/standins/node_platform/caller_connection.py
@@ -27,6 +27,8 @@
 
     end: CallEnd = CallEnd.NOT_SENT
     sent_at_s: float | None = None
+    # Whether the connection had carried a request before.
+    is_kept: bool = False
     status: int | None = None
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
@@ -50,7 +52,7 @@
 
     def exchange(self, path: str, headers: dict[str, str], body: bytes) -> Exchange:
         """Post one request and read its response; close the connection unless it may be kept."""
-        result = Exchange()
+        result = Exchange(is_kept=self._socket is not None)
         try:
             self._send(path, headers, body)
             result.sent_at_s = time.monotonic()
--- a/gooseberryquay/standins/node_platform/soak.py
+++ b/gooseberryquay/standins/node_platform/soak.py
@@ -1,6 +1,7 @@
 """Randomized soak: entry processes under injected faults, with their guarantees checked."""
 
 import http.client
+import math
 import random
 import signal
 import threading
@@ -13,6 +14,7 @@
 from gooseberryquay.standins.fault_proxy import FaultProxy
 from gooseberryquay.standins.node_platform.call_result import CallKind
 from gooseberryquay.standins.node_platform.entry_history import Disruption, EntryHistory
+from gooseberryquay.standins.node_platform.lag_meter import LagMeter
 from gooseberryquay.standins.node_platform.site import GOAL_MS, KEY, EntryPorts, Site
 from gooseberryquay.standins.node_platform.soak_callers import Callers, CallerStyle, call_once
 from gooseberryquay.standins.node_platform.soak_entry import SoakEntry
@@ -25,9 +27,7 @@
 )
 from gooseberryquay.standins.node_platform.wide_faults import LINK_FAULTS, WideFaults
 from gooseberryquay.standins.process import ListeningProcess
-from gooseberryquay.standins.proxy_messages import (
-    HealLink,
-)
+from gooseberryquay.standins.proxy_messages import HealLink
 
 __all__ = ["CALLERS", "Soak", "SoakReport"]
 
@@ -41,6 +41,8 @@
 CALLERS = 8
 # From a tenth to eight times the latency goal of plain services.
 WORK_RANGE_S = (0.1 * GOAL_MS / 1000.0, 8.0 * GOAL_MS / 1000.0)
+# Faults and upstreams grow with the number of entries.
+ENTRIES_PER_UPSTREAM = 4
 LOG_LINES_MAX = 8
 UPSTREAMS_MIN = 2
 SHED_PAUSE_S = 0.8
@@ -75,6 +77,7 @@
     violations: list[TracedViolation]
     # Resident memory of all entries at the end.
     memory_mb: float
+    longest_lag_s: float
 
 
 @dataclass
@@ -99,6 +102,7 @@
         self._rate_rng = random.Random(self.seed + 2)
         self._site = Site(random.Random(self.seed + 1), has_proxies=self.is_wide)
         self._entries: list[SoakEntry] = []
+        self._lag_meter = LagMeter()
         self._pending: list[threading.Thread] = []
         self.memory_mb = 0.0
         self._wide_faults = WideFaults(
@@ -109,12 +113,14 @@
         """Start the site and entries, inject overlapping faults and check the guarantees."""
         if self.is_wide:
             self._site.set_work_range(WORK_RANGE_S)
-        self._site.start(engines=4, services=3)
+        more = self.entry_count // ENTRIES_PER_UPSTREAM
+        self._site.start(engines=max(4, more), services=max(3, more))
         groups: list[Callers] = []
+        self._lag_meter.start()
         try:
             self._start_entries()
             groups = self._start_callers()
-            for _ in range(FAULTS):
+            for _ in range(max(FAULTS, self.entry_count)):
                 self._inject()
                 if self.is_wide:
                     self._inject_wide()
@@ -133,6 +139,7 @@
                 entry.process.kill()
                 entry.stop_links()
             self._site.stop()
+            self._lag_meter.stop()
         results = [each for group in groups for each in group.results]
         self.violations += find_violations(results, self._site.record, self._histories())
         served = sum(each.status == http.client.OK for each in results)
@@ -143,6 +150,7 @@
             self.faults,
             [self._trace(each) for each in self.violations],
             self.memory_mb,
+            self._lag_meter.longest_s(0.0, math.inf),
         )
 
     def _start_callers(self) -> list[Callers]:
@@ -180,7 +188,12 @@
             return TracedViolation(violation)
         lines = entry.log_path.read_text(errors="replace").splitlines()
         named = [each for each in lines if violation.request and violation.request in each]
-        return TracedViolation(violation, entry.ports.name, tuple(named[:LOG_LINES_MAX]))
+        is_proxied = violation.port == entry.caller_proxy.port
+        name = f"{entry.ports.name}{' through a proxy' if is_proxied else ''}"
+        if violation.request is not None:
+            lag_s = self._lag_meter.longest_s(violation.began_at_s, violation.ended_at_s)
+            name += f", the soak itself lagged by up to {lag_s:.2f} s"
+        return TracedViolation(violation, name, tuple(named[:LOG_LINES_MAX]))
 
     def _start_entries(self) -> None:
         ports = [EntryPorts(f"entry-{number}") for number in range(self.entry_count)]
--- a/gooseberryquay/standins/node_platform/soak_callers.py
+++ b/gooseberryquay/standins/node_platform/soak_callers.py
@@ -53,6 +53,7 @@
         exchange.sent_at_s,
         has_begun=exchange.status == http.client.OK,
         seal=exchange.headers.get("x-response-seal"),
+        is_kept=exchange.is_kept,
     )
 
 
--- a/gooseberryquay/standins/node_platform/soak_command.py
+++ b/gooseberryquay/standins/node_platform/soak_command.py
@@ -2,6 +2,7 @@
 
 import sys
 import tempfile
+from collections import Counter
 from pathlib import Path
 
 from gooseberryquay.standins.node_platform.soak import CALLERS, Soak, SoakReport
@@ -36,13 +37,14 @@
 def _format_report(report: SoakReport) -> str:
     line = (
         f"seed {report.seed}: {report.requests} requests, {report.served} served, "
-        f"entries {report.memory_mb:.0f} MB"
+        f"entries {report.memory_mb:.0f} MB, the soak lagged by up to {report.longest_lag_s:.2f} s"
     )
     if not report.violations:
         return line
-    return "\n  ".join(
-        [f"{line}; faults {' '.join(report.faults)}", *map(str, report.violations[:VIOLATIONS_MAX])]
-    )
+    counts = Counter(each.violation.rule.value for each in report.violations)
+    counted = ", ".join(f"{rule} {count}" for rule, count in counts.items())
+    violations = map(str, report.violations[:VIOLATIONS_MAX])
+    return "\n  ".join([f"{line}, {counted}; faults {' '.join(report.faults)}", *violations])
 
 
 def _keep_logs(scratch: Path, folder: Path) -> None:
--- a/gooseberryquay/standins/node_platform/soak_judges.py
+++ b/gooseberryquay/standins/node_platform/soak_judges.py
@@ -36,12 +36,14 @@
 
 @dataclass(frozen=True)
 class Violation:
-    """One breach of a rule; `request` and `port` are set if it concerns one request."""
+    """One breach of a rule; the other fields are set if it concerns one request."""
 
     rule: Rule
     description: str
     request: str | None = None
     port: int | None = None
+    began_at_s: float = 0.0
+    ended_at_s: float = 0.0
 
     def __str__(self) -> str:
         return f"{self.rule.value}: {self.description}"
@@ -61,7 +63,8 @@
         history = (histories or {}).get(result.port, EntryHistory())
         for rule, text in _judge(result, record, history):
             description = f"{result.kind.value} {result.id} {text}"
-            found.append(Violation(rule, description, result.id, result.port))
+            times = result.began_at_s, result.ended_at_s
+            found.append(Violation(rule, description, result.id, result.port, *times))
     return found
 
 
@@ -105,8 +108,9 @@
         return None
     stops = [f"{result.ended_at_s - each:.2f}" for each in history.stops]
     since_stops = f", {', '.join(stops)} s after a stop" if stops else ""
+    connection = "a kept connection" if result.is_kept else "a new connection"
     return (
-        f"was cut {waited_s:.2f} s after it was sent{since_stops}; "
+        f"was cut on {connection} {waited_s:.2f} s after it was sent{since_stops}; "
         f"received by {receivers}, ran at {record.runs_of(result.id)}"
     )
 
