--- a/gooseberryquay/standins/node_platform/soak.py
+++ b/gooseberryquay/standins/node_platform/soak.py
@@ -1,6 +1,7 @@
 """Randomized soak: entry processes under injected faults, with their guarantees checked."""
 
 import http.client
+import math
 import random
 import signal
 import threading
@@ -11,32 +12,24 @@
 
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.standins.fault_proxy import FaultProxy
-from gooseberryquay.standins.node_platform.site import KEY, EntryPorts, Site
-from gooseberryquay.standins.node_platform.soak_callers import (
-    Callers,
-    CallKind,
-    call_once,
-    find_violations,
-)
+from gooseberryquay.standins.node_platform.call_result import CallKind
+from gooseberryquay.standins.node_platform.entry_history import Disruption, EntryHistory
+from gooseberryquay.standins.node_platform.lag_meter import LagMeter
+from gooseberryquay.standins.node_platform.site import GOAL_MS, KEY, EntryPorts, Site
+from gooseberryquay.standins.node_platform.soak_callers import Callers, CallerStyle, call_once
+from gooseberryquay.standins.node_platform.soak_entry import SoakEntry
+from gooseberryquay.standins.node_platform.soak_judges import Rule, Violation, find_violations
 from gooseberryquay.standins.node_platform.store import StoreAvailability
 from gooseberryquay.standins.node_platform.upstream_server import (
     ModelEngine,
     PlainService,
     UpstreamFaults,
 )
+from gooseberryquay.standins.node_platform.wide_faults import LINK_FAULTS, WideFaults
 from gooseberryquay.standins.process import ListeningProcess
-from gooseberryquay.standins.proxy_messages import (
-    CutConnections,
-    DelayBytes,
-    HealLink,
-    ProxyFault,
-    RefuseConnections,
-    ResetConnections,
-    SilenceConnections,
-    StallBytes,
-)
+from gooseberryquay.standins.proxy_messages import HealLink
 
-__all__ = ["Soak", "SoakReport"]
+__all__ = ["CALLERS", "Soak", "SoakReport"]
 
 FAULTS = 14
 FAULT_GAP_S = 0.6
@@ -45,6 +38,12 @@
 # IN_FORCE_S holds for changes made after the store has been available for this long.
 SETTLED_AFTER_S = 3.0
 DRAIN_S = 2.0
+CALLERS = 8
+# From a tenth to eight times the latency goal of plain services.
+WORK_RANGE_S = (0.1 * GOAL_MS / 1000.0, 8.0 * GOAL_MS / 1000.0)
+# Faults and upstreams grow with the number of entries.
+ENTRIES_PER_UPSTREAM = 4
+LOG_LINES_MAX = 8
 UPSTREAMS_MIN = 2
 SHED_PAUSE_S = 0.8
 # Requests to an upstream that states a rate, in a window after all entries have been told.
@@ -54,22 +53,17 @@
 RATES_PER_S = (0.0, 0.5, 2.0, 8.0)
 
 
-@dataclass
-class _Entry:
-    ports: EntryPorts
-    settings: Path
-    store_proxy: FaultProxy
-    log_path: str
-    process: ListeningProcess
-
-    def start(self) -> None:
-        self.process = ListeningProcess(
-            "entry",
-            f"--node_settings={self.settings}",
-            port=self.ports.callers,
-            log_path=self.log_path,
-        )
-        self.process.start()
+@dataclass(frozen=True)
+class TracedViolation:
+    """A violation, the entry that received the request and its log lines about it."""
+
+    violation: Violation
+    entry: str | None = None
+    log_lines: tuple[str, ...] = ()
+
+    def __str__(self) -> str:
+        where = f" at {self.entry}" if self.entry is not None else ""
+        return "\n    ".join([f"{self.violation}{where}", *self.log_lines])
 
 
 @dataclass
@@ -80,37 +74,56 @@
     requests: int
     served: int
     faults: list[str]
-    violations: list[str]
+    violations: list[TracedViolation]
+    # Resident memory of all entries at the end.
+    memory_mb: float
+    longest_lag_s: float
 
 
 @dataclass
 class Soak:
-    """Run the fault schedule of one seed."""
+    """Run the fault schedule of one seed.
+
+    A wide soak has more callers, slow operations and the faults of `WideFaults` as well.
+    """
 
     seed: int
     entry_count: int
     folder: Path
     has_rate_limits: bool = False
+    is_wide: bool = False
+    callers: int = CALLERS
     faults: list[str] = field(default_factory=list)
-    violations: list[str] = field(default_factory=list)
+    violations: list[Violation] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self._rng = random.Random(self.seed)
         # Draws of its own keep the faults of a seed the same with and without rate limits.
         self._rate_rng = random.Random(self.seed + 2)
-        self._site = Site(random.Random(self.seed + 1))
-        self._entries: list[_Entry] = []
+        self._site = Site(random.Random(self.seed + 1), has_proxies=self.is_wide)
+        self._entries: list[SoakEntry] = []
+        self._lag_meter = LagMeter()
         self._pending: list[threading.Thread] = []
+        self.memory_mb = 0.0
+        self._wide_faults = WideFaults(
+            random.Random(f"wide {self.seed}"), self._site, self._entries, self._schedule
+        )
 
     def run(self) -> SoakReport:
         """Start the site and entries, inject overlapping faults and check the guarantees."""
-        self._site.start(engines=4, services=3)
+        if self.is_wide:
+            self._site.set_work_range(WORK_RANGE_S)
+        more = self.entry_count // ENTRIES_PER_UPSTREAM
+        self._site.start(engines=max(4, more), services=max(3, more))
+        groups: list[Callers] = []
+        self._lag_meter.start()
         try:
             self._start_entries()
-            callers = Callers([each.ports.callers for each in self._entries], self.seed)
-            callers.start()
-            for _ in range(FAULTS):
+            groups = self._start_callers()
+            for _ in range(max(FAULTS, self.entry_count)):
                 self._inject()
+                if self.is_wide:
+                    self._inject_wide()
                 if self.has_rate_limits and self._rate_rng.random() < RATE_LIMIT_SHARE:
                     self._limit_upstreams()
                 time.sleep(FAULT_GAP_S * self._rng.uniform(0.2, 1.8))
@@ -118,15 +131,69 @@
             if self.has_rate_limits:
                 self._check_rate_limit()
             self._check_recovery()
-            callers.stop()
+            self.memory_mb = sum(each.process.resident_mb() for each in self._entries)
+            for group in groups:
+                group.stop()
         finally:
             for entry in self._entries:
                 entry.process.kill()
-                entry.store_proxy.stop()
+                entry.stop_links()
             self._site.stop()
-        self.violations += find_violations(callers.results, self._site.record)
-        served = sum(each.status == http.client.OK for each in callers.results)
-        return SoakReport(self.seed, len(callers.results), served, self.faults, self.violations)
+            self._lag_meter.stop()
+        results = [each for group in groups for each in group.results]
+        self.violations += find_violations(results, self._site.record, self._histories())
+        served = sum(each.status == http.client.OK for each in results)
+        return SoakReport(
+            self.seed,
+            len(results),
+            served,
+            self.faults,
+            [self._trace(each) for each in self.violations],
+            self.memory_mb,
+            self._lag_meter.longest_s(0.0, math.inf),
+        )
+
+    def _start_callers(self) -> list[Callers]:
+        groups = [Callers([each.ports.callers for each in self._entries], self.seed)]
+        if self.is_wide:
+            proxied = [each.caller_proxy.port for each in self._entries]
+            more = self.callers - CALLERS
+            count = more // 3
+            groups += [
+                Callers(groups[0].ports, f"{self.seed}/direct", more - count, tuple(CallerStyle)),
+                Callers(proxied, f"{self.seed}/proxied", count, tuple(CallerStyle)),
+            ]
+        for each in groups:
+            each.start()
+        return groups
+
+    def _histories(self) -> dict[int, EntryHistory]:
+        return {
+            port: each.history
+            for each in self._entries
+            for port in (each.ports.callers, each.caller_proxy.port)
+        }
+
+    def _trace(self, violation: Violation) -> TracedViolation:
+        """Return a violation with its entry and the log lines that name the request."""
+        entry = next(
+            (
+                each
+                for each in self._entries
+                if violation.port in {each.ports.callers, each.caller_proxy.port}
+            ),
+            None,
+        )
+        if entry is None:
+            return TracedViolation(violation)
+        lines = entry.log_path.read_text(errors="replace").splitlines()
+        named = [each for each in lines if violation.request and violation.request in each]
+        is_proxied = violation.port == entry.caller_proxy.port
+        name = f"{entry.ports.name}{' through a proxy' if is_proxied else ''}"
+        if violation.request is not None:
+            lag_s = self._lag_meter.longest_s(violation.began_at_s, violation.ended_at_s)
+            name += f", the soak itself lagged by up to {lag_s:.2f} s"
+        return TracedViolation(violation, name, tuple(named[:LOG_LINES_MAX]))
 
     def _start_entries(self) -> None:
         ports = [EntryPorts(f"entry-{number}") for number in range(self.entry_count)]
@@ -135,9 +202,10 @@
             proxy = FaultProxy(Address("127.0.0.1", self._site.store.port))
             proxy.start()
             settings = each.write_settings(self.folder, proxy.port, seeds)
-            log_path = str(self.folder / f"{each.name}-{self.seed}.log")
-            process = ListeningProcess(port=each.callers)
-            self._entries.append(_Entry(each, settings, proxy, log_path, process))
+            log_path = self.folder / f"{each.name}-{self.seed}.log"
+            entry = SoakEntry(each, settings, proxy, log_path, self.violations)
+            entry.caller_proxy.start()
+            self._entries.append(entry)
         starters = [threading.Thread(target=each.start) for each in self._entries]
         for starter in starters:
             starter.start()
@@ -164,6 +232,11 @@
         self.faults.append(fault.__name__.strip("_"))
         fault()
 
+    def _inject_wide(self) -> None:
+        name = self._wide_faults.inject()
+        if name is not None:
+            self.faults.append(name)
+
     def _schedule(self, wait_s: float, action: Callable[[], object]) -> None:
         def act() -> None:
             time.sleep(wait_s)
@@ -175,24 +248,19 @@
 
     def _stop_entry(self) -> None:
         entry = self._rng.choice(self._entries)
-        self._schedule(0.0, lambda: self._restart(entry, signal.SIGTERM))
+        self._schedule(0.0, lambda: entry.restart(signal.SIGTERM))
 
     def _kill_entry(self) -> None:
         entry = self._rng.choice(self._entries)
-        self._schedule(0.0, lambda: self._restart(entry, signal.SIGKILL))
-
-    def _restart(self, entry: _Entry, how: signal.Signals) -> None:
-        process = entry.process
-        if process.is_running():
-            process.send_signal(how)
-            process.wait(20.0)
-            entry.start()
+        self._schedule(0.0, lambda: entry.restart(signal.SIGKILL))
 
     def _pause_entry(self) -> None:
-        process = self._rng.choice(self._entries).process
+        entry = self._rng.choice(self._entries)
+        process = entry.process
         if process.is_running():
+            disruption = entry.history.begin_disruption()
             process.send_signal(signal.SIGSTOP)
-            self._schedule(self._rng.uniform(0.5, 3.0), lambda: _resume(process))
+            self._schedule(self._rng.uniform(0.5, 3.0), lambda: _resume(process, disruption))
 
     def _reload_entry(self) -> None:
         process = self._rng.choice(self._entries).process
@@ -201,15 +269,7 @@
 
     def _harm_store_link(self) -> None:
         proxy = self._rng.choice(self._entries).store_proxy
-        faults: list[ProxyFault] = [
-            CutConnections(),
-            ResetConnections(),
-            SilenceConnections(),
-            StallBytes(),
-            RefuseConnections(),
-            DelayBytes(delay_s=0.3),
-        ]
-        proxy.apply_fault(self._rng.choice(faults))
+        proxy.apply_fault(self._rng.choice(LINK_FAULTS))
         self._schedule(self._rng.uniform(0.5, 3.0), lambda: proxy.apply_fault(HealLink()))
 
     def _harm_store(self) -> None:
@@ -257,8 +317,7 @@
             self._site.remove(id)
 
     def _harm_upstream(self) -> None:
-        upstreams = [*self._site.engines.values(), *self._site.services.values()]
-        upstream = self._rng.choice(upstreams)
+        upstream = self._rng.choice(self._site.upstreams())
         faults = UpstreamFaults(*(self._rng.choice([0.0, 0.3]) for _ in range(4)))
         faults.pause_s = SHED_PAUSE_S if faults.shed_share else None
         upstream.faults = faults
@@ -290,12 +349,18 @@
         self._site.store.availability = StoreAvailability.AVAILABLE
         for entry in self._entries:
             entry.store_proxy.apply_fault(HealLink())
+        if self.is_wide:
+            self._wide_faults.heal()
+            self._site.set_work_range(None)
+
+    def _report(self, rule: Rule, description: str) -> None:
+        self.violations.append(Violation(rule, description))
 
     def _check_recovery(self) -> None:
         """Check that each entry serves, applies the newest configuration and honors a drain."""
         for entry in self._entries:
             if not self._serves(entry, CallKind.POST, RECOVERY_S):
-                self.violations.append(f"{entry.ports.name} does not serve after the faults")
+                self._report(Rule.RECOVER, f"{entry.ports.name} does not serve after the faults")
         time.sleep(SETTLED_AFTER_S)
         drained = next(iter(self._site.services))
         self._replace(drained)
@@ -307,14 +372,14 @@
         for entry in self._entries:
             status = call_once(entry.ports.callers, CallKind.READ, rng).status
             if status != http.client.UNAUTHORIZED:
-                self.violations.append(f"{entry.ports.name} responds {status} to a removed key")
+                self._report(Rule.CONFIG, f"{entry.ports.name} responds {status} to a removed key")
         self._site.configure()
         time.sleep(IN_FORCE_S)
         for entry in self._entries:
             if not self._serves(entry, CallKind.READ, 0.0):
-                self.violations.append(f"{entry.ports.name} rejects an added key")
+                self._report(Rule.CONFIG, f"{entry.ports.name} rejects an added key")
         if len(self._site.record.arrivals[drained]) > arrivals_at_bound:
-            self.violations.append(f"{drained} received requests after its drain limit")
+            self._report(Rule.DRAIN, f"{drained} received requests after its drain limit")
 
     def _check_rate_limit(self) -> None:
         """Check that all entries together keep to the rate that an upstream states."""
@@ -326,13 +391,14 @@
         arrivals = len(self._site.record.arrivals[limited.id]) - arrivals_before
         allowed = RATE_OVERAGE * RATE_WINDOW_S * rate_per_s + RATE_ALLOWANCE
         if arrivals > allowed:
-            self.violations.append(
+            self._report(
+                Rule.RATE,
                 f"{limited.id} received {arrivals} requests at {rate_per_s} per second, "
-                f"allowed {allowed:.0f}"
+                f"allowed {allowed:.0f}",
             )
         _end_limits([limited])
 
-    def _serves(self, entry: _Entry, kind: CallKind, within_s: float) -> bool:
+    def _serves(self, entry: SoakEntry, kind: CallKind, within_s: float) -> bool:
         rng = random.Random(self.seed)
         deadline_s = time.monotonic() + within_s
         while True:
@@ -348,6 +414,7 @@
         each.faults.rate_limit_per_s = None
 
 
-def _resume(process: ListeningProcess) -> None:
+def _resume(process: ListeningProcess, disruption: Disruption) -> None:
     if process.is_running():
         process.send_signal(signal.SIGCONT)
+    disruption.until_s = time.monotonic()
--- a/gooseberryquay/standins/node_platform/upstream_server.py
+++ b/gooseberryquay/standins/node_platform/upstream_server.py
@@ -1,9 +1,13 @@
 """Model engine and plain service, as the users' platform runs them."""
 
+import contextlib
+import http.client
 import json
+import math
 import random
 import threading
 import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -19,15 +23,29 @@
 )
 from gooseberryquay.standins.process import find_free_port
 
-__all__ = ["ModelEngine", "PlainService", "UpstreamFaults"]
+__all__ = ["AnswerFaults", "ModelEngine", "PlainService", "UpstreamFaults", "failure_body"]
 
 MS_PER_S = 1000.0
 HEADER_BYTES_MAX = 65536
 BODY_BYTES_MAX = 4 * 1024 * 1024
 RESERVED_HEADERS = ("x-hold", "x-pin-ms")
+NOT_RUN_STATUS_LINES = (
+    "408 Request Timeout",
+    "421 Misdirected Request",
+    "429 Too Many Requests",
+    "503 Service Unavailable",
+)
+# A stream whose engine has ended it may still be on the link for this time.
+ON_LINK_S = 1.0
+ENDED_MAX = 1000
 JSON_HEADERS = [("Content-Type", "application/json")]
 
 
+def failure_body(request: str) -> str:
+    """Return the body with which an upstream responds that a request has failed."""
+    return f"failed {request}"
+
+
 @dataclass
 class UpstreamFaults:
     """Probability of each fault for a request to an upstream."""
@@ -42,6 +60,14 @@
     rate_limit_per_s: float | None = None
 
 
+@dataclass(frozen=True)
+class AnswerFaults:
+    """Probability that an upstream runs a request, then refuses it or stops within the head."""
+
+    unmarked_refusal_share: float = 0.0
+    head_cut_share: float = 0.0
+
+
 @dataclass
 class _ReceivedRequest:
     gateway: StreamingGateway
@@ -59,6 +85,14 @@
         self.gateway.start(status, sent)
         self.gateway.write_all(body)
 
+    def cut_head(self, status: str, headers: list[tuple[str, str]], share: float) -> None:
+        """Send a share of the bytes of a head, then close the connection."""
+        lines = [f"HTTP/1.1 {status}", *(f"{name}: {value}" for name, value in headers), ""]
+        head = "\r\n".join(lines).encode()
+        with contextlib.suppress(OSError):
+            self.gateway.connection.sendall(head[: int(share * len(head))])
+        self.gateway.abort()
+
 
 class _Upstream:
     """Apply the checks common to all upstreams, then run the request."""
@@ -67,12 +101,15 @@
         self.id = id
         self.record = record
         self.faults = UpstreamFaults()
+        self.answer_faults = AnswerFaults()
         self.is_crashed = False
         self.is_leaving = False
         self.version = "v1"
         self.born_ms = int(time.time() * MS_PER_S)
         self.on_crash: Callable[[], None] = lambda: None
         self._rng = rng
+        # Draws of its own keep the other faults of a seed the same.
+        self._answer_rng = random.Random(id)
         self._open: set[StreamingGateway] = set()
         self._crash_lock = threading.Lock()
         self._is_silent = False
@@ -113,6 +150,9 @@
         """Return the bound TCP port."""
         return self._server.port
 
+    def record_broken_link(self) -> None:
+        """Record that the link has broken beneath all streams in progress."""
+
     def _raise_if_crashed(self) -> None:
         if self.is_crashed:
             if self._is_silent:
@@ -146,14 +186,12 @@
     def _handle(self, received: _ReceivedRequest) -> None:
         if self._handle_control(received):
             return
-        self.record.add_arrival(self.id)
+        self.record.add_arrival(self.id, received.id)
         if received.headers.get("x-expect-instance", self.id) != self.id:
             received.respond("421 Misdirected Request", [("X-Instance-Id", self.id)])
             return
         if self._occurs(self.faults.shed_share):
-            received.respond(
-                "503 Service Unavailable", [("X-Not-Executed", "1"), *self._retry_after()]
-            )
+            self._shed(received)
             return
         mode = crash_mode_of(received.body)
         if mode is not None:
@@ -170,6 +208,26 @@
             )
         self._run(received)
 
+    def _shed(self, received: _ReceivedRequest) -> None:
+        headers = [("X-Not-Executed", "1"), *self._retry_after()]
+        if self._answer_rng.random() < self.answer_faults.head_cut_share:
+            received.cut_head("503 Service Unavailable", headers, self._answer_rng.random())
+        else:
+            received.respond("503 Service Unavailable", headers)
+
+    def _fails_to_answer(self, received: _ReceivedRequest) -> bool:
+        """Refuse a request that was run, or stop within the head, if the faults say so."""
+        faults = self.answer_faults
+        if self._answer_rng.random() < faults.unmarked_refusal_share:
+            self._respond_failed(received, self._answer_rng.choice(NOT_RUN_STATUS_LINES))
+            return True
+        if self._answer_rng.random() < faults.head_cut_share:
+            status = self._answer_rng.choice(("200 OK", *NOT_RUN_STATUS_LINES))
+            seal = ("X-Response-Seal", f"{received.id}.e")
+            received.cut_head(status, [seal], self._answer_rng.random())
+            return True
+        return False
+
     def _status_headers(self) -> list[tuple[str, str]]:
         headers = [("Server-Leaving", "1")] if self.is_leaving else []
         if self.faults.rate_limit_per_s is not None:
@@ -191,25 +249,43 @@
         if crash_mode_of(received.body) is CrashMode.MIDWAY:
             self.crash(CrashMode.MIDWAY)
 
+    def _respond_failed(self, received: _ReceivedRequest, status_line: str) -> None:
+        """Respond that a request that was run has failed."""
+        self.record.add_sealed_status(received.id, int(status_line[:3]))
+        seal = ("X-Response-Seal", f"{received.id}.e")
+        received.respond(status_line, [seal], failure_body(received.id).encode())
+
     def _run(self, received: _ReceivedRequest) -> None:
         raise NotImplementedError
 
 
 class PlainService(_Upstream):
-    """Run operations of a fixed duration."""
+    """Run operations of a fixed duration, or of one drawn from a range."""
 
     work_s = 0.02
+    # Shortest and longest operation, if they differ.
+    work_range_s: tuple[float, float] | None = None
+
+    def _work_s(self, request: str) -> float:
+        """Return the duration of a request's operation, the same wherever it runs."""
+        if self.work_range_s is None:
+            return self.work_s
+        shortest, longest = map(math.log, self.work_range_s)
+        return math.exp(random.Random(request).uniform(shortest, longest))
 
     def _run(self, received: _ReceivedRequest) -> None:
         self.record.add_run(received.id, self.id)
-        time.sleep(self.work_s)
+        time.sleep(self._work_s(received.id))
         self._crash_midway(received)
         self._raise_if_crashed()
+        if self._fails_to_answer(received):
+            return
         if self._occurs(self.faults.lose_answer_share):
             received.gateway.abort()
         elif self._occurs(self.faults.error_share):
-            received.respond("500 Internal Server Error", [("X-Response-Seal", f"{received.id}.e")])
+            self._respond_failed(received, "500 Internal Server Error")
         else:
+            self.record.add_sealed_status(received.id, http.client.OK)
             body = f"done {received.id}".encode()
             received.respond("200 OK", [("X-Response-Seal", f"{received.id}.s")], body)
 
@@ -240,6 +316,7 @@
         super().__init__(id, record, rng)
         self._engines_by_port = engines_by_port
         self._running: dict[str, _Generation] = {}
+        self._ended: deque[tuple[float, str]] = deque(maxlen=ENDED_MAX)
         self._kv_copies: dict[str, int] = {}
         self._lock = threading.Lock()
 
@@ -248,6 +325,13 @@
         super().start()
         self._engines_by_port[self.port] = self
 
+    def record_broken_link(self) -> None:
+        """Record that the link has broken beneath all streams in progress."""
+        since_s = time.monotonic() - ON_LINK_S
+        on_link = [id for ended_at_s, id in list(self._ended) if ended_at_s >= since_s]
+        for id in [*list(self._running), *on_link]:
+            self.record.add_broken_off(id)
+
     def store_kv_copy(self, handle: str, event_count: int) -> None:
         """Store a KV cache copy for the request that resumes from it."""
         with self._lock:
@@ -306,6 +390,8 @@
                 return
         else:
             self.record.add_run(received.id, self.id)
+            if self._fails_to_answer(received):
+                return
         run = _Generation(event_count)
         part = self._crashing_part_of(received)
         crash_at = event_count + part.after_events if part is not None else None
@@ -314,6 +400,7 @@
             self._stream(received, run, last, crash_at)
         finally:
             self._running.pop(received.id, None)
+            self._ended.append((time.monotonic(), received.id))
 
     def _stream(
         self, received: _ReceivedRequest, run: _Generation, last: int, crash_at: int | None
@@ -325,6 +412,7 @@
             *received.status_headers,
         ]
         cut_at = self._rng.randrange(1, last + 1) if self._occurs(self.faults.cut_share) else None
+        self.record.add_sealed_status(received.id, http.client.OK)
         received.gateway.start("200 OK", headers)
         while run.event_count < last:
             time.sleep(self.event_s)
@@ -332,6 +420,8 @@
                 self._crash_midway(received)
             if run.event_count == crash_at:
                 self.crash(CrashMode.AT_ARRIVAL)
+            if self.is_crashed or run.event_count == cut_at:
+                self.record.add_broken_off(received.id)
             self._raise_if_crashed()
             with run.changed:
                 if run.is_stopped or run.event_count == cut_at:
