--- a/gooseberryquay/serving/execution.py
+++ b/gooseberryquay/serving/execution.py
@@ -5,6 +5,7 @@
 from result import Err, Ok, Result
 
 from gooseberryquay.links.caller_watch import CallerWatch
+from gooseberryquay.links.execution_proof import PROMISES_NOT_EXECUTED
 from gooseberryquay.links.upstream_connection import CallerLeft
 from gooseberryquay.serving.call import Call
 from gooseberryquay.serving.ports import (
@@ -18,12 +19,10 @@
 
 __all__ = ["Execution", "guarantees_not_run"]
 
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-
 
 def guarantees_not_run(status: int) -> bool:
     """Return whether a status tells the caller that its request did not and will not run."""
-    return status in NOT_RUN_STATUSES
+    return status in PROMISES_NOT_EXECUTED
 
 
 class Execution:
