End an entry's process after its drain, whatever its request threads still do

Operators saw: an entry whose drain had timed out did not exit while a stream went on, until the supervisor killed it.

Cause: cheroot joins its worker threads without a bound after it has shut down the reading side of their connections, and the interpreter waits for those that are no daemon threads.

Change: the pool waits for the shutdown timeout, and its threads are daemon threads. A stream that is cut resumes at another entry, as docs/OPERATIONS.md says.

--- a/gooseberryquay/links/thread_pool.py
+++ b/gooseberryquay/links/thread_pool.py
@@ -2,20 +2,20 @@
 
 import queue
 import threading
-from collections.abc import Callable
 from typing import Any
 
-from cheroot.workers.threadpool import ThreadPool
+from cheroot.workers.threadpool import ThreadPool, WorkerThread
 
 __all__ = ["GrowingThreadPool"]
 
+FORCED_CLOSE_S = 0.5
+
 
 class GrowingThreadPool(ThreadPool):
     """Start another thread whenever a connection would otherwise have to wait."""
 
     _queue: Any
     _threads: list[Any]
-    _spawn_worker: Callable[[], Any]
 
     def __init__(self, server: Any, min_threads: int, max_threads: int) -> None:
         super().__init__(server, min=min_threads, max=max_threads)
@@ -40,3 +40,16 @@
             needs_thread = self._queue.qsize() > self._idle_thread_count
         if needs_thread and len(self._threads) < self.max:
             self._threads.append(self._spawn_worker())
+
+    def stop(self, timeout: float = 5.0) -> None:
+        """Wait for the threads; one that is busy for longer ends with the process."""
+        waiting = threading.Thread(target=super().stop, args=(timeout,), daemon=True)
+        waiting.start()
+        waiting.join(timeout + FORCED_CLOSE_S)
+
+    def _spawn_worker(self) -> Any:
+        worker: Any = WorkerThread(self.server)  # type: ignore[no-untyped-call]
+        # The process does not wait for daemon threads.
+        worker.daemon = True
+        worker.start()
+        return worker
