Answer the requests that are open at the end of an entry's drain

Callers saw: requests that the entry had accepted (a posting, a lookup, an unstreamed generation) and whose upstream was still at work at the end of the drain got no answer: their connections stayed open until they were cut.

Cause: the entry waited for drain_timeout_s and then closed its servers beside the open requests.

Change: at the end of the drain each request in flight whose response has not begun gets 502 upstream_failed with "ran: maybe" from the thread that stops the entry; its own thread can no longer begin one. The log names each such request.

--- a/gooseberryquay/daemons/entry.py
+++ b/gooseberryquay/daemons/entry.py
@@ -127,13 +127,17 @@
         self._caller_server.start()
 
     def stop(self) -> None:
-        """Drain: announce the leave, refuse new work, complete requests in flight, then close."""
+        """Drain: announce the leave, refuse new work, complete requests in flight, then close.
+
+        Requests that are still in flight at the end of the drain get a final response.
+        """
         self._state.start_leaving()
         self._cluster.membership.announce_leave()
         time.sleep(self._limits.leave_notice_s)
         self._state.start_drain()
         self._caller_server.close_connections_after_responses()
-        self._in_flight.wait_until_idle(self._limits.drain_timeout_s)
+        if not self._in_flight.wait_until_idle(self._limits.drain_timeout_s):
+            self._in_flight.end_all()
         self._posting_executor.close(POSTING_FLUSH_TIMEOUT_S)
         self._reporting.stop()
         self._dispatching.stop()
--- a/gooseberryquay/daemons/tests/test_drain.py
+++ b/gooseberryquay/daemons/tests/test_drain.py
@@ -1,20 +1,32 @@
-"""A leaving entry takes only what can end before it exits, and answers what is open then."""
+"""A leaving entry answers what is open at its exit."""
+
+import threading
+import time
 
 import pytest
 
 from gooseberryquay.daemons.tests.builders import (
+    COMPLETION_PATH,
+    FIND_PATH,
+    MODEL,
+    POST_PATH,
     BackgroundStream,
+    call,
     small_plan,
     stream,
     wait_until,
 )
+from gooseberryquay.links.execution_proof import PROMISES_NOT_EXECUTED
 from gooseberryquay.standins.local_fleet import LocalFleet
+from gooseberryquay.standins.service_messages import DelayAnswers
 
 NOTICE_S = 3.0
 DRAIN_S = 1.0
 LONG_TOKENS = 2000
 # Several times what a busy machine needs to write an answer or to end a process.
 SLACK_S = 8.0
+LATE_ANSWER_S = 30.0
+FIRST = {"X-Retry-Count": "0"}
 
 
 @pytest.fixture
@@ -25,6 +37,50 @@
         yield running
 
 
+class BackgroundCall:
+    """Send one request in a background thread and note when it was answered."""
+
+    def __init__(self, address, path, body, key=None, **headers):
+        self.response = None
+        self.answered_at_s = None
+        self._arguments = (address, path, body, key)
+        self._headers = headers
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _run(self):
+        self.response = call(*self._arguments, **self._headers)
+        self.answered_at_s = time.monotonic()
+
+    def join(self):
+        self._thread.join(LATE_ANSWER_S + SLACK_S)
+        return self.response
+
+
+def test_request_that_is_open_at_the_end_of_a_drain_gets_an_answer_that_promises_nothing(fleet):
+    at = fleet.entry_addresses()[0]
+    fleet.inject("service-1", DelayAnswers(delay_s=LATE_ANSWER_S, count=10))
+    prompt = {"model": MODEL, "prompt": "p", "standin_output_tokens": LONG_TOKENS}
+    before = fleet.engine_counts("engine-1").arrivals
+    callers = [
+        BackgroundCall(at, POST_PATH, {"kg": 1}, "open", **FIRST),
+        BackgroundCall(at, FIND_PATH, {"lot": 1}),
+        BackgroundCall(at, COMPLETION_PATH, prompt),
+    ]
+    wait_until(lambda: fleet.service_counts("service-1").arrivals == 2)
+    wait_until(lambda: fleet.engine_counts("engine-1").arrivals > before)
+    fleet.terminate("entry-1")
+    exit_at_s = time.monotonic() + NOTICE_S + DRAIN_S
+    responses = [each.join() for each in callers]
+    assert all(response is not None for response in responses)
+    assert [response.error["ran"] for response in responses] == ["maybe"] * 3
+    assert not {response.status for response in responses} & PROMISES_NOT_EXECUTED
+    assert all(each.answered_at_s < exit_at_s + SLACK_S for each in callers)
+    again = call(fleet.entry_addresses()[1], POST_PATH, {"kg": 1}, "open")
+    assert again.status == 200 or again.error["ran"] == "maybe"
+    assert fleet.service_counts("service-1").runs["open"] == 1
+
+
 def test_entry_exits_after_its_drain_while_a_stream_goes_on(fleet):
     first, second = fleet.entry_addresses()
     running = BackgroundStream(first, LONG_TOKENS).wait_for_tokens(2)
--- a/gooseberryquay/links/caller_api.py
+++ b/gooseberryquay/links/caller_api.py
@@ -14,6 +14,7 @@
     NotReady,
     Ran,
     RequestTooLarge,
+    UpstreamFailed,
 )
 from gooseberryquay.ids import RequestId
 from gooseberryquay.links.caller_request import (
@@ -68,14 +69,13 @@
         self.add(method, path, lambda request: self._handle_counted(request, handler))
 
     def _handle_counted(self, request: Request, handler: CallerRequestHandler) -> Response:
-        self._in_flight.enter()
-        try:
-            return self._handle(request, handler)
-        finally:
-            self._in_flight.leave()
-
-    def _handle(self, request: Request, handler: CallerRequestHandler) -> Response:
         request_id = request_id_of(request)
+        with self._in_flight.track(lambda: _end_unfinished(request, request_id)):
+            return self._handle(request, request_id, handler)
+
+    def _handle(
+        self, request: Request, request_id: RequestId, handler: CallerRequestHandler
+    ) -> Response:
         failure = self._check(request)
         if failure is not None:
             return refuse(mark_possible_earlier_run(failure, request), request_id)
@@ -113,3 +113,14 @@
         failure = NotFound(f"no such path or method: {request.method} {request.path[:200]}")
         refused = refuse(failure, request_id_of(request))
         return Response(status, refused.body, headers=refused.headers)
+
+
+def _end_unfinished(request: Request, request_id: RequestId) -> None:
+    """Give a request that is open at the entry's exit a final response, unless one has started."""
+    message = "the entry stopped before the response was complete"
+    response = refuse(UpstreamFailed(message, Ran.MAYBE, RETRY_ELSEWHERE_S), request_id)
+    try:
+        is_answered = request.conclude(response)
+    except CallerDisconnected:
+        is_answered = False
+    logger.warning(message, extra={"request_id": request_id, "is_answered": is_answered})
--- a/gooseberryquay/links/http_server.py
+++ b/gooseberryquay/links/http_server.py
@@ -43,11 +43,19 @@
         """Send status 200 and the headers with the first bytes of the body."""
 
 
+Conclude = Callable[["Response"], bool]
+
+
+def _cannot_conclude(_response: "Response") -> bool:
+    return False
+
+
 @dataclass(frozen=True)
 class Request:
     """Represent an HTTP request; header names are lower case.
 
     `after_response` registers a callback to run after the response or the disconnect of the caller.
+    `conclude` writes a response from another thread, unless one has started.
     """
 
     method: str
@@ -58,6 +66,7 @@
     open_stream: StreamOpener
     after_response: AfterResponse
     path_values: dict[str, str] = field(default_factory=dict)
+    conclude: Conclude = _cannot_conclude
 
 
 @dataclass(frozen=True)
@@ -180,8 +189,13 @@
             gateway.start(_status_line(HTTPStatus.OK), self._header_list(content_type, headers))
             return gateway
 
+        def conclude(response: Response) -> bool:
+            body = response.body if isinstance(response.body, bytes) else b"".join(response.body)
+            headers = self._headers_of(replace(response, body=body))
+            return gateway.conclude(_status_line(response.status), headers, body)
+
         try:
-            request = _read_request(gateway.req, open_stream, gateway.after_response)
+            request = _read_request(gateway.req, open_stream, gateway.after_response, conclude)
         except BodyIncomplete:
             gateway.req.close_connection = True
             response = Response(HTTPStatus.BAD_REQUEST, b"{}")
@@ -189,11 +203,14 @@
             response = self._router.handle(request)
         if response.is_sent:
             return
+        gateway.start(_status_line(response.status), self._headers_of(response))
+        gateway.write_all(response.body)
+
+    def _headers_of(self, response: Response) -> list[tuple[str, str]]:
         headers = self._header_list(response.content_type, response.headers, response.is_closing)
         if isinstance(response.body, bytes):
             headers.append(("Content-Length", str(len(response.body))))
-        gateway.start(_status_line(response.status), headers)
-        gateway.write_all(response.body)
+        return headers
 
     def _header_list(
         self, content_type: str, headers: dict[str, str], is_closing: bool = False
@@ -213,7 +230,7 @@
 
 
 def _read_request(
-    request: Any, open_stream: StreamOpener, after_response: AfterResponse
+    request: Any, open_stream: StreamOpener, after_response: AfterResponse, conclude: Conclude
 ) -> Request:
     headers = {
         name.decode(HEADER_CODING).lower().replace("_", "-"): value.decode(HEADER_CODING)
@@ -228,6 +245,7 @@
         body=read_whole_body(request),
         open_stream=open_stream,
         after_response=after_response,
+        conclude=conclude,
     )
 
 
--- a/gooseberryquay/links/in_flight.py
+++ b/gooseberryquay/links/in_flight.py
@@ -1,34 +1,45 @@
-"""Counter of in-flight caller requests, which a drain waits on."""
+"""Caller requests in flight, which a drain waits for and ends."""
 
 import threading
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 __all__ = ["InFlightCounter"]
 
 
 class InFlightCounter:
-    """Count in-flight requests and wait until there are none; thread-safe."""
+    """Count in-flight requests, wait until there are none, and end those that remain."""
 
     def __init__(self) -> None:
         self._changed = threading.Condition()
-        self._count = 0
+        self._ends: dict[object, Callable[[], None]] = {}
 
     @property
     def count(self) -> int:
         """Return the number of in-flight requests."""
-        return self._count
+        return len(self._ends)
 
-    def enter(self) -> None:
-        """Increment the count at the start of a request."""
+    @contextmanager
+    def track(self, end: Callable[[], None]) -> Iterator[None]:
+        """Count a request as in flight; `end` gives it a final response from another thread."""
+        key = object()
         with self._changed:
-            self._count += 1
-
-    def leave(self) -> None:
-        """Decrement the count at the end of a request."""
-        with self._changed:
-            self._count -= 1
-            self._changed.notify_all()
+            self._ends[key] = end
+        try:
+            yield
+        finally:
+            with self._changed:
+                del self._ends[key]
+                self._changed.notify_all()
 
     def wait_until_idle(self, timeout_s: float) -> bool:
         """Wait until no request is in flight; return False on timeout."""
         with self._changed:
-            return self._changed.wait_for(lambda: self._count == 0, timeout_s)
+            return self._changed.wait_for(lambda: not self._ends, timeout_s)
+
+    def end_all(self) -> None:
+        """End every request that is in flight."""
+        with self._changed:
+            ends = list(self._ends.values())
+        for end in ends:
+            end()
--- a/gooseberryquay/links/streaming_gateway.py
+++ b/gooseberryquay/links/streaming_gateway.py
@@ -49,7 +49,9 @@
         self._handler = handler
         self._is_closing = is_closing
         self._socket: socket.socket | None = None
+        self._start_lock = threading.Lock()
         self._has_started = False
+        self._is_concluded = False
         self._after_response: list[Callable[[], None]] = []
 
     def respond(self) -> None:
@@ -73,11 +75,31 @@
 
     def start(self, status_line: str, headers: list[tuple[str, str]]) -> None:
         """Set the status and the headers, which are sent with the first bytes of the body."""
-        if self._has_started:
-            raise RuntimeError("the response has already started")
-        self._has_started = True
+        with self._start_lock:
+            if self._is_concluded:
+                raise CallerDisconnected("the response was concluded by another thread")
+            if self._has_started:
+                raise RuntimeError("the response has already started")
+            self._has_started = True
         if self._is_closing():
             self.req.close_connection = True
+        self._set_head(status_line, headers)
+
+    def conclude(self, status_line: str, headers: list[tuple[str, str]], body: bytes) -> bool:
+        """Write a whole response from another thread; return False if one has started.
+
+        From then on `start` raises `CallerDisconnected` in the request's own thread.
+        """
+        with self._start_lock:
+            if self._has_started:
+                return False
+            self._has_started = self._is_concluded = True
+        self.req.close_connection = True
+        self._set_head(status_line, headers)
+        self.write_all(body)
+        return True
+
+    def _set_head(self, status_line: str, headers: list[tuple[str, str]]) -> None:
         self.req.status = status_line.encode(HEADER_CODING)
         for name, value in headers:
             pair = (name.encode(HEADER_CODING), value.encode(HEADER_CODING))
