Take a request at a leaving entry only if its deadline lies before the exit

Callers saw: during leave_notice_s a leaving entry took all work, also with a deadline long after its exit, and such requests were still open at the end of the drain.

Cause: the drain state knew no time of the exit, and the caller API asked it before the deadline was known.

Change: the state is told when the entry exits; both handlers ask it with the deadline that holds (the caller's, or that of the service) and refuse with entry_leaving and Retry-After. A resume is taken as before: any entry can go on with it.

--- a/gooseberryquay/daemons/entry.py
+++ b/gooseberryquay/daemons/entry.py
@@ -61,13 +61,14 @@
 
     def _build_caller_api(self) -> CallerApi:
         configuration = self._cluster.configuration
-        completions = CompletionApi(self._build_relay(), configuration, self._log)
+        completions = CompletionApi(self._build_relay(), configuration, self._log, self._state)
         services = ServiceApi(
             self._build_service_caller(),
             self._posting_executor,
             configuration,
             self._log,
-            self._limits.key_length_max,
+            key_length_max=self._limits.key_length_max,
+            state=self._state,
         )
         api = CallerApi(configuration, self._state, self._in_flight, self._limits.body_bytes_max)
         for path in (COMPLETION_PATH, CHAT_PATH):
@@ -131,7 +132,8 @@
 
         Requests that are still in flight at the end of the drain get a final response.
         """
-        self._state.start_leaving()
+        drained_s = self._limits.leave_notice_s + self._limits.drain_timeout_s
+        self._state.start_leaving(exit_at_s=time.monotonic() + drained_s)
         self._cluster.membership.announce_leave()
         time.sleep(self._limits.leave_notice_s)
         self._state.start_drain()
--- a/gooseberryquay/daemons/tests/test_drain.py
+++ b/gooseberryquay/daemons/tests/test_drain.py
@@ -1,4 +1,4 @@
-"""A leaving entry answers what is open at its exit."""
+"""A leaving entry takes only what can end before it exits, and answers what is open then."""
 
 import threading
 import time
@@ -37,6 +37,10 @@
         yield running
 
 
+def _is_leaving(address):
+    return call(address, "/readyz", {}, method="GET").status == 503
+
+
 class BackgroundCall:
     """Send one request in a background thread and note when it was answered."""
 
@@ -57,6 +61,31 @@
         return self.response
 
 
+def test_leaving_entry_takes_only_requests_whose_deadline_lies_before_its_exit(fleet):
+    at = fleet.entry_addresses()[0]
+    prompt = {"model": MODEL, "prompt": "p", "standin_output_tokens": 1}
+    late = {"X-Deadline-Ms": str(int((NOTICE_S + DRAIN_S) * 1000)), **FIRST}
+    soon = {"X-Deadline-Ms": "1000", **FIRST}
+    fleet.terminate("entry-1")
+    wait_until(lambda: _is_leaving(at))
+    refused = [
+        call(at, POST_PATH, {"kg": 1}, "late", **late),
+        call(at, FIND_PATH, {"lot": 1}, **late),
+        call(at, COMPLETION_PATH, prompt, **late),
+        call(at, COMPLETION_PATH, {**prompt, "stream": True}, **late),
+        call(at, FIND_PATH, {"lot": 1}),
+    ]
+    taken = [
+        call(at, POST_PATH, {"kg": 1}, "soon", **soon),
+        call(at, COMPLETION_PATH, prompt, **soon),
+    ]
+    assert [each.error["type"] for each in refused] == ["entry_leaving"] * len(refused)
+    assert [each.error["ran"] for each in refused] == ["no"] * len(refused)
+    assert all(each.headers["retry-after"] for each in refused)
+    assert fleet.service_counts("service-1").runs.get("late", 0) == 0
+    assert [each.status for each in taken] == [200, 200]
+
+
 def test_request_that_is_open_at_the_end_of_a_drain_gets_an_answer_that_promises_nothing(fleet):
     at = fleet.entry_addresses()[0]
     fleet.inject("service-1", DelayAnswers(delay_s=LATE_ANSWER_S, count=10))
--- a/gooseberryquay/links/caller_api.py
+++ b/gooseberryquay/links/caller_api.py
@@ -41,6 +41,9 @@
 class EntryState(Protocol):
     """Report whether the entry accepts new work."""
 
+    def refusal_of(self, deadline_at_s: float) -> Failure | None:
+        """Return why the entry rejects a request with this deadline, or None."""
+
     def readiness(self) -> Failure | None:
         """Return why a load balancer should not route to this entry, or None."""
 
--- a/gooseberryquay/links/completion_api.py
+++ b/gooseberryquay/links/completion_api.py
@@ -15,6 +15,7 @@
     WrongWorkspace,
 )
 from gooseberryquay.ids import RequestId, ServiceId
+from gooseberryquay.links.caller_api import EntryState
 from gooseberryquay.links.caller_request import (
     LAST_EVENT_ID_HEADER,
     CallerContext,
@@ -46,11 +47,16 @@
     """Serve completion requests, streamed or as one response."""
 
     def __init__(
-        self, relay: GenerationRelay, configuration: Callable[[], Configuration], log: RequestLog
+        self,
+        relay: GenerationRelay,
+        configuration: Callable[[], Configuration],
+        log: RequestLog,
+        state: EntryState,
     ) -> None:
         self._relay = relay
         self._configuration = configuration
         self._log = log
+        self._state = state
 
     def complete(self, request: Request, context: CallerContext) -> Response:
         """Serve one request to a completion path."""
@@ -86,6 +92,8 @@
         completion: CompletionRequest,
     ) -> Response:
         work = _build_work(context, service, completion)
+        if failure := self._state.refusal_of(work.deadline_at_s):
+            return refuse(failure, context.request_id)
         record = _start_record(context, service.id, service.token_gap_s)
         body = completion.upstream_body()
         if completion.stream:
--- a/gooseberryquay/links/service_api.py
+++ b/gooseberryquay/links/service_api.py
@@ -24,6 +24,7 @@
     ServiceId,
     WorkKind,
 )
+from gooseberryquay.links.caller_api import EntryState
 from gooseberryquay.links.caller_request import (
     CallerContext,
     is_first_attempt,
@@ -87,13 +88,16 @@
         executor: PostingExecutor,
         configuration: Callable[[], Configuration],
         log: RequestLog,
+        *,
         key_length_max: int,
+        state: EntryState,
     ) -> None:
         self._caller = caller
         self._executor = executor
         self._configuration = configuration
         self._log = log
         self._key_length_max = key_length_max
+        self._state = state
 
     def call(self, request: Request, context: CallerContext) -> Response:
         """Serve one call of one operation."""
@@ -117,18 +121,19 @@
         content_type = request.headers.get("content-type", "application/json")
         own_key = None if key is None else IdempotencyKey(key)
         is_first = is_first_attempt(request)
-        return Ok(
-            _Call(
-                context,
-                service,
-                operation,
-                request.body,
-                content_type,
-                own_key,
-                request.after_response,
-                is_first,
-            )
+        call = _Call(
+            context,
+            service,
+            operation,
+            request.body,
+            content_type,
+            own_key,
+            request.after_response,
+            is_first,
         )
+        if failure := self._state.refusal_of(call.deadline_at_s):
+            return Err(failure)
+        return Ok(call)
 
     def _check_key(self, repeat: RepeatPolicy, key: str | None) -> Failure | None:
         if key is None:
