--- a/gooseberryquay/daemons/tests/test_operations.py
+++ b/gooseberryquay/daemons/tests/test_operations.py
@@ -73,22 +73,34 @@
     assert refused.error["ran"] == "no"
 
 
-def test_posting_whose_body_ends_early_is_not_run(fleet):
-    body = json.dumps({"kg": 1, "reference": "whole"}).encode()
+def _post_and_half_close(address, key, body, sent_bytes):
     head = (
         f"POST {POST_PATH} HTTP/1.1\r\nHost: entry\r\nX-Workspace: {WORKSPACE}\r\n"
-        f"Idempotency-Key: cut-body\r\nContent-Length: {len(body)}\r\n\r\n"
+        f"Idempotency-Key: {key}\r\nContent-Length: {len(body)}\r\n\r\n"
     )
-    with socket.create_connection(fleet.entry_addresses()[0], timeout=20) as connection:
-        connection.sendall(head.encode() + body[:-1])
+    with socket.create_connection(address, timeout=20) as connection:
+        connection.sendall(head.encode() + body[:sent_bytes])
         connection.shutdown(socket.SHUT_WR)
-        answer = b"".join(iter(lambda: connection.recv(4096), b""))
+        return b"".join(iter(lambda: connection.recv(4096), b""))
+
+
+def test_posting_whose_body_ends_early_is_not_run(fleet):
+    body = json.dumps({"kg": 1, "reference": "whole"}).encode()
+    answer = _post_and_half_close(fleet.entry_addresses()[0], "cut-body", body, len(body) - 1)
     assert answer.startswith(b"HTTP/1.1 400 ")
     assert _runs(fleet, "cut-body") == 0
     whole = call(fleet.entry_addresses()[1], POST_PATH, json.loads(body), "cut-body")
     assert (whole.status, whole.body["reference"]) == (200, "whole")
 
 
+def test_posting_of_a_caller_that_closes_only_its_sending_side_is_answered(fleet):
+    body = json.dumps({"kg": 1}).encode()
+    fleet.inject(SERVICE, DelayAnswers(delay_s=0.5))
+    answer = _post_and_half_close(fleet.entry_addresses()[0], "half-closed", body, len(body))
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    assert _runs(fleet, "half-closed") == 1
+
+
 @pytest.mark.parametrize(
     "fault", [CrossAnswers(), BreakAfterRun(), TruncateAnswers()], ids=lambda fault: fault.kind
 )
