--- a/gooseberryquay/links/tests/test_http_server.py
+++ b/gooseberryquay/links/tests/test_http_server.py
@@ -1,5 +1,6 @@
 """HTTP server over real sockets."""
 
+import queue
 import socket
 import threading
 from collections.abc import Callable, Iterator
@@ -134,3 +135,39 @@
     finally:
         server.stop()
     assert done == [True]
+
+
+def _serve_until_concluded(conclude_first: bool) -> tuple[bytes, list[bool]]:
+    """Return what a caller got whose request was concluded before or after it was answered."""
+    requests: queue.SimpleQueue[Request] = queue.SimpleQueue()
+    may_answer = threading.Event()
+
+    def handler(request: Request) -> Response:
+        if not conclude_first:
+            request.open_stream("text/plain", {}).write(b"own")
+        requests.put(request)
+        may_answer.wait(ANSWER_TIMEOUT_S)
+        return Response(body=b"own") if conclude_first else Response.sent()
+
+    answers: list[bytes] = []
+    with _serve(handler) as port:
+        caller = threading.Thread(target=lambda: answers.append(_exchange(port, LAST_GET)))
+        caller.start()
+        concluded = Response(status=502, body=b"concluded")
+        results = [requests.get(timeout=ANSWER_TIMEOUT_S).conclude(concluded)]
+        may_answer.set()
+        caller.join(ANSWER_TIMEOUT_S)
+    return answers[0], results
+
+
+def test_concluded_request_gets_only_the_response_of_the_other_thread() -> None:
+    answer, results = _serve_until_concluded(conclude_first=True)
+    assert results == [True]
+    assert answer.startswith(b"HTTP/1.1 502 ") and answer.endswith(b"\r\n\r\nconcluded")
+    assert b"own" not in answer
+
+
+def test_response_that_has_started_is_not_concluded() -> None:
+    answer, results = _serve_until_concluded(conclude_first=False)
+    assert results == [False]
+    assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(b"3\r\nown\r\n0\r\n\r\n")
