Refuse a header that cannot be sent on before its key is claimed

Callers saw: a posting whose Content-Type holds a carriage return was answered 409 unknown_outcome with "maybe", and its key stayed closed for good, though nothing had been sent.

Cause: the HTTP client rejects such a value after the key was claimed, and every exception of a send counts as an unknown outcome.

Change: control characters in Content-Type get 400 invalid_request before the claim.

--- a/gooseberryquay/daemons/tests/test_operations.py
+++ b/gooseberryquay/daemons/tests/test_operations.py
@@ -101,6 +101,20 @@
     assert _runs(fleet, "half-closed") == 1
 
 
+def test_header_that_cannot_be_sent_on_does_not_close_its_key(fleet):
+    head = (
+        f"POST {POST_PATH} HTTP/1.1\r\nHost: entry\r\nX-Workspace: {WORKSPACE}\r\n"
+        "Connection: close\r\nIdempotency-Key: bad-header\r\nX-Retry-Count: 0\r\n"
+        "Content-Type: text/\rplain\r\nContent-Length: 2\r\n\r\n{}"
+    )
+    with socket.create_connection(fleet.entry_addresses()[0], timeout=20) as connection:
+        connection.sendall(head.encode())
+        answer = b"".join(iter(lambda: connection.recv(4096), b""))
+    assert answer.startswith(b"HTTP/1.1 400 ")
+    assert json.loads(answer.partition(b"\r\n\r\n")[2])["error"]["ran"] == "no"
+    assert call(fleet.entry_addresses()[1], POST_PATH, {}, "bad-header").status == 200
+
+
 @pytest.mark.parametrize(
     "fault", [CrossAnswers(), BreakAfterRun(), TruncateAnswers()], ids=lambda fault: fault.kind
 )
--- a/gooseberryquay/links/service_api.py
+++ b/gooseberryquay/links/service_api.py
@@ -12,6 +12,7 @@
 from gooseberryquay.errors import (
     Failure,
     IdempotencyKeyRequired,
+    InvalidRequest,
     NotFound,
     Ran,
     UpstreamFailed,
@@ -52,6 +53,7 @@
 RETRY_AFTER_S = 1.0
 TOKEN_BYTES = 12
 KEY_PATTERN = re.compile(r"[\x21-\x7e]+")
+CONTENT_TYPE_PATTERN = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
 
 
 @dataclass(frozen=True)
@@ -119,6 +121,8 @@
         if failure := self._check_key(service.repeat_policy_of(operation), key):
             return Err(failure)
         content_type = request.headers.get("content-type", "application/json")
+        if CONTENT_TYPE_PATTERN.fullmatch(content_type) is None:
+            return Err(InvalidRequest("Content-Type must not have control characters"))
         own_key = None if key is None else IdempotencyKey(key)
         is_first = is_first_attempt(request)
         call = _Call(
