--- a/gooseberryquay/daemons/entry.py
+++ b/gooseberryquay/daemons/entry.py
@@ -61,13 +61,14 @@
 
     def _build_caller_api(self) -> CallerApi:
         configuration = self._cluster.configuration
-        completions = CompletionApi(self._build_relay(), configuration, self._log)
+        completions = CompletionApi(self._build_relay(), configuration, self._log, self._state)
         services = ServiceApi(
             self._build_service_caller(),
             self._posting_executor,
             configuration,
             self._log,
-            self._limits.key_length_max,
+            key_length_max=self._limits.key_length_max,
+            state=self._state,
         )
         api = CallerApi(configuration, self._state, self._in_flight, self._limits.body_bytes_max)
         for path in (COMPLETION_PATH, CHAT_PATH):
@@ -127,13 +128,18 @@
         self._caller_server.start()
 
     def stop(self) -> None:
-        """Drain: announce the leave, refuse new work, complete requests in flight, then close."""
-        self._state.start_leaving()
+        """Drain: announce the leave, refuse new work, complete requests in flight, then close.
+
+        Requests that are still in flight at the end of the drain get a final response.
+        """
+        drained_s = self._limits.leave_notice_s + self._limits.drain_timeout_s
+        self._state.start_leaving(exit_at_s=time.monotonic() + drained_s)
         self._cluster.membership.announce_leave()
         time.sleep(self._limits.leave_notice_s)
         self._state.start_drain()
         self._caller_server.close_connections_after_responses()
-        self._in_flight.wait_until_idle(self._limits.drain_timeout_s)
+        if not self._in_flight.wait_until_idle(self._limits.drain_timeout_s):
+            self._in_flight.end_all()
         self._posting_executor.close(POSTING_FLUSH_TIMEOUT_S)
         self._reporting.stop()
         self._dispatching.stop()
--- a/gooseberryquay/links/service_api.py
+++ b/gooseberryquay/links/service_api.py
@@ -12,6 +12,7 @@
 from gooseberryquay.errors import (
     Failure,
     IdempotencyKeyRequired,
+    InvalidRequest,
     NotFound,
     Ran,
     UpstreamFailed,
@@ -24,6 +25,7 @@
     ServiceId,
     WorkKind,
 )
+from gooseberryquay.links.caller_api import EntryState
 from gooseberryquay.links.caller_request import (
     CallerContext,
     is_first_attempt,
@@ -51,6 +53,7 @@
 RETRY_AFTER_S = 1.0
 TOKEN_BYTES = 12
 KEY_PATTERN = re.compile(r"[\x21-\x7e]+")
+CONTENT_TYPE_PATTERN = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
 
 
 @dataclass(frozen=True)
@@ -87,13 +90,16 @@
         executor: PostingExecutor,
         configuration: Callable[[], Configuration],
         log: RequestLog,
+        *,
         key_length_max: int,
+        state: EntryState,
     ) -> None:
         self._caller = caller
         self._executor = executor
         self._configuration = configuration
         self._log = log
         self._key_length_max = key_length_max
+        self._state = state
 
     def call(self, request: Request, context: CallerContext) -> Response:
         """Serve one call of one operation."""
@@ -115,20 +121,23 @@
         if failure := self._check_key(service.repeat_policy_of(operation), key):
             return Err(failure)
         content_type = request.headers.get("content-type", "application/json")
+        if CONTENT_TYPE_PATTERN.fullmatch(content_type) is None:
+            return Err(InvalidRequest("Content-Type must not have control characters"))
         own_key = None if key is None else IdempotencyKey(key)
         is_first = is_first_attempt(request)
-        return Ok(
-            _Call(
-                context,
-                service,
-                operation,
-                request.body,
-                content_type,
-                own_key,
-                request.after_response,
-                is_first,
-            )
+        call = _Call(
+            context,
+            service,
+            operation,
+            request.body,
+            content_type,
+            own_key,
+            request.after_response,
+            is_first,
         )
+        if failure := self._state.refusal_of(call.deadline_at_s):
+            return Err(failure)
+        return Ok(call)
 
     def _check_key(self, repeat: RepeatPolicy, key: str | None) -> Failure | None:
         if key is None:
