Test that a generation whose copies are refused is not answered as not run

What callers saw: 503, 429 or 408 for a request that an engine had begun, was moved before its first event, and whose copy was refused with that status and without the mark that says "not executed".

--- a/gooseberryquay/daemons/tests/stubborn_engine_builders.py
+++ b/gooseberryquay/daemons/tests/stubborn_engine_builders.py
@@ -15,15 +15,30 @@
 
 
 class StubbornEngine(ModelEngine):
-    """Generate to the end unless a final copy stops the run."""
+    """Generate to the end unless a final copy stops the run.
+
+    `copy_refusal` is the status line with which requests that go on from a copy are refused.
+    """
+
+    first_event_s = 0.0
+    copy_refusal = None
 
     def __init__(self, *arguments):
         super().__init__(*arguments)
         self.spans = defaultdict(list)
 
+    def _run(self, received):
+        if self.copy_refusal is not None and "kv-from" in received.headers:
+            received.respond(self.copy_refusal, [])
+            return
+        super()._run(received)
+
     def _stream(self, received, run, last, crash_at):
         span = [time.monotonic(), time.monotonic()]
         self.spans[received.id].append(span)
+        until_s = time.monotonic() + self.first_event_s
+        while time.monotonic() < until_s and not run.is_stopped:
+            time.sleep(self.event_s)
         try:
             super()._stream(received, run, last, crash_at)
         except CallerDisconnected:
--- a/gooseberryquay/daemons/tests/test_platform_migration_faults.py
+++ b/gooseberryquay/daemons/tests/test_platform_migration_faults.py
@@ -15,6 +15,8 @@
 EVENTS = 300
 # Longer than a copy that an entry makes final at once.
 SLOW_COPY_S = 0.2
+# Long enough for a migration to end before the first event.
+LATE_EVENT_S = 1.5
 
 
 @pytest.fixture
@@ -51,3 +53,27 @@
     assert sum(len(engine.spans) for engine in site.engines.values()) > STREAMS
     assert site.overlaps() == []
     assert all(each.is_complete for each in callers)
+
+
+@pytest.mark.parametrize(
+    "refusal", ["503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout"]
+)
+def test_refused_copy_is_not_answered_as_a_request_that_has_not_run(site, tmp_path, refusal):
+    """The source had run the request, and stopped before its first event."""
+    for engine in site.engines.values():
+        engine.copy_refusal, engine.first_event_s = refusal, LATE_EVENT_S
+    callers = [StreamCaller(path="/note/1", event_count=10) for _ in range(STREAMS)]
+    with running_entries(site, tmp_path, 1) as entries:
+        port = entries[0].ports.callers
+        threads = [threading.Thread(target=each.read, args=(port,)) for each in callers]
+        for each in threads:
+            each.start()
+        time.sleep(0.5)
+        source = max(site.engines.values(), key=lambda engine: len(engine.spans))
+        moved = set(source.spans)
+        site.announce_leave(source.id)
+        for each in threads:
+            each.join()
+    assert moved
+    of_moved = [each for each in callers if each.id in moved]
+    assert [each.statuses for each in of_moved] == [[502]] * len(of_moved)
