Ask for a final copy when a stream breaks before its first copy is made

What callers saw: a stream cut, though the engine that was leaving still had it; the first copy was under way when the link failed, and nothing waited for it. The engine went on in vain.

Change: without a copy the engine is asked for a final one to a target of its own. A run is counted off at an upstream only by its own record, since the migration may have counted the same request there.

--- a/gooseberryquay/serving/active_generation.py
+++ b/gooseberryquay/serving/active_generation.py
@@ -63,8 +63,8 @@
     is_interrupted: bool = False
     # Number of migrations begun; each may change the state only while it is the latest.
     move_number: int = 0
-    # Stops the run at its source; returns None if it may still be going on.
-    stop_run: Callable[[KvCopy], KvCopy | None] = lambda copy: copy
+    # Stops the run at its engine; returns the copy to resume from, or None.
+    stop_run: Callable[[KvCopy | None], KvCopy | None] = lambda copy: copy
     changed: threading.Condition = field(default_factory=threading.Condition)
 
     def begin_move(self) -> int | None:
@@ -119,7 +119,7 @@
             return run is self.run or (self.copy is not None and run is self.copy.run)
 
     def take_copy(self, timeout_s: float) -> KvCopy | None:
-        """Detach the newest copy once the source has stopped the run; None if it may go on.
+        """Detach the newest copy once the run has stopped; None if there is none or it may go on.
 
         A migration that is about to stop the run may take `timeout_s` to do so.
         """
@@ -127,9 +127,11 @@
             self.is_interrupted = True
             self.changed.wait_for(lambda: self.state is not MoveState.STOPPING, timeout_s)
             copy = self.copy
-        if copy is not None and not copy.is_final(self.run):
+        if copy is None or not copy.is_final(self.run):
             copy = self.stop_run(copy)
         with self.changed:
+            if self.copy is not None and self.copy.is_final(self.run):
+                copy = self.copy
             if copy is not None:
                 self.copy = None
             self.state = MoveState.STAYING
--- a/gooseberryquay/serving/migration.py
+++ b/gooseberryquay/serving/migration.py
@@ -25,6 +25,7 @@
     UpstreamClient,
 )
 from gooseberryquay.serving.upstream_load import LoadTable, Run
+from gooseberryquay.serving.upstream_record import UpstreamRecord
 from gooseberryquay.serving.upstream_registry import KnownUpstream
 
 __all__ = ["Migration"]
@@ -93,6 +94,10 @@
         """Copy generations at a missing upstream in advance, without stopping them yet."""
         self.upstream_leaving(upstream)
 
+    def attach(self, active: ActiveGeneration) -> None:
+        """Stop the run at its engine if its stream breaks, and keep its KV cache."""
+        active.stop_run = functools.partial(self._stop_lost_run, active)
+
     def begin(self, active: ActiveGeneration) -> None:
         """Start to migrate one generation in the background.
 
@@ -106,7 +111,7 @@
         number = active.begin_move()
         if number is None:
             return
-        active.stop_run = functools.partial(self._stop_lost_run, active, source)
+        self.attach(active)
         move = _Move(active, source, number, self._clock())
         threading.Thread(target=self._move, args=(move,), daemon=True).start()
 
@@ -114,7 +119,7 @@
         active = move.active
         tried: set[UpstreamId] = {move.source.record.id}
         while len(tried) <= TARGETS_MAX and not self._is_over(move):
-            target = self._choose_target(move, tried)
+            target = self._choose_target(active, move.source.record, tried)
             if target is None:
                 time.sleep(RETRY_PAUSE_S)
                 continue
@@ -147,8 +152,9 @@
             return True
         return self._clock() - move.began_at_s > MOVE_TIMEOUT_S
 
-    def _choose_target(self, move: _Move, tried: set[UpstreamId]) -> _Target | None:
-        active, source = move.active, move.source.record
+    def _choose_target(
+        self, active: ActiveGeneration, source: UpstreamRecord, tried: set[UpstreamId]
+    ) -> _Target | None:
         run = active.run
         need = EngineNeed(run.held_tokens, max(0.0, run.expected_tokens - run.generated_tokens))
         version = source.version
@@ -219,26 +225,43 @@
                 active.set_state(MoveState.FAILED, move.number)
         return True
 
-    def _stop_lost_run(
-        self, active: ActiveGeneration, source: KnownUpstream, copy: KvCopy
-    ) -> KvCopy | None:
+    def _stop_lost_run(self, active: ActiveGeneration, copy: KvCopy | None) -> KvCopy | None:
         """Stop a run whose stream broke, as not every engine notices that by itself.
 
-        Returns the copy to resume from, or None if the source may still be working.
+        Returns the copy to resume from, or None if there is none or the run may go on.
         """
+        source = active.known
+        if copy is not None:
+            return self._stop_lost(active, source, _Target(copy.holder, copy.run), copy)
+        target = self._choose_target(active, source.record, {source.record.id})
+        if target is None:
+            return None
+        stopped = self._stop_lost(active, source, target, None)
+        if stopped is None or stopped.run is not target.run:
+            self._loads.end(target.run)
+        return stopped
+
+    def _stop_lost(
+        self, active: ActiveGeneration, source: KnownUpstream, target: _Target, copy: KvCopy | None
+    ) -> KvCopy | None:
         until_s = self._clock() + STOP_TIMEOUT_S
-        address = copy.holder.record.address
+        address = target.known.record.address
         while True:
             stopped = self._upstream_client.move(
                 source.record, active.request.call.id, address, True, until_s
             )
             match stopped:
                 case Ok(final):
-                    return KvCopy(copy.holder, final.handle, copy.run, source)
+                    return KvCopy(target.known, final.handle, target.run, source)
                 case Err(MoveFailure(MoveRefusal.UNKNOWN_RUN)):
                     return copy
+                case Err(MoveFailure(MoveRefusal.IN_PROGRESS)) if (
+                    active.state is MoveState.STOPPING and copy is not None
+                ):
+                    # The final copy of the migration is still on its way.
+                    return copy
                 case Err(MoveFailure(_, handle)) if handle is not None:
-                    self._loads.end(copy.run)
+                    self._loads.end(target.run)
                     return KvCopy(source, handle, active.run)
                 case Err(MoveFailure(MoveRefusal.FAILED)):
                     listening = self._upstream_client.listening_state(source.record, until_s)
--- a/gooseberryquay/serving/tests/test_generation_handler.py
+++ b/gooseberryquay/serving/tests/test_generation_handler.py
@@ -6,6 +6,7 @@
 from result import Err
 
 from gooseberryquay.links.upstream_connection import BodyEnd, CallerLeft
+from gooseberryquay.serving.active_generation import ActiveGeneration, KvCopy, MoveState
 from gooseberryquay.serving.crash_guard import RunLoss
 from gooseberryquay.serving.ports import (
     ListeningState,
@@ -29,6 +30,7 @@
     event,
     events,
 )
+from gooseberryquay.serving.upstream_load import Run
 from gooseberryquay.serving.upstream_record import UpstreamState
 from gooseberryquay.serving.whole_answer import WholeAnswer
 
@@ -239,6 +241,45 @@
     assert finals == ["engine-0"] * count
 
 
+def test_generation_whose_stream_breaks_before_its_first_copy_goes_on_from_a_final_one():
+    path = _path()
+
+    def move(_source, _id, _target, is_final, _until_s):
+        if is_final:
+            return copied("last")
+        time.sleep(0.3)
+        return FAILED_FINAL
+
+    def leave(number):
+        if number == 2:
+            path.registry.apply_record(build_record("engine-0", state=UpstreamState.DRAINING))
+
+    path.upstream_client.move = move
+    # The first copy ends while the stream goes on.
+    later = _stream(3, 3, before_part=lambda _number: time.sleep(0.3))
+    path.upstream_client.responses = [_stream(1, 2, BROKEN, before_part=leave), later]
+    _, caller = _serve(path)
+    assert (caller.body, caller.is_complete) == (events(1, 3), True)
+    assert path.upstream_client.opened[1][1].continuation.copy.name == "last"
+
+
+@pytest.mark.parametrize("state", [MoveState.COPYING, MoveState.STOPPING])
+def test_copy_is_used_during_a_final_copy_but_not_during_an_earlier_one(state):
+    path = _path()
+    path.upstream_client.move = lambda *_: IN_PROGRESS
+    request = build_request(build_route(RouteKind.STREAMING))
+    known = path.registry.find("engine-0")
+    active = ActiveGeneration(request, known, Run(request.call.id, known.record.id, 0.0))
+    path.migration.attach(active)
+    number = active.begin_move()
+    handle = copied("ahead").ok_value.handle
+    target = path.registry.find("engine-1")
+    active.set_copy(KvCopy(target, handle, Run(request.call.id, target.record.id, 0.0)), number)
+    active.set_state(state, number)
+    taken = active.take_copy(0.1)
+    assert (taken is not None) is (state is MoveState.STOPPING)
+
+
 def test_generation_does_not_go_on_if_its_engine_listens_but_cannot_be_stopped():
     path = _path()
     finals = _break_after_a_copy(path, [])
--- a/gooseberryquay/serving/upstream_load.py
+++ b/gooseberryquay/serving/upstream_load.py
@@ -86,8 +86,9 @@
         """Remove a request that has ended."""
         with self._lock:
             load = self._loads.get(run.upstream)
-            if load is not None:
-                load.runs.pop(run.id, None)
+            # The same request may have been counted anew at this upstream.
+            if load is not None and load.runs.get(run.id) is run:
+                del load.runs[run.id]
 
     def runs_at(self, upstream: UpstreamId) -> list[Run]:
         """Return this entry's requests in flight at an upstream."""
