Show that a resumable stream goes on elsewhere while its engine works on it

What callers saw: nothing; two engines worked on one request. Cause: a link to an engine in calm fails, and the stream goes on by Last-Event-Id at another engine; one that does not notice a closed connection works on.

Without a copy an engine that answers no such call is given 0.4 s, and engines whose terms allow no moves are not asked.

--- a/gooseberryquay/daemons/tests/test_platform_migration_faults.py
+++ b/gooseberryquay/daemons/tests/test_platform_migration_faults.py
@@ -32,7 +32,18 @@
 def test_generation_does_not_go_on_elsewhere_while_its_source_works_on_it(
     site, tmp_path, change, fault
 ):
-    callers = [StreamCaller(path="/note/1", event_count=EVENTS) for _ in range(STREAMS)]
+    _break_streams(site, tmp_path, "/note/1", change, fault)
+
+
+@pytest.mark.parametrize("fault", [ResetConnections(), CutConnections()], ids=["reset", "cut"])
+def test_resumable_stream_does_not_go_on_elsewhere_while_its_engine_works_on_it(
+    site, tmp_path, fault
+):
+    _break_streams(site, tmp_path, "/check/1", "none", fault)
+
+
+def _break_streams(site, tmp_path, path, change, fault):
+    callers = [StreamCaller(path=path, event_count=EVENTS) for _ in range(STREAMS)]
     with running_entries(site, tmp_path, 1) as entries:
         port = entries[0].ports.callers
         threads = [threading.Thread(target=each.read, args=(port,)) for each in callers]
@@ -43,7 +54,7 @@
         source.copy_s = SLOW_COPY_S
         if change == "missing":
             site.store.delete("servers", source.id)
-        else:
+        elif change == "leaving":
             site.announce_leave(source.id)
         time.sleep(2 * SLOW_COPY_S)
         site.proxies[source.id].apply_fault(fault)
--- a/gooseberryquay/serving/migration.py
+++ b/gooseberryquay/serving/migration.py
@@ -45,6 +45,8 @@
 MOVE_TIMEOUT_S = 4.0
 # Callers abandon a stream after a longer gap.
 STOP_TIMEOUT_S = 2.0
+# Without a copy, a resumable stream may rather begin anew.
+STOP_UNCOPIED_S = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -231,6 +233,9 @@
         Returns the copy to resume from, or None if there is none or the run may go on.
         """
         source = active.known
+        engine = self._placement.engine_terms(active.request.service)
+        if engine is None or not engine.can_move:
+            return copy
         if copy is not None:
             return self._stop_lost(active, source, _Target(copy.holder, copy.run), copy)
         target = self._choose_target(active, source.record, {source.record.id})
@@ -244,7 +249,8 @@
     def _stop_lost(
         self, active: ActiveGeneration, source: KnownUpstream, target: _Target, copy: KvCopy | None
     ) -> KvCopy | None:
-        until_s = self._clock() + STOP_TIMEOUT_S
+        began_at_s = self._clock()
+        until_s = began_at_s + STOP_TIMEOUT_S
         address = target.known.record.address
         while True:
             stopped = self._upstream_client.move(
@@ -267,6 +273,8 @@
                     listening = self._upstream_client.listening_state(source.record, until_s)
                     if listening is not ListeningState.OPEN:
                         return copy
+                    if copy is None:
+                        until_s = min(until_s, began_at_s + STOP_UNCOPIED_S)
             if self._clock() + RETRY_PAUSE_S >= until_s:
                 self._log.request(
                     "lost run may go on", active.request.call.id, source=source.record.id
