End a request at its arrival if its caller has left

What callers saw: nothing; upstreams ran requests whose callers had given up, once the entry that had been frozen went on.

24 of 24 requests of test_platform_frozen_entry.py ran before and none does, on new and on kept connections.

--- a/gooseberryquay/platform/frontend.py
+++ b/gooseberryquay/platform/frontend.py
@@ -46,7 +46,12 @@
         except ValueError as error:
             responder.send(HTTPStatus.BAD_REQUEST, [("content-type", "text/plain")], _text(error))
             return
-        self._serve(call, SocketCallerWatch(gateway.connection), responder)
+        caller = SocketCallerWatch(gateway.connection)
+        # A process that was frozen finds requests that were given up meanwhile.
+        if caller.is_disconnected():
+            responder.abort()
+            return
+        self._serve(call, caller, responder)
 
 
 class _GatewayResponder:
