Close a caller's connection without losing the answer before

Callers saw a reset instead of a 413 or 400 that was sent before the body was read, and callers that connected and sent nothing took all threads from the others.

Cause: the kernel resets a connection that is closed with unread bytes, and discards what its peer has not read yet. A new connection took a thread before its first byte had come.

A thread that cannot be started no longer stops the server. HttpServer.finish refuses new connections, answers what waits, and ends all connections by FIN.

--- a/gooseberryquay/links/http_server.py
+++ b/gooseberryquay/links/http_server.py
@@ -4,6 +4,7 @@
 import re
 import sys
 import threading
+import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
 from http import HTTPStatus
@@ -13,6 +14,7 @@
 from cheroot.server import HTTPServer
 from pydantic import BaseModel
 
+from gooseberryquay.links.connection_manager import OrderlyConnectionManager
 from gooseberryquay.links.socket_files import ServerConnection
 from gooseberryquay.links.streaming_gateway import (
     HEADER_CODING,
@@ -131,6 +133,29 @@
     return replace(request, path_values=decoded)
 
 
+class _Server(HTTPServer):
+    """Close connections in good order."""
+
+    _connections: OrderlyConnectionManager
+
+    def prepare(self) -> None:
+        """Bind the address and start the threads."""
+        super().prepare()
+        self._connections = OrderlyConnectionManager(self)
+
+    def finish(self, until_s: float) -> bool:
+        """Accept no more, answer what arrives for a while, then end and close all connections."""
+        return self._connections.finish(until_s)
+
+    def linger(self, connection: ServerConnection) -> bool:
+        """Discard what the caller still sends; return False if the connection must be closed."""
+        return self._connections.linger(connection)
+
+    def forget(self, connection: ServerConnection) -> None:
+        """Stop counting a connection whose socket is closed."""
+        self._connections.forget(connection)
+
+
 class HttpServer:
     """Serve a router on one TCP address, with one thread per open request."""
 
@@ -148,7 +173,7 @@
         threading.stack_size(STACK_BYTES)
         self._router = router
         self._log_error = log_error or _write_to_log
-        self._server = HTTPServer((host, port), self._open_gateway)
+        self._server = _Server((host, port), self._open_gateway)
         self._server.request_queue_size = LISTEN_BACKLOG
         self._server.timeout = KEEP_ALIVE_TIMEOUT_S
         self._server.shutdown_timeout = SHUTDOWN_TIMEOUT_S
@@ -171,6 +196,14 @@
         """Close the listening socket and stop the worker threads."""
         self._server.stop()
 
+    def finish(self, timeout_s: float) -> bool:
+        """Refuse new connections, answer what arrives, and close all connections.
+
+        Return whether all were closed before the timeout.
+        """
+        self._is_closing_connections.set()
+        return self._server.finish(time.monotonic() + timeout_s)
+
     def close_connections_after_responses(self) -> None:
         """Send `Connection: close` with every response from now on."""
         self._is_closing_connections.set()
--- a/gooseberryquay/links/socket_files.py
+++ b/gooseberryquay/links/socket_files.py
@@ -1,5 +1,6 @@
-"""Buffered reader and direct writer that replace cheroot's file objects for connections."""
+"""Connections of a server, with cheaper file objects than cheroot's and an orderly close."""
 
+import contextlib
 import io
 import socket
 from typing import Any
@@ -8,6 +9,11 @@
 
 __all__ = ["ServerConnection", "SocketReader", "SocketWriter"]
 
+DISCARD_BYTES = 64 * 1024
+
+# `ServerConnection` has an attribute of the module's name.
+_Socket = socket.socket
+
 
 class _PausableSocket(socket.SocketIO):
     """Read a socket, but report that no data is available while paused."""
@@ -61,13 +67,50 @@
 
 
 class ServerConnection(HTTPConnection):
-    """Represent a server connection whose file objects are cheaper than cheroot's."""
+    """Represent a server connection whose close does not lose the last response.
+
+    The kernel resets a connection that is closed with unread bytes, and the caller then loses what
+    it has not read yet. `linger_until_s` is set once only such bytes are awaited.
+    """
 
-    def __init__(self, server: Any, connection: socket.socket, _make_file: Any = None) -> None:
+    server: Any
+    socket: _Socket
+    rfile: SocketReader
+    last_used: float
+    linger_until_s: float | None = None
+
+    def __init__(self, server: Any, connection: _Socket, _make_file: Any = None) -> None:
         super().__init__(server, connection, self._make_file)
 
+    def close(self) -> None:
+        """End the stream to the caller, and close the socket once the caller has ended its own."""
+        if self.linger_until_s is not None:
+            self.release()
+            return
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+        if self.has_ended() or not self.server.linger(self):
+            self.release()
+
+    def has_ended(self) -> bool:
+        """Discard bytes that have arrived; return whether the caller sends no more."""
+        try:
+            self.socket.setblocking(False)
+            return not self.socket.recv(DISCARD_BYTES)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def release(self) -> None:
+        """Close the socket."""
+        with contextlib.suppress(OSError):
+            self.rfile.close()
+            self.socket.close()
+        self.server.forget(self)
+
     def _make_file(
-        self, connection: socket.socket, mode: str, buffer_bytes: int
+        self, connection: _Socket, mode: str, buffer_bytes: int
     ) -> SocketReader | SocketWriter:
         if "r" in mode:
             return SocketReader(connection, buffer_bytes)
--- a/gooseberryquay/links/thread_pool.py
+++ b/gooseberryquay/links/thread_pool.py
@@ -13,6 +13,7 @@
 class GrowingThreadPool(ThreadPool):
     """Start another thread whenever a connection would otherwise have to wait."""
 
+    server: Any
     _queue: Any
     _threads: list[Any]
     _spawn_worker: Callable[[], Any]
@@ -39,4 +40,11 @@
         with self._count_lock:
             needs_thread = self._queue.qsize() > self._idle_thread_count
         if needs_thread and len(self._threads) < self.max:
+            self._add_thread()
+
+    def _add_thread(self) -> None:
+        """Start a thread; without one the connection waits for a thread that becomes idle."""
+        try:
             self._threads.append(self._spawn_worker())
+        except (RuntimeError, MemoryError) as error:
+            self.server.error_log(f"cannot start a thread: {error}")
