Close all connections in good order before a drained entry exits

Callers saw resets at the end of a planned stop: requests in the listen queue or unread in kept connections as the process exited.

Cause: the entry exited without closing its listener or its connections. A request counted as in flight only once its body was read, so an entry could exit between its head and its body.

Change: the last step of a drain closes the listener, answers what is there (503, which is never passed on), ends idle connections and waits for callers to close theirs, 0.35 s at most. The front end counts a request from the end of its head.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -94,8 +94,9 @@
 OUTAGE_GRACE_S = 2.0
 # The load balancer checks readiness once per second and stops routing after two failed checks.
 LEAVE_NOTICE_S = 2.5
-# Time to write the last log lines before the process is killed.
+# Time to close connections and write the last log lines before the process is killed.
 EXIT_MARGIN_S = 0.5
+CLOSE_TIMEOUT_S = 0.35
 # Heartbeat periods without a heartbeat after which an upstream is removed from the list.
 MISSED_HEARTBEATS_MAX = 3
 # Covers several minutes of an entry's requests in half a MB of memory.
@@ -163,7 +164,7 @@
         self._store_era.on_rise(self._suspects.store_lost_writes)
         self._store_era.on_rise(self._stream_versions.store_lost_writes)
         self._request_handler = self._build_request_handler(placement, rng)
-        frontend = Frontend(self._request_handler.serve)
+        frontend = Frontend(self._request_handler.serve, self._counters.in_flight)
         self._caller_server = ForwardingServer(
             *settings.caller_address,
             frontend.forward,
@@ -432,9 +433,14 @@
         self._drain_state.close()
         self._counters.wait_until_idle(max(0.0, began_at_s + grace_s - time.monotonic()))
         unfinished = self._request_handler.end_open()
+        are_closed = self._caller_server.finish(CLOSE_TIMEOUT_S)
         took_s = time.monotonic() - began_at_s
         self._log.lifecycle(
-            "stopped", took_s=round(took_s, 2), is_idle=is_idle, unfinished=unfinished
+            "stopped",
+            took_s=round(took_s, 2),
+            is_idle=is_idle,
+            unfinished=unfinished,
+            are_connections_closed=are_closed,
         )
 
     @property
--- a/gooseberryquay/platform/frontend.py
+++ b/gooseberryquay/platform/frontend.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Mapping, Sequence
+from contextlib import AbstractContextManager
 from http import HTTPStatus
 
 from gooseberryquay.ids import RequestId
@@ -19,16 +20,25 @@
 BEARER = "bearer "
 
 Serve = Callable[[Call, CallerWatch, ResponseWriter], None]
+InFlight = Callable[[], AbstractContextManager[None]]
 
 
 class Frontend:
-    """Decode requests, pass them to the serving path and encode its responses."""
+    """Decode requests, pass them to the serving path and encode its responses.
 
-    def __init__(self, serve: Serve) -> None:
+    A request is in flight from the end of its head, while its body is still awaited.
+    """
+
+    def __init__(self, serve: Serve, in_flight: InFlight) -> None:
         self._serve = serve
+        self._in_flight = in_flight
 
     def forward(self, gateway: StreamingGateway) -> None:
-        """Serve one parsed request."""
+        """Serve one request whose head was read."""
+        with self._in_flight():
+            self._forward(gateway)
+
+    def _forward(self, gateway: StreamingGateway) -> None:
         arrived_at_s = time.monotonic()
         responder = _GatewayResponder(gateway)
         pairs = [
