Serve open connections when callers take all descriptors

Callers got no answer within 8 s while others held more connections than the entry has descriptors.

Cause: accept failed, which ended each round of the selector loop before any open connection was served, and idle connections were never closed. An own lack of descriptors also counted as an upstream at whose address nothing listens.

Change: callers may hold half of the descriptors, as each request needs another for its upstream. A connection to an upstream that fails for a limit of this process says nothing of the upstream.

--- a/gooseberryquay/links/connection_manager.py
+++ b/gooseberryquay/links/connection_manager.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import errno
+import resource
 import selectors
 import socket
 import threading
@@ -21,6 +22,8 @@
 ANSWER_SHARE = 0.5
 FINISH_POLL_S = 0.02
 ACCEPT_PAUSE_S = 0.05
+# Each open request needs a descriptor for its caller and one for its upstream.
+DESCRIPTOR_SHARE = 0.5
 EXHAUSTED_ERRORS = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 ACCEPT_ERROR_LOG_INTERVAL_S = 10.0
 
@@ -44,6 +47,8 @@
         self._wakeup.setblocking(False)
         self._waker.setblocking(False)
         self._selector.register(self._wakeup.fileno(), selectors.EVENT_READ, data=None)
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self._open_max = int(DESCRIPTOR_SHARE * descriptors)
         self._open: set[ServerConnection] = set()
         self._open_lock = threading.Lock()
         self._accept_at_s: float | None = None
@@ -144,6 +149,8 @@
 
     def _accept(self) -> bool:
         try:
+            if self._open_connections() >= self._open_max:
+                raise OSError(errno.EMFILE, f"{self._open_max} connections are open")
             connection = self._from_server_socket(self.server.socket)
         except OSError as error:
             self._pause_accepting(error)
--- a/gooseberryquay/links/upstream_connection.py
+++ b/gooseberryquay/links/upstream_connection.py
@@ -1,5 +1,6 @@
 """Persistent HTTP connection to an upstream with strict checks of response framing."""
 
+import errno
 import select
 import socket
 import time
@@ -24,6 +25,15 @@
 READ_BYTES = 64 * 1024
 SEND_STEP_BYTES = 64 * 1024
 MS_PER_S = 1000.0
+# They tell nothing of the upstream.
+OWN_LIMIT_ERRORS = {
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOBUFS,
+    errno.ENOMEM,
+    errno.EADDRNOTAVAIL,
+    errno.EAGAIN,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +94,8 @@
         except TimeoutError as error:
             return TransportTimeout(str(error), was_sent=False)
         except OSError as error:
+            if error.errno in OWN_LIMIT_ERRORS:
+                return TransportTimeout(f"this process cannot connect: {error}", was_sent=False)
             return ConnectionBroken(str(error), was_sent=False)
         opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         enable_keepalive(opened)
