Read the end of a chunked request before the connection's next request

Callers that sent a body in chunks with trailers got a 400 to their next request on the connection, and a 408 that they had not asked for on the idle connection.

Cause: cheroot reads a chunked body up to the last chunk. What follows counted as the start of the next request: it took a thread while the connection was idle, hid that the caller had left, and timed out.

Change: the body's reader also reads the trailers and the empty line.

--- a/gooseberryquay/links/strict_request.py
+++ b/gooseberryquay/links/strict_request.py
@@ -1,5 +1,6 @@
 """Strict parsing of requests that are forwarded byte for byte."""
 
+import collections
 from typing import Any
 
 from cheroot.server import HeaderReader, HTTPRequest
@@ -95,6 +96,9 @@
         return b""
     try:
         body: bytes = request.rfile.read()
+        if request.chunked_read:
+            # Otherwise they would count as the start of the next request.
+            collections.deque(request.rfile.read_trailer_lines(), maxlen=0)
     except (ValueError, IndexError) as error:
         raise BodyIncomplete(str(error)) from error
     if length is not None and len(body) != int(length):
--- a/gooseberryquay/links/tests/test_strict_request.py
+++ b/gooseberryquay/links/tests/test_strict_request.py
@@ -7,6 +7,7 @@
 from gooseberryquay.links.forwarding_server import ForwardingServer
 from gooseberryquay.links.strict_request import BodyIncomplete, read_whole_body
 
+IDLE_TIMEOUT_S = 1.0
 HEAD = b"POST /x%2fy//z?q=%20 HTTP/1.1\r\nHost: a\r\n"
 
 
@@ -65,6 +66,28 @@
     assert forwarder.seen[0][1] == b"abcde"
 
 
+@pytest.mark.parametrize("trailers", [b"", b"X-Trailer: a\r\nX-More: b\r\n"])
+def test_trailers_are_not_taken_for_the_next_request(served, trailers):
+    forwarder, port = served
+    chunked = HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n" + trailers + b"\r\n"
+    answers = _send_raw(port, chunked + chunked + HEAD + b"Connection: close\r\n\r\n")
+    assert answers.count(b"HTTP/1.1 200 ") == answers.count(b"HTTP/1.1 ") == 3
+    assert [body for _, body, _ in forwarder.seen] == [b"abc", b"abc", b""]
+
+
+def test_idle_connection_after_a_chunked_request_gets_no_unasked_answer():
+    """Guard against a 408 on an idle connection, whose last empty line counted as a request."""
+    server = ForwardingServer("127.0.0.1", 0, _Forwarder(), 16384, 100_000)
+    server._server.timeout = IDLE_TIMEOUT_S
+    server.start()
+    chunked = HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+    with socket.create_connection(("127.0.0.1", server.port), 4 * IDLE_TIMEOUT_S) as connection:
+        connection.sendall(chunked)
+        answers = b"".join(iter(lambda: connection.recv(65536), b""))
+    assert answers.count(b"HTTP/1.1 ") == 1 and answers.endswith(b"ok")
+    server.stop()
+
+
 @pytest.mark.parametrize(
     "headers",
     [
