Answer a timeout in a handler with 500 instead of 408

Callers could get a 408, which guarantees that a request was not run, after the handler had passed it on.

Cause: cheroot answers any timeout in a request's thread with 408.

Change: only a timeout while the body is still awaited, before any handler has seen the request, is answered with 408; another one with 500, which guarantees nothing.

No handler of today was seen to raise such a timeout; the platform's request handler answers exceptions with 502 by itself.

--- a/gooseberryquay/links/streaming_gateway.py
+++ b/gooseberryquay/links/streaming_gateway.py
@@ -56,6 +56,13 @@
         """Respond to one request and restore the socket's timeout."""
         try:
             self._handler(self)
+        except CallerDisconnected:
+            raise
+        except TimeoutError as error:
+            # cheroot responds to it with status 408, which guarantees that nothing was executed.
+            if not self._is_body_awaited():
+                raise RuntimeError("timeout in the handler of a request") from error
+            raise
         finally:
             if self._socket is not None:
                 self._socket.settimeout(self.req.server.timeout)
@@ -66,6 +73,12 @@
         """Register a callback for when the response is written or the caller has disconnected."""
         self._after_response.append(action)
 
+    def _is_body_awaited(self) -> bool:
+        """Return whether the body has not arrived completely, so that no handler has seen it."""
+        if self.req.chunked_read:
+            return not self.req.rfile.closed
+        return int(self.req.rfile.remaining) > 0
+
     def _run_after_response(self) -> None:
         """Run the callbacks on a separate thread, so that the next request is not delayed."""
         for action in self._after_response:
@@ -103,6 +116,11 @@
         with contextlib.suppress(OSError):
             self.req.conn.socket.shutdown(socket.SHUT_RDWR)
 
+    @property
+    def has_started(self) -> bool:
+        """Return whether a response was started."""
+        return self._has_started
+
     @property
     def connection(self) -> socket.socket:
         """Return the socket on which the request arrived."""
