Give a caller that has ended only its sending side a final answer

Callers that half-closed their connection and waited got its end without an answer, also after their request had been passed on.

Cause: the end of a caller's stream counts as its leave, and the connection was shut down.

--- a/gooseberryquay/platform/frontend.py
+++ b/gooseberryquay/platform/frontend.py
@@ -1,5 +1,6 @@
 """HTTP front end: decodes requests of the platform's clients and encodes the responses."""
 
+import contextlib
 import time
 from collections.abc import Callable, Mapping, Sequence
 from contextlib import AbstractContextManager
@@ -7,17 +8,23 @@
 
 from gooseberryquay.ids import RequestId
 from gooseberryquay.links.caller_watch import CallerWatch, SocketCallerWatch
-from gooseberryquay.links.streaming_gateway import HEADER_CODING, StreamingGateway
+from gooseberryquay.links.streaming_gateway import (
+    HEADER_CODING,
+    CallerDisconnected,
+    StreamingGateway,
+)
 from gooseberryquay.links.strict_request import BodyIncomplete, read_whole_body
 from gooseberryquay.platform import names
 from gooseberryquay.serving.call import Call, GenerationDemand, HeaderPair, PromptPart
 from gooseberryquay.serving.ports import ResponseWriter
+from gooseberryquay.serving.refusal import Refusal, RefusalReason
 
 __all__ = ["Frontend"]
 
 MS_PER_S = 1000.0
 DEADLINE_DEFAULT_S = 60.0
 BEARER = "bearer "
+CALLER_LEFT = Refusal(RefusalReason.OUTCOME_UNKNOWN, "the caller has ended its connection")
 
 Serve = Callable[[Call, CallerWatch, ResponseWriter], None]
 InFlight = Callable[[], AbstractContextManager[None]]
@@ -51,7 +58,7 @@
             responder.request_id = headers.get(names.ATTEMPT_ID)
             call = _call_of(gateway, pairs, headers, body, arrived_at_s)
         except BodyIncomplete:
-            responder.abort()
+            gateway.abort()
             return
         except ValueError as error:
             responder.send(HTTPStatus.BAD_REQUEST, [("content-type", "text/plain")], _text(error))
@@ -86,7 +93,13 @@
         """Do nothing: the server marks the body as complete."""
 
     def abort(self) -> None:
-        """Shut down the connection."""
+        """Shut down the connection; if no response was begun, say first that none will come.
+
+        A caller that has ended only its sending side waits for one.
+        """
+        if not self._gateway.has_started:
+            with contextlib.suppress(CallerDisconnected, RuntimeError):
+                self.send(CALLER_LEFT.reason.status, CALLER_LEFT.headers(), CALLER_LEFT.body())
         self._gateway.abort()
 
 
