Count a request through a proxy of the soak from when the proxy passed it on

The soak called requests lost that its own proxy still held: on a busy machine (load 20 on 8 cores) new threads of the proxy began up to 0.26 s late in a trial, while direct connections to the same draining entry waited nowhere. Such a request counts as sent once the proxy has written it to the entry; those that an upstream received count as before.

--- a/gooseberryquay/standins/fault_proxy.py
+++ b/gooseberryquay/standins/fault_proxy.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import threading
+from collections.abc import Callable
 
 from pydantic import ValidationError
 
@@ -31,10 +32,20 @@
 
 
 class FaultProxy:
-    """Proxy between callers and one target, with injected faults."""
-
-    def __init__(self, target: Address, host: str = "127.0.0.1", port: int = 0) -> None:
+    """Proxy between callers and one target, with injected faults.
+
+    `on_forwarded` is called with the direction and the bytes after each write.
+    """
+
+    def __init__(
+        self,
+        target: Address,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        on_forwarded: Callable[[Direction, bytes], None] | None = None,
+    ) -> None:
         self._target = target
+        self._on_forwarded = on_forwarded
         self._address = (host, port)
         self._state = LinkFaults()
         self._lock = threading.Lock()
@@ -129,7 +140,9 @@
             caller.close()
             return
         target.settimeout(None)
-        connection = ProxiedConnection(caller, target, self._state, self._count_bytes, self._remove)
+        connection = ProxiedConnection(
+            caller, target, self._state, self._record_forwarded, self._remove
+        )
         with self._lock:
             self._connections.add(connection)
             self._counts.connections += 1
@@ -139,12 +152,14 @@
         with self._lock:
             self._connections.discard(connection)
 
-    def _count_bytes(self, direction: Direction, size_bytes: int) -> None:
+    def _record_forwarded(self, direction: Direction, content: bytes) -> None:
         with self._lock:
             if direction is Direction.TO_TARGET:
-                self._counts.bytes_to_target += size_bytes
+                self._counts.bytes_to_target += len(content)
             else:
-                self._counts.bytes_to_caller += size_bytes
+                self._counts.bytes_to_caller += len(content)
+        if self._on_forwarded is not None:
+            self._on_forwarded(direction, content)
 
 
 class FaultProxyServer:
--- a/gooseberryquay/standins/node_platform/entry_history.py
+++ b/gooseberryquay/standins/node_platform/entry_history.py
@@ -1,13 +1,19 @@
 """What a soak did to an entry and to the links of its callers."""
 
 import math
+import re
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
+from gooseberryquay.standins.node_platform.call_result import CallResult
+from gooseberryquay.standins.proxy_messages import Direction
+
 __all__ = ["Disruption", "EntryHistory"]
 
+REQUEST_LINE = re.compile(rb"POST /\w+/(\w+) HTTP/1\.1\r\n")
+
 
 @dataclass
 class Disruption:
@@ -28,6 +34,9 @@
     grace_s: float = 0.0
     disruptions: list[Disruption] = field(default_factory=list)
     stops: list[float] = field(default_factory=list)
+    # Ports whose connections run through a proxy, and when it passed on each request.
+    proxied_ports: set[int] = field(default_factory=set)
+    passed_on: dict[str, float] = field(default_factory=dict)
 
     @contextmanager
     def disrupted(self, port: int | None = None) -> Iterator[Disruption]:
@@ -48,6 +57,18 @@
         """Record a planned stop."""
         self.stops.append(time.monotonic())
 
+    def add_passed_on(self, direction: Direction, content: bytes) -> None:
+        """Record a request that a proxy has passed on to the entry."""
+        if direction is Direction.TO_TARGET:
+            for id in REQUEST_LINE.findall(content):
+                self.passed_on[id.decode()] = time.monotonic()
+
+    def sent_at_s(self, result: CallResult) -> float | None:
+        """Return when a request had been sent to the entry, or None if it was not."""
+        if result.port in self.proxied_ports:
+            return self.passed_on.get(result.id)
+        return result.sent_at_s
+
     def has_stopped_since(self, since_s: float) -> bool:
         """Return whether the process was stopped or disrupted at or after a time."""
         disrupted = [each.from_s for each in list(self.disruptions) if each.port is None]
--- a/gooseberryquay/standins/node_platform/soak.py
+++ b/gooseberryquay/standins/node_platform/soak.py
@@ -204,7 +204,7 @@
             settings = each.write_settings(self.folder, proxy.port, seeds)
             log_path = self.folder / f"{each.name}-{self.seed}.log"
             entry = SoakEntry(each, settings, proxy, log_path, self.violations)
-            entry.caller_proxy.start()
+            entry.start_caller_link()
             self._entries.append(entry)
         starters = [threading.Thread(target=each.start) for each in self._entries]
         for starter in starters:
--- a/gooseberryquay/standins/node_platform/soak_entry.py
+++ b/gooseberryquay/standins/node_platform/soak_entry.py
@@ -32,10 +32,17 @@
     history: EntryHistory = field(default_factory=lambda: EntryHistory(GRACE_S))
 
     def __post_init__(self) -> None:
-        self.caller_proxy = FaultProxy(Address("127.0.0.1", self.ports.callers))
+        self.caller_proxy = FaultProxy(
+            Address("127.0.0.1", self.ports.callers), on_forwarded=self.history.add_passed_on
+        )
         self.process = self._new_process()
         self._restart_lock = threading.Lock()
 
+    def start_caller_link(self) -> None:
+        """Start the proxy for callers."""
+        self.caller_proxy.start()
+        self.history.proxied_ports.add(self.caller_proxy.port)
+
     def start(self) -> None:
         """Start the process and wait until it accepts connections."""
         self.process = self._new_process()
--- a/gooseberryquay/standins/node_platform/tests/test_soak_judges.py
+++ b/gooseberryquay/standins/node_platform/tests/test_soak_judges.py
@@ -12,6 +12,7 @@
     history,
     record,
 )
+from gooseberryquay.standins.proxy_messages import Direction
 
 CUT = {"end": CallEnd.CLOSED}
 EARLY, LATE = 0.1, 0.3
@@ -31,6 +32,22 @@
     assert broken_rules(call(kind, lasted_s=EARLY, **CUT)) == []
 
 
+@pytest.mark.parametrize(("passed_on_after_s", "broken"), [(None, []), (0.5, ["LOST"]), (0.9, [])])
+def test_request_through_a_proxy_counts_from_when_it_was_passed_on(passed_on_after_s, broken):
+    entry = history(passed_on_after_s=passed_on_after_s, is_proxied=True)
+    assert broken_rules(call(lasted_s=1.0, **CUT), entry=entry) == broken
+    assert broken_rules(call(lasted_s=1.0, **CUT), RECEIVED, entry) == ["LOST"]
+
+
+def test_request_that_a_proxy_passes_on_is_recorded_and_a_response_is_not():
+    entry = history(is_proxied=True)
+    line = b"POST /post/request HTTP/1.1\r\nHost: h\r\n\r\n{}"
+    entry.add_passed_on(Direction.TO_CALLER, line)
+    assert entry.sent_at_s(call()) is None
+    entry.add_passed_on(Direction.TO_TARGET, line)
+    assert entry.sent_at_s(call()) is not None
+
+
 def test_connection_that_was_refused_or_ended_in_the_request_is_no_loss():
     assert broken_rules(call(lasted_s=LATE, end=CallEnd.NOT_SENT)) == []
 
--- a/gooseberryquay/standins/proxied_connection.py
+++ b/gooseberryquay/standins/proxied_connection.py
@@ -61,7 +61,7 @@
         caller: socket.socket,
         target: socket.socket,
         state: LinkFaults,
-        on_forwarded: Callable[[Direction, int], None],
+        on_forwarded: Callable[[Direction, bytes], None],
         on_closed: Callable[["ProxiedConnection"], None],
     ) -> None:
         self._caller = caller
@@ -142,7 +142,7 @@
             self.end(is_reset=False)
             return
         sink.sendall(buffer)
-        self._on_forwarded(direction, len(buffer))
+        self._on_forwarded(direction, buffer)
 
     def _wait_while_stalled(self, direction: Direction) -> None:
         while not self._state.flowing[direction].wait(STALL_POLL_S):
