Keep a wide seed that broke LOST, REFUSED and TWICE as a test of the soak

A stop that met an entry between two processes ended its thread by an assertion; it now does nothing.

--- a/gooseberryquay/standins/node_platform/soak.py
+++ b/gooseberryquay/standins/node_platform/soak.py
@@ -29,7 +29,7 @@
 from gooseberryquay.standins.process import ListeningProcess
 from gooseberryquay.standins.proxy_messages import HealLink
 
-__all__ = ["CALLERS", "Soak", "SoakReport"]
+__all__ = ["CALLERS", "WIDE_CALLERS", "Soak", "SoakReport"]
 
 FAULTS = 14
 FAULT_GAP_S = 0.6
@@ -39,6 +39,7 @@
 SETTLED_AFTER_S = 3.0
 DRAIN_S = 2.0
 CALLERS = 8
+WIDE_CALLERS = 24
 # From a tenth to eight times the latency goal of plain services.
 WORK_RANGE_S = (0.1 * GOAL_MS / 1000.0, 8.0 * GOAL_MS / 1000.0)
 # Faults and upstreams grow with the number of entries.
@@ -84,7 +85,7 @@
 class Soak:
     """Run the fault schedule of one seed.
 
-    A wide soak has more callers, slow operations and the faults of `WideFaults` as well.
+    A wide soak has `callers` instead of 8, slow operations and the faults of `WideFaults` as well.
     """
 
     seed: int
@@ -92,7 +93,7 @@
     folder: Path
     has_rate_limits: bool = False
     is_wide: bool = False
-    callers: int = CALLERS
+    callers: int = WIDE_CALLERS
     faults: list[str] = field(default_factory=list)
     violations: list[Violation] = field(default_factory=list)
 
--- a/gooseberryquay/standins/node_platform/tests/test_soak.py
+++ b/gooseberryquay/standins/node_platform/tests/test_soak.py
@@ -28,3 +28,14 @@
     report = Soak(2801, ENTRIES, tmp_path, has_rate_limits=True).run()
     assert report.violations == []
     assert report.served > 0
+
+
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize(
+    "seed",
+    [pytest.param(9205, id="seed-9205-accepted-late-in-a-drain-and-refused-after-a-run")],
+)
+def test_every_promise_holds_beside_faults_of_all_links_and_overlapping_stops(seed, tmp_path):
+    report = Soak(seed, ENTRIES, tmp_path, has_rate_limits=True, is_wide=True).run()
+    assert report.violations == []
+    assert report.served > 0
--- a/gooseberryquay/standins/node_platform/tests/test_soak_entry.py
+++ b/gooseberryquay/standins/node_platform/tests/test_soak_entry.py
@@ -86,3 +86,9 @@
 
     assert started(is_stopped=False) == ["FAULT"]
     assert started(is_stopped=True) == []
+
+
+def test_stop_of_an_entry_whose_process_is_not_there_yet_does_nothing():
+    entry = SoakEntry(Ports(), "settings", None, "log", [])
+    entry.restart(signal.SIGKILL)
+    assert (entry.history.disruptions, entry.violations) == ([], [])
--- a/gooseberryquay/standins/process.py
+++ b/gooseberryquay/standins/process.py
@@ -99,9 +99,8 @@
         return self._process.pid
 
     def is_running(self) -> bool:
-        """Return whether the process is still running."""
-        assert self._process is not None
-        return self._process.poll() is None
+        """Return whether the process has been started and is still running."""
+        return self._process is not None and self._process.poll() is None
 
     def cpu_s(self) -> float:
         """Return the processor time that the process has used, in seconds."""
