--- a/gooseberryquay/daemons/entry.py
+++ b/gooseberryquay/daemons/entry.py
@@ -28,6 +28,7 @@
 
 SERVICE_PATH = "/services/{service}/{operation}"
 POSTING_FLUSH_TIMEOUT_S = 60.0
+CLOSE_TIMEOUT_S = 1.0
 
 
 class Entry:
@@ -143,6 +144,7 @@
         self._posting_executor.close(POSTING_FLUSH_TIMEOUT_S)
         self._reporting.stop()
         self._dispatching.stop()
+        self._caller_server.finish(CLOSE_TIMEOUT_S)
         self._caller_server.stop()
         self._cluster.stop()
         self._control_server.stop()
--- a/gooseberryquay/daemons/tests/test_drain.py
+++ b/gooseberryquay/daemons/tests/test_drain.py
@@ -10,6 +10,7 @@
     FIND_PATH,
     MODEL,
     POST_PATH,
+    WORKSPACE,
     BackgroundStream,
     call,
     small_plan,
@@ -17,6 +18,7 @@
     wait_until,
 )
 from gooseberryquay.links.execution_proof import PROMISES_NOT_EXECUTED
+from gooseberryquay.links.tests.raw_caller import RawCallers
 from gooseberryquay.standins.local_fleet import LocalFleet
 from gooseberryquay.standins.service_messages import DelayAnswers
 
@@ -119,3 +121,24 @@
     assert got.is_broken and not got.is_done
     rest = stream(second, LONG_TOKENS, last_event_id=got.last_event_id, stop_after=2)
     assert rest.indexes()[0] == got.indexes()[-1] + 1
+
+
+def _encode_lookup(request_id):
+    body = b'{"lot":1}'
+    head = (
+        f"POST {FIND_PATH} HTTP/1.1\r\nHost: entry\r\nX-Workspace: {WORKSPACE}\r\n"
+        f"X-Deadline-Ms: 500\r\nX-Request-Id: {request_id}\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+@pytest.mark.parametrize("is_keeping", [True, False], ids=["kept", "new"])
+def test_requests_sent_up_to_the_exit_are_answered(fleet, is_keeping):
+    """Guard against requests that wait unread as the process exits."""
+    callers = RawCallers(fleet.entry_addresses()[0].port, [_encode_lookup], is_keeping)
+    callers.start()
+    wait_until(lambda: len(callers.sent) > callers.count)
+    fleet.terminate("entry-1")
+    assert fleet.process("entry-1").wait(NOTICE_S + DRAIN_S + SLACK_S) == 0
+    callers.join()
+    assert callers.unanswered() == []
