Watch the caller and the time limit while a lost run is stopped

Cause: the loop that stops a lost run looked at its own timeout alone. Each call has a timeout of its own now.

--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -183,6 +183,9 @@
                 if copy is None:
                     was_running = continuation is not None and isinstance(outcome, NotExecuted)
                     return StreamEnd.BROKEN if was_running else outcome
+                if request.caller.is_disconnected():
+                    self._discard(active, copy)
+                    return CallerLeft()
                 if copy.run is active.run:
                     # Only targets of a migration have been counted against their rate limits.
                     self._placement.spend(copy.holder)
@@ -223,8 +226,12 @@
     def _free_unused_copy(self, active: ActiveGeneration) -> None:
         copy = active.end()
         if copy is not None:
+            self._discard(active, copy)
+
+    def _discard(self, active: ActiveGeneration, copy: KvCopy) -> None:
+        if copy.run is not active.run:
             self._loads.end(copy.run)
-            self._upstream_client.free_copy(copy.handle.source, copy.handle)
+        self._upstream_client.free_copy(copy.handle.source, copy.handle)
 
     def _run_once(
         self,
--- a/gooseberryquay/serving/migration.py
+++ b/gooseberryquay/serving/migration.py
@@ -45,6 +45,9 @@
 MOVE_TIMEOUT_S = 4.0
 # Callers abandon a stream after a longer gap.
 STOP_TIMEOUT_S = 2.0
+# A call that a failed link swallows is made again within the timeout.
+STOP_CALL_TIMEOUT_S = 1.0
+PROBE_TIMEOUT_S = 0.6
 # Without a copy, a resumable stream may rather begin anew.
 STOP_UNCOPIED_S = 0.4
 
@@ -250,11 +253,15 @@
         self, active: ActiveGeneration, source: KnownUpstream, target: _Target, copy: KvCopy | None
     ) -> KvCopy | None:
         began_at_s = self._clock()
-        until_s = began_at_s + STOP_TIMEOUT_S
+        until_s = min(began_at_s + STOP_TIMEOUT_S, active.request.until_s)
         address = target.known.record.address
         while True:
             stopped = self._upstream_client.move(
-                source.record, active.request.call.id, address, True, until_s
+                source.record,
+                active.request.call.id,
+                address,
+                True,
+                min(until_s, self._clock() + STOP_CALL_TIMEOUT_S),
             )
             match stopped:
                 case Ok(final):
@@ -270,11 +277,14 @@
                     self._loads.end(target.run)
                     return KvCopy(source, handle, active.run)
                 case Err(MoveFailure(MoveRefusal.FAILED)):
-                    listening = self._upstream_client.listening_state(source.record, until_s)
+                    probe_until_s = self._clock() + PROBE_TIMEOUT_S
+                    listening = self._upstream_client.listening_state(source.record, probe_until_s)
                     if listening is not ListeningState.OPEN:
                         return copy
                     if copy is None:
                         until_s = min(until_s, began_at_s + STOP_UNCOPIED_S)
+            if active.request.caller.is_disconnected():
+                return None
             if self._clock() + RETRY_PAUSE_S >= until_s:
                 self._log.request(
                     "lost run may go on", active.request.call.id, source=source.record.id
--- a/gooseberryquay/serving/tests/test_generation_handler.py
+++ b/gooseberryquay/serving/tests/test_generation_handler.py
@@ -5,6 +5,7 @@
 import pytest
 from result import Err
 
+from gooseberryquay.links.caller_watch import NullCallerWatch
 from gooseberryquay.links.upstream_connection import BodyEnd, CallerLeft
 from gooseberryquay.serving.active_generation import ActiveGeneration, KvCopy, MoveState
 from gooseberryquay.serving.crash_guard import RunLoss
@@ -448,3 +449,27 @@
     refusal = path.generation_handler.serve(request)
     assert refusal.reason is RefusalReason.CRASHES_UPSTREAMS
     assert path.upstream_client.opened == [] and path.loads.in_flight() == 0
+
+
+def test_caller_that_left_while_its_engine_was_stopped_gets_no_further_send():
+    """A second engine began to work more than a second after the caller had left."""
+    path = _path()
+    finals = _break_after_a_copy(path, [IN_PROGRESS] * 25 + [copied("last")])
+
+    class LeavingCaller(NullCallerWatch):
+        def is_disconnected(self):
+            return bool(finals)
+
+    request = build_request(build_route(RouteKind.STREAMING), Recorder(), LeavingCaller())
+    path.generation_handler.serve(request)
+    assert len(path.upstream_client.opened) == 1
+    assert path.loads.in_flight() == 0
+
+
+def test_engine_is_not_asked_to_stop_beyond_the_time_limit_of_its_request():
+    path = _path()
+    _break_after_a_copy(path, [])
+    request = build_request(build_route(RouteKind.STREAMING, timeout_s=0.5), Recorder())
+    began_at_s = time.monotonic()
+    path.generation_handler.serve(request)
+    assert time.monotonic() - began_at_s < 1.0
