Let a response reach its caller whole when the drain and the request's thread race

Callers saw an empty end of the connection at a planned stop: the drain's thread had begun the response, the request's thread found that and returned, and the server closed the connection before the write.

Change: the thread that comes second waits until the first has written. A request that reaches its time limit right at the exit is not accepted; the refusal of a draining entry is sent under the same guard; connections close within what is left of the grace.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -97,6 +97,7 @@
 # Time to close connections and write the last log lines before the process is killed.
 EXIT_MARGIN_S = 0.5
 CLOSE_TIMEOUT_S = 0.35
+KILL_MARGIN_S = 0.1
 # Heartbeat periods without a heartbeat after which an upstream is removed from the list.
 MISSED_HEARTBEATS_MAX = 3
 # Covers several minutes of an entry's requests in half a MB of memory.
@@ -433,7 +434,9 @@
         self._drain_state.close()
         self._counters.wait_until_idle(max(0.0, began_at_s + grace_s - time.monotonic()))
         unfinished = self._request_handler.end_open()
-        are_closed = self._caller_server.finish(CLOSE_TIMEOUT_S)
+        exit_at_s = began_at_s + self._settings.bounds.grace_s - KILL_MARGIN_S
+        close_s = min(CLOSE_TIMEOUT_S, max(0.0, exit_at_s - time.monotonic()))
+        are_closed = self._caller_server.finish(close_s)
         took_s = time.monotonic() - began_at_s
         self._log.lifecycle(
             "stopped",
--- a/gooseberryquay/serving/drain_state.py
+++ b/gooseberryquay/serving/drain_state.py
@@ -5,6 +5,9 @@
 
 __all__ = ["DrainState"]
 
+# A request that reaches its time limit still gets a response before the exit.
+RESPONSE_MARGIN_S = 0.1
+
 
 class DrainState:
     """Reject requests that may not end before this entry exits.
@@ -32,7 +35,9 @@
 
     def can_end(self, until_s: float) -> bool:
         """Return whether a request whose time limit is `until_s` ends before the exit."""
-        return self._exit_at_s is None or until_s <= self._exit_at_s
+        if self._exit_at_s is None:
+            return True
+        return until_s <= self._exit_at_s - RESPONSE_MARGIN_S
 
     def accepts(self, until_s: float) -> bool:
         """Return whether a new request is accepted whose time limit is `until_s`."""
--- a/gooseberryquay/serving/final_response.py
+++ b/gooseberryquay/serving/final_response.py
@@ -9,17 +9,22 @@
 
 __all__ = ["FinalResponse"]
 
+# Responses that two threads may send are short.
+WRITE_TIMEOUT_S = 1.0
+
 
 class FinalResponse:
     """Pass the first response of a request to the caller; thread-safe until it has begun.
 
-    A second one raises `CallerDisconnected`, as if the caller had left after the first.
+    A second one raises `CallerDisconnected`, as if the caller had left after the first. It does so
+    once the first is written, as the server closes the connection when the request's thread ends.
     """
 
     def __init__(self, writer: ResponseWriter) -> None:
         self._writer = writer
         self._lock = threading.Lock()
         self._is_begun = False
+        self._written = threading.Event()
 
     @property
     def is_begun(self) -> bool:
@@ -28,20 +33,25 @@
 
     def send(self, status: int, headers: Sequence[HeaderPair], body: bytes) -> None:
         """Send a complete response."""
-        self._begin()
-        self._writer.send(status, headers, body)
+        if not self.try_send(status, headers, body):
+            self._written.wait(WRITE_TIMEOUT_S)
+            raise CallerDisconnected("the request was answered by another thread")
 
     def try_send(self, status: int, headers: Sequence[HeaderPair], body: bytes) -> bool:
-        """Send a complete response, unless one has begun."""
-        try:
-            self.send(status, headers, body)
-        except CallerDisconnected:
+        """Send a complete response; return False at once if one has begun."""
+        if not self._try_begin():
             return False
+        try:
+            self._writer.send(status, headers, body)
+        finally:
+            self._written.set()
         return True
 
     def start_stream(self, status: int, headers: Sequence[HeaderPair]) -> None:
         """Send the headers of a response whose body follows in parts."""
-        self._begin()
+        if not self._try_begin():
+            self._written.wait(WRITE_TIMEOUT_S)
+            raise CallerDisconnected("the request was answered by another thread")
         self._writer.start_stream(status, headers)
 
     def write(self, content: bytes) -> None:
@@ -56,8 +66,9 @@
         """Abort the connection, so that the response cannot appear complete."""
         self._writer.abort()
 
-    def _begin(self) -> None:
+    def _try_begin(self) -> bool:
         with self._lock:
             if self._is_begun:
-                raise CallerDisconnected("the request was answered by another thread")
+                return False
             self._is_begun = True
+            return True
--- a/gooseberryquay/serving/request_handler.py
+++ b/gooseberryquay/serving/request_handler.py
@@ -104,10 +104,10 @@
 
     def _serve_routed(self, request: AcceptedRequest) -> None:
         call = request.call
-        if not self._drain_state.accepts(request.until_s):
-            self._refuse(call, None, request.response_writer, _entry_leaving())
-            return
         try:
+            if not self._drain_state.accepts(request.until_s):
+                self._refuse(call, None, request.response_writer, _entry_leaving())
+                return
             self._serve_accepted(request)
         except CallerDisconnected:
             self._finish(request, "caller left")
--- a/gooseberryquay/serving/tests/test_admission.py
+++ b/gooseberryquay/serving/tests/test_admission.py
@@ -147,9 +147,9 @@
     assert drain_state.accepts(1000.0) and not drain_state.is_leaving
     drain_state.begin(7.5)
     assert drain_state.is_leaving
-    assert drain_state.accepts(107.5) and not drain_state.accepts(107.6)
+    assert drain_state.accepts(107.4) and not drain_state.accepts(107.41)
     clock.now_s += 7.0
-    assert drain_state.accepts(107.5) and not drain_state.accepts(107.6)
+    assert drain_state.accepts(107.4) and not drain_state.accepts(107.41)
 
 
 def test_closed_entry_accepts_nothing():
