Do not take a connection without time left for one that was refused

What callers saw: none seen. Cause: connect(0.0) fails at once with "operation now in progress", which counted as a refusal, that is, as an upstream that has ended. Found on reading after freezes; the new test fails without the change.

--- a/gooseberryquay/links/tests/test_upstream_connection.py
+++ b/gooseberryquay/links/tests/test_upstream_connection.py
@@ -189,3 +189,10 @@
     assert not watch.is_disconnected()
     theirs.close()
     assert not watch.is_disconnected()  # undetectable: its next request is still unread
+
+
+def test_connection_without_time_left_does_not_count_as_refused():
+    """An upstream that listened was recorded as one that refuses connections."""
+    with raw_upstream() as address:
+        failure = UpstreamConnection(address, 1.0, 4.0).connect(0.0)
+    assert isinstance(failure, TransportTimeout) and not failure.was_sent
--- a/gooseberryquay/links/upstream_connection.py
+++ b/gooseberryquay/links/upstream_connection.py
@@ -89,6 +89,8 @@
     def connect(self, timeout_s: float) -> TransportFailure | None:
         """Open the connection; a failure proves that nothing was sent."""
         limit_s = min(self.connect_timeout_s, timeout_s)
+        if limit_s <= 0.0:
+            return TransportTimeout("no time is left to connect", was_sent=False)
         try:
             opened = socket.create_connection(self.address, limit_s)
         except TimeoutError as error:
