Compare the store's revisions by era first

Callers saw nothing. After the store came back from an older copy, an entry that restarted took itself for behind its peers and listed the configuration every 2.5 s (4 times in 10 s), and a watch could go on from a revision that was given out twice and miss a change. Cause: revisions of two eras were compared as numbers.

Change: the adapter encodes the era before the revision; watches and peers compare that. A watch of a former era lists anew, a late answer of one is dropped, and a rise of the era lets all watches list at once. During an upgrade entries of former builds take newer peers for ahead and list more often.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -181,6 +181,7 @@
         self._relays: list[ObjectRelay] = []
         self._sources: list[HubSource] = []
         self._watches = self._build_watches()
+        self._store_era.on_rise(self._resync_watches)
         self._control_server = self._build_server(
             settings.control_address, self._control_router(), min_threads=2
         )
@@ -383,6 +384,11 @@
             return False
         return all(each.is_current() for each in self._watches)
 
+    def _resync_watches(self) -> None:
+        """List all objects anew, as the store gives out again the revisions that were read."""
+        for watch in self._watches:
+            watch.resync()
+
     def _resync_other_watches(self, regained: ObjectWatch) -> None:
         for watch in self._watches:
             if watch is not regained:
--- a/gooseberryquay/platform/store.py
+++ b/gooseberryquay/platform/store.py
@@ -3,6 +3,7 @@
 import json
 import time
 from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -22,7 +23,7 @@
     WriteFailure,
 )
 from gooseberryquay.links.upstream_connection import CallerLeft
-from gooseberryquay.platform.store_era import StoreEra
+from gooseberryquay.platform.store_era import StoreEra, StorePosition
 from gooseberryquay.serving.object_source import (
     Changes,
     Listing,
@@ -60,8 +61,17 @@
 OBJECT_TIMEOUT_S = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    document: dict[str, Any]
+    era: int
+
+    def position(self, revision: int) -> int:
+        return StorePosition(self.era, revision).encode()
+
+
 class StoreObjectSource:
-    """List and watch the objects of one kind."""
+    """List and watch the objects of one kind; each revision is an encoded `StorePosition`."""
 
     def __init__(self, pool: ConnectionPool, address: Address, kind: str, era: StoreEra) -> None:
         self._pool = pool
@@ -79,11 +89,14 @@
             match self._get({} if after is None else {"after": after}, LIST_TIMEOUT_S):
                 case Err(failure):
                     return Err(failure)
-                case Ok(document):
-                    pass
+                case Ok(reply):
+                    document = reply.document
+            if reply.era < self._era.current:
+                # Sent before the store came back from an older copy.
+                return Err(SourceFailure.UNREACHABLE)
             try:
-                page = [_object_of(each, is_deleted=False) for each in document["items"]]
-                at = int(document["at"])
+                page = [_object_of(each, False, reply) for each in document["items"]]
+                at = reply.position(int(document["at"]))
             except (KeyError, TypeError, ValueError):
                 return Err(SourceFailure.MALFORMED)
             found.extend(each for each in page if each is not None)
@@ -96,17 +109,23 @@
 
     def watch(self, revision: int, wait_s: float) -> Result[Changes, SourceFailure]:
         """Wait for changes after a revision, for at most `wait_s`."""
-        query = {"watch": revision, "wait_ms": int(wait_s * MS_PER_S)}
+        position = StorePosition.decode(revision)
+        if position.era != self._era.current:
+            return Err(SourceFailure.HISTORY_GONE)
+        query = {"watch": position.revision, "wait_ms": int(wait_s * MS_PER_S)}
         match self._get(query, wait_s + WATCH_SLACK_S):
             case Err(failure):
                 return Err(failure)
-            case Ok(document):
-                pass
+            case Ok(reply):
+                document = reply.document
+        if reply.era != position.era:
+            return Err(SourceFailure.HISTORY_GONE)
         try:
             changed = [
-                _object_of(each["object"], bool(each["deleted"])) for each in document["events"]
+                _object_of(each["object"], bool(each["deleted"]), reply)
+                for each in document["events"]
             ]
-            at = int(document["at"])
+            at = reply.position(int(document["at"]))
         except (KeyError, TypeError, ValueError):
             return Err(SourceFailure.MALFORMED)
         return Ok(Changes(tuple(each for each in changed if each is not None), at, at))
@@ -115,9 +134,7 @@
         """Interrupt the call in progress, or else the next one."""
         self._interrupt.set()
 
-    def _get(
-        self, query: Mapping[str, Any], timeout_s: float
-    ) -> Result[dict[str, Any], SourceFailure]:
+    def _get(self, query: Mapping[str, Any], timeout_s: float) -> Result[_Reply, SourceFailure]:
         path = f"{self._path}?{urlencode(query)}" if query else self._path
         until_s = time.monotonic() + timeout_s
         request = BufferedRequest("GET", path)
@@ -129,7 +146,7 @@
             case Err(_):
                 return Err(SourceFailure.UNREACHABLE)
             case Ok(BufferedReply(status=status, body=body, headers=headers)):
-                self._era.observe(headers)
+                era = self._era.observe(headers)
         if status == HTTP_GONE:
             return Err(SourceFailure.HISTORY_GONE)
         if status != HTTP_OK:
@@ -138,7 +155,9 @@
             document = json.loads(body)
         except ValueError:
             return Err(SourceFailure.MALFORMED)
-        return Ok(document) if isinstance(document, dict) else Err(SourceFailure.MALFORMED)
+        if not isinstance(document, dict):
+            return Err(SourceFailure.MALFORMED)
+        return Ok(_Reply(document, era))
 
 
 class StoreClient:
@@ -160,7 +179,7 @@
                     tuple(
                         platform_messages.StoredObject(
                             key=f"{kind}/{each.name}",
-                            version=each.revision,
+                            version=StorePosition.decode(each.revision).revision,
                             value=json.dumps(each.content),
                         )
                         for each in listing.objects
@@ -216,7 +235,7 @@
 
 def _named_object(key: str, body: bytes) -> platform_messages.StoredObject | None:
     try:
-        found = _object_of(json.loads(body), is_deleted=False)
+        found = _object_of(json.loads(body), False, _Reply({}, 0))
     except ValueError:
         return None
     if found is None:
@@ -226,8 +245,8 @@
     )
 
 
-def _object_of(document: Any, is_deleted: bool) -> StoredObject | None:
-    """Decode one object; return None if it has no valid name."""
+def _object_of(document: Any, is_deleted: bool, reply: _Reply) -> StoredObject | None:
+    """Decode one object of a reply; return None if it has no valid name."""
     if not isinstance(document, dict) or not isinstance(document.get("metadata"), dict):
         return None
     metadata = document["metadata"]
@@ -237,7 +256,7 @@
     spec = document.get("spec")
     return StoredObject(
         name=name,
-        revision=revision if isinstance(revision, int) else 0,
+        revision=reply.position(revision if isinstance(revision, int) else 0),
         content=spec if isinstance(spec, dict) else None,
         is_deleted=is_deleted,
     )
