--- a/gooseberryquay/standins/proxied_connection.py
+++ b/gooseberryquay/standins/proxied_connection.py
@@ -105,7 +105,9 @@
         """Wait until both sides are closed."""
         deadline_s = time.monotonic() + END_TIMEOUT_S
         for thread in self._threads:
-            thread.join(max(0.0, deadline_s - time.monotonic()))
+            # A connection may be ended before its threads have started.
+            if thread.ident is not None:
+                thread.join(max(0.0, deadline_s - time.monotonic()))
         # A thread blocked in a send ends only when its socket is closed.
         self._release()
 
