--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,8 @@
-"""Entries are killed while a second software version of the engines has just appeared."""
+"""Another writer leaves a long, partly unreadable record in the list of upstreams."""
 
 import http.client
 import itertools
+import json
 import sys
 import threading
 import time
@@ -13,139 +14,135 @@
 
 from gooseberryquay.standins.node_platform.site import HOST  # noqa: E402
 
-ENTRIES = 8
-KILLED = 4
-STREAMS_PER_S = 35.0
-EVENT_S = 0.08
-EVENTS = 15
-DEADLINE_S = 6.0
-# The rule allows two.
-JOINED_MAX = 2
-KILL_AFTER_S = 2.0
-TRAFFIC_S = 6.0
+ENTRIES = 3
+# `limits.memory_mb` and `platform.value_bytes` of the settings.
+MEMORY_MB = 150
+VALUE_BYTES = 1048576
+RESTART_S = 1.0
+RECORD_AT_S = 5.0
+TRAFFIC_S = 40.0
+CALLS_PER_S = 20.0
+DEADLINE_S = 4.0
+# The rule: on two machines at least, three ends each.
+MACHINES_MIN = 2
+ENDS_MIN = 3
 
 _numbers = itertools.count(1)
 
 
-class Client:
-    """One client: it reads a stream and takes it up again once after a broken connection."""
-
-    def __init__(self, deployment, port, other_port):
-        self.deployment = deployment
-        self.ports = [port, other_port]
-        self.body = f"prompt {next(_numbers)}".encode()
-        self.began_at_s = time.monotonic()
-        self.first_id = None
-        self.events = []
-        self.tries = []
-        self.is_complete = False
-
-    def run(self):
-        """Send, and send once more if the stream broke off."""
-        for port in self.ports:
-            self._read(port)
-            if self.is_complete or time.monotonic() > self.began_at_s + DEADLINE_S - 1.0:
-                return
-
-    def _read(self, port):
-        attempt = f"a{next(_numbers):015x}"
-        left_s = self.began_at_s + DEADLINE_S - time.monotonic()
-        headers = {
-            "Host": HOST,
-            "X-Attempt-Id": attempt,
-            "X-Deadline-Ms": str(int(left_s * 1000.0)),
-            "X-Model": "m",
-            "X-Token-Usage": f"100,{4 * EVENTS}",
-            "X-Prompt-Prefix": f"aa01:20,{attempt}:80",
-            "Authorization": f"Bearer {KEY}",
-        }
-        if self.events:
-            headers["Last-Event-Id"] = str(self.events[-1][0])
-            headers["Resumes"] = self.first_id
-        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=max(0.1, left_s))
-        status = None
-        before = len(self.events)
-        try:
-            connection.request("POST", "/check/1", self.body, headers)
-            response = connection.getresponse()
-            status = response.status
-            if status == http.client.OK:
-                self._read_events(response, attempt)
-        except (OSError, http.client.HTTPException):
-            pass
-        finally:
-            connection.close()
-        self.tries.append((attempt, port, status, len(self.events) - before))
-
-    def _read_events(self, response, attempt):
-        pending = b""
-        while part := response.read1(65536):
-            *complete, pending = (pending + part).split(b"\n\n")
-            for each in complete:
-                number, data = each.decode().split("\n")
-                self.first_id = self.first_id or attempt
-                self.events.append((int(number.removeprefix("id: ")), data.split(" ")[2]))
-        self.is_complete = [each for each, _ in self.events] == list(range(1, EVENTS + 1))
-
-    @property
-    def versions(self):
-        """Return the software versions that wrote the events, in order of appearance."""
-        return list(dict.fromkeys(version for _, version in self.events))
+def odd_record():
+    """Return the text of a record with a field of another type and a number of too many digits."""
+    record = {
+        "service": "ledger",
+        "address": "127.0.0.1:9",
+        "zone": "zone-a",
+        "state": "ready",
+        "slots": 0,
+        "note": "",
+    }
+    text = json.dumps(record).replace('"slots": 0', '"slots": ' + "1" * 6000)
+    note = "n" * (VALUE_BYTES - len(text) - 100)
+    return text.replace('"note": ""', f'"note": "{note}"')
+
+
+class Platform:
+    """End processes that exceed their memory, and start ended ones again."""
+
+    def __init__(self, deployment):
+        self._deployment = deployment
+        self._stopped = threading.Event()
+        self.ends = {each.name: 0 for each in deployment.entries}
+        self.peaks_mb = {each.name: 0.0 for each in deployment.entries}
+
+    def start(self):
+        """Watch each entry in a thread."""
+        for each in self._deployment.entries:
+            threading.Thread(target=self._watch, args=(each,), daemon=True).start()
+
+    def stop(self):
+        """End the watch."""
+        self._stopped.set()
+
+    def _watch(self, entry):
+        while not self._stopped.wait(0.005):
+            resident_mb = entry.resident_mb() * 1e6 / 1048576.0
+            self.peaks_mb[entry.name] = max(self.peaks_mb[entry.name], resident_mb)
+            is_over = resident_mb > MEMORY_MB
+            if is_over:
+                entry.kill()
+            if not is_over and entry.process.poll() is None:
+                continue
+            self.ends[entry.name] += 1
+            reason = f"at {resident_mb:.0f} MB" if is_over else "by itself"
+            self._deployment.record.write(f"{entry.name} ended {reason}")
+            if not self._stopped.wait(RESTART_S):
+                entry.start()
+
+
+def send(port):
+    """Send one read and return its status, or None."""
+    attempt = f"a{next(_numbers):015x}"
+    headers = {
+        "Host": HOST,
+        "X-Attempt-Id": attempt,
+        "X-Deadline-Ms": str(int(DEADLINE_S * 1000.0)),
+        "Authorization": f"Bearer {KEY}",
+    }
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=DEADLINE_S)
+    try:
+        connection.request("GET", "/read/1", headers=headers)
+        response = connection.getresponse()
+        response.read()
+        return response.status
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
 
 
 def case():
     """Play the case once."""
     with Deployment(Path(__file__).parent, ENTRIES) as deployment:
         site, record = deployment.site, deployment.record
-        deployment.start(engines=3, services=1)
-        for each in site.engines.values():
-            each.event_s = EVENT_S
-        time.sleep(4.0)
-        entries = deployment.entries
-        killed, others = entries[:KILLED], entries[KILLED:]
-        for _ in range(6):
-            site.engines[site.add_engine("v2")].event_s = EVENT_S
-        record.write("six engines of version v2 serve beside three of v1")
-        clients, threads = [], []
-        kill_at_s = time.monotonic() + KILL_AFTER_S
-        until_s = time.monotonic() + TRAFFIC_S
-        is_killed = False
+        deployment.start(engines=3, services=3)
+        platform = Platform(deployment)
+        platform.start()
+        statuses = {"before": [], "after": []}
+        began_at_s = time.monotonic()
+        phase = "before"
+
+        def call(number, phase):
+            port = deployment.entries[number % ENTRIES].ports.callers
+            status = send(port)
+            statuses[phase].append(status)
+            record.write(f"call {number} ({phase}): {status}")
+
+        threads = []
         for number in itertools.count():
-            now_s = time.monotonic()
-            if now_s >= until_s:
+            now_s = time.monotonic() - began_at_s
+            if now_s >= TRAFFIC_S:
                 break
-            if is_troubled() and not is_killed and now_s >= kill_at_s:
-                is_killed = True
-                for each in killed:
-                    each.process.kill()
-                record.write("killed " + ", ".join(each.name for each in killed))
-            serving = others if is_killed else killed
-            port = serving[number % len(serving)].ports.callers
-            other_port = others[number % len(others)].ports.callers
-            client = Client(deployment, port, other_port)
-            clients.append(client)
-            threads.append(threading.Thread(target=client.run, daemon=True))
+            if phase == "before" and now_s >= RECORD_AT_S:
+                phase = "after"
+                if is_troubled():
+                    text = odd_record()
+                    site.store.put_text("servers", "i-odd", text)
+                    record.write(f"another writer wrote servers/i-odd, {len(text)} bytes")
+            threads.append(threading.Thread(target=call, args=(number, phase), daemon=True))
             threads[-1].start()
-            time.sleep(1.0 / (STREAMS_PER_S * KILLED))
+            time.sleep(1.0 / CALLS_PER_S)
         for each in threads:
-            each.join(DEADLINE_S + 2.0)
-        for each in clients:
-            tries = "; ".join(
-                f"{id} at {port}: {status}, {n} events" for id, port, status, n in each.tries
-            )
-            record.write(f"{tries}; versions {each.versions}; complete {each.is_complete}")
-        joined = [each for each in clients if len(each.versions) > 1]
-        complete = sum(each.is_complete for each in clients)
-        resumed = [each for each in clients if len(each.tries) > 1 and each.tries[0][3]]
-        text = (
-            f"{len(clients)} streams, {complete} complete, {len(resumed)} taken up again, "
-            f"{len(joined)} hold events of two versions (at most {JOINED_MAX} may)"
-        )
+            each.join(DEADLINE_S + 1.0)
+        platform.stop()
+        served = {each: found.count(200) / max(1, len(found)) for each, found in statuses.items()}
+        peaks = {name: round(each) for name, each in platform.peaks_mb.items()}
+        text = f"ends {platform.ends}, peak memory {peaks} MB, served {served}"
         record.write(text)
         print(text)
-        if complete < len(clients) / 4:
+        if served["before"] < 0.9:
             return CANNOT_RUN
-        return BROKEN if len(joined) > JOINED_MAX else HELD
+        machines = sum(each >= ENDS_MIN for each in platform.ends.values())
+        return BROKEN if machines >= MACHINES_MIN else HELD
 
 
 run_case(case)
