--- a/review/harness.py
+++ b/review/harness.py
@@ -26,6 +26,7 @@
 ZONES = ("zone-a", "zone-b")
 READY_WITHIN_S = 20.0
 MAX_FDS = 4100
+TIME_MAX_S = 115
 
 SETTINGS = """\
 node_name={name}
@@ -236,8 +237,15 @@
         self._temporary.cleanup()
 
 
+def _interrupt(*_arguments):
+    raise RuntimeError("interrupted")
+
+
 def run_case(case):
     """Run a case and exit with its result."""
+    signal.signal(signal.SIGTERM, _interrupt)
+    signal.signal(signal.SIGALRM, _interrupt)
+    signal.alarm(TIME_MAX_S)
     try:
         result = case()
     except Exception as error:  # noqa: BLE001
