--- a/review/1/case.py
+++ b/review/1/case.py
@@ -79,9 +79,8 @@
                 entry.start()
 
 
-def send(port):
+def send(port, attempt):
     """Send one read and return its status, or None."""
-    attempt = f"a{next(_numbers):015x}"
     headers = {
         "Host": HOST,
         "X-Attempt-Id": attempt,
@@ -113,9 +112,10 @@
 
         def call(number, phase):
             port = deployment.entries[number % ENTRIES].ports.callers
-            status = send(port)
+            attempt = f"a{next(_numbers):015x}"
+            status = send(port, attempt)
             statuses[phase].append(status)
-            record.write(f"call {number} ({phase}): {status}")
+            record.write(f"call {attempt} to port {port} ({phase}): {status}")
 
         threads = []
         for number in itertools.count():
--- a/review/harness.py
+++ b/review/harness.py
@@ -233,6 +233,8 @@
     def __exit__(self, *_error):
         for each in self.entries:
             each.kill()
+        for request, upstreams in list(self.site.record.runs.items()):
+            self.record.write(f"run: {request} at {' '.join(upstreams)}")
         self.site.stop()
         self._temporary.cleanup()
 
--- a/review/seen/crowded_engines.py
+++ b/review/seen/crowded_engines.py
@@ -1,4 +1,4 @@
-"""Many users come at once to engines that are crowded; calls of another service wait behind them."""
+"""Many users come at once to crowded engines; calls of another service wait behind them."""
 
 import http.client
 import itertools
