--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,6 +3,7 @@
 import http.client
 import itertools
 import json
+import os
 import sys
 import threading
 import time
@@ -10,10 +11,13 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from harness import BROKEN, CANNOT_RUN, HELD, KEY, Deployment, is_troubled, run_case  # noqa: E402
+from harness import BROKEN, CANNOT_RUN, HELD, KEY, Deployment, run_case  # noqa: E402
 
 from gooseberryquay.standins.node_platform.site import HOST  # noqa: E402
 
+# Without the disruption if the variable is 0.
+IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
+
 ENTRIES = 3
 # `limits.memory_mb` and `platform.value_bytes` of the settings.
 MEMORY_MB = 150
@@ -124,7 +128,7 @@
                 break
             if phase == "before" and now_s >= RECORD_AT_S:
                 phase = "after"
-                if is_troubled():
+                if IS_TROUBLED:
                     text = odd_record()
                     site.store.put_text("servers", "i-odd", text)
                     record.write(f"another writer wrote servers/i-odd, {len(text)} bytes")
