--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,11 +11,14 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from harness import BROKEN, CANNOT_RUN, HELD, KEY, Deployment, is_troubled, run_case  # noqa: E402
+from harness import BROKEN, CANNOT_RUN, HELD, KEY, Deployment, run_case  # noqa: E402
 
 from gooseberryquay.links.streaming_gateway import CallerDisconnected  # noqa: E402
 from gooseberryquay.standins.node_platform.site import HOST  # noqa: E402
 
+# Without the disruption if the variable is 0.
+IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
+
 ENGINES = 9
 # The doses of `garble` in the site file: share of the engines, `x` of their answers, `for_s`.
 SPOILING_SHARE = 0.6
@@ -137,7 +140,7 @@
         port = deployment.entries[0].ports.callers
         time.sleep(3.0)
         began_at_s = time.monotonic()
-        if is_troubled():
+        if IS_TROUBLED:
             spoiling.from_s = began_at_s + SPOILING_AT_S
             spoiling.until_s = spoiling.from_s + SPOILING_S
         requests, threads = [], []
@@ -168,7 +171,7 @@
         record.write(text)
         print(text)
         good = sum(each.status == 200 for each in requests)
-        if good < len(requests) / 4 and not is_troubled():
+        if good < len(requests) / 4 and not IS_TROUBLED:
             return CANNOT_RUN
         is_broken = len(unanswered) >= UNANSWERED_MIN and 2 * len(late) > len(unanswered)
         return BROKEN if is_broken else HELD
