--- a/review/4/case.py
+++ b/review/4/case.py
@@ -2,6 +2,7 @@
 
 import http.client
 import itertools
+import os
 import sys
 import threading
 import time
@@ -9,10 +10,13 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from harness import BROKEN, CANNOT_RUN, HELD, KEY, Deployment, is_troubled, run_case  # noqa: E402
+from harness import BROKEN, CANNOT_RUN, HELD, KEY, Deployment, run_case  # noqa: E402
 
 from gooseberryquay.standins.node_platform.site import HOST  # noqa: E402
 
+# Without the disruption if the variable is 0.
+IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
+
 ENTRIES = 8
 KILLED = 4
 STREAMS_PER_S = 35.0
@@ -114,7 +118,7 @@
             now_s = time.monotonic()
             if now_s >= until_s:
                 break
-            if is_troubled() and not is_killed and now_s >= kill_at_s:
+            if IS_TROUBLED and not is_killed and now_s >= kill_at_s:
                 is_killed = True
                 for each in killed:
                     each.process.kill()
