--- a/review/harness.py
+++ b/review/harness.py
@@ -73,11 +73,6 @@
 """
 
 
-def is_troubled():
-    """Return whether the disruption takes place."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class SmallSite(Site):
     """A site whose engines have the slots and the memory of the small deployments."""
 
@@ -257,4 +252,4 @@
     os._exit(result)
 
 
-__all__ = ["KEY", "Deployment", "Entry", "Record", "is_troubled", "run_case"]
+__all__ = ["KEY", "Deployment", "Entry", "Record", "run_case"]
--- a/review/seen/absurd_slots.py
+++ b/review/seen/absurd_slots.py
@@ -3,6 +3,7 @@
 import http.client
 import itertools
 import json
+import os
 import sys
 import tempfile
 import threading
@@ -12,10 +13,13 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from harness import BROKEN, CANNOT_RUN, HELD, KEY, Deployment, is_troubled, run_case  # noqa: E402
+from harness import BROKEN, CANNOT_RUN, HELD, KEY, Deployment, run_case  # noqa: E402
 
 from gooseberryquay.standins.node_platform.site import HOST  # noqa: E402
 
+# Without the disruption if the variable is 0.
+IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
+
 ENTRIES = 3
 RECORD_AT_S = 5.0
 # The watches have read the record by then.
@@ -97,7 +101,7 @@
             now_s = time.monotonic() - began_at_s
             if now_s >= TRAFFIC_S:
                 break
-            if not is_written and now_s >= RECORD_AT_S and is_troubled():
+            if not is_written and now_s >= RECORD_AT_S and IS_TROUBLED:
                 is_written = True
                 site.store.put("servers", "i-odd", odd_record())
                 record.write("another writer wrote servers/i-odd: " + json.dumps(odd_record()))
--- a/review/seen/crowded_engines.py
+++ b/review/seen/crowded_engines.py
@@ -2,6 +2,7 @@
 
 import http.client
 import itertools
+import os
 import sys
 import tempfile
 import threading
@@ -10,10 +11,13 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from harness import BROKEN, HELD, KEY, Deployment, is_troubled, run_case  # noqa: E402
+from harness import BROKEN, HELD, KEY, Deployment, run_case  # noqa: E402
 
 from gooseberryquay.standins.node_platform.site import HOST  # noqa: E402
 
+# Without the disruption if the variable is 0.
+IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
+
 ENGINES = 9
 # Just below what the engines bear: 216 slots, 6 s a stream.
 GENERATIONS_PER_S = 33.0
@@ -77,7 +81,7 @@
         took, threads = [], []
         due_s = {False: began_at_s, True: began_at_s}
         while (now_s := time.monotonic() - began_at_s) < TRAFFIC_S:
-            is_burst = is_troubled() and BURST_AT_S <= now_s < BURST_AT_S + BURST_S
+            is_burst = IS_TROUBLED and BURST_AT_S <= now_s < BURST_AT_S + BURST_S
             rates = {False: GENERATIONS_PER_S * (BURST_X if is_burst else 1.0), True: CALLS_PER_S}
             for is_call, per_s in rates.items():
                 if time.monotonic() >= due_s[is_call]:
--- a/review/seen/store_return.py
+++ b/review/seen/store_return.py
@@ -2,6 +2,7 @@
 
 import http.client
 import itertools
+import os
 import sys
 import tempfile
 import threading
@@ -10,10 +11,13 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from harness import BROKEN, HELD, KEY, Deployment, is_troubled, run_case  # noqa: E402
+from harness import BROKEN, HELD, KEY, Deployment, run_case  # noqa: E402
 
 from gooseberryquay.standins.node_platform.site import HOST  # noqa: E402
 
+# Without the disruption if the variable is 0.
+IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
+
 ENTRIES = 3
 COPY_AGE_S = 5.0
 DRAINING_S = 4.0
@@ -68,7 +72,7 @@
         site.announce_leave(draining)
         time.sleep(DRAINING_S)
         before = len(site.record.arrivals[draining])
-        if is_troubled():
+        if IS_TROUBLED:
             lost = store._outside_writes[copy.outside_write_count :]
             del store._outside_writes[copy.outside_write_count :]
             store.come_back_from(copy)
