Separate the entries of a reply before any of them is read

Cause: a reply was parsed as one document. When the parser refused it, the whole of it was split by a pattern that keeps state for each character of a string (125 MB for 1 MB), level by level. Related: a record that can be read becomes many small objects, kept and passed on though nobody reads them.

Change: entries are separated first, undecoded (msgspec.Raw), and each is decoded by itself. Of a long record only the members that are read are decoded, up to 4 KiB each. Replies of engines are read up to 256 KiB.

--- a/gooseberryquay/daemons/tests/test_platform_odd_records.py
+++ b/gooseberryquay/daemons/tests/test_platform_odd_records.py
@@ -23,6 +23,16 @@
     "digits-40": "1" * 40,
     "half-a-character": '"\\ud800"',
 }
+# Bytes of an object are at most 1 MiB, `value_bytes` of the platform.
+LONG_VALUES = {
+    "string": '"' + "n" * 1_000_000 + '"',
+    "escapes": '"' + "\\\\" * 500_000 + '"',
+    "numbers": "[" + "1," * 499_999 + "1]",
+    "empty-objects": "[" + "{}," * 333_332 + "{}]",
+    "members": "{" + ",".join(f'"{number}":1' for number in range(90_000)) + "}",
+}
+# `limits.memory_mb` of the deployments.
+MEMORY_MB_MAX = 150
 
 
 @pytest.fixture
@@ -61,3 +71,22 @@
             each.restart()
         time.sleep(SEEN_S)
         assert _served_share(entries) == 1.0
+
+
+# Guards against entries that are killed for their memory because of one long record.
+@pytest.mark.parametrize("kind", ["servers", "evacuations", "streams"])
+@pytest.mark.parametrize("value", LONG_VALUES.values(), ids=LONG_VALUES.keys())
+def test_one_long_record_does_not_decide_over_the_memory_of_entries(site, tmp_path, value, kind):
+    text = json.dumps({**SERVER, "slots": 0, "note": 0})
+    text = text.replace('"slots": 0', f'"slots": {"1" * 6000}')
+    with running_entries(site, tmp_path, 2) as entries:
+        site.store.put_text(kind, "odd", text.replace('"note": 0', f'"note": {value}'))
+        time.sleep(SEEN_S)
+        _replace_services(site)
+        time.sleep(SEEN_S)
+        assert _served_share(entries) == 1.0
+        for each in entries:
+            each.restart()
+        time.sleep(SEEN_S)
+        assert _served_share(entries) == 1.0
+        assert max(each.process.peak_memory_mb() for each in entries) < MEMORY_MB_MAX
--- a/gooseberryquay/links/exchange.py
+++ b/gooseberryquay/links/exchange.py
@@ -44,6 +44,7 @@
     method: str
     target: str
     body: bytes = b""
+    reply_bytes_max: int = REPLY_BYTES_MAX
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +108,7 @@
     if isinstance(opened, Err):
         connection.close()
         return opened
-    return finish_exchange(pool, connection, opened.ok_value, until_s)
+    return finish_exchange(pool, connection, opened.ok_value, until_s, request.reply_bytes_max)
 
 
 def begin_exchange(
@@ -141,10 +142,14 @@
 
 
 def finish_exchange(
-    pool: ConnectionPool, connection: UpstreamConnection, head: ResponseHead, until_s: float
+    pool: ConnectionPool,
+    connection: UpstreamConnection,
+    head: ResponseHead,
+    until_s: float,
+    bytes_max: int = REPLY_BYTES_MAX,
 ) -> Result[BufferedReply, TransportFailure | CallerLeft]:
     """Read the body of a response and return its connection to the pool."""
-    read = _read_body(connection, until_s)
+    read = _read_body(connection, until_s, bytes_max)
     if isinstance(read, Err):
         connection.close()
         return read
@@ -153,7 +158,7 @@
 
 
 def _read_body(
-    connection: UpstreamConnection, until_s: float
+    connection: UpstreamConnection, until_s: float, bytes_max: int
 ) -> Result[bytes, TransportFailure | CallerLeft]:
     content = bytearray()
     read_until_s = time.monotonic() + READ_TIMEOUT_MAX_S
@@ -164,7 +169,7 @@
                 return Err(failure)
             case Ok(BodyPart(part)):
                 content += part
-                if len(content) > REPLY_BYTES_MAX:
+                if len(content) > bytes_max:
                     return Err(ConnectionBroken("the response is too large", was_sent=True))
             case Ok(BodyEnd()):
                 return Ok(bytes(content))
--- a/gooseberryquay/links/tests/test_json_document.py
+++ b/gooseberryquay/links/tests/test_json_document.py
@@ -1,10 +1,11 @@
 """Documents of which one part cannot be read."""
 
 import json
+import tracemalloc
 
 import pytest
 
-from gooseberryquay.links.json_document import parse_document
+from gooseberryquay.links.json_document import MemberLimits, parse_document
 
 GOOD = {"metadata": {"name": "i-1", "revision": 4}, "spec": {"slots": 8, "note": "a, {b} \\" "c"}}
 NESTED = "[" * 60_000 + "]" * 60_000
@@ -44,3 +45,38 @@
 def test_document_without_any_readable_part_is_rejected(text):
     with pytest.raises(ValueError, match=r"document|member"):
         parse_document(text)
+
+
+LONG_PARTS = {
+    "string": '"' + "n" * 1_000_000 + '"',
+    "escapes": '"' + "\\\\" * 500_000 + '"',
+    "numbers": "[" + "1," * 499_999 + "1]",
+    "empty-objects": "[" + "{}," * 333_332 + "{}]",
+    "members": "{" + ",".join(f'"{number}":1' for number in range(90_000)) + "}",
+    "nested": "[" * 500_000 + "]" * 500_000,
+}
+LIMITS = MemberLimits("spec", frozenset({"slots", "note"}), 4096)
+MEGABYTE = 1e6
+
+
+# Guards against memory of many times the document because one part of it is long or unreadable.
+@pytest.mark.parametrize("unreadable", ["1" * 6000, "tru", "1"])
+@pytest.mark.parametrize("long", LONG_PARTS.values(), ids=LONG_PARTS.keys())
+def test_memory_of_a_document_is_not_decided_by_one_long_part(long, unreadable):
+    text = _listing(json.dumps(GOOD), _odd(f'{unreadable}, "more": {long}'))
+    tracemalloc.start()
+    try:
+        document = parse_document(text, LIMITS)
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert document["items"][0] == GOOD
+    assert "more" not in document["items"][1]["spec"]
+    assert peak_bytes < 20 * MEGABYTE
+
+
+def test_long_object_keeps_its_named_members():
+    long = _odd(f'3, "note": {LONG_PARTS["string"]}, "more": {LONG_PARTS["string"]}')
+    (read,) = parse_document(_listing(long), LIMITS)["items"]
+    assert read["metadata"] == {"name": "odd", "revision": 5}
+    assert read["spec"] == {"slots": 3, "note": None}
--- a/gooseberryquay/platform/documents.py
+++ b/gooseberryquay/platform/documents.py
@@ -17,7 +17,7 @@
 )
 from gooseberryquay.serving.upstream_record import UpstreamRecord, UpstreamState
 
-__all__ = ["read_routing", "read_upstream"]
+__all__ = ["UPSTREAM_FIELDS", "read_routing", "read_upstream"]
 
 MS_PER_S = 1000.0
 ROUTE_KINDS = {
@@ -102,6 +102,10 @@
     version: str | int | None = None
 
 
+# Members of an upstream's record that are read.
+UPSTREAM_FIELDS = frozenset(_Server.model_fields)
+
+
 def read_routing(stored: StoredObject) -> RoutingTable | None:
     """Decode a configuration; return None if it is malformed."""
     try:
--- a/gooseberryquay/platform/http_upstream_client.py
+++ b/gooseberryquay/platform/http_upstream_client.py
@@ -59,6 +59,8 @@
 COUNT_MAX = 1_000_000
 # Peers are near; one that does not accept within this time is left.
 PEER_CONNECT_TIMEOUT_S = 0.3
+# Several times a report on all runs of a large engine.
+REPORT_BYTES_MAX = 256 * 1024
 
 
 @dataclass
@@ -196,7 +198,7 @@
     ) -> Result[MovedCopy, MoveFailure]:
         """Copy a running generation's KV cache to another engine; a final copy also stops it."""
         body = json.dumps({"id": id, "target": str(target), "final": is_final}).encode()
-        request = BufferedRequest("POST", names.KV_MOVE_PATH, body)
+        request = BufferedRequest("POST", names.KV_MOVE_PATH, body, REPORT_BYTES_MAX)
         match exchange(self._pool, source.address, request, until_s):
             case Err(_):
                 return Err(MoveFailure(MoveRefusal.FAILED))
@@ -205,7 +207,7 @@
 
     def is_leaving(self, upstream: UpstreamRecord, until_s: float) -> bool | None:
         """Query whether an engine is draining; None if that incarnation does not respond."""
-        request = BufferedRequest("GET", names.REPORT_PATH)
+        request = BufferedRequest("GET", names.REPORT_PATH, b"", REPORT_BYTES_MAX)
         match exchange(self._pool, upstream.address, request, until_s):
             case Ok(BufferedReply(status=200, body=body, headers=headers)):
                 return _read_leaving(upstream, body, dict(headers))
@@ -227,7 +229,9 @@
 
     def free_copy(self, holder: Address, handle: CopyHandle) -> None:
         """Release a KV cache copy that is not used."""
-        request = BufferedRequest("DELETE", names.KV_HANDLE_PATH + handle.name)
+        request = BufferedRequest(
+            "DELETE", names.KV_HANDLE_PATH + handle.name, b"", REPORT_BYTES_MAX
+        )
         exchange(self._pool, holder, request, time.monotonic() + FREE_TIMEOUT_S)
 
     def _connect(
--- a/gooseberryquay/platform/store.py
+++ b/gooseberryquay/platform/store.py
@@ -14,7 +14,7 @@
 from gooseberryquay.links.connection_pool import ConnectionPool
 from gooseberryquay.links.exchange import BufferedReply, BufferedRequest, exchange
 from gooseberryquay.links.hedged_exchange import Hedge, HedgedClient
-from gooseberryquay.links.json_document import parse_document
+from gooseberryquay.links.json_document import MemberLimits, parse_document
 from gooseberryquay.links.platform_client import (
     NO_VERSION,
     OutcomeUnknown,
@@ -25,6 +25,7 @@
     WriteFailure,
 )
 from gooseberryquay.links.upstream_connection import CallerLeft
+from gooseberryquay.platform.documents import UPSTREAM_FIELDS
 from gooseberryquay.platform.store_era import StoreEra, StorePosition
 from gooseberryquay.serving.object_source import (
     Changes,
@@ -64,6 +65,13 @@
 # Enough for 100,000 objects.
 PAGES_MAX = 200
 OBJECT_TIMEOUT_S = 1.0
+# Longer than any field of an upstream's record.
+FIELD_BYTES_MAX = 4096
+# Other writers may leave long objects of these kinds. Of an evacuation only the name is read.
+LIMITS = {
+    UPSTREAM_KIND: MemberLimits("spec", UPSTREAM_FIELDS, FIELD_BYTES_MAX),
+    EVACUATION_KIND: MemberLimits("spec", frozenset(), 0),
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +100,7 @@
         self._client = HedgedClient(pool, address, on_silence)
         self._era = era
         self._path = OBJECTS_PATH + quote(kind)
+        self._limits = LIMITS.get(kind)
 
     def list(self) -> Result[Listing, SourceFailure]:
         """Return all objects, read page by page."""
@@ -169,7 +178,7 @@
         if status != HTTP_OK:
             return Err(SourceFailure.REFUSED)
         try:
-            document = parse_document(body)
+            document = parse_document(body, self._limits)
         except ValueError:
             return Err(SourceFailure.MALFORMED)
         if not isinstance(document, dict):
--- a/gooseberryquay/standins/process.py
+++ b/gooseberryquay/standins/process.py
@@ -113,6 +113,12 @@
         pages = int(Path(f"/proc/{self.pid}/statm").read_text().split()[1])
         return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
 
+    def peak_memory_mb(self) -> float:
+        """Return the largest resident memory that the process has had."""
+        status = Path(f"/proc/{self.pid}/status").read_text()
+        peak_kb = next(line for line in status.splitlines() if line.startswith("VmHWM:")).split()[1]
+        return int(peak_kb) / 1024.0
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal, such as SIGSTOP, SIGCONT or SIGTERM."""
         os.kill(self.pid, number)
