Store the version of a stream before its first event is passed on

Cause: an entry recorded a stream up to 0.4 s after its first event, and what it had not recorded was taken for streams of an entry that knew the previous version only.

Change: once versions are mixed, the first event waits for the write of its record, at most 1 s. Entries say so in their objects; beside one that does not, nothing is assumed. Objects that wrote are read as before, and it ignores the new field; a test reads one as bytes.

test_streams_are_written_in_batches recorded 500 streams one after the other, each of which now waits for its write; it is replaced by 500 that begin together, with the same bound of 12 calls.

--- a/gooseberryquay/daemons/tests/stream_builders.py
+++ b/gooseberryquay/daemons/tests/stream_builders.py
@@ -4,6 +4,7 @@
 import http.client
 import itertools
 import threading
+import time
 from dataclasses import dataclass, field
 
 from gooseberryquay.standins.node_platform.site import HOST, KEY
@@ -89,3 +90,23 @@
         each.start()
     for each in threads:
         each.join()
+
+
+def start_streams(callers, ports, other_ports, interval_s):
+    """Let callers begin one after the other; each that is cut off is taken up at another entry.
+
+    Returns the threads that read.
+    """
+    threads = []
+    for number, each in enumerate(callers):
+        tries = (ports[number % len(ports)], other_ports[number % len(other_ports)])
+        threads.append(threading.Thread(target=_read_in_turn, args=(each, tries)))
+        threads[-1].start()
+        time.sleep(interval_s)
+    return threads
+
+
+def _read_in_turn(caller, ports):
+    for port in ports:
+        if not caller.is_complete:
+            caller.read(port)
--- a/gooseberryquay/daemons/tests/test_platform_software_versions.py
+++ b/gooseberryquay/daemons/tests/test_platform_software_versions.py
@@ -7,7 +7,7 @@
 import pytest
 
 from gooseberryquay.daemons.tests.platform_builders import running_entries
-from gooseberryquay.daemons.tests.stream_builders import StreamCaller, read_all
+from gooseberryquay.daemons.tests.stream_builders import StreamCaller, read_all, start_streams
 from gooseberryquay.standins.node_platform.site import Site
 
 STREAMS = 30
@@ -174,3 +174,23 @@
         read_all(callers, _ports(entries[1:] + entries[:1]))
     _check(callers)
     assert all(each.is_complete for each in callers if each.numbers)
+
+
+# Guards against streams that go on at another version because their entry ended before it had
+# recorded them.
+@pytest.mark.parametrize("since_newer_s", [0.2, 1.0, 3.0, 8.0])
+def test_stream_is_not_joined_if_its_entry_is_killed_just_after_it_began(
+    site, tmp_path, since_newer_s
+):
+    with running_entries(site, tmp_path, 4) as entries:
+        killed, others = entries[:2], entries[2:]
+        for _ in range(6):
+            site.add_engine("v2")
+        time.sleep(since_newer_s)
+        callers = [StreamCaller() for _ in range(120)]
+        reading = start_streams(callers, _ports(killed), _ports(others), interval_s=0.008)
+        for each in killed:
+            each.process.kill()
+        for each in reading:
+            each.join()
+    _check(callers)
--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -323,7 +323,7 @@
 
     def _record_begun(self, request: AcceptedRequest, version: SoftwareVersion | None) -> None:
         if request.route.is_resumable:
-            self._versions.record(request.call.id, request.service, version)
+            self._versions.record(request.call.id, request.service, version, request.caller)
 
     def _report_stream_loss(
         self, active: ActiveGeneration, end: StreamEnd, event_count: int
--- a/gooseberryquay/serving/stream_versions.py
+++ b/gooseberryquay/serving/stream_versions.py
@@ -29,16 +29,25 @@
 # Streams of two versions may be taken up for about as long as a caller waits for an answer.
 STREAM_LIFETIME_S = 90.0
 STREAMS_MAX = 4096
-WRITE_INTERVAL_S = 0.2
+# The first event of a stream waits for the write of its record.
+WRITE_INTERVAL_S = 0.05
+# An entry with many streams writes less often.
+WRITE_BYTES_PER_S = 500_000.0
+# How long the first event of a stream waits for its record if the store does not answer.
+RECORD_TIME_S = 1.0
 # Entries that learn of a version together spread their first writes over this time.
 FIRST_WRITE_SPREAD_S = 0.2
-RETRY_INTERVAL_S = 2.0
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 2.0
+# After so many failed calls in a row, the store is considered away.
+FAILURES_MAX = 2
+POLL_INTERVAL_S = 0.1
 # An entry may become one of those that record the only version of a service.
 HISTORY_CHECK_S = 1.0
 # Records of streams that began just before their entry ended may be about to be written.
 READ_AGAIN_S = 0.25
 READ_INTERVAL_S = 0.2
-# Entries that saw the previous version have recorded their streams by then.
+# Entries that saw only the previous version have learned of another by then.
 CHANGE_SETTLED_S = 5.0
 # Entries that restart together see the list within this time.
 RESTART_SPREAD_S = 2.0
@@ -66,7 +75,9 @@
     """Record and look up the software versions of streams; thread-safe.
 
     While one version of a service serves, nothing is written but that version. Once another
-    appears, each entry writes its streams to an object of its own, in batches.
+    appears, each entry writes its streams to an object of its own, in batches, and passes no event
+    of a stream on before its record is stored. A stream without a record has then begun at an entry
+    that knew only the previous version.
     """
 
     def __init__(
@@ -85,6 +96,16 @@
         self._started_at_s = clock()
         self._own: OrderedDict[RequestId, StreamOrigin] = OrderedDict()
         self._read: dict[RequestId, StreamOrigin] = {}
+        # What other entries have written, for as long as it is not read again.
+        self._documents: list[StoredStreams] = []
+        # Records are numbered; those up to the second number are stored.
+        self._record_count = 0
+        self._stored_count = 0
+        self._failure_count = 0
+        self._has_waiters = threading.Event()
+        # When streams of an earlier process that did not write ahead no longer matter; None until
+        # its object was read.
+        self._ahead_from_s: float | None = None
         self._history = VersionHistory()
         self._was_read = False
         self._shared_read = SharedRead(self._load, READ_INTERVAL_S)
@@ -94,6 +115,7 @@
         self._changed = threading.Event()
         self._stopping = threading.Event()
         self._lock = threading.Lock()
+        self._stored = threading.Condition(self._lock)
         self._thread = threading.Thread(target=self._run, name="stream versions", daemon=True)
 
     def start(self) -> None:
@@ -109,9 +131,16 @@
         self._thread.join()
 
     def record(
-        self, stream: RequestId, service: ServiceId, version: SoftwareVersion | None
+        self,
+        stream: RequestId,
+        service: ServiceId,
+        version: SoftwareVersion | None,
+        caller: CallerWatch | None = None,
     ) -> None:
-        """Record the version that began a stream."""
+        """Record the version that began a stream, before its first event is passed on.
+
+        Once several versions serve, waits until the record is stored, at most for RECORD_TIME_S.
+        """
         with self._lock:
             self._own.pop(stream, None)
             self._own[stream] = StreamOrigin(
@@ -120,9 +149,27 @@
             if len(self._own) > STREAMS_MAX:
                 self._own.popitem(last=False)
             self._is_dirty = True
-            is_mixed = self._history.is_mixed(service, self._oldest_s())
-        if is_mixed:
+            self._record_count += 1
+            number = self._record_count
+            self._observe_list_locked()
+            needs_record = self._history.is_mixed(service, self._oldest_s())
+        if needs_record:
+            self._has_waiters.set()
             self._changed.set()
+            self._wait_until_stored(number, caller or NullCallerWatch())
+
+    def _wait_until_stored(self, number: int, caller: CallerWatch) -> None:
+        until_s = time.monotonic() + RECORD_TIME_S
+        with self._stored:
+            # While the store is away, a further wait would delay each stream and store none.
+            while self._stored_count < number and self._failure_count < FAILURES_MAX:
+                left_s = until_s - time.monotonic()
+                if left_s <= 0.0 or self._stopping.is_set() or caller.is_disconnected():
+                    break
+                self._stored.wait(min(left_s, POLL_INTERVAL_S))
+            is_stored = self._stored_count >= number
+        if not is_stored:
+            self._log.belief("stream begins without a record", failures=self._failure_count)
 
     def version_of(
         self,
@@ -136,6 +183,7 @@
         Ends early if the caller disconnects, or at `until_s` on the monotonic clock.
         """
         found = self._look_up(stream, service, caller or NullCallerWatch(), until_s)
+        self._log.belief("stream is taken up", stream=stream, service=service, version=repr(found))
         if isinstance(found, VersionUnknown):
             return found
         return SoftwareVersion(found) if found else None
@@ -182,13 +230,20 @@
         """Assume the previous version for streams of entries that ended before they saw another."""
         with self._lock:
             change = self._history.latest_change(service, self._oldest_s())
+            documents = self._documents
         now_s = self._clock()
         if change is None or not self._was_read:
             return VersionUnknown()
+        if any(
+            each.has_seen(service, change.version) and not each.is_written_ahead
+            for each in documents
+        ):
+            return VersionUnknown()
         is_new = now_s - change.at_s <= CHANGE_SETTLED_S
         was_up = self._started_at_s - RESTART_SPREAD_S <= change.at_s
         if not (is_new and was_up) or change.previous is None:
             return VersionUnknown()
+        self._log.belief("previous version is assumed", service=service, age_s=now_s - change.at_s)
         return change.previous
 
     def _oldest_s(self) -> float:
@@ -208,13 +263,14 @@
     def _run(self) -> None:
         while not self._was_read and not self._stopping.is_set():
             if not self._load():
-                self._stopping.wait(RETRY_INTERVAL_S * random.uniform(0.5, 1.5))
+                self._stopping.wait(self._record_failure())
         while not self._stopping.is_set():
             self._changed.wait(HISTORY_CHECK_S)
             self._changed.clear()
-            self._stopping.wait(FIRST_WRITE_SPREAD_S * random.random())
+            self._has_waiters.wait(FIRST_WRITE_SPREAD_S * random.random())
             while self._needs_write() and not self._stopping.is_set():
-                self._stopping.wait(WRITE_INTERVAL_S if self._write() else RETRY_INTERVAL_S)
+                self._has_waiters.clear()
+                self._stopping.wait(self._write())
         if self._needs_write():
             self._write()
 
@@ -247,32 +303,51 @@
                 if origin.at_s >= oldest_s
             }
             self._history.merge(newest_history(documents, self._clock()))
+            self._documents = documents
             self._was_read = True
 
-    def _write(self) -> bool:
-        """Write the own object; streams of an earlier process of this entry are kept."""
+    def _write(self) -> float:
+        """Write the own object; return the delay in seconds before the next call.
+
+        Streams of an earlier process of this entry are kept.
+        """
         if self._revision is None and not self._read_own():
-            return False
-        oldest_s = self._oldest_s()
+            return self._record_failure()
+        oldest_s, now_s = self._oldest_s(), self._clock()
         with self._lock:
             self._is_dirty = False
+            count = self._record_count
             streams = {
                 str(name): origin for name, origin in self._own.items() if origin.at_s >= oldest_s
             }
             history = self._history.kept(oldest_s)
-        document = StoredStreams(written_at_s=self._clock(), streams=streams, history=history)
-        match self._platform.write(self._key(), document.model_dump_json(), self._revision):
-            case Ok(revision) if revision != NO_VERSION:
-                self._revision = revision
-                return True
-            case Ok(_):
-                self._revision = None
-                return True
+        text = StoredStreams(
+            written_at_s=now_s,
+            is_written_ahead=now_s >= (self._ahead_from_s or 0.0),
+            streams=streams,
+            history=history,
+        ).model_dump_json()
+        match self._platform.write(self._key(), text, self._revision):
+            case Ok(revision):
+                self._revision = revision if revision != NO_VERSION else None
             case Err(_):
                 self._revision = None
                 with self._lock:
                     self._is_dirty = True
-                return False
+                return self._record_failure()
+        with self._stored:
+            self._failure_count = 0
+            self._stored_count = count
+            self._stored.notify_all()
+        return max(WRITE_INTERVAL_S, len(text) / WRITE_BYTES_PER_S)
+
+    def _record_failure(self) -> float:
+        """Record that a call of the store failed; return the delay in seconds before the next."""
+        with self._stored:
+            self._failure_count += 1
+            self._stored.notify_all()
+            doublings = min(self._failure_count - 1, 8)
+        return min(RETRY_MAX_S, RETRY_MIN_S * 2.0**doublings) * random.uniform(0.5, 1.5)
 
     def _read_own(self) -> bool:
         match self._platform.read(self._key()):
@@ -282,6 +357,9 @@
                 pass
         self._revision = NO_VERSION if stored is None else stored.version
         earlier = StoredStreams.parse(stored.value if stored is not None else "{}")
+        if self._ahead_from_s is None:
+            is_behind = bool(earlier.history) and not earlier.is_written_ahead
+            self._ahead_from_s = self._clock() + CHANGE_SETTLED_S if is_behind else 0.0
         with self._lock:
             for name, origin in earlier.streams.items():
                 self._own.setdefault(RequestId(name), origin)
--- a/gooseberryquay/serving/tests/test_stream_versions.py
+++ b/gooseberryquay/serving/tests/test_stream_versions.py
@@ -1,4 +1,6 @@
+import threading
 import time
+from pathlib import Path
 
 import pytest
 from result import Err, Ok
@@ -9,12 +11,17 @@
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.stream_versions import (
     READ_INTERVAL_S,
+    RECORD_TIME_S,
     STREAM_LIFETIME_S,
     StreamVersions,
     StreamVersionsOptions,
     VersionUnknown,
 )
 from gooseberryquay.serving.tests.builders import MODEL, FakeClock, build_record, build_registry
+from gooseberryquay.serving.version_history import StoredStreams
+
+# What 744db1e writes.
+EARLIER_BUILD = (Path(__file__).parent / "stream_versions_744db1e.json").read_text()
 
 
 class _Store:
@@ -25,6 +32,9 @@
         self.is_away = False
         self.call_count = 0
 
+    def put(self, key, value):
+        self.objects[key] = StoredObject(key=key, version=1, value=value)
+
     def list(self, prefix):
         self.call_count += 1
         if self.is_away:
@@ -175,11 +185,68 @@
     fleet.store.is_away = False
 
 
-def test_streams_are_written_in_batches(fleet):
+def test_streams_that_begin_together_are_written_in_batches(fleet):
     entry = fleet.start("e-1")
     fleet.add_newer()
-    for number in range(500):
-        entry.record(f"s-{number}", MODEL, "v1")
+    beginning = [
+        threading.Thread(target=entry.record, args=(f"s-{number}", MODEL, "v1"))
+        for number in range(500)
+    ]
+    for each in beginning:
+        each.start()
+    for each in beginning:
+        each.join()
     fleet.end(entry)
     assert fleet.store.call_count < 12
     assert fleet.start("e-2").version_of("s-499", MODEL) == "v1"
+
+
+# Guards against events that are passed on before the version of their stream is recorded.
+def test_stream_is_recorded_before_its_first_event_once_versions_are_mixed(fleet):
+    entry, other = fleet.start("e-1"), fleet.start("e-2")
+    fleet.add_newer()
+    entry.record("s-1", MODEL, "v2")
+    # The process of the entry ends here, without a last write.
+    stored = StoredStreams.parse(fleet.store.objects["streams/e-1"].value)
+    assert stored.streams["s-1"].version == "v2"
+    assert other.version_of("s-1", MODEL) == "v2"
+
+
+def test_stream_without_a_record_began_at_the_previous_version(fleet):
+    entry, other = fleet.start("e-1"), fleet.start("e-2")
+    fleet.add_newer()
+    entry.record("s-1", MODEL, "v2")
+    assert other.version_of("s-9", MODEL) == "v1"
+
+
+# Entries of 744db1e pass events on before they write, so their silence says nothing.
+def test_stream_without_a_record_is_not_taken_up_beside_an_entry_that_does_not_write_ahead(fleet):
+    other = fleet.start("e-2")
+    fleet.store.put("streams/e-1", EARLIER_BUILD)
+    fleet.add_newer()
+    time.sleep(READ_INTERVAL_S)
+    assert other.version_of("s-1", MODEL) == "v2"
+    assert other.version_of("s-9", MODEL) == VersionUnknown()
+
+
+def test_entry_that_is_replaced_by_this_build_does_not_vouch_for_its_earlier_process(fleet):
+    fleet.store.put("streams/e-1", EARLIER_BUILD)
+    fleet.add_newer()
+    entry, other = fleet.start("e-1"), fleet.start("e-2")
+    entry.record("s-2", MODEL, "v2")
+    assert other.version_of("s-2", MODEL) == "v2"
+    assert other.version_of("s-9", MODEL) == VersionUnknown()
+
+
+def test_stream_begins_without_a_record_while_the_store_is_away(fleet):
+    entry = fleet.start("e-1")
+    fleet.add_newer()
+    entry.record("s-1", MODEL, "v2")
+    fleet.store.is_away = True
+    began_at_s = time.monotonic()
+    entry.record("s-2", MODEL, "v2")
+    assert time.monotonic() - began_at_s < RECORD_TIME_S + 0.5
+    began_at_s = time.monotonic()
+    entry.record("s-3", MODEL, "v2")
+    assert time.monotonic() - began_at_s < 0.2
+    fleet.store.is_away = False
--- a/gooseberryquay/serving/version_history.py
+++ b/gooseberryquay/serving/version_history.py
@@ -43,12 +43,21 @@
 
 
 class StoredStreams(_Stored):
-    """What one entry has recorded."""
+    """What one entry has recorded.
+
+    `is_written_ahead` is set by entries that pass no event of a stream on before its record is
+    stored, once several versions serve; entries of earlier builds leave it out.
+    """
 
     written_at_s: float = 0.0
+    is_written_ahead: bool = False
     streams: dict[str, StreamOrigin] = {}
     history: tuple[VersionSpan, ...] = ()
 
+    def has_seen(self, service: ServiceId, version: str) -> bool:
+        """Return whether the entry had seen a version of a service as it wrote this."""
+        return any((each.service, each.version) == (service, version) for each in self.history)
+
     @classmethod
     def parse(cls, text: str) -> "StoredStreams":
         """Decode an object; a malformed one holds nothing."""
@@ -63,6 +72,7 @@
     """The latest appearance of another version, and the only version before it, if it was one."""
 
     at_s: float
+    version: str
     previous: str | None
 
 
@@ -133,7 +143,7 @@
         if len(recent) < 2:
             return None
         previous = recent[0].version if len(recent) == 2 else None
-        return VersionChange(recent[-1].first_at_s, previous)
+        return VersionChange(recent[-1].first_at_s, recent[-1].version, previous)
 
     def _recent(self, service: ServiceId, oldest_s: float) -> list[VersionSpan]:
         return [
