Search each byte of a stream once for the end of an event

Cause: EventSplitter searched all pending bytes again with each part, up to 1 MiB, and no other thread runs during a search.

Change: a search begins with the bytes that may complete a boundary.

--- a/gooseberryquay/serving/event_stream.py
+++ b/gooseberryquay/serving/event_stream.py
@@ -6,6 +6,8 @@
 __all__ = ["EventSplitter", "StreamEvent"]
 
 BOUNDARY = re.compile(rb"\r?\n\r?\n")
+# An incomplete event may end with all but the last byte of a boundary.
+BOUNDARY_BYTES_MAX = 4
 ID_LINE = re.compile(rb"(?m)^id: ?(.*?)\r?$")
 # Far larger than an event that carries a few tokens.
 EVENT_BYTES_MAX = 1024 * 1024
@@ -37,10 +39,12 @@
 
         Raises ValueError if the incomplete event is longer than EVENT_BYTES_MAX.
         """
+        search_from = max(0, len(self._pending) - BOUNDARY_BYTES_MAX)
         self._pending += content
         events = []
         start = 0
-        for boundary in BOUNDARY.finditer(self._pending):
+        # What was pending has no boundary before these bytes.
+        for boundary in BOUNDARY.finditer(self._pending, search_from):
             raw = bytes(self._pending[start : boundary.end()])
             events.append(StreamEvent(raw, _id_of(raw)))
             start = boundary.end()
--- a/gooseberryquay/serving/tests/test_event_stream.py
+++ b/gooseberryquay/serving/tests/test_event_stream.py
@@ -1,3 +1,5 @@
+import time
+
 import pytest
 
 from gooseberryquay.serving.event_stream import EventSplitter
@@ -37,3 +39,22 @@
     with pytest.raises(ValueError):
         for _ in range(40):
             splitter.feed(b"x" * 65536)
+
+
+# Guards against work that grows with the square of an event that never ends.
+@pytest.mark.parametrize("piece", [b"x" * 1400, b"data: 1\n" * 175, b"\r\n\r" * 460])
+def test_work_on_an_event_without_end_grows_with_its_bytes(piece):
+    splitter = EventSplitter()
+    began_at_s = time.thread_time()
+    with pytest.raises(ValueError, match="maximum size"):
+        while True:
+            splitter.feed(piece)
+    assert time.thread_time() - began_at_s < 1.0
+
+
+@pytest.mark.parametrize("boundary", [b"\n\n", b"\r\n\r\n", b"\n\r\n", b"\r\n\n"])
+def test_boundary_that_arrives_byte_by_byte_ends_the_event(boundary):
+    splitter = EventSplitter()
+    events = [each for byte in b"id: 1" + boundary for each in splitter.feed(bytes([byte]))]
+    assert [each.raw for each in events] == [b"id: 1" + boundary]
+    assert not splitter.remainder()
