Bound the work that the small pieces of one answer cause

Callers saw: postings to sound services answered after up to 4.97 s while four streams consisted of chunks of one byte, without end; with other small pieces an entry used a whole processor.

Cause: memory of an answer was bounded, work by the number of its pieces was not.

Change: links/work_pace.py gives each answer an allowance of small pieces, and all answers of a process one beyond that; an answer that needs more is read more slowly. Events of one part are written at once; more than 32 interim responses are no answer.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -10,6 +10,7 @@
 from gooseberryquay.links.connection_pool import ConnectionPool
 from gooseberryquay.links.forwarding_server import ForwardingServer
 from gooseberryquay.links.http_server import HttpServer, Router
+from gooseberryquay.links.work_pace import SpareWork
 from gooseberryquay.machines.membership import Membership
 from gooseberryquay.machines.peer import Peer
 from gooseberryquay.machines.rendezvous import first_owners
@@ -163,7 +164,10 @@
         )
         self._counters = RequestCounters()
         self._drain_state = DrainState()
-        self._store_pool = ConnectionPool(STORE_CONNECT_TIMEOUT_S, STORE_IDLE_TIMEOUT_S)
+        self._spare_work = SpareWork()
+        self._store_pool = ConnectionPool(
+            STORE_CONNECT_TIMEOUT_S, STORE_IDLE_TIMEOUT_S, self._spare_work
+        )
         self._store_era = StoreEra()
         self._suspects = SuspectList(
             self._membership,
@@ -232,7 +236,7 @@
         )
 
     def _build_request_handler(self, placement: Placement, rng: random.Random) -> RequestHandler:
-        pool = ConnectionPool(CONNECT_TIMEOUT_S, IDLE_TIMEOUT_S)
+        pool = ConnectionPool(CONNECT_TIMEOUT_S, IDLE_TIMEOUT_S, self._spare_work)
         self._reach = self._build_reach(pool, rng)
         relay_peers = RelayPeers(self._membership, self._settings.zone, self._log, rng)
         direct_client = HttpUpstreamClient(pool)
--- a/gooseberryquay/links/connection_pool.py
+++ b/gooseberryquay/links/connection_pool.py
@@ -5,6 +5,7 @@
 
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.links.upstream_connection import UpstreamConnection
+from gooseberryquay.links.work_pace import SpareWork, WorkPace
 
 __all__ = ["ConnectionPool"]
 
@@ -15,7 +16,10 @@
 class ConnectionPool:
     """Store idle connections for reuse; thread-safe."""
 
-    def __init__(self, connect_timeout_s: float, idle_limit_s: float) -> None:
+    def __init__(
+        self, connect_timeout_s: float, idle_limit_s: float, spare: SpareWork | None = None
+    ) -> None:
+        self._spare = spare or SpareWork()
         self._connect_timeout_s = connect_timeout_s
         self._idle_limit_s = idle_limit_s
         self._idle: dict[Address, list[UpstreamConnection]] = defaultdict(list)
@@ -35,7 +39,13 @@
 
     def create(self, address: Address) -> UpstreamConnection:
         """Return a new connection that is not open yet."""
-        return UpstreamConnection(address, self._connect_timeout_s, self._idle_limit_s)
+        return UpstreamConnection(
+            address, self._connect_timeout_s, self._idle_limit_s, pace=self.new_pace()
+        )
+
+    def new_pace(self) -> WorkPace:
+        """Return the pace of one connection, which shares its spare work with all others."""
+        return WorkPace(self._spare)
 
     def can_connect(self, address: Address, timeout_s: float) -> bool:
         """Return whether a new connection opens in time, and close it."""
--- a/gooseberryquay/links/upstream_connection.py
+++ b/gooseberryquay/links/upstream_connection.py
@@ -19,11 +19,14 @@
     TransportFailure,
     TransportTimeout,
 )
+from gooseberryquay.links.work_pace import SMALL_BYTES, WorkPace
 
 __all__ = ["BodyEnd", "BodyPart", "CallerLeft", "ResponseHead", "UpstreamConnection", "head_of"]
 
 READ_BYTES = 64 * 1024
 SEND_STEP_BYTES = 64 * 1024
+# Far more than a server announces before its answer.
+INTERIM_RESPONSES_MAX = 32
 MS_PER_S = 1000.0
 # They tell nothing of the upstream.
 OWN_LIMIT_ERRORS = {
@@ -81,6 +84,7 @@
     last_used_at_s: float = 0.0
     response_count: int = 0
     is_reusable: bool = False
+    pace: WorkPace = field(default_factory=WorkPace)
     _socket: socket.socket | None = None
     _protocol: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
     _request: list[h11.Event] = field(default_factory=list)
@@ -154,7 +158,10 @@
                 return Err(TransportTimeout("no response before the deadline", was_sent=True))
             if caller.is_disconnected():
                 return Err(CallerLeft())
-            return Ok(self._receive() or b"")
+            received = self._receive() or b""
+            if len(received) < SMALL_BYTES:
+                self.pace.spend(1, caller, until_s)
+            return Ok(received)
         except OSError as error:
             return Err(ConnectionBroken(str(error), was_sent=True))
 
@@ -181,7 +188,7 @@
         self, caller: CallerWatch, until_s: float
     ) -> Result[ResponseHead, TransportFailure | CallerLeft]:
         """Wait for the response head, at most until `until_s` on the monotonic clock."""
-        while True:
+        for _ in range(INTERIM_RESPONSES_MAX):
             match self._next_event(caller, until_s):
                 case Err(failure):
                     return Err(failure)
@@ -193,6 +200,7 @@
                     return Err(
                         ConnectionBroken(f"{type(other).__name__} before the response head", True)
                     )
+        return Err(ConnectionBroken("too many interim responses", was_sent=True))
 
     def read_body(
         self, caller: CallerWatch, until_s: float
@@ -202,6 +210,8 @@
             case Err(failure):
                 return Err(failure)
             case Ok(h11.Data(data=data)):
+                if len(data) < SMALL_BYTES:
+                    self.pace.spend(1, caller, until_s)
                 return Ok(BodyPart(bytes(data)))
             case Ok(h11.EndOfMessage()):
                 return Ok(self._end())
--- a/gooseberryquay/platform/http_upstream_client.py
+++ b/gooseberryquay/platform/http_upstream_client.py
@@ -95,6 +95,10 @@
                 self.on_read()
                 return Ok(part)
 
+    def spend(self, pieces: int, caller: CallerWatch, until_s: float) -> None:
+        """Account for pieces of the body; wait if there were too many for one answer."""
+        self.connection.pace.spend(pieces, caller, until_s)
+
     def close(self) -> None:
         """Close the connection, which makes the engine cancel the request."""
         self.connection.close()
@@ -130,7 +134,11 @@
     ) -> Result[EngineResponse, NotExecuted | IndeterminateOutcome | CallerLeft | PeerUnavailable]:
         """Send a request through a peer, and wait for the head of the engine's response."""
         connection = RelayedConnection(
-            carrier.address, PEER_CONNECT_TIMEOUT_S, 0.0, upstream=upstream.id
+            carrier.address,
+            PEER_CONNECT_TIMEOUT_S,
+            0.0,
+            upstream=upstream.id,
+            pace=self._pool.new_pace(),
         )
         if connection.connect(max(0.0, options.until_s - time.monotonic())) is not None:
             return Err(PeerUnavailable())
--- a/gooseberryquay/serving/ports.py
+++ b/gooseberryquay/serving/ports.py
@@ -132,6 +132,9 @@
     ) -> Result[BodyPart | BodyEnd, IndeterminateOutcome | CallerLeft]:
         """Wait for the next part of the body."""
 
+    def spend(self, pieces: int, caller: CallerWatch, until_s: float) -> None:
+        """Account for pieces of the body; wait if there were too many for one answer."""
+
     def close(self) -> None:
         """Close the connection, which cancels the upstream's work on the request."""
 
--- a/gooseberryquay/serving/stream_relay.py
+++ b/gooseberryquay/serving/stream_relay.py
@@ -16,6 +16,9 @@
 
 __all__ = ["StreamEnd", "StreamProgress", "StreamRelay", "PinnedVersion"]
 
+# The events of so many bytes are forwarded at once.
+SLICE_BYTES = 4096
+
 
 class StreamEnd(Enum):
     """Classify how one engine's part of a stream ended."""
@@ -128,20 +131,38 @@
                 return StreamEnd.CALLER_LEFT
 
     def _forward_events(self, content: bytes) -> StreamEnd | None:
-        for event in self._splitter.feed(content):
-            self.event_count += 1
-            if self.event_count == self.good_run_events:
-                self.on_good_run()
-            if self.progress.is_duplicate(event):
-                continue
-            if not self.progress.is_next(event):
-                self.reason = f"event {event.id} after {self.progress.last_id}"
-                return StreamEnd.OUT_OF_ORDER
-            self._start()
-            self._report_resumed()
-            self.active.request.response_writer.write(event.raw)
-            self.progress.record_event(event)
-            self.active.run.generated_tokens += self.active.tokens_per_event
+        """Forward the events that a part of the body completes, those of a slice in one write."""
+        request = self.active.request
+        for start in range(0, len(content), SLICE_BYTES):
+            events = self._splitter.feed(content[start : start + SLICE_BYTES])
+            forwarded: list[bytes] = []
+            end: StreamEnd | None = None
+            for event in events:
+                end = self._accept(event, forwarded)
+                if end is not None:
+                    break
+            if forwarded:
+                request.response_writer.write(b"".join(forwarded))
+            if end is not None:
+                return end
+            self.response.spend(len(events), request.caller, request.until_s)
+        return None
+
+    def _accept(self, event: StreamEvent, forwarded: list[bytes]) -> StreamEnd | None:
+        """Append an event to those to forward, unless the caller has it."""
+        self.event_count += 1
+        if self.event_count == self.good_run_events:
+            self.on_good_run()
+        if self.progress.is_duplicate(event):
+            return None
+        if not self.progress.is_next(event):
+            self.reason = f"event {event.id} after {self.progress.last_id}"
+            return StreamEnd.OUT_OF_ORDER
+        self._start()
+        self._report_resumed()
+        forwarded.append(event.raw)
+        self.progress.record_event(event)
+        self.active.run.generated_tokens += self.active.tokens_per_event
         return None
 
     def _report_resumed(self) -> None:
--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -260,6 +260,9 @@
     def close(self):
         self.is_closed = True
 
+    def spend(self, pieces, caller, until_s):
+        pass
+
     def finish(self):
         self.is_finished = True
 
