Send a request that is tried again under its id on another connection

Callers saw, on services that refuse a request and send the refusal once more 0.3 s later: a request that was tried again under the same id was answered 503 though it ran, or ran twice.

Cause: the copy bears the id of the new try and arrives on the kept connection on which that was sent, so it counts as the answer to it.

Change: a connection keeps the ids of its last 256 answers, and a request with one of these ids is sent on a new connection.

--- a/gooseberryquay/links/upstream_connection.py
+++ b/gooseberryquay/links/upstream_connection.py
@@ -4,6 +4,7 @@
 import select
 import socket
 import time
+from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
@@ -25,6 +26,8 @@
 
 READ_BYTES = 64 * 1024
 SEND_STEP_BYTES = 64 * 1024
+# Late copies arrive within seconds.
+ANSWERED_IDS_MAX = 256
 # Far more than a server announces before its answer.
 INTERIM_RESPONSES_MAX = 32
 MS_PER_S = 1000.0
@@ -85,6 +88,8 @@
     response_count: int = 0
     is_reusable: bool = False
     pace: WorkPace = field(default_factory=WorkPace)
+    # Requests whose responses were read last; a copy of one of them may still arrive.
+    answered_ids: deque[str] = field(default_factory=lambda: deque(maxlen=ANSWERED_IDS_MAX))
     _socket: socket.socket | None = None
     _protocol: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
     _request: list[h11.Event] = field(default_factory=list)
--- a/gooseberryquay/platform/http_upstream_client.py
+++ b/gooseberryquay/platform/http_upstream_client.py
@@ -118,7 +118,7 @@
         self, upstream: UpstreamRecord, call: Call, options: SendOptions, caller: CallerWatch
     ) -> Result[EngineResponse, NotExecuted | IndeterminateOutcome | CallerLeft]:
         """Send a request and wait for the head of its response."""
-        match self._connect(upstream.address, options):
+        match self._connect(upstream.address, call, options):
             case Err(failure):
                 return Err(_not_executed(failure))
             case Ok(connection):
@@ -243,12 +243,14 @@
         exchange(self._pool, holder, request, time.monotonic() + FREE_TIMEOUT_S)
 
     def _connect(
-        self, address: Address, options: SendOptions
+        self, address: Address, call: Call, options: SendOptions
     ) -> Result[UpstreamConnection, TransportFailure]:
-        if not options.needs_new_connection:
-            pooled = self._pool.acquire(address)
-            if pooled is not None:
+        pooled = None if options.needs_new_connection else self._pool.acquire(address)
+        if pooled is not None:
+            # A late copy of its earlier response would carry the id of a request sent again.
+            if call.id not in pooled.answered_ids:
                 return Ok(pooled)
+            self._pool.release(pooled)
         connection = self._pool.create(address)
         failure = connection.connect(max(0.0, options.until_s - time.monotonic()))
         return Ok(connection) if failure is None else Err(failure)
@@ -272,6 +274,7 @@
             # On a reused connection, a response without an id may be a late duplicate for another.
             is_own = owner == call.id if connection.response_count else owner in {None, call.id}
             if is_own:
+                connection.answered_ids.append(call.id)
                 return Ok(_response_of(head, expected, connection, self._pool))
             if not _skip_body(connection, caller, options.until_s):
                 break
