Close idle connections to upstreams that nobody asks for

Cause: a connection that had been idle too long was closed only when its address was asked for again, and replaced engines come at new addresses.

Change: the pool closes expired connections to all addresses once a second, as one comes back.

--- a/gooseberryquay/links/connection_pool.py
+++ b/gooseberryquay/links/connection_pool.py
@@ -1,7 +1,7 @@
 """Pool of idle connections to upstreams, most recently used first."""
 
 import threading
-from collections import defaultdict
+import time
 
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.links.upstream_connection import UpstreamConnection
@@ -11,6 +11,7 @@
 
 # An upstream's slots, divided among the few entries that share it.
 IDLE_PER_ADDRESS_MAX = 16
+EXPIRY_CHECK_S = 1.0
 
 
 class ConnectionPool:
@@ -22,7 +23,9 @@
         self._spare = spare or SpareWork()
         self._connect_timeout_s = connect_timeout_s
         self._idle_limit_s = idle_limit_s
-        self._idle: dict[Address, list[UpstreamConnection]] = defaultdict(list)
+        # For each address, the connection that was used last at the end.
+        self._idle: dict[Address, list[UpstreamConnection]] = {}
+        self._checked_at_s = time.monotonic()
         self._lock = threading.Lock()
 
     def acquire(self, address: Address) -> UpstreamConnection | None:
@@ -60,11 +63,31 @@
             connection.close()
             return
         with self._lock:
-            idle = self._idle[connection.address]
+            idle = self._idle.setdefault(connection.address, [])
             idle.append(connection)
-            dropped = idle.pop(0) if len(idle) > IDLE_PER_ADDRESS_MAX else None
-        if dropped is not None:
-            dropped.close()
+            dropped = self._take_expired()
+            if len(idle) > IDLE_PER_ADDRESS_MAX:
+                dropped.append(idle.pop(0))
+        for each in dropped:
+            each.close()
+
+    def _take_expired(self) -> list[UpstreamConnection]:
+        """Remove the connections to all addresses that are no longer usable, once in a while.
+
+        Nobody asks again for the address of an upstream that has left.
+        """
+        now_s = time.monotonic()
+        if now_s - self._checked_at_s < EXPIRY_CHECK_S:
+            return []
+        self._checked_at_s = now_s
+        unused_since_s = now_s - self._idle_limit_s
+        expired: list[UpstreamConnection] = []
+        for address, idle in list(self._idle.items()):
+            while idle and idle[0].last_used_at_s < unused_since_s:
+                expired.append(idle.pop(0))
+            if not idle:
+                del self._idle[address]
+        return expired
 
     def drop_idle(self, address: Address) -> None:
         """Close the idle connections to an address."""
