Stop the run of a broken stream at its engine before it goes on elsewhere

Cause: a run could be stopped only once a migration of it had begun.

Change: each generation that may run again is attached to Migration as it begins.

--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -176,6 +176,9 @@
             request, placed.known, placed.run, self._tokens_per_event(request)
         )
         continuation = Continuation(progress.last_id, None) if progress.is_started else None
+        if request.route.is_retryable:
+            # Not every engine notices that its stream broke; the next one must not run beside it.
+            self._migration.attach(active)
         self._active.add(active)
         copy: KvCopy | None = None
         try:
