Parse parts of documents within the stacks of threads, and let the soak write odd bytes

Change: the entries of a long document are separated by patterns that keep no state, parts are decoded by Python's own parser, and msgspec is a dependency no more.

--- a/gooseberryquay/links/json_document.py
+++ b/gooseberryquay/links/json_document.py
@@ -1,38 +1,34 @@
 """Parse JSON documents of which some parts may be unreadable."""
 
+import json
 import re
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
-import msgspec
-
 __all__ = ["MemberLimits", "parse_document"]
 
 # A text without its escapes' meaning; possessive, as what is matched once is never given back.
 _STRING = rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"'
 # The next character that opens, closes or separates parts; below their level, the next ones that
 # open or close.
-_OUTER_TOKEN = re.compile(rb'(?:[^"{}\[\],]|' + _STRING + rb")*+([{}\[\],])", re.DOTALL)
+_OUTER_TOKEN = re.compile(rb'(?:[^"{}\[\],]++|' + _STRING + rb")*+([{}\[\],])", re.DOTALL)
 _INNER_TOKEN = re.compile(
-    rb'(?:[^"{}\[\]]|\{\}|\[\]|' + _STRING + rb")*+([{\[]+|[}\]]+)", re.DOTALL
+    rb'(?:[^"{}\[\]]++|\{\}|\[\]|' + _STRING + rb")*+([{\[]+|[}\]]+)", re.DOTALL
 )
 _NAME = re.compile(rb"\s*(" + _STRING + rb")\s*:", re.DOTALL)
+# Half of a character, which JSON can express and UTF-8 cannot.
+_SURROGATE = re.compile("[\ud800-\udfff]")
 # Document, list, entry, object, content.
 _LEVELS_MAX = 5
-# No document that an entry reads is nested more deeply.
+# No document that an entry reads is nested more deeply. Parsers in C that recurse for thousands of
+# levels overflow the small stacks of this process's threads.
 _DEPTH_MAX = 64
-# White space before a document is rare and short.
-_LEAD_BYTES = 64
-# A part that is not longer is decoded as a whole.
+_SHORT_DOCUMENT_BYTES = 256 * 1024
+# Entries are decoded as a whole if they are short, or if all of their members are read.
+_ENTRY_LEVEL = 3
 _SHORT_BYTES = 16 * 1024
 
-# Undecoded text of one part, without a copy where the parser found it.
-_Part = msgspec.Raw | bytes
-_MEMBERS = msgspec.json.Decoder(dict[str, msgspec.Raw])
-_ELEMENTS = msgspec.json.Decoder(list[msgspec.Raw])
-_ANY = msgspec.json.Decoder()
-
 
 @dataclass(frozen=True, slots=True)
 class MemberLimits:
@@ -49,89 +45,73 @@
 def parse_document(text: bytes, limits: MemberLimits | None = None) -> Any:
     """Parse a document; a part that cannot be read is None, the others hold.
 
-    Parts are separated first and each is decoded by itself, so that none of them decides over the
-    others or over the memory that the document takes. Raises `ValueError` if no part can be read.
+    Unless the document is short and sound, its parts are separated first and each is decoded by
+    itself, so that none of them decides over the others or over the memory that all take. Raises
+    `ValueError` if no part can be read.
     """
-    try:
-        return _parse_levels(text, _LEVELS_MAX, limits)
-    except RecursionError:
-        raise ValueError("the document cannot be read") from None
+    found = _decode(text) if len(text) <= _SHORT_DOCUMENT_BYTES else None
+    return found if found is not None else _parse_levels(text.strip(), _LEVELS_MAX, limits)
 
 
-def _parse_levels(part: _Part, levels: int, limits: MemberLimits | None) -> Any:
-    match bytes(memoryview(part)[:_LEAD_BYTES]).lstrip()[:1]:
+def _parse_levels(part: bytes, levels: int, limits: MemberLimits | None) -> Any:
+    match part[:1]:
         case b"{":
             members = _members_of(part)
             return {name: _parse_member(name, each, levels, limits) for name, each in members}
         case b"[":
-            return [_parse_part(each, levels - 1, limits) for each in _elements_of(part)]
+            return [_parse_part(each, levels - 1, limits) for each in _split(part)]
         case _:
             raise ValueError("the document cannot be read")
 
 
-def _parse_member(name: str, part: _Part, levels: int, limits: MemberLimits | None) -> Any:
+def _parse_member(name: str, part: bytes, levels: int, limits: MemberLimits | None) -> Any:
     if limits is None or name != limits.parent:
         return _parse_part(part, levels - 1, limits)
     try:
-        members = _members_of(part)
-    except (ValueError, RecursionError):
+        return {
+            inner: _decode(each) if len(each) <= limits.bytes_max else None
+            for inner, each in _members_of(part)
+            if inner in limits.names
+        }
+    except ValueError:
         return None
-    return {
-        inner: _parse_part(each, 0, None) if memoryview(each).nbytes <= limits.bytes_max else None
-        for inner, each in members
-        if inner in limits.names
-    }
 
 
-def _parse_part(part: _Part, levels: int, limits: MemberLimits | None) -> Any:
+def _parse_part(part: bytes, levels: int, limits: MemberLimits | None) -> Any:
     """Parse one part by itself; return None if it cannot be read."""
-    if levels > 0 and memoryview(part).nbytes <= _SHORT_BYTES:
+    if 0 < levels <= _ENTRY_LEVEL and (limits is None or len(part) <= _SHORT_BYTES):
         found = _decode(part)
         if found is not None:
             return found
     if levels > 0:
         try:
             return _parse_levels(part, levels, limits)
-        except (ValueError, RecursionError):
+        except ValueError:
             pass
     return _decode(part)
 
 
-def _decode(part: _Part) -> Any:
+def _decode(part: bytes) -> Any:
     """Decode a part; return None if the parser refuses it or a later reader could not follow it."""
     try:
-        decoded = _ANY.decode(part)
+        decoded = json.loads(part.decode("utf-8", errors="replace"))
     except (ValueError, RecursionError):
         return None
-    return decoded if _is_shallow(decoded) else None
-
-
-def _members_of(part: _Part) -> Iterable[tuple[str, _Part]]:
-    try:
-        return _MEMBERS.decode(part).items()
-    except (ValueError, RecursionError):
-        return [_member_of(each) for each in _split(bytes(part).strip())]
+    return decoded if _is_plain(part, decoded) else None
 
 
-def _member_of(text: bytes) -> tuple[str, bytes]:
-    named = _NAME.match(text)
-    if named is None:
-        raise ValueError("a member of the document has no name")
-    return str(_ANY.decode(named.group(1))), text[named.end() :]
-
-
-def _elements_of(part: _Part) -> Sequence[_Part]:
-    try:
-        return _ELEMENTS.decode(part)
-    except (ValueError, RecursionError):
-        return list(_split(bytes(part).strip()))
+def _members_of(part: bytes) -> Iterable[tuple[str, bytes]]:
+    for each in _split(part):
+        named = _NAME.match(each)
+        if named is None:
+            raise ValueError("a member of the document has no name")
+        name = _decode(named.group(1))
+        if isinstance(name, str):
+            yield name, each[named.end() :].strip()
 
 
 def _split(text: bytes) -> Iterator[bytes]:
-    """Yield the texts between the brackets and commas of the outermost level.
-
-    For documents that the parser refuses; takes memory only for the part in hand.
-    """
+    """Yield the texts between the brackets and commas of the outermost level."""
     depth, start, position = 0, 1, 0
     while True:
         token = (_OUTER_TOKEN if depth <= 1 else _INNER_TOKEN).match(text, position)
@@ -144,18 +124,22 @@
         elif found[0] in b"}]":
             depth -= len(found)
             if depth <= 0:
-                if depth == 0 and (last := text[start : position - 1]).strip():
+                if depth == 0 and (last := text[start : position - 1].strip()):
                     yield last
                 return
         elif depth == 1:
-            yield text[start : position - 1]
+            yield text[start : position - 1].strip()
             start = position
 
 
-def _is_shallow(document: Any) -> bool:
-    """Return whether a later reader of a part can follow how deeply it is nested."""
+def _is_plain(part: bytes, document: Any) -> bool:
+    """Return whether a part is neither nested deeply nor holds half of a character."""
+    if part.count(b"[") + part.count(b"{") <= _DEPTH_MAX and b"\\u" not in part:
+        return True
     level = [document]
     for _ in range(_DEPTH_MAX):
+        if not all(_is_text(each) for each in level if isinstance(each, str)):
+            return False
         level = [inner for each in level for inner in _inner_parts(each)]
         if not level:
             return True
@@ -165,8 +149,12 @@
 def _inner_parts(part: Any) -> list[Any]:
     match part:
         case dict():
-            return [each for each in part.values() if isinstance(each, dict | list)]
+            return [*part.keys(), *part.values()]
         case list():
-            return [each for each in part if isinstance(each, dict | list)]
+            return part
         case _:
             return []
+
+
+def _is_text(text: str) -> bool:
+    return text.isascii() or not _SURROGATE.search(text)
--- a/gooseberryquay/links/tests/test_json_document.py
+++ b/gooseberryquay/links/tests/test_json_document.py
@@ -1,6 +1,8 @@
 """Documents of which one part cannot be read."""
 
 import json
+import subprocess
+import sys
 import tracemalloc
 
 import pytest
@@ -80,3 +82,26 @@
     (read,) = parse_document(_listing(long), LIMITS)["items"]
     assert read["metadata"] == {"name": "odd", "revision": 5}
     assert read["spec"] == {"slots": 3, "note": None}
+
+
+# Guards against a process that ends because a parser overflows the small stack of a thread.
+@pytest.mark.parametrize("opening", ["[", '{"a":', '[{"a":'])
+@pytest.mark.parametrize("depth", [60, 300, 900, 400_000])
+def test_nested_part_does_not_overflow_the_stack_of_a_thread(opening, depth):
+    closing = "".join({"[": "]", "{": "}"}[each] for each in reversed(opening) if each in "[{")
+    odd = _odd(f"{opening * depth}1{closing * depth}")
+    code = (
+        "import sys, threading\n"
+        "from gooseberryquay.links.http_server import STACK_BYTES\n"
+        "from gooseberryquay.links.json_document import parse_document\n"
+        "text = sys.stdin.buffer.read()\n"
+        "threading.stack_size(STACK_BYTES)\n"
+        "thread = threading.Thread(target=lambda: print(len(parse_document(text)['items'])))\n"
+        "thread.start()\n"
+        "thread.join()\n"
+    )
+    text = _listing(json.dumps(GOOD), odd)
+    ended = subprocess.run(
+        [sys.executable, "-c", code], input=text, capture_output=True, check=False
+    )
+    assert (ended.returncode, ended.stdout.strip()) == (0, b"2")
--- a/gooseberryquay/standins/node_platform/soak.py
+++ b/gooseberryquay/standins/node_platform/soak.py
@@ -23,6 +23,7 @@
 from gooseberryquay.standins.node_platform.entry_history import Disruption, EntryHistory
 from gooseberryquay.standins.node_platform.entry_view import EntryView
 from gooseberryquay.standins.node_platform.lag_meter import LagMeter
+from gooseberryquay.standins.node_platform.odd_bytes import MEMORY_MB_MAX, OddBytes
 from gooseberryquay.standins.node_platform.site import GOAL_MS, KEY, EntryPorts, Site
 from gooseberryquay.standins.node_platform.soak_callers import Callers, CallerStyle, call_once
 from gooseberryquay.standins.node_platform.soak_entry import SoakEntry
@@ -120,6 +121,7 @@
         self._wide_faults = WideFaults(
             random.Random(f"wide {self.seed}"), self._site, self._entries, self._schedule
         )
+        self._odd_bytes = OddBytes(random.Random(f"odd {self.seed}"), self._site, self._schedule)
         self._cut_faults = CutFaults(
             random.Random(f"cuts {self.seed}"), self._site, self._entries, self._schedule
         )
@@ -152,6 +154,10 @@
             self._check_recovery()
             running = [each.process for each in self._entries if each.process.is_running()]
             self.memory_mb = sum(each.resident_mb() for each in running)
+            for each in running:
+                if each.peak_memory_mb() > MEMORY_MB_MAX:
+                    text = f"process {each.pid} used {each.peak_memory_mb():.0f} MB"
+                    self.violations.append(Violation(Rule.FAULT, text))
             for group in groups:
                 group.stop()
         finally:
@@ -255,9 +261,9 @@
         fault()
 
     def _inject_wide(self) -> None:
-        name = self._wide_faults.inject()
-        if name is not None:
-            self.faults.append(name)
+        for name in (self._wide_faults.inject(), self._odd_bytes.inject()):
+            if name is not None:
+                self.faults.append(name)
 
     def _inject_cut(self) -> None:
         name = self._cut_faults.inject()
@@ -387,6 +393,7 @@
             entry.store_proxy.apply_fault(HealLink())
         if self.is_wide:
             self._wide_faults.heal()
+            self._odd_bytes.heal()
             self._site.set_work_range(None)
 
     def _report(self, rule: Rule, description: str) -> None:
--- a/gooseberryquay/standins/node_platform/upstream_server.py
+++ b/gooseberryquay/standins/node_platform/upstream_server.py
@@ -39,6 +39,7 @@
 # A stream whose engine has ended it may still be on the link for this time.
 ON_LINK_S = 1.0
 ENDED_MAX = 1000
+ENDLESS_INTERVAL_S = 0.01
 JSON_HEADERS = [("Content-Type", "application/json")]
 
 
@@ -338,6 +339,8 @@
     event_s = 0.01
     copy_s = 0.02
     crashing_part: CrashingPart | None = None
+    # Sent again and again in place of events.
+    endless_piece: bytes | None = None
 
     def __init__(
         self,
@@ -447,6 +450,9 @@
         cut_at = self._rng.randrange(1, last + 1) if self._occurs(self.faults.cut_share) else None
         self.record.add_sealed_status(received.id, http.client.OK)
         received.gateway.start("200 OK", headers)
+        if self.endless_piece is not None:
+            self._send_without_end(received)
+            return
         while run.event_count < last:
             time.sleep(self.event_s)
             if run.event_count == 1:
@@ -464,3 +470,11 @@
                 event = f"id: {run.event_count}\ndata: {received.id} {self.version}\n\n"
                 received.gateway.write(event.encode())
         received.gateway.write_all(b"")
+
+    def _send_without_end(self, received: _ReceivedRequest) -> None:
+        """Send bytes that are no event until the caller leaves or the fault ends."""
+        self.record.add_broken_off(received.id)
+        while (piece := self.endless_piece) is not None and not self.is_crashed:
+            received.gateway.write(piece)
+            time.sleep(ENDLESS_INTERVAL_S)
+        received.gateway.abort()
