Take a stream for broken at an event without an id

Cause: an event without an id was passed on whatever it held.

Change: such an event breaks the stream, as other bytes that are no answer.

test_event_without_an_id_is_not_passed_on_before_another_engine_goes_on fails in 6 of 6 cases before, and the case of a stream that may not run again, too; all pass after.

--- a/gooseberryquay/serving/stream_relay.py
+++ b/gooseberryquay/serving/stream_relay.py
@@ -150,6 +150,10 @@
 
     def _accept(self, event: StreamEvent, forwarded: list[bytes]) -> StreamEnd | None:
         """Append an event to those to forward, unless the caller has it."""
+        if event.id is None:
+            # Bytes that are no answer; another engine may send a whole one.
+            self.reason = "an event without an id"
+            return StreamEnd.BROKEN
         self.event_count += 1
         if self.event_count == self.good_run_events:
             self.on_good_run()
--- a/gooseberryquay/serving/tests/test_generation_handler.py
+++ b/gooseberryquay/serving/tests/test_generation_handler.py
@@ -473,3 +473,21 @@
     began_at_s = time.monotonic()
     path.generation_handler.serve(request)
     assert time.monotonic() - began_at_s < 1.0
+
+
+# Guards against answers that hold bytes of an engine that sent no answer.
+@pytest.mark.parametrize("odd", [b"\n\n", b":\n\n", b"data: x\n\n"])
+@pytest.mark.parametrize("before", [0, 2])
+def test_event_without_an_id_is_not_passed_on_before_another_engine_goes_on(odd, before):
+    spoiled = ScriptedResponse(200, [*(event(each + 1) for each in range(before)), odd * 3])
+    path = _path(spoiled, _stream(before + 1, 4), moves=[UNKNOWN_RUN])
+    _, recorder = _serve(path, is_resumable=True, attempts_max=2)
+    assert recorder.body == events(1, 4)
+    assert recorder.is_complete
+
+
+def test_event_without_an_id_breaks_off_a_stream_that_may_not_run_again():
+    path = _path(ScriptedResponse(200, [event(1), b"\n\n", event(2)]))
+    _, recorder = _serve(path)
+    assert recorder.body == event(1)
+    assert recorder.is_aborted
