Let all streams of the batch test begin before the first write returns

On a busy machine 500 threads start over a second, in which an entry writes up to 20 times. The store of the test now holds the first write until all have begun; the bound stays.

--- a/gooseberryquay/serving/tests/test_stream_versions.py
+++ b/gooseberryquay/serving/tests/test_stream_versions.py
@@ -31,6 +31,8 @@
         self.objects = {}
         self.is_away = False
         self.call_count = 0
+        self.may_write = threading.Event()
+        self.may_write.set()
 
     def put(self, key, value):
         self.objects[key] = StoredObject(key=key, version=1, value=value)
@@ -47,6 +49,7 @@
 
     def write(self, key, value, expected_version=None):
         self.call_count += 1
+        self.may_write.wait()
         if self.is_away:
             return Err(PlatformUnreachable("away"))
         held = self.objects.get(key)
@@ -192,8 +195,13 @@
         threading.Thread(target=entry.record, args=(f"s-{number}", MODEL, "v1"))
         for number in range(500)
     ]
+    # However slowly the threads start, all streams have begun before the first write returns.
+    fleet.store.may_write.clear()
     for each in beginning:
         each.start()
+    while entry._record_count < len(beginning):
+        time.sleep(0.01)
+    fleet.store.may_write.set()
     for each in beginning:
         each.join()
     fleet.end(entry)
