--- a/gooseberryquay/standins/node_platform/run_record.py
+++ b/gooseberryquay/standins/node_platform/run_record.py
@@ -21,6 +21,8 @@
     receivers: dict[str, list[str]] = field(default_factory=lambda: defaultdict(list))
     # Requests whose stream an upstream broke off after its first bytes.
     broken_off: set[str] = field(default_factory=set)
+    # Requests whose run an upstream stopped on the order of an entry.
+    stopped: set[str] = field(default_factory=set)
     # Status codes of the sealed responses to each request.
     sealed_statuses: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))
     unexpected_requests: list[str] = field(default_factory=list)
@@ -43,6 +45,11 @@
         with self._lock:
             self.broken_off.add(request)
 
+    def add_stopped(self, request: str) -> None:
+        """Record that an upstream stopped the run of a request on the order of an entry."""
+        with self._lock:
+            self.stopped.add(request)
+
     def add_sealed_status(self, request: str, status: int) -> None:
         """Record the status of a sealed response."""
         with self._lock:
--- a/gooseberryquay/standins/node_platform/upstream_server.py
+++ b/gooseberryquay/standins/node_platform/upstream_server.py
@@ -24,7 +24,14 @@
 from gooseberryquay.standins.node_platform.waiting_room import Capacity, WaitingRoom
 from gooseberryquay.standins.process import find_free_port
 
-__all__ = ["AnswerFaults", "ModelEngine", "PlainService", "UpstreamFaults", "failure_body"]
+__all__ = [
+    "AnswerFaults",
+    "FinalCopyAnswer",
+    "ModelEngine",
+    "PlainService",
+    "UpstreamFaults",
+    "failure_body",
+]
 
 MS_PER_S = 1000.0
 HEADER_BYTES_MAX = 65536
@@ -70,6 +77,20 @@
     head_cut_share: float = 0.0
 
 
+@dataclass(frozen=True)
+class FinalCopyAnswer:
+    """Describe how an engine answers a final copy, and whether it stops the run before that.
+
+    Without a status, the connection is closed without an answer.
+    """
+
+    status_line: str | None = "200 OK"
+    stops_run: bool = True
+    has_handle: bool = True
+    is_readable: bool = True
+    delay_s: float = 0.0
+
+
 @dataclass
 class _ReceivedRequest:
     gateway: StreamingGateway
@@ -339,6 +360,9 @@
     event_s = 0.01
     copy_s = 0.02
     crashing_part: CrashingPart | None = None
+    final_copy_answer = FinalCopyAnswer()
+    # Streams have neither chunks nor a length and end with their connection.
+    is_unframed = False
     # Sent again and again in place of events.
     endless_piece: bytes | None = None
 
@@ -397,16 +421,41 @@
         if target is None or target.is_crashed:
             received.respond("503 Service Unavailable", JSON_HEADERS, b"{}")
             return
+        if message["final"]:
+            self._finish_copy(received, run, target)
+            return
         time.sleep(self.copy_s)
-        with run.changed:
-            run.is_stopped = run.is_stopped or bool(message["final"])
-            event_count = run.event_count
         handle = f"h{message['id']}"
-        target.store_kv_copy(handle, event_count)
-        self.store_kv_copy(handle, event_count)
-        body = json.dumps({"handle": handle, "created": event_count}).encode()
+        target.store_kv_copy(handle, run.event_count)
+        self.store_kv_copy(handle, run.event_count)
+        body = json.dumps({"handle": handle, "created": run.event_count}).encode()
         received.respond("200 OK", JSON_HEADERS, body)
 
+    def _finish_copy(
+        self, received: _ReceivedRequest, run: _Generation, target: "ModelEngine"
+    ) -> None:
+        """Stop a run, then copy what is new of its KV cache."""
+        answer = self.final_copy_answer
+        if answer.stops_run:
+            with run.changed:
+                run.is_stopped = True
+            self.record.add_stopped(json.loads(received.body)["id"])
+        time.sleep(self.copy_s + answer.delay_s)
+        if answer.status_line is None:
+            received.gateway.abort()
+            return
+        document: dict[str, Any] = {}
+        if answer.stops_run and answer.has_handle:
+            handle = f"h{json.loads(received.body)['id']}"
+            self.store_kv_copy(handle, run.event_count)
+            if answer.status_line.startswith("200"):
+                target.store_kv_copy(handle, run.event_count)
+            document = {"handle": handle, "created": run.event_count}
+        body = json.dumps(document).encode()
+        if not answer.is_readable:
+            body = body[: len(body) // 2]
+        received.respond(answer.status_line, JSON_HEADERS, body)
+
     def _crashing_part_of(self, received: _ReceivedRequest) -> CrashingPart | None:
         part = self.crashing_part
         if part is None or not part.is_in(received.headers.get("x-prompt-prefix", "")):
@@ -450,6 +499,8 @@
         cut_at = self._rng.randrange(1, last + 1) if self._occurs(self.faults.cut_share) else None
         self.record.add_sealed_status(received.id, http.client.OK)
         received.gateway.start("200 OK", headers)
+        if self.is_unframed:
+            received.gateway.req.response_protocol = "HTTP/1.0"
         if self.endless_piece is not None:
             self._send_without_end(received)
             return
@@ -463,7 +514,10 @@
                 self.record.add_broken_off(received.id)
             self._raise_if_crashed()
             with run.changed:
-                if run.is_stopped or run.event_count == cut_at:
+                if run.is_stopped:
+                    self._end_stopped(received)
+                    return
+                if run.event_count == cut_at:
                     received.gateway.abort()
                     return
                 run.event_count += 1
@@ -471,6 +525,13 @@
                 received.gateway.write(event.encode())
         received.gateway.write_all(b"")
 
+    def _end_stopped(self, received: _ReceivedRequest) -> None:
+        """Close a stream without its end, which only framing shows."""
+        if self.is_unframed:
+            received.gateway.write_all(b"")
+        else:
+            received.gateway.abort()
+
     def _send_without_end(self, received: _ReceivedRequest) -> None:
         """Send bytes that are no event until the caller leaves or the fault ends."""
         self.record.add_broken_off(received.id)
