--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -314,6 +314,8 @@
         if progress.last_number is not None and active.run.is_moved:
             relay.on_resumed = functools.partial(self._report_resumed, active)
         end = relay.run()
+        if relay.body_end is not None:
+            self._log_end(active, end, relay.body_end)
         if end is StreamEnd.COMPLETE:
             self._loads.record_success(upstream)
             if relay.event_count and not was_resumed:
@@ -406,6 +408,16 @@
             longest_pause_ms=round(progress.longest_pause_s * MS_PER_S),
         )
 
+    def _log_end(self, active: ActiveGeneration, end: StreamEnd, body_end: BodyEnd) -> None:
+        self._log.request(
+            "stream ended",
+            active.request.call.id,
+            upstream=active.known.record.id,
+            end=end.value,
+            delimited_by=body_end.value,
+            move=active.state.value,
+        )
+
     def _report_resumed(self, active: ActiveGeneration, pause_s: float) -> None:
         self._log.request(
             "generation resumed",
--- a/gooseberryquay/serving/stream_relay.py
+++ b/gooseberryquay/serving/stream_relay.py
@@ -91,6 +91,8 @@
     # Software of the engine as it was when the request was sent.
     version: SoftwareVersion | None = None
     on_begun: Callable[[], None] = lambda: None
+    # How the end of the response was delimited, once it was read.
+    body_end: BodyEnd | None = None
     _splitter: EventSplitter = field(default_factory=EventSplitter)
 
     def run(self) -> StreamEnd:
@@ -121,7 +123,8 @@
         match part:
             case Ok(BodyPart(content)):
                 return self._forward_events(content)
-            case Ok(BodyEnd()):
+            case Ok(BodyEnd() as body_end):
+                self.body_end = body_end
                 return self._finish()
             case Err(IndeterminateOutcome(reason)):
                 self.reason = reason
