Take a stream up again whose connection closed after an order to stop its run

Cause: the end of a body counted as the end of the stream whether its framing showed it or only the close of the connection, and whether or not this entry had ordered the run to stop.

Now an end that only the close shows is proof only if no order was given, or the first order's answer says that nothing was stopped (404, 409, never sent). Otherwise the answer is awaited, and the stream goes on from the final copy, from what the source keeps or, if neither is known, from the copy made before; it breaks off only without any. A framed end is complete as before, so a run that ended by itself isn't cut. Runs that this entry stopped no longer count against their request.

--- a/gooseberryquay/links/upstream_connection.py
+++ b/gooseberryquay/links/upstream_connection.py
@@ -31,6 +31,7 @@
 # Far more than a server announces before its answer.
 INTERIM_RESPONSES_MAX = 32
 MS_PER_S = 1000.0
+BODYLESS_STATUSES = {204, 304}
 # They tell nothing of the upstream.
 OWN_LIMIT_ERRORS = {
     errno.EMFILE,
@@ -94,6 +95,7 @@
     _protocol: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
     _request: list[h11.Event] = field(default_factory=list)
     _was_fully_sent: bool = True
+    _is_framed: bool = True
 
     def connect(self, timeout_s: float) -> TransportFailure | None:
         """Open the connection; a failure proves that nothing was sent."""
@@ -198,7 +200,9 @@
                 case Err(failure):
                     return Err(failure)
                 case Ok(h11.Response() as response):
-                    return Ok(head_of(response))
+                    head = head_of(response)
+                    self._is_framed = self._has_framing(head)
+                    return Ok(head)
                 case Ok(h11.InformationalResponse()):
                     continue
                 case Ok(other):
@@ -243,13 +247,21 @@
             self._socket.close()
             self._socket = None
 
+    def _has_framing(self, head: ResponseHead) -> bool:
+        """Return whether a response shows its own end, not only the end of its connection."""
+        request = self._request[0]
+        is_bodyless = head.status in BODYLESS_STATUSES or (
+            isinstance(request, h11.Request) and request.method == b"HEAD"
+        )
+        return head.is_chunked or is_bodyless or head.value("content-length") is not None
+
     def _end(self) -> BodyEnd:
         self.response_count += 1
         self.last_used_at_s = time.monotonic()
         leftover, is_closed = self._protocol.trailing_data
         is_kept = self._protocol.their_state is h11.DONE and not is_closed and not leftover
         self.is_reusable = self._was_fully_sent and is_kept
-        return BodyEnd.CLOSED if is_closed else BodyEnd.FRAMED
+        return BodyEnd.FRAMED if self._is_framed else BodyEnd.CLOSED
 
     def _next_event(
         self, caller: CallerWatch, until_s: float
--- a/gooseberryquay/platform/http_upstream_client.py
+++ b/gooseberryquay/platform/http_upstream_client.py
@@ -208,6 +208,8 @@
         body = json.dumps({"id": id, "target": str(target), "final": is_final}).encode()
         request = BufferedRequest("POST", names.KV_MOVE_PATH, body, REPORT_BYTES_MAX)
         match exchange(self._pool, source.address, request, until_s):
+            case Err(ConnectionBroken() | TransportTimeout() as failure) if not failure.was_sent:
+                return Err(MoveFailure(MoveRefusal.NOT_SENT))
             case Err(_):
                 return Err(MoveFailure(MoveRefusal.FAILED))
             case Ok(reply):
--- a/gooseberryquay/serving/active_generation.py
+++ b/gooseberryquay/serving/active_generation.py
@@ -12,7 +12,7 @@
 from gooseberryquay.serving.upstream_load import Run
 from gooseberryquay.serving.upstream_registry import KnownUpstream
 
-__all__ = ["ActiveGeneration", "ActiveGenerations", "KvCopy", "MoveState"]
+__all__ = ["ActiveGeneration", "ActiveGenerations", "KvCopy", "MoveState", "RunStop"]
 
 
 class MoveState(Enum):
@@ -25,6 +25,17 @@
     FAILED = "failed"
 
 
+class RunStop(Enum):
+    """Enumerate what is known of an order to stop a run."""
+
+    NOT_ORDERED = "not ordered"
+    ORDERED = "ordered"
+    STOPPED = "stopped"
+    # The run was over before, or went on.
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
 @dataclass(frozen=True, slots=True)
 class KvCopy:
     """Reference the newest copy of a generation's KV cache, its holder and the run there.
@@ -61,6 +72,9 @@
     is_ended: bool = False
     # Set while the relay, whose stream broke, takes over from the migration.
     is_interrupted: bool = False
+    stop: RunStop = RunStop.NOT_ORDERED
+    # The engine has closed the stream, so that it works on the run no more.
+    is_stream_closed: bool = False
     # Number of migrations begun; each may change the state only while it is the latest.
     move_number: int = 0
     # Stops the run at its engine; returns the copy to resume from, or None.
@@ -91,8 +105,34 @@
             if not self._is_moving(number):
                 return False
             self.state = MoveState.STOPPING
+            self.stop = RunStop.ORDERED
             return True
 
+    def end_stop(self, stop: RunStop, state: MoveState, number: int) -> None:
+        """Record the answer to the order to stop the run, and wake the relay."""
+        with self.changed:
+            if number == self.move_number and self.stop is RunStop.ORDERED:
+                self.stop = stop
+        self.set_state(state, number)
+
+    def has_ended_by_itself(self, timeout_s: float) -> bool:
+        """Return whether a run whose stream was closed certainly did not end on an order.
+
+        An answer to the order is awaited for `timeout_s`; none is given from now on.
+        """
+        with self.changed:
+            self.is_interrupted = self.is_stream_closed = True
+            self.changed.wait_for(lambda: self.stop is not RunStop.ORDERED, timeout_s)
+            return self.stop in {RunStop.NOT_ORDERED, RunStop.REFUSED}
+
+    def switch_to(self, holder: KnownUpstream, run: Run) -> None:
+        """Continue with a run that resumes from a copy."""
+        with self.changed:
+            self.known = holder
+            self.run = run
+            self.stop = RunStop.NOT_ORDERED
+            self.is_stream_closed = False
+
     def set_state(self, state: MoveState, number: int) -> None:
         """Change the state of a migration in progress and wake the relay."""
         with self.changed:
@@ -125,10 +165,13 @@
         """
         with self.changed:
             self.is_interrupted = True
-            self.changed.wait_for(lambda: self.state is not MoveState.STOPPING, timeout_s)
+            if not self.is_stream_closed:
+                self.changed.wait_for(lambda: self.state is not MoveState.STOPPING, timeout_s)
             copy = self.copy
         if copy is None or not copy.is_final(self.run):
-            copy = self.stop_run(copy)
+            stopped = self.stop_run(copy)
+            if stopped is not None or not self.is_stream_closed:
+                copy = stopped
         with self.changed:
             if self.copy is not None and self.copy.is_final(self.run):
                 copy = self.copy
--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -14,7 +14,7 @@
     ActiveGeneration,
     ActiveGenerations,
     KvCopy,
-    MoveState,
+    RunStop,
 )
 from gooseberryquay.serving.crash_guard import GOOD_RUN_EVENTS, CrashGuard, RunLoss
 from gooseberryquay.serving.decision_log import DecisionLog
@@ -224,8 +224,7 @@
         self._active.remove(active)
         if copy.run is not active.run:
             self._loads.end(active.run)
-        active.known = copy.holder
-        active.run = copy.run
+        active.switch_to(copy.holder, copy.run)
         self._active.add(active)
 
     def _free_unused_copy(self, active: ActiveGeneration) -> None:
@@ -278,8 +277,9 @@
                 self._record_engine_failure(active, "not sent", reason)
                 return failure
             case IndeterminateOutcome(reason, is_timeout):
-                loss = RunLoss.SILENT if is_timeout else RunLoss.BROKEN
-                self._guard.run_lost(active.request, active.known, loss)
+                if not _was_stopped(active):
+                    loss = RunLoss.SILENT if is_timeout else RunLoss.BROKEN
+                    self._guard.run_lost(active.request, active.known, loss)
                 if time.monotonic() >= active.request.until_s:
                     return StreamEnd.TIMED_OUT
                 self._record_engine_failure(active, "no answer", reason)
@@ -333,7 +333,7 @@
     def _report_stream_loss(
         self, active: ActiveGeneration, end: StreamEnd, event_count: int
     ) -> None:
-        if active.state in {MoveState.STOPPING, MoveState.STOPPED}:
+        if _was_stopped(active):
             return
         loss = {
             StreamEnd.BROKEN: RunLoss.BROKEN,
@@ -416,6 +416,7 @@
             end=end.value,
             delimited_by=body_end.value,
             move=active.state.value,
+            stop=active.stop.value,
         )
 
     def _report_resumed(self, active: ActiveGeneration, pause_s: float) -> None:
@@ -455,6 +456,12 @@
         )
 
 
+def _was_stopped(active: ActiveGeneration) -> bool:
+    """Return whether this entry may have ended a run itself, so that its loss tells nothing."""
+    is_ordered = active.stop in {RunStop.ORDERED, RunStop.STOPPED}
+    return is_ordered or (active.is_stream_closed and active.stop is RunStop.UNKNOWN)
+
+
 def _version_unknown() -> Refusal:
     reason = "the software version that began this stream is not known"
     return Refusal(RefusalReason.NOT_RUN, reason, RETRY_AFTER_S)
--- a/gooseberryquay/serving/migration.py
+++ b/gooseberryquay/serving/migration.py
@@ -14,6 +14,7 @@
     ActiveGenerations,
     KvCopy,
     MoveState,
+    RunStop,
 )
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.placement import EngineNeed, Placement
@@ -50,6 +51,8 @@
 PROBE_TIMEOUT_S = 0.6
 # Without a copy, a resumable stream may rather begin anew.
 STOP_UNCOPIED_S = 0.4
+# A run whose stream its engine has closed can go on from an earlier copy.
+STOP_CLOSED_S = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -222,12 +225,12 @@
                     upstream=target.known.record.id,
                     events=copy.events,
                 )
-                active.set_state(MoveState.STOPPED, move.number)
+                active.end_stop(RunStop.STOPPED, MoveState.STOPPED, move.number)
             case Err(failure):
                 self._log_event(move, target, "stop refused", failure)
                 if failure.handle is not None:
                     self._record_copy(move, KvCopy(move.source, failure.handle, active.run))
-                active.set_state(MoveState.FAILED, move.number)
+                active.end_stop(_stop_of(failure), MoveState.FAILED, move.number)
         return True
 
     def _stop_lost_run(self, active: ActiveGeneration, copy: KvCopy | None) -> KvCopy | None:
@@ -253,7 +256,8 @@
         self, active: ActiveGeneration, source: KnownUpstream, target: _Target, copy: KvCopy | None
     ) -> KvCopy | None:
         began_at_s = self._clock()
-        until_s = min(began_at_s + STOP_TIMEOUT_S, active.request.until_s)
+        timeout_s = STOP_CLOSED_S if active.is_stream_closed else STOP_TIMEOUT_S
+        until_s = min(began_at_s + timeout_s, active.request.until_s)
         address = target.known.record.address
         while True:
             stopped = self._upstream_client.move(
@@ -276,7 +280,7 @@
                 case Err(MoveFailure(_, handle)) if handle is not None:
                     self._loads.end(target.run)
                     return KvCopy(source, handle, active.run)
-                case Err(MoveFailure(MoveRefusal.FAILED)):
+                case Err(MoveFailure(MoveRefusal.FAILED | MoveRefusal.NOT_SENT)):
                     probe_until_s = self._clock() + PROBE_TIMEOUT_S
                     listening = self._upstream_client.listening_state(source.record, probe_until_s)
                     if listening is not ListeningState.OPEN:
@@ -315,3 +319,14 @@
             upstream=target.known.record.id,
             reason=failure.refusal.value,
         )
+
+
+def _stop_of(failure: MoveFailure) -> RunStop:
+    """Return what a failed final copy tells of the run."""
+    match failure:
+        case MoveFailure(_, handle) if handle is not None:
+            return RunStop.STOPPED
+        case MoveFailure(MoveRefusal.UNKNOWN_RUN | MoveRefusal.IN_PROGRESS | MoveRefusal.NOT_SENT):
+            return RunStop.REFUSED
+        case _:
+            return RunStop.UNKNOWN
--- a/gooseberryquay/serving/ports.py
+++ b/gooseberryquay/serving/ports.py
@@ -148,6 +148,7 @@
     UNKNOWN_RUN = "unknown run"
     IN_PROGRESS = "in progress"
     NO_ROOM = "no room"
+    NOT_SENT = "not sent"
     FAILED = "failed"
 
 
@@ -161,7 +162,10 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveFailure:
-    """Report a failed copy; `handle` identifies the KV cache still held by the source, if any."""
+    """Report a failed copy; `handle` identifies the KV cache still held by the source, if any.
+
+    After `FAILED`, or `NO_ROOM` without a handle, a final copy may have stopped the run.
+    """
 
     refusal: MoveRefusal
     handle: CopyHandle | None = None
--- a/gooseberryquay/serving/stream_relay.py
+++ b/gooseberryquay/serving/stream_relay.py
@@ -18,6 +18,8 @@
 
 # The events of so many bytes are forwarded at once.
 SLICE_BYTES = 4096
+# Callers abandon a stream after a longer gap.
+STOP_ANSWER_TIMEOUT_S = 2.0
 
 
 class StreamEnd(Enum):
@@ -125,7 +127,7 @@
                 return self._forward_events(content)
             case Ok(BodyEnd() as body_end):
                 self.body_end = body_end
-                return self._finish()
+                return self._finish(body_end)
             case Err(IndeterminateOutcome(reason)):
                 self.reason = reason
                 is_late = time.monotonic() >= self.active.request.until_s
@@ -177,14 +179,21 @@
             self.on_resumed(time.monotonic() - self.progress.last_at_s)
             self.on_resumed = None
 
-    def _finish(self) -> StreamEnd:
+    def _finish(self, body_end: BodyEnd) -> StreamEnd:
         if self._splitter.remainder():
             self.reason = "stream ended within an event"
             return StreamEnd.BROKEN
+        if body_end is BodyEnd.CLOSED and not self._has_ended_by_itself():
+            self.reason = "stream closed after an order to stop its run"
+            return StreamEnd.BROKEN
         self._start()
         self.active.request.response_writer.end_stream()
         return StreamEnd.COMPLETE
 
+    def _has_ended_by_itself(self) -> bool:
+        left_s = self.active.request.until_s - time.monotonic()
+        return self.active.has_ended_by_itself(min(STOP_ANSWER_TIMEOUT_S, max(0.0, left_s)))
+
     def _start(self) -> None:
         if not self.progress.is_started:
             self.active.request.response_writer.start_stream(
--- /dev/null
+++ b/gooseberryquay/serving/tests/test_closed_stream.py
@@ -0,0 +1,157 @@
+"""Streams without framing that their engines close, with and without an order to stop the run."""
+
+import threading
+import time
+
+import pytest
+from result import Err
+
+from gooseberryquay.links.upstream_connection import BodyEnd
+from gooseberryquay.serving.active_generation import MoveState, RunStop
+from gooseberryquay.serving.ports import MoveFailure, MoveRefusal
+from gooseberryquay.serving.route import RouteKind
+from gooseberryquay.serving.tests.builders import (
+    Recorder,
+    ScriptedCalls,
+    ScriptedResponse,
+    build_path,
+    build_record,
+    build_request,
+    build_route,
+    copied,
+    event,
+    events,
+)
+from gooseberryquay.serving.upstream_record import UpstreamState
+
+RECORDS = [build_record(f"engine-{number}") for number in range(3)]
+FAILED = Err(MoveFailure(MoveRefusal.FAILED))
+NO_HANDLE = Err(MoveFailure(MoveRefusal.NO_ROOM))
+IN_PROGRESS = Err(MoveFailure(MoveRefusal.IN_PROGRESS))
+UNKNOWN_RUN = Err(MoveFailure(MoveRefusal.UNKNOWN_RUN))
+NOT_SENT = Err(MoveFailure(MoveRefusal.NOT_SENT))
+KINDS = [{"is_resumable": False}, {"is_resumable": True, "attempts_max": 2}]
+
+
+def _closed(first, last, **changes):
+    parts = [event(each) for each in range(first, last + 1)]
+    return ScriptedResponse(200, parts, BodyEnd.CLOSED, **changes)
+
+
+def _serve(path, kind):
+    recorder = Recorder()
+    path.generation_handler.serve(build_request(build_route(RouteKind.STREAMING, **kind), recorder))
+    assert path.loads.in_flight() == 0
+    return recorder
+
+
+def _stop_before(path, part, *answers, delay_s=0.0):
+    """Return a hook that drains an engine before a part; its final copies get the answers."""
+    finals = list(answers)
+    ordered = threading.Event()
+
+    def move(source, _id, _target, is_final, _until_s):
+        path.upstream_client.moved.append((source.id, is_final))
+        if not is_final:
+            return copied("ahead")
+        ordered.set()
+        time.sleep(delay_s)
+        return finals.pop(0) if finals else FAILED
+
+    def act(number):
+        if number == part:
+            path.registry.apply_record(build_record("engine-0", state=UpstreamState.DRAINING))
+            assert ordered.wait(2.0)
+            if not delay_s:
+                _wait_for_answer(path)
+
+    path.upstream_client.move = move
+    return act
+
+
+def _wait_for_answer(path):
+    (active,) = path.active.at("engine-0")
+    with active.changed:
+        active.changed.wait_for(
+            lambda: active.state in {MoveState.STOPPED, MoveState.FAILED}, timeout=2.0
+        )
+
+
+@pytest.mark.parametrize("kind", KINDS, ids=["once", "resumable"])
+@pytest.mark.parametrize("delay_s", [0.0, 0.2], ids=["before", "after"])
+@pytest.mark.parametrize("last", [0, 2], ids=["no event", "events"])
+@pytest.mark.parametrize(
+    ("answers", "copy"),
+    [
+        ([copied("last")], "last"),
+        ([NO_HANDLE, UNKNOWN_RUN], "ahead"),
+        ([FAILED, UNKNOWN_RUN], "ahead"),
+        ([FAILED, copied("last")], "last"),
+        ([FAILED, IN_PROGRESS, copied("last")], "last"),
+        ([], "ahead"),
+    ],
+)
+def test_stream_closed_after_an_order_that_may_have_been_heeded_goes_on_from_a_copy(
+    answers, copy, last, delay_s, kind
+):
+    path = build_path(RECORDS, ScriptedCalls())
+    hook = _stop_before(path, last, *answers, delay_s=delay_s)
+    path.upstream_client.responses = [_closed(1, last, before_part=hook), _closed(last + 1, 4)]
+    caller = _serve(path, kind)
+    assert (caller.body, caller.is_complete) == (events(1, 4), True)
+    assert path.upstream_client.opened[1][1].continuation.copy.name == copy
+
+
+@pytest.mark.parametrize("kind", KINDS, ids=["once", "resumable"])
+@pytest.mark.parametrize("delay_s", [0.0, 0.2], ids=["before", "after"])
+@pytest.mark.parametrize("answer", [UNKNOWN_RUN, IN_PROGRESS, NOT_SENT])
+def test_stream_of_a_run_that_no_order_stopped_is_complete(answer, delay_s, kind):
+    path = build_path(RECORDS, ScriptedCalls())
+    hook = _stop_before(path, 2, answer, delay_s=delay_s)
+    path.upstream_client.responses = [_closed(1, 2, before_part=hook)]
+    caller = _serve(path, kind)
+    assert (caller.body, caller.is_complete, caller.is_aborted) == (events(1, 2), True, False)
+    assert len(path.upstream_client.opened) == 1
+
+
+@pytest.mark.parametrize("kind", KINDS, ids=["once", "resumable"])
+def test_framed_stream_is_complete_whatever_its_order_was_answered(kind):
+    path = build_path(RECORDS, ScriptedCalls())
+    hook = _stop_before(path, 2, copied("last"))
+    framed = _closed(1, 2, before_part=hook)
+    framed.end = BodyEnd.FRAMED
+    path.upstream_client.responses = [framed]
+    caller = _serve(path, kind)
+    assert (caller.body, caller.is_complete) == (events(1, 2), True)
+    assert len(path.upstream_client.opened) == 1
+
+
+def test_stopped_stream_that_may_run_once_is_broken_off_if_no_copy_is_left():
+    path = build_path(RECORDS, ScriptedCalls())
+    refused = ScriptedResponse(503, is_not_run=True)
+    hook = _stop_before(path, 2, copied("last"))
+    path.upstream_client.responses = [_closed(1, 2, before_part=hook), refused, refused]
+    caller = _serve(path, KINDS[0])
+    assert (caller.body, caller.is_complete, caller.is_aborted) == (events(1, 2), False, True)
+
+
+def test_answer_to_an_earlier_order_does_not_count_for_the_run_that_goes_on():
+    path = build_path(RECORDS, ScriptedCalls())
+    hook = _stop_before(path, 2, copied("last"))
+    path.upstream_client.responses = [_closed(1, 2, before_part=hook), _closed(3, 4)]
+    seen = []
+    path.upstream_client.responses[1].before_part = lambda _number: seen.extend(
+        active.stop for number in range(3) for active in path.active.at(f"engine-{number}")
+    )
+    assert _serve(path, KINDS[0]).is_complete
+    assert set(seen) == {RunStop.NOT_ORDERED}
+
+
+def test_run_that_this_entry_stopped_does_not_make_its_request_suspect():
+    path = build_path(RECORDS, ScriptedCalls())
+    losses = []
+    path.guard.run_lost = lambda *arguments: losses.append(arguments)
+    hook = _stop_before(path, 2, FAILED, UNKNOWN_RUN)
+    path.upstream_client.responses = [_closed(1, 2, before_part=hook), _closed(3, 4)]
+    assert _serve(path, KINDS[0]).is_complete
+    assert losses == []
