Let a run that goes on at its source make progress before it is stopped again

A run that is back at its source is now copied in advance only, and stopped as late as if its copies were slow.

--- a/gooseberryquay/serving/active_generation.py
+++ b/gooseberryquay/serving/active_generation.py
@@ -75,6 +75,8 @@
     stop: RunStop = RunStop.NOT_ORDERED
     # The engine has closed the stream, so that it works on the run no more.
     is_stream_closed: bool = False
+    # The run goes on at the engine that had stopped it, as no other took its KV cache.
+    is_back_at_source: bool = False
     # Number of migrations begun; each may change the state only while it is the latest.
     move_number: int = 0
     # Stops the run at its engine; returns the copy to resume from, or None.
@@ -128,6 +130,7 @@
     def switch_to(self, holder: KnownUpstream, run: Run) -> None:
         """Continue with a run that resumes from a copy."""
         with self.changed:
+            self.is_back_at_source = run is self.run
             self.known = holder
             self.run = run
             self.stop = RunStop.NOT_ORDERED
--- a/gooseberryquay/serving/migration.py
+++ b/gooseberryquay/serving/migration.py
@@ -200,9 +200,11 @@
                     self._record_copy(move, KvCopy(target.known, copy.handle, target.run))
                     took_s = self._clock() - started_at_s
                     is_late = self._clock() - move.began_at_s > STOP_AFTER_S
-                    if move.source.is_leaving and (took_s < QUICK_COPY_S or is_late):
+                    # Another stop at once could be refused too, and the run get no further.
+                    is_quick = took_s < QUICK_COPY_S and not move.active.is_back_at_source
+                    if move.source.is_leaving and (is_quick or is_late):
                         return self._stop(move, target)
-                    if not move.source.is_leaving:
+                    if not move.source.is_leaving or move.active.is_back_at_source:
                         time.sleep(COPY_INTERVAL_S)
                 case Err(MoveFailure(MoveRefusal.UNKNOWN_RUN | MoveRefusal.IN_PROGRESS)):
                     time.sleep(RETRY_PAUSE_S)
--- a/gooseberryquay/serving/tests/test_closed_stream.py
+++ b/gooseberryquay/serving/tests/test_closed_stream.py
@@ -25,8 +25,10 @@
 from gooseberryquay.serving.upstream_record import UpstreamState
 
 RECORDS = [build_record(f"engine-{number}") for number in range(3)]
+HANDLE = copied("kept").ok_value.handle
 FAILED = Err(MoveFailure(MoveRefusal.FAILED))
 NO_HANDLE = Err(MoveFailure(MoveRefusal.NO_ROOM))
+KEPT = Err(MoveFailure(MoveRefusal.NO_ROOM, HANDLE))
 IN_PROGRESS = Err(MoveFailure(MoveRefusal.IN_PROGRESS))
 UNKNOWN_RUN = Err(MoveFailure(MoveRefusal.UNKNOWN_RUN))
 NOT_SENT = Err(MoveFailure(MoveRefusal.NOT_SENT))
@@ -84,6 +86,7 @@
     ("answers", "copy"),
     [
         ([copied("last")], "last"),
+        ([KEPT], "kept"),
         ([NO_HANDLE, UNKNOWN_RUN], "ahead"),
         ([FAILED, UNKNOWN_RUN], "ahead"),
         ([FAILED, copied("last")], "last"),
