Don't take a response closed at its deadline for a complete one

The entry itself asks for that end, by X-Deadline-Ms, and an end that only the close of the connection shows doesn't tell it from a regular one.

Responses with framing are read as before.

--- a/gooseberryquay/daemons/tests/stream_builders.py
+++ b/gooseberryquay/daemons/tests/stream_builders.py
@@ -32,10 +32,14 @@
     versions: list = field(default_factory=list)
     statuses: list = field(default_factory=list)
     is_complete: bool = False
+    # Whether the last response ended as a regular one does, whatever it held.
+    has_ended: bool = False
+    deadline_ms: int = 6000
 
     def read(self, port, until_event=None):
         """Read from one entry up to an event or to the end; then close the connection."""
         self.id = f"s-{next(_NUMBERS)}"
+        self.has_ended = False
         connection = http.client.HTTPConnection("127.0.0.1", port, timeout=TIMEOUT_S)
         with contextlib.suppress(OSError, http.client.HTTPException):
             connection.request("POST", self.path, self.body, self._headers())
@@ -50,7 +54,7 @@
         headers = {
             "Host": HOST,
             "X-Attempt-Id": self.id,
-            "X-Deadline-Ms": "6000",
+            "X-Deadline-Ms": str(self.deadline_ms),
             "X-Model": "m",
             "X-Token-Usage": f"100,{TOKENS_PER_EVENT * self.event_count}",
             "X-Prompt-Prefix": "aa01:20,f00:10",
@@ -72,6 +76,7 @@
                 self.versions.append(data.split(" ")[2])
             if until_event is not None and self.numbers and self.numbers[-1] >= until_event:
                 return
+        self.has_ended = not pending
         self.is_complete = not pending and self.numbers == list(range(1, self.event_count + 1))
 
     @property
--- a/gooseberryquay/platform/http_upstream_client.py
+++ b/gooseberryquay/platform/http_upstream_client.py
@@ -52,6 +52,8 @@
 STRAY_RESPONSES_MAX = 4
 # Far above any expected response; the connection of a longer one is closed, not drained.
 STRAY_BODY_BYTES_MAX = 1024 * 1024
+# An engine does not begin a step of its batch that would end after its deadline.
+DEADLINE_STEP_S = 0.05
 HTTP_MISDIRECTED = 421
 HTTP_UNAVAILABLE = 503
 FREE_TIMEOUT_S = 1.0
@@ -79,6 +81,8 @@
     connection: UpstreamConnection
     pool: ConnectionPool
     on_read: Callable[[], None] = lambda: None
+    # When the engine stops work on the request, as it was told, on the monotonic clock.
+    stops_at_s: float = math.inf
 
     def observe_reads(self, on_read: Callable[[], None]) -> None:
         """Call `on_read` with each part that is read from now on."""
@@ -91,6 +95,9 @@
         match self.connection.read_body(caller, until_s):
             case Err(failure):
                 return Err(_outcome_of_read(failure))
+            case Ok(BodyEnd.CLOSED) if time.monotonic() >= self.stops_at_s - DEADLINE_STEP_S:
+                # A response without framing ends the same way if the engine gives up.
+                return Err(IndeterminateOutcome("closed at its deadline", is_timeout=True))
             case Ok(part):
                 self.on_read()
                 return Ok(part)
@@ -277,7 +284,9 @@
             is_own = owner == call.id if connection.response_count else owner in {None, call.id}
             if is_own:
                 connection.answered_ids.append(call.id)
-                return Ok(_response_of(head, expected, connection, self._pool))
+                response = _response_of(head, expected, connection, self._pool)
+                response.stops_at_s = min(options.until_s, call.deadline_at_s)
+                return Ok(response)
             if not _skip_body(connection, caller, options.until_s):
                 break
             connection.expect_another_response()
--- a/gooseberryquay/platform/tests/test_http_upstream_client.py
+++ b/gooseberryquay/platform/tests/test_http_upstream_client.py
@@ -15,7 +15,7 @@
 from gooseberryquay.links.connection_pool import ConnectionPool
 from gooseberryquay.links.exchange import BufferedRequest, exchange
 from gooseberryquay.links.tests.raw_upstream import raw_upstream
-from gooseberryquay.links.upstream_connection import BodyPart
+from gooseberryquay.links.upstream_connection import BodyEnd, BodyPart
 from gooseberryquay.platform.http_upstream_client import HttpUpstreamClient
 from gooseberryquay.serving.ports import IndeterminateOutcome, SendOptions
 from gooseberryquay.serving.tests.builders import build_call, build_record
@@ -219,3 +219,33 @@
     with _engine([_response(status, *headers)]) as (address, _):
         opened, _ = _open(address)
         assert opened.ok_value.is_not_run is is_not_run
+
+
+def _close_after(wait_s):
+    """Respond without framing, and close the connection after a while."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve():
+        with listener, listener.accept()[0] as connection:
+            connection.recv(65536)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: r-1\r\n\r\nhi")
+            time.sleep(wait_s)
+
+    threading.Thread(target=serve, daemon=True).start()
+    return Address(*listener.getsockname())
+
+
+@pytest.mark.parametrize(
+    ("wait_s", "is_complete"), [(0.0, True), (0.2 * TIMEOUT_S, True), (TIMEOUT_S - 0.02, False)]
+)
+def test_response_closed_at_the_deadline_of_its_attempt_does_not_count_as_complete(
+    wait_s, is_complete
+):
+    opened, options = _open(_close_after(wait_s))
+    response = opened.ok_value
+    assert response.read(NullCallerWatch(), options.until_s) == Ok(BodyPart(b"hi"))
+    end = response.read(NullCallerWatch(), options.until_s)
+    if is_complete:
+        assert end == Ok(BodyEnd.CLOSED)
+    else:
+        assert end.err_value.is_timeout
--- a/gooseberryquay/serving/stream_relay.py
+++ b/gooseberryquay/serving/stream_relay.py
@@ -128,9 +128,9 @@
             case Ok(BodyEnd() as body_end):
                 self.body_end = body_end
                 return self._finish(body_end)
-            case Err(IndeterminateOutcome(reason)):
+            case Err(IndeterminateOutcome(reason, is_timeout)):
                 self.reason = reason
-                is_late = time.monotonic() >= self.active.request.until_s
+                is_late = is_timeout or time.monotonic() >= self.active.request.until_s
                 return StreamEnd.TIMED_OUT if is_late else StreamEnd.BROKEN
             case _:
                 return StreamEnd.CALLER_LEFT
