Free a copy that is complete only after its generation has ended

Cause: the migration stored the copy although the generation had ended, so it looked needed. Now it is freed, and its place is given back. Found by reading for the same cause as a stream whose run was stopped: an answer to an order that comes after the end.

--- a/gooseberryquay/serving/active_generation.py
+++ b/gooseberryquay/serving/active_generation.py
@@ -143,18 +143,22 @@
                 self.state = state
             self.changed.notify_all()
 
-    def set_copy(self, copy: KvCopy, number: int) -> Run | None:
+    def set_copy(self, copy: KvCopy, number: int) -> KvCopy | None:
         """Store a newer copy, unless the relay has continued without it.
 
-        Returns the run of the previous copy at another engine, which is no longer needed.
+        Returns a copy that is not needed: the previous one at another engine, or this one if the
+        generation has ended.
         """
         with self.changed:
+            if self.is_ended:
+                return copy
             is_awaited = not self.is_interrupted or self.state is MoveState.STOPPING
             is_over = number != self.move_number or self.state is MoveState.STAYING
             if is_over or not is_awaited:
                 return None
             previous, self.copy = self.copy, copy
-            return previous.run if previous is not None and previous.run is not copy.run else None
+            is_replaced = previous is not None and previous.run is not copy.run
+            return previous if is_replaced else None
 
     def needs(self, run: Run) -> bool:
         """Return whether the generation uses a run or may still resume there."""
--- a/gooseberryquay/serving/migration.py
+++ b/gooseberryquay/serving/migration.py
@@ -300,8 +300,10 @@
 
     def _record_copy(self, move: _Move, copy: KvCopy) -> None:
         unneeded = move.active.set_copy(copy, move.number)
-        if unneeded is not None and unneeded is not move.active.run:
-            self._loads.end(unneeded)
+        if unneeded is not None and unneeded.run is not move.active.run:
+            self._loads.end(unneeded.run)
+        if unneeded is copy:
+            self._upstream_client.free_copy(copy.handle.source, copy.handle)
 
     def _copy(self, move: _Move, target: _Target, is_final: bool) -> Result[MovedCopy, MoveFailure]:
         until_s = self._clock() + COPY_TIMEOUT_S
--- a/gooseberryquay/serving/tests/test_closed_stream.py
+++ b/gooseberryquay/serving/tests/test_closed_stream.py
@@ -158,3 +158,33 @@
     path.upstream_client.responses = [_closed(1, 2, before_part=hook), _closed(3, 4)]
     assert _serve(path, KINDS[0]).is_complete
     assert losses == []
+
+
+@pytest.mark.parametrize("end", list(BodyEnd))
+def test_copy_that_ends_after_its_generation_is_freed_and_takes_no_place(end):
+    path = build_path(RECORDS, ScriptedCalls())
+    copying, is_over = threading.Event(), threading.Event()
+
+    def move(*_arguments):
+        copying.set()
+        assert is_over.wait(2.0)
+        return copied("late")
+
+    def leave(number):
+        if number == 2:
+            path.registry.apply_record(build_record("engine-0", state=UpstreamState.DRAINING))
+            assert copying.wait(2.0)
+
+    path.upstream_client.move = move
+    response = _closed(1, 2, before_part=leave)
+    response.end = end
+    path.upstream_client.responses = [response]
+    recorder = Recorder()
+    path.generation_handler.serve(build_request(build_route(RouteKind.STREAMING), recorder))
+    assert recorder.is_complete
+    is_over.set()
+    until_s = time.monotonic() + 2.0
+    while path.loads.in_flight() and time.monotonic() < until_s:
+        time.sleep(0.01)
+    assert path.loads.in_flight() == 0
+    assert [each.name for each in path.upstream_client.freed] == ["late"]
