Return no run to an upstream that leaves after the bound on its drain

A run that is back at its source is now only copied in advance, never stopped again, and none goes back once the drain that the settings state (bounds.drain_ms) is nearly over: the copy made before is used.

--- a/gooseberryquay/contracts/node_settings.py
+++ b/gooseberryquay/contracts/node_settings.py
@@ -13,6 +13,8 @@
     """Represent the time, retry and cold-start bounds that the operators guarantee."""
 
     grace_s: float
+    # How long requests may reach an upstream after the platform has acknowledged that it leaves.
+    drain_s: float
     evacuation_s: float
     config_apply_s: float
     retry_ratio: float
--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -253,6 +253,7 @@
             loads=self._loads,
             active=active,
             log=self._log,
+            drain_s=bounds.drain_s,
         )
         self._leave_probe = LeaveProbe(
             upstream_client=upstream_client,
--- a/gooseberryquay/platform/settings_file.py
+++ b/gooseberryquay/platform/settings_file.py
@@ -18,6 +18,7 @@
 # Defaults of the fields that may be omitted; a deployment without a rule omits its bounds.
 DEFAULTS = {
     "bounds.grace_s": "8",
+    "bounds.drain_ms": "2000",
     "bounds.evacuation_ms": "5000",
     "bounds.config_apply_ms": "2000",
     "bounds.retry_ratio": "0.2",
@@ -93,6 +94,7 @@
         heartbeat_s=fields.read("heartbeat_ms", float) / MS_PER_S,
         bounds=NodeBounds(
             grace_s=fields.read("bounds.grace_s", float),
+            drain_s=fields.read("bounds.drain_ms", float) / MS_PER_S,
             evacuation_s=fields.read("bounds.evacuation_ms", float) / MS_PER_S,
             config_apply_s=fields.read("bounds.config_apply_ms", float) / MS_PER_S,
             retry_ratio=fields.read("bounds.retry_ratio", float),
--- a/gooseberryquay/serving/active_generation.py
+++ b/gooseberryquay/serving/active_generation.py
@@ -77,17 +77,21 @@
     is_stream_closed: bool = False
     # The run goes on at the engine that had stopped it, as no other took its KV cache.
     is_back_at_source: bool = False
+    # When the engine was first known to leave or to be missing, on the migration's clock.
+    leaves_since_s: float | None = None
     # Number of migrations begun; each may change the state only while it is the latest.
     move_number: int = 0
     # Stops the run at its engine; returns the copy to resume from, or None.
     stop_run: Callable[[KvCopy | None], KvCopy | None] = lambda copy: copy
     changed: threading.Condition = field(default_factory=threading.Condition)
 
-    def begin_move(self) -> int | None:
+    def begin_move(self, now_s: float) -> int | None:
         """Begin a migration and return its number, or None if there is nothing to migrate."""
         with self.changed:
             if self.state is not MoveState.STAYING or self.is_ended or self.is_interrupted:
                 return None
+            if self.leaves_since_s is None:
+                self.leaves_since_s = now_s
             self.state = MoveState.COPYING
             self.move_number += 1
             return self.move_number
@@ -131,6 +135,8 @@
         """Continue with a run that resumes from a copy."""
         with self.changed:
             self.is_back_at_source = run is self.run
+            if not self.is_back_at_source:
+                self.leaves_since_s = None
             self.known = holder
             self.run = run
             self.stop = RunStop.NOT_ORDERED
--- a/gooseberryquay/serving/migration.py
+++ b/gooseberryquay/serving/migration.py
@@ -31,6 +31,10 @@
 
 __all__ = ["Migration"]
 
+# Used where the deployment states none.
+DRAIN_S = 2.0
+# Until a request that returns to an upstream has arrived there.
+RETURN_MARGIN_S = 0.3
 # A final copy this quick pauses the stream well within the gap allowed between events.
 QUICK_COPY_S = 0.06
 # About half of the shortest notice that an engine gives.
@@ -84,6 +88,7 @@
         loads: LoadTable,
         active: ActiveGenerations,
         log: DecisionLog,
+        drain_s: float = DRAIN_S,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._upstream_client = upstream_client
@@ -91,6 +96,7 @@
         self._loads = loads
         self._active = active
         self._log = log
+        self._drain_s = drain_s
         self._clock = clock
 
     def upstream_leaving(self, upstream: UpstreamId) -> None:
@@ -116,7 +122,7 @@
         if engine is None or not engine.can_move:
             return
         source = active.known
-        number = active.begin_move()
+        number = active.begin_move(self._clock())
         if number is None:
             return
         self.attach(active)
@@ -200,11 +206,11 @@
                     self._record_copy(move, KvCopy(target.known, copy.handle, target.run))
                     took_s = self._clock() - started_at_s
                     is_late = self._clock() - move.began_at_s > STOP_AFTER_S
-                    # Another stop at once could be refused too, and the run get no further.
-                    is_quick = took_s < QUICK_COPY_S and not move.active.is_back_at_source
-                    if move.source.is_leaving and (is_quick or is_late):
+                    # Another stop could be refused too, and no request may return a second time.
+                    may_stop = move.source.is_leaving and not move.active.is_back_at_source
+                    if may_stop and (took_s < QUICK_COPY_S or is_late):
                         return self._stop(move, target)
-                    if not move.source.is_leaving or move.active.is_back_at_source:
+                    if not may_stop:
                         time.sleep(COPY_INTERVAL_S)
                 case Err(MoveFailure(MoveRefusal.UNKNOWN_RUN | MoveRefusal.IN_PROGRESS)):
                     time.sleep(RETRY_PAUSE_S)
@@ -230,7 +236,7 @@
                 active.end_stop(RunStop.STOPPED, MoveState.STOPPED, move.number)
             case Err(failure):
                 self._log_event(move, target, "stop refused", failure)
-                if failure.handle is not None:
+                if failure.handle is not None and self._may_return(active):
                     self._record_copy(move, KvCopy(move.source, failure.handle, active.run))
                 active.end_stop(_stop_of(failure), MoveState.FAILED, move.number)
         return True
@@ -280,6 +286,8 @@
                     # The final copy of the migration is still on its way.
                     return copy
                 case Err(MoveFailure(_, handle)) if handle is not None:
+                    if not self._may_return(active):
+                        return copy
                     self._loads.end(target.run)
                     return KvCopy(source, handle, active.run)
                 case Err(MoveFailure(MoveRefusal.FAILED | MoveRefusal.NOT_SENT)):
@@ -298,6 +306,12 @@
                 return None
             time.sleep(RETRY_PAUSE_S)
 
+    def _may_return(self, active: ActiveGeneration) -> bool:
+        """Return whether a stopped run may still be resumed at an engine that is leaving."""
+        if active.leaves_since_s is None:
+            return True
+        return self._clock() - active.leaves_since_s < self._drain_s - RETURN_MARGIN_S
+
     def _record_copy(self, move: _Move, copy: KvCopy) -> None:
         unneeded = move.active.set_copy(copy, move.number)
         if unneeded is not None and unneeded.run is not move.active.run:
--- a/gooseberryquay/serving/tests/test_generation_handler.py
+++ b/gooseberryquay/serving/tests/test_generation_handler.py
@@ -272,7 +272,7 @@
     known = path.registry.find("engine-0")
     active = ActiveGeneration(request, known, Run(request.call.id, known.record.id, 0.0))
     path.migration.attach(active)
-    number = active.begin_move()
+    number = active.begin_move(time.monotonic())
     handle = copied("ahead").ok_value.handle
     target = path.registry.find("engine-1")
     active.set_copy(KvCopy(target, handle, Run(request.call.id, target.record.id, 0.0)), number)
