Don't take the answer to another request for the answer to a copy

An order to stop goes out on a connection of its own, and an answer that names another request is none. Other copies still use kept connections: a late copy of another copy's answer that names no request can't be told from their own.

--- a/gooseberryquay/links/exchange.py
+++ b/gooseberryquay/links/exchange.py
@@ -45,6 +45,8 @@
     target: str
     body: bytes = b""
     reply_bytes_max: int = REPLY_BYTES_MAX
+    # On a kept connection, a late copy of an earlier response could be taken for the reply.
+    needs_new_connection: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,7 +121,7 @@
     until_s: float,
 ) -> Result[UpstreamConnection, TransportFailure]:
     """Send a request on an idle connection, or on a new one if that is open in time."""
-    connection = pool.acquire(address)
+    connection = None if request.needs_new_connection else pool.acquire(address)
     if connection is None:
         connection = pool.create(address)
         failed = connection.connect(max(0.0, min(connect_until_s, until_s) - time.monotonic()))
--- a/gooseberryquay/platform/http_upstream_client.py
+++ b/gooseberryquay/platform/http_upstream_client.py
@@ -213,12 +213,14 @@
     ) -> Result[MovedCopy, MoveFailure]:
         """Copy a running generation's KV cache to another engine; a final copy also stops it."""
         body = json.dumps({"id": id, "target": str(target), "final": is_final}).encode()
-        request = BufferedRequest("POST", names.KV_MOVE_PATH, body, REPORT_BYTES_MAX)
+        request = BufferedRequest("POST", names.KV_MOVE_PATH, body, REPORT_BYTES_MAX, is_final)
         match exchange(self._pool, source.address, request, until_s):
             case Err(ConnectionBroken() | TransportTimeout() as failure) if not failure.was_sent:
                 return Err(MoveFailure(MoveRefusal.NOT_SENT))
             case Err(_):
                 return Err(MoveFailure(MoveRefusal.FAILED))
+            case Ok(reply) if dict(reply.headers).get(names.ATTEMPT_ID, id) not in {"", id}:
+                return Err(MoveFailure(MoveRefusal.FAILED))
             case Ok(reply):
                 return _read_copy(source.address, reply)
 
--- a/gooseberryquay/platform/tests/test_repeated_answers.py
+++ b/gooseberryquay/platform/tests/test_repeated_answers.py
@@ -2,14 +2,12 @@
 
 import socket
 import struct
-import threading
-from contextlib import contextmanager, suppress
 
 import pytest
 
-from gooseberryquay.contracts.fields import Address
 from gooseberryquay.links.connection_pool import ConnectionPool
 from gooseberryquay.platform.http_upstream_client import HttpUpstreamClient
+from gooseberryquay.platform.tests.answer_builders import ID, UNFRAMED_HEAD, answering_upstream
 from gooseberryquay.serving.refusal import Refusal, RefusalReason
 from gooseberryquay.serving.route import RouteKind
 from gooseberryquay.serving.tests.builders import (
@@ -23,34 +21,8 @@
 )
 from gooseberryquay.serving.whole_answer import WholeAnswer
 
-ID = "X-Attempt-Id: r-1\r\n"
 REFUSAL = f"HTTP/1.1 503 Busy\r\n{ID}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
 ANSWER = f"HTTP/1.1 200 OK\r\n{ID}Content-Length: 4\r\n\r\ndone".encode()
-UNFRAMED_HEAD = f"HTTP/1.1 200 OK\r\n{ID}X-Response-Seal: s\r\n\r\n".encode()
-
-
-@contextmanager
-def _upstream(respond):
-    """Call `respond(socket, request_number, connection_number)` for each request."""
-    listener = socket.create_server(("127.0.0.1", 0))
-
-    def serve(connection, number):
-        with suppress(OSError), connection:
-            request = 0
-            while connection.recv(65536):
-                if respond(connection, request, number) is False:
-                    return
-                request += 1
-
-    def accept():
-        with suppress(OSError):
-            for number in range(100):
-                arguments = (listener.accept()[0], number)
-                threading.Thread(target=serve, args=arguments, daemon=True).start()
-
-    threading.Thread(target=accept, daemon=True).start()
-    yield Address(*listener.getsockname())
-    listener.close()
 
 
 def _path(*records):
@@ -74,7 +46,7 @@
         runs.append(number)
         connection.sendall(REFUSAL + ANSWER if number == 0 else ANSWER)
 
-    with _upstream(respond) as address:
+    with answering_upstream(respond) as address:
         path = _path(build_record("app-1", LEDGER, address=address))
         end = path.call_handler.serve(build_request(build_route(kind)))
     assert len(runs) == 1
@@ -86,7 +58,7 @@
         connection.sendall(UNFRAMED_HEAD + content)
         return close(connection)
 
-    with _upstream(respond) as address:
+    with answering_upstream(respond) as address:
         service = {} if kind is RouteKind.STREAMING else {"service": LEDGER}
         path = _path(build_record("app-1", address=address, **service))
         response = Recorder()
@@ -140,7 +112,7 @@
         connection.sendall(error)
         return False
 
-    with _upstream(respond) as address:
+    with answering_upstream(respond) as address:
         path = _path(*(build_record(f"i-{each}", address=address) for each in range(3)))
         response = Recorder()
         route = build_route(RouteKind.STREAMING, is_resumable=True, attempts_max=3)
