Resume a closed stream within two seconds, and never beside an unanswered order

Callers abandoned a stream whose order to stop was not answered: its next event came 2.4 s after the last, as 2.0 s of waiting and 0.4 s of asking again added up.

The answer is now awaited for 1 s, and an engine at which a stream was broken off gets no new run of the same request.

--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -185,6 +185,9 @@
             for _ in range(MOVES_MAX):
                 outcome = self._run_once(active, progress, attempts, continuation)
                 copy = self._resume_point(active, copy, outcome)
+                if copy is None and outcome is StreamEnd.BROKEN:
+                    # An order without an answer may still arrive there, and stop a new run.
+                    attempts.excluded.add(active.known.record.id)
                 if copy is None:
                     was_running = continuation is not None and isinstance(outcome, NotExecuted)
                     return StreamEnd.BROKEN if was_running else outcome
--- a/gooseberryquay/serving/stream_relay.py
+++ b/gooseberryquay/serving/stream_relay.py
@@ -18,8 +18,8 @@
 
 # The events of so many bytes are forwarded at once.
 SLICE_BYTES = 4096
-# Callers abandon a stream after a longer gap.
-STOP_ANSWER_TIMEOUT_S = 2.0
+# Leaves time to ask again and to resume before callers abandon the stream.
+STOP_ANSWER_TIMEOUT_S = 1.0
 
 
 class StreamEnd(Enum):
