Order a run to stop again if it provably goes on after an order

After an order that was not heeded, or may not have been, the migration goes on: a copy that succeeds shows that the run is still there, so the order is forgotten and another may follow.

--- a/gooseberryquay/serving/active_generation.py
+++ b/gooseberryquay/serving/active_generation.py
@@ -121,6 +121,12 @@
                 self.stop = stop
         self.set_state(state, number)
 
+    def withdraw_stop(self, number: int) -> None:
+        """Forget an order to stop the run that the engine has answered but not heeded."""
+        with self.changed:
+            if self._is_moving(number) and self.state is MoveState.COPYING:
+                self.stop = RunStop.NOT_ORDERED
+
     def has_ended_by_itself(self, timeout_s: float) -> bool:
         """Return whether a run whose stream was closed certainly did not end on an order.
 
--- a/gooseberryquay/serving/migration.py
+++ b/gooseberryquay/serving/migration.py
@@ -208,8 +208,12 @@
                     is_late = self._clock() - move.began_at_s > STOP_AFTER_S
                     # Another stop could be refused too, and no request may return a second time.
                     may_stop = move.source.is_leaving and not move.active.is_back_at_source
+                    # The run is there, so that an order whose answer left that open was refused.
+                    move.active.withdraw_stop(move.number)
                     if may_stop and (took_s < QUICK_COPY_S or is_late):
-                        return self._stop(move, target)
+                        if self._stop(move, target):
+                            return True
+                        time.sleep(RETRY_PAUSE_S)
                     if not may_stop:
                         time.sleep(COPY_INTERVAL_S)
                 case Err(MoveFailure(MoveRefusal.UNKNOWN_RUN | MoveRefusal.IN_PROGRESS)):
@@ -220,6 +224,7 @@
         return False
 
     def _stop(self, move: _Move, target: _Target) -> bool:
+        """Order the source to stop the run; return False if it may go on there."""
         active = move.active
         if not active.try_stop(move.number):
             return False
@@ -238,7 +243,14 @@
                 self._log_event(move, target, "stop refused", failure)
                 if failure.handle is not None and self._may_return(active):
                     self._record_copy(move, KvCopy(move.source, failure.handle, active.run))
-                active.end_stop(_stop_of(failure), MoveState.FAILED, move.number)
+                stop = _stop_of(failure)
+                if stop is RunStop.REFUSED and failure.refusal is not MoveRefusal.UNKNOWN_RUN:
+                    active.end_stop(stop, MoveState.COPYING, move.number)
+                    return False
+                if stop is RunStop.UNKNOWN and failure.refusal is MoveRefusal.NO_ROOM:
+                    active.end_stop(stop, MoveState.COPYING, move.number)
+                    return False
+                active.end_stop(stop, MoveState.FAILED, move.number)
         return True
 
     def _stop_lost_run(self, active: ActiveGeneration, copy: KvCopy | None) -> KvCopy | None:
--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -511,6 +511,14 @@
     )
 
 
+def assert_no_load_left(path, timeout_s=1.0):
+    """Wait for migrations that have yet to notice the end of their generation."""
+    until_s = time.monotonic() + timeout_s
+    while path.loads.in_flight() and time.monotonic() < until_s:
+        time.sleep(0.01)
+    assert path.loads.in_flight() == 0
+
+
 @dataclass(frozen=True)
 class FixedRouting:
     """Provide one routing table."""
--- a/gooseberryquay/serving/tests/test_generation_handler.py
+++ b/gooseberryquay/serving/tests/test_generation_handler.py
@@ -23,6 +23,7 @@
     Recorder,
     ScriptedCalls,
     ScriptedResponse,
+    assert_no_load_left,
     build_path,
     build_record,
     build_request,
@@ -52,7 +53,7 @@
     recorder = recorder or Recorder()
     route = build_route(RouteKind.STREAMING, **changes)
     end = path.generation_handler.serve(build_request(route, recorder))
-    assert path.loads.in_flight() == 0
+    assert_no_load_left(path)
     return end, recorder
 
 
