Don't take a stream for complete that ended as its engine exited

After such an end the entry opens a connection to an engine that leaves or is missing: if it is refused, the stream goes on from the copy made before, or breaks off if there is none. Not covered: an engine that exits without having said so, and one whose address another process has taken.

--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -27,6 +27,7 @@
 from gooseberryquay.serving.ports import (
     Continuation,
     IndeterminateOutcome,
+    ListeningState,
     NotExecuted,
     OpenResponse,
     SendOptions,
@@ -53,6 +54,8 @@
 MS_PER_S = 1000.0
 # The usual notice of engines.
 MOVE_WAIT_S = 2.0
+# Upstreams are near.
+LISTEN_TIMEOUT_S = 0.3
 # A few steps of an engine's batch.
 RETRY_AFTER_S = 0.5
 # More migrations than can occur during the longest generation.
@@ -314,6 +317,7 @@
         relay.good_run_events = GOOD_RUN_EVENTS
         relay.version = version
         relay.on_begun = functools.partial(self._record_begun, active.request, version)
+        relay.is_engine_up = functools.partial(self._is_engine_up, active)
         if progress.last_number is not None and active.run.is_moved:
             relay.on_resumed = functools.partial(self._report_resumed, active)
         end = relay.run()
@@ -333,6 +337,14 @@
         if request.route.is_resumable:
             self._versions.record(request.call.id, request.service, version, request.caller)
 
+    def _is_engine_up(self, active: ActiveGeneration) -> bool:
+        """Return whether an engine still listens, which matters only if it leaves."""
+        if not (active.known.is_leaving or active.known.is_missing):
+            return True
+        until_s = time.monotonic() + LISTEN_TIMEOUT_S
+        state = self._upstream_client.listening_state(active.known.record, until_s)
+        return state is not ListeningState.REFUSED
+
     def _report_stream_loss(
         self, active: ActiveGeneration, end: StreamEnd, event_count: int
     ) -> None:
--- a/gooseberryquay/serving/stream_relay.py
+++ b/gooseberryquay/serving/stream_relay.py
@@ -93,6 +93,8 @@
     # Software of the engine as it was when the request was sent.
     version: SoftwareVersion | None = None
     on_begun: Callable[[], None] = lambda: None
+    # Whether the engine still serves after it has closed the stream, as far as is known.
+    is_engine_up: Callable[[], bool] = lambda: True
     # How the end of the response was delimited, once it was read.
     body_end: BodyEnd | None = None
     _splitter: EventSplitter = field(default_factory=EventSplitter)
@@ -183,9 +185,13 @@
         if self._splitter.remainder():
             self.reason = "stream ended within an event"
             return StreamEnd.BROKEN
-        if body_end is BodyEnd.CLOSED and not self._has_ended_by_itself():
-            self.reason = "stream closed after an order to stop its run"
-            return StreamEnd.BROKEN
+        if body_end is BodyEnd.CLOSED:
+            if not self._has_ended_by_itself():
+                self.reason = "stream closed after an order to stop its run"
+                return StreamEnd.BROKEN
+            if not self.is_engine_up():
+                self.reason = "stream closed as its engine exited"
+                return StreamEnd.BROKEN
         self._start()
         self.active.request.response_writer.end_stream()
         return StreamEnd.COMPLETE
--- a/gooseberryquay/serving/tests/test_closed_stream.py
+++ b/gooseberryquay/serving/tests/test_closed_stream.py
@@ -8,7 +8,7 @@
 
 from gooseberryquay.links.upstream_connection import BodyEnd
 from gooseberryquay.serving.active_generation import MoveState, RunStop
-from gooseberryquay.serving.ports import MoveFailure, MoveRefusal
+from gooseberryquay.serving.ports import ListeningState, MoveFailure, MoveRefusal
 from gooseberryquay.serving.route import RouteKind
 from gooseberryquay.serving.tests.builders import (
     Recorder,
@@ -189,3 +189,14 @@
     is_over.set()
     assert_no_load_left(path)
     assert [each.name for each in path.upstream_client.freed] == ["late"]
+
+
+@pytest.mark.parametrize("kind", KINDS, ids=["once", "resumable"])
+def test_stream_closed_by_the_exit_of_its_engine_goes_on_from_the_copy_made_before(kind):
+    path = build_path(RECORDS, ScriptedCalls())
+    path.upstream_client.listening["engine-0"] = ListeningState.REFUSED
+    hook = _stop_before(path, 2, NOT_SENT, is_stopped=False)
+    path.upstream_client.responses = [_closed(1, 2, before_part=hook), _closed(3, 4)]
+    caller = _serve(path, kind)
+    assert (caller.body, caller.is_complete) == (events(1, 4), True)
+    assert path.upstream_client.opened[1][1].continuation.copy.name == "ahead"
