Judge streams that look complete by the events that their engine makes

A soak compared a stream with what its caller had asked for and called any difference MIXED, so that a short stream that looks complete, the users' ORDER, had no rule of its own.

Engines now record the last event that they make for a request, and callers the numbers of the events of a stream that holds nothing else. A stream that looks complete must hold each event from the first to the last, once each and in order, whether or not its run was stopped or broken off; otherwise it breaks the rule ORDER. Anything that is no event of the request stays MIXED.

--- a/gooseberryquay/standins/node_platform/call_result.py
+++ b/gooseberryquay/standins/node_platform/call_result.py
@@ -54,3 +54,5 @@
     has_begun: bool = False
     seal: str | None = None
     is_kept: bool = False
+    # Numbers of the events of a successful stream, if it holds nothing else.
+    events: tuple[int, ...] | None = None
--- a/gooseberryquay/standins/node_platform/run_record.py
+++ b/gooseberryquay/standins/node_platform/run_record.py
@@ -23,6 +23,10 @@
     broken_off: set[str] = field(default_factory=set)
     # Requests whose run an upstream stopped on the order of an entry.
     stopped: set[str] = field(default_factory=set)
+    # Requests of which a stream had neither chunks nor a length.
+    unframed: set[str] = field(default_factory=set)
+    # Last event that each request's engine was asked to make.
+    last_events: dict[str, int] = field(default_factory=dict)
     # Status codes of the sealed responses to each request.
     sealed_statuses: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))
     unexpected_requests: list[str] = field(default_factory=list)
@@ -50,6 +54,13 @@
         with self._lock:
             self.stopped.add(request)
 
+    def add_stream(self, request: str, last_event: int, *, is_unframed: bool) -> None:
+        """Record that a stream began, and the number of the last event that its engine makes."""
+        with self._lock:
+            self.last_events[request] = last_event
+            if is_unframed:
+                self.unframed.add(request)
+
     def add_sealed_status(self, request: str, status: int) -> None:
         """Record the status of a sealed response."""
         with self._lock:
@@ -100,6 +111,16 @@
         with self._lock:
             return request in self.broken_off
 
+    def was_stopped(self, request: str) -> bool:
+        """Return whether an upstream stopped a run of the request on the order of an entry."""
+        with self._lock:
+            return request in self.stopped
+
+    def last_event_of(self, request: str) -> int | None:
+        """Return the number of a request's last event, or None if no engine began its stream."""
+        with self._lock:
+            return self.last_events.get(request)
+
     def sealed_statuses_of(self, request: str) -> list[int]:
         """Return the status codes of the sealed responses to a request."""
         with self._lock:
--- a/gooseberryquay/standins/node_platform/soak_callers.py
+++ b/gooseberryquay/standins/node_platform/soak_callers.py
@@ -2,6 +2,7 @@
 
 import http.client
 import random
+import re
 import threading
 import time
 import uuid
@@ -54,9 +55,20 @@
         has_begun=exchange.status == http.client.OK,
         seal=exchange.headers.get("x-response-seal"),
         is_kept=exchange.is_kept,
+        events=_find_events(id, exchange) if kind.is_streaming else None,
     )
 
 
+def _find_events(id: str, exchange: Exchange) -> tuple[int, ...] | None:
+    """Return the numbers of a stream's events, or None if it holds anything else."""
+    if exchange.status != http.client.OK or exchange.end is not CallEnd.COMPLETE:
+        return None
+    event = rb"id: (\d+)\ndata: %b v1\n\n" % id.encode()
+    if re.fullmatch(rb"(?:%b)*" % event, exchange.body) is None:
+        return None
+    return tuple(int(each) for each in re.findall(event, exchange.body))
+
+
 def _find_response_fault(kind: CallKind, id: str, last: int, exchange: Exchange) -> str | None:
     if exchange.end is CallEnd.MALFORMED:
         return "the connection carried bytes that are no response to the request"
--- a/gooseberryquay/standins/node_platform/soak_judges.py
+++ b/gooseberryquay/standins/node_platform/soak_judges.py
@@ -26,6 +26,7 @@
     REFUSED = "REFUSED"
     TWICE = "TWICE"
     MIXED = "MIXED"
+    ORDER = "ORDER"
     UNASKED = "UNASKED"
     CONFIG = "CONFIG"
     DRAIN = "DRAIN"
@@ -79,8 +80,11 @@
     loss = _find_loss(result, record, history)
     if loss is not None:
         yield Rule.LOST, loss
+    disorder = _find_disorder(result, record)
     mix = _find_mix(result, record, history)
-    if mix is not None:
+    if disorder is not None:
+        yield Rule.ORDER, disorder
+    elif mix is not None:
         yield Rule.MIXED, mix
 
 
@@ -128,6 +132,19 @@
     )
 
 
+def _find_disorder(result: CallResult, record: RunRecord) -> str | None:
+    """Return how a stream that looks complete differs from the events that its engine makes."""
+    last = record.last_event_of(result.id)
+    if result.events is None or last is None:
+        return None
+    if result.events == tuple(range(1, last + 1)):
+        return None
+    is_short = result.events == tuple(range(1, len(result.events) + 1))
+    numbers = f"1 to {len(result.events)}" if is_short else ", ".join(map(str, result.events))
+    stopped = ", its run was stopped on an order" if record.was_stopped(result.id) else ""
+    return f"looks complete with the events {numbers} of 1 to {last}{stopped}"
+
+
 def _find_mix(result: CallResult, record: RunRecord, history: EntryHistory) -> str | None:
     if result.end is CallEnd.MALFORMED and history.is_link_disrupted(
         result.began_at_s, result.ended_at_s, result.port
--- a/gooseberryquay/standins/node_platform/tests/soak_builders.py
+++ b/gooseberryquay/standins/node_platform/tests/soak_builders.py
@@ -20,7 +20,7 @@
     return CallResult("request", kind, PORT, SENT_AT_S, SENT_AT_S + lasted_s, end=end, **fields)
 
 
-def record(receivers=(), runs=(), broke_off=False, sealed_statuses=()):
+def record(receivers=(), runs=(), broke_off=False, sealed_statuses=(), last_event=None):
     """Return the record of upstreams that received, ran and answered the request."""
     made = RunRecord()
     for each in receivers:
@@ -29,6 +29,8 @@
         made.add_run("request", each)
     for each in sealed_statuses:
         made.add_sealed_status("request", each)
+    if last_event is not None:
+        made.add_stream("request", last_event, is_unframed=True)
     if broke_off:
         made.add_broken_off("request")
     return made
--- a/gooseberryquay/standins/node_platform/tests/test_soak_judges.py
+++ b/gooseberryquay/standins/node_platform/tests/test_soak_judges.py
@@ -154,3 +154,27 @@
 
 def test_response_that_does_not_belong_to_the_request_is_mixed():
     assert broken_rules(call(fault="response of 3 bytes")) == ["MIXED"]
+
+
+@pytest.mark.parametrize("kind", STREAMS)
+@pytest.mark.parametrize("events", [(), (1,), (1, 2), (1, 3), (2, 3), (1, 2, 2, 3), (1, 3, 2)])
+def test_stream_that_looks_complete_without_each_event_once_in_order_breaks_the_order(kind, events):
+    assert broken_rules(call(kind, events=events), record(last_event=3)) == ["ORDER"]
+    assert broken_rules(call(kind, events=(1, 2, 3)), record(last_event=3)) == []
+
+
+@pytest.mark.parametrize("kind", STREAMS)
+def test_short_stream_breaks_the_order_though_its_run_was_stopped_or_broken_off(kind):
+    made = record(last_event=3, broke_off=True)
+    made.add_stopped("request")
+    assert broken_rules(call(kind, events=(1, 2)), made) == ["ORDER"]
+
+
+def test_stream_that_its_caller_saw_break_off_does_not_break_the_order():
+    made = record(last_event=3, broke_off=True)
+    assert broken_rules(call(CallKind.NOTE, has_begun=True, **CUT), made) == []
+
+
+def test_stream_that_holds_anything_but_events_of_its_request_stays_mixed():
+    mixed = call(CallKind.NOTE, fault="response of 3 bytes", events=None)
+    assert broken_rules(mixed, record(last_event=3)) == ["MIXED"]
--- a/gooseberryquay/standins/node_platform/upstream_server.py
+++ b/gooseberryquay/standins/node_platform/upstream_server.py
@@ -498,6 +498,7 @@
         ]
         cut_at = self._rng.randrange(1, last + 1) if self._occurs(self.faults.cut_share) else None
         self.record.add_sealed_status(received.id, http.client.OK)
+        self.record.add_stream(received.id, last, is_unframed=self.is_unframed)
         received.gateway.start("200 OK", headers)
         if self.is_unframed:
             received.gateway.req.response_protocol = "HTTP/1.0"
