--- a/gooseberryquay/daemons/tests/promise_builders.py
+++ b/gooseberryquay/daemons/tests/promise_builders.py
@@ -103,13 +103,14 @@
 
 
 class PromiseCallers:
-    """Post without end; after a promise, post the same request again at another entry.
+    """Send without end; after a promise, send the same request again at another entry.
 
     Each try has an id of its own, or all tries of a request have one.
     """
 
-    def __init__(self, ports, has_one_id):
+    def __init__(self, ports, has_one_id, path="/post/1"):
         self._ports = ports
+        self._path = path
         self._has_one_id = has_one_id
         self._stopped = threading.Event()
         # Id of each request and the statuses of its tries, in order.
@@ -136,7 +137,7 @@
             for each in range(TRIES_MAX):
                 name = f"c{caller}-{number}" if self._has_one_id else f"c{caller}-{number}-{each}"
                 port = rng.choice(self._ports)
-                status = send_request(port, "/post/1", b"x", X_Attempt_Id=name).status
+                status = send_request(port, self._path, b"x", X_Attempt_Id=name).status
                 self.statuses.setdefault(name, []).append(status)
                 if status not in PROMISES:
                     break
