--- a/gooseberryquay/daemons/tests/test_platform_move_promises.py
+++ b/gooseberryquay/daemons/tests/test_platform_move_promises.py
@@ -18,6 +18,13 @@
     read_while_engines_leave,
     summary_of,
 )
+from gooseberryquay.daemons.tests.peer_move_builders import (
+    PEER_PLANS,
+    SLOW_COPY_S,
+    PeerWay,
+    linked_entries,
+    read_through_a_peer,
+)
 from gooseberryquay.daemons.tests.platform_builders import running_entries
 
 REFUSALS = [
@@ -63,3 +70,19 @@
     print(summary_of(site, callers))
     assert len(site.record.stopped) > STOPPED_MIN
     assert broken_promises(site, callers) == ([], [])
+
+
+@pytest.mark.timeout(60)
+@pytest.mark.parametrize("way", list(PeerWay), ids=lambda each: each.name.lower())
+def test_stream_whose_last_move_fails_through_a_peer_is_neither_refused_nor_run_twice(
+    site, tmp_path, way
+):
+    site.is_unframed, site.copy_s = True, SLOW_COPY_S
+    site.start(engines=len(PEER_PLANS) // STREAMS_PER_ENGINE + 1, services=3)
+    callers = callers_of(site, PEER_PLANS)
+    with linked_entries(site, tmp_path, 2) as entries:
+        through_peer = read_through_a_peer(site, callers, entries[0], way)
+    print(f"{summary_of(site, callers)}, {through_peer} through a peer")
+    assert site.record.stopped
+    assert through_peer if way is PeerWay.CONTINUATION else site.continuations
+    assert broken_promises(site, callers) == ([], [])
--- a/gooseberryquay/standins/node_platform/entry_view.py
+++ b/gooseberryquay/standins/node_platform/entry_view.py
@@ -88,6 +88,10 @@
         for link in links:
             link.apply_fault(HealLink())
 
+    def port_of_link(self, port: int) -> int:
+        """Return the port at which this entry reaches what listens at a port of this machine."""
+        return self._link_to(Address("127.0.0.1", port)).port
+
     def connection_count(self) -> int:
         """Return how many connections to upstreams this entry has opened."""
         return sum(each.counts().connections for each in self._links.values())
