Log the reason of a refusal before its route, so that a cut line still tells it

The users' record of an incident ends each line after 200 characters. Its many refusals with a null route ended before their reason, so nothing told unknown routes, unknown keys, drains and entries without a configuration apart.

The fields are the same, in another order.

--- a/gooseberryquay/serving/request_handler.py
+++ b/gooseberryquay/serving/request_handler.py
@@ -209,12 +209,13 @@
         self._log.failure(
             "request refused",
             call.id,
+            # First, as readers may cut long lines.
+            reason=refusal.reason.code,
+            status=refusal.reason.status,
+            detail=refusal.message,
             route=request.route.name if request is not None else None,
             version=request.version if request is not None else None,
             fingerprint=request.fingerprint if request is not None else None,
-            reason=refusal.reason.code,
-            detail=refusal.message,
-            status=refusal.reason.status,
             retry_after_s=refusal.retry_after_s,
             took_ms=round(took_s * 1000.0),
         )
--- a/gooseberryquay/serving/tests/builders.py
+++ b/gooseberryquay/serving/tests/builders.py
@@ -521,13 +521,13 @@
         return self.table
 
 
-def build_request_handler(path, routing, drain_state=None):
+def build_request_handler(path, routing, drain_state=None, log=None):
     return RequestHandler(
         routing=FixedRouting(routing),
         drain_state=drain_state or DrainState(),
         call_handler=path.call_handler,
         generation_handler=path.generation_handler,
         counters=RequestCounters(),
-        log=DecisionLog(),
+        log=log or DecisionLog(),
         rng=FixedRandom(),
     )
--- a/gooseberryquay/serving/tests/test_request_handler.py
+++ b/gooseberryquay/serving/tests/test_request_handler.py
@@ -1,16 +1,20 @@
 """Which guarantees a final response gives, whichever way the handling of a request ended."""
 
 import contextlib
+import io
+import logging
 import threading
 import time
 
 import pytest
+from pythonjsonlogger.json import JsonFormatter
 from result import Err
 
 from gooseberryquay.ids import RequestId
 from gooseberryquay.links.caller_watch import NullCallerWatch
 from gooseberryquay.links.streaming_gateway import CallerDisconnected
 from gooseberryquay.serving.call import GenerationDemand
+from gooseberryquay.serving.decision_log import FIELDS, DecisionLog
 from gooseberryquay.serving.drain_state import DrainState
 from gooseberryquay.serving.refusal import RefusalReason
 from gooseberryquay.serving.route import RouteKind
@@ -196,3 +200,31 @@
         handler.serve(build_call(), NullCallerWatch(), recorder)
         assert recorder.status == status
         assert len(client.opened) == (status == 200)
+
+
+def test_refusals_without_a_route_are_told_apart_by_lines_that_are_cut():
+    text = io.StringIO()
+    writer = logging.StreamHandler(text)
+    writer.setFormatter(JsonFormatter(FIELDS, static_fields={"entry": "edge-gbg-norr-1"}))
+    logger = logging.Logger("refusals")
+    logger.addHandler(writer)
+    routing = build_routing(build_route(RouteKind.NON_IDEMPOTENT))
+    path = build_path([build_record("app-1", LEDGER)], ScriptedCalls([]), routing)
+    draining = DrainState()
+    draining.begin(0.1)
+    calm, id = DrainState(), RequestId("ee2fc6871545588d")
+    for table, drain_state, call in [
+        (None, calm, build_call(id=id)),
+        (routing, calm, build_call(id=id, host="other.example")),
+        (routing, calm, build_call(id=id, key="other")),
+        (routing, draining, build_call(id=id)),
+    ]:
+        handler = build_request_handler(path, table, drain_state, DecisionLog(logger))
+        handler.serve(call, NullCallerWatch(), Recorder())
+    cut = [line[:200] for line in text.getvalue().splitlines()]
+    assert [line.partition('"reason": "')[2].partition('"')[0] for line in cut] == [
+        "no_configuration",
+        "not_found",
+        "unknown_key",
+        "entry_leaving",
+    ]
