Reset the connection of a caller of HTTP/1.0 whose answer breaks off

A streamed answer to a caller of HTTP/1.0 has no chunks and ends with its connection.

Cause: `abort` shut down both directions, which sends a FIN. A missing last chunk shows the break to a caller of HTTP/1.1; without chunks the FIN is the end of the body. The kernel's close of an exiting process is the same.

Fix: as the head of an answer is sent that only the close will delimit, the socket is set to reset on close (SO_LINGER 1, 0). The regular end of the request sets it back before the orderly close, so any other end, also that of a killed process, is a reset. `abort` of such an answer shuts down the receiving side alone, which threads that watch the caller see as before, and the request's own thread closes the socket; no thread closes a descriptor that another one uses. Answers with a length or in chunks are served as before.

--- a/gooseberryquay/links/socket_files.py
+++ b/gooseberryquay/links/socket_files.py
@@ -3,13 +3,22 @@
 import contextlib
 import io
 import socket
+import struct
+from http import HTTPStatus
 from typing import Any
 
-from cheroot.server import HTTPConnection
+from cheroot.server import HTTPConnection, HTTPRequest
 
-__all__ = ["ServerConnection", "SocketReader", "SocketWriter"]
+__all__ = ["FramedRequest", "ServerConnection", "SocketReader", "SocketWriter"]
 
 DISCARD_BYTES = 64 * 1024
+BODILESS_STATUSES = {
+    HTTPStatus.NO_CONTENT,
+    HTTPStatus.RESET_CONTENT,
+    HTTPStatus.NOT_MODIFIED,
+}
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+ORDERLY_CLOSE = struct.pack("ii", 0, 0)
 
 # `ServerConnection` has an attribute of the module's name.
 _Socket = socket.socket
@@ -66,25 +75,58 @@
         return b"".join(corked)
 
 
+class FramedRequest(HTTPRequest):
+    """Represent a request whose response looks complete only if it is, also without framing."""
+
+    conn: Any
+
+    def respond(self) -> None:
+        """Respond; an exception leaves the response incomplete."""
+        super().respond()
+        self.conn.complete()
+
+    def send_headers(self) -> None:
+        """Send the status line and the headers."""
+        if self._is_delimited_by_close():
+            self.conn.reset_unless_completed()
+        super().send_headers()
+
+    def _is_delimited_by_close(self) -> bool:
+        """Return whether only the end of the connection will show where the body ends."""
+        status = int(self.status[:3])
+        if self.response_protocol == "HTTP/1.1" or self.method == b"HEAD":
+            return False
+        if status < HTTPStatus.OK or status in BODILESS_STATUSES:
+            return False
+        return all(name.lower() != b"content-length" for name, _ in self.outheaders)
+
+
 class ServerConnection(HTTPConnection):
     """Represent a server connection whose close does not lose the last response.
 
     The kernel resets a connection that is closed with unread bytes, and the caller then loses what
     it has not read yet. `linger_until_s` is set once only such bytes are awaited.
+
+    While a response that only the close delimits is incomplete, every close is a reset, also that
+    of a process that is killed.
     """
 
+    RequestHandlerClass = FramedRequest
+
     server: Any
     socket: _Socket
     rfile: SocketReader
     last_used: float
     linger_until_s: float | None = None
+    _is_reset_on_close = False
+    _is_aborted = False
 
     def __init__(self, server: Any, connection: _Socket, _make_file: Any = None) -> None:
         super().__init__(server, connection, self._make_file)
 
     def close(self) -> None:
         """End the stream to the caller, and close the socket once the caller has ended its own."""
-        if self.linger_until_s is not None:
+        if self.linger_until_s is not None or self._is_reset_on_close:
             self.release()
             return
         with contextlib.suppress(OSError):
@@ -92,6 +134,28 @@
         if self.has_ended() or not self.server.linger(self):
             self.release()
 
+    def reset_unless_completed(self) -> None:
+        """Let every close before `complete` reset the connection."""
+        self._is_reset_on_close = True
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+    def complete(self) -> None:
+        """Close in good order from now on, unless the response was aborted."""
+        if self._is_reset_on_close and not self._is_aborted:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ORDERLY_CLOSE)
+            self._is_reset_on_close = False
+
+    def abort(self) -> None:
+        """End the connection, so that an incomplete response cannot look complete.
+
+        The request's thread closes the socket, whose descriptor other threads may watch.
+        """
+        self._is_aborted = True
+        # The end of the sending side would look like the end of a body without framing.
+        how = socket.SHUT_RD if self._is_reset_on_close else socket.SHUT_RDWR
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(how)
+
     def has_ended(self) -> bool:
         """Discard bytes that have arrived; return whether the caller sends no more."""
         try:
--- a/gooseberryquay/links/streaming_gateway.py
+++ b/gooseberryquay/links/streaming_gateway.py
@@ -1,6 +1,5 @@
 """Cheroot gateway that bypasses WSGI and writes directly to the socket."""
 
-import contextlib
 import socket
 import threading
 from collections.abc import Callable, Iterator
@@ -131,12 +130,11 @@
                 close()
 
     def abort(self) -> None:
-        """Shut down the connection, so that a partial response cannot look complete."""
+        """End the connection, so that a partial response cannot look complete."""
         self.req.close_connection = True
         self.req.chunked_write = False
         self.req.sent_headers = True
-        with contextlib.suppress(OSError):
-            self.req.conn.socket.shutdown(socket.SHUT_RDWR)
+        self.req.conn.abort()
 
     @property
     def has_started(self) -> bool:
--- a/gooseberryquay/links/strict_request.py
+++ b/gooseberryquay/links/strict_request.py
@@ -4,10 +4,10 @@
 from collections.abc import Iterator
 from typing import Any
 
-from cheroot.server import ChunkedRFile, HeaderReader, HTTPRequest
+from cheroot.server import ChunkedRFile, HeaderReader
 
 from gooseberryquay.links.caller_watch import NullCallerWatch
-from gooseberryquay.links.socket_files import ServerConnection
+from gooseberryquay.links.socket_files import FramedRequest, ServerConnection
 from gooseberryquay.links.work_pace import SMALL_BYTES, SpareWork, WorkPace
 
 __all__ = ["BodyIncomplete", "StrictConnection", "read_whole_body"]
@@ -56,7 +56,7 @@
         return headers
 
 
-class StrictRequest(HTTPRequest):
+class StrictRequest(FramedRequest):
     """Parse a request and reject ambiguous ones, to prevent request smuggling."""
 
     header_reader = _StrictHeaderReader()
