Judge by answers whether an entry reaches its upstreams

Callers of entries whose links to all upstreams accept new connections and then stay silent or reset them got nothing for the whole cut: the reach probe counted a connection that opens, and a reset of a request that was sent raised no suspicion.

A probe now asks for a report with an instance id that no upstream has, which takes no slot and runs nothing; any byte is an answer. It waits 1.2 s (0.6 s while cut off), as a sound upstream may fall silent for a second. Open connections without an answer are a cut only if no answer arrived on other connections in the last 0.6 s, since upstreams with too many connections reset new ones. Probes that end far too late are ignored, as the entry itself stood still. Lost and reset requests raise the suspicion.

The stand-in's proxy gets the fault of resetting requests, and a cut entry the two manners.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -71,8 +71,6 @@
 
 # Callers allow one second to establish a connection.
 CONNECT_TIMEOUT_S = 0.6
-# Far above the time that an upstream needs to accept a connection.
-REACH_PROBE_TIMEOUT_S = 0.3
 # Shorter than the idle timeouts that upstreams announce.
 IDLE_TIMEOUT_S = 4.0
 STORE_CONNECT_TIMEOUT_S = 1.0
@@ -226,10 +224,10 @@
     def _log_server_error(self, message: str, error: BaseException | None) -> None:
         self._log.error("http server error", error, detail=message)
 
-    def _build_reach(self, pool: ConnectionPool, rng: random.Random) -> UpstreamReach:
+    def _build_reach(self, client: HttpUpstreamClient, rng: random.Random) -> UpstreamReach:
         return UpstreamReach(
             upstreams=self._registry.listed_records,
-            probe=lambda upstream: pool.can_connect(upstream.address, REACH_PROBE_TIMEOUT_S),
+            probe=client.probe,
             log=self._log,
             rng=rng,
             on_change=self._counters.record_cut_off,
@@ -237,9 +235,9 @@
 
     def _build_request_handler(self, placement: Placement, rng: random.Random) -> RequestHandler:
         pool = ConnectionPool(CONNECT_TIMEOUT_S, IDLE_TIMEOUT_S, self._spare_work)
-        self._reach = self._build_reach(pool, rng)
-        relay_peers = RelayPeers(self._membership, self._settings.zone, self._log, rng)
         direct_client = HttpUpstreamClient(pool)
+        self._reach = self._build_reach(direct_client, rng)
+        relay_peers = RelayPeers(self._membership, self._settings.zone, self._log, rng)
         upstream_client = ReachingClient(direct_client, self._reach, relay_peers)
         bounds = self._settings.bounds
         allowance = SharedAllowance(
--- a/gooseberryquay/links/connection_pool.py
+++ b/gooseberryquay/links/connection_pool.py
@@ -50,13 +50,6 @@
         """Return the pace of one connection, which shares its spare work with all others."""
         return WorkPace(self._spare)
 
-    def can_connect(self, address: Address, timeout_s: float) -> bool:
-        """Return whether a new connection opens in time, and close it."""
-        connection = self.create(address)
-        failure = connection.connect(timeout_s)
-        connection.close()
-        return failure is None
-
     def release(self, connection: UpstreamConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
         if not connection.is_reusable:
--- a/gooseberryquay/platform/http_upstream_client.py
+++ b/gooseberryquay/platform/http_upstream_client.py
@@ -11,7 +11,7 @@
 
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.ids import RequestId, UpstreamId
-from gooseberryquay.links.caller_watch import CallerWatch
+from gooseberryquay.links.caller_watch import CallerWatch, NullCallerWatch
 from gooseberryquay.links.connection_pool import ConnectionPool
 from gooseberryquay.links.exchange import BufferedReply, BufferedRequest, exchange
 from gooseberryquay.links.relayed_connection import RelayedConnection
@@ -41,6 +41,7 @@
     MoveRefusal,
     NotExecuted,
     PeerUnavailable,
+    ProbeOutcome,
     SendOptions,
 )
 from gooseberryquay.serving.upstream_record import UpstreamRecord, UpstreamState
@@ -61,6 +62,10 @@
 COUNT_MAX = 1_000_000
 # Peers are near; one that does not accept within this time is left.
 PEER_CONNECT_TIMEOUT_S = 0.3
+# Far above the time that an upstream needs to accept a connection.
+PROBE_CONNECT_TIMEOUT_S = 0.3
+# No upstream has this id, so that each one answers at once and runs nothing.
+NO_INSTANCE = "-"
 # Several times a report on all runs of a large engine.
 REPORT_BYTES_MAX = 256 * 1024
 
@@ -244,6 +249,24 @@
             case TransportTimeout():
                 return ListeningState.SILENT
 
+    def probe(self, upstream: UpstreamRecord, answer_timeout_s: float) -> ProbeOutcome:
+        """Ask an upstream on a new connection for any answer, without a slot or a run."""
+        connection = self._pool.create(upstream.address)
+        try:
+            if connection.connect(PROBE_CONNECT_TIMEOUT_S) is not None:
+                return ProbeOutcome.UNOPENED
+            until_s = time.monotonic() + answer_timeout_s
+            headers = [("host", str(upstream.address)), (names.EXPECT_INSTANCE, NO_INSTANCE)]
+            if connection.send("GET", names.REPORT_PATH, headers, b"", until_s) is not None:
+                return ProbeOutcome.UNANSWERED
+            match connection.receive_raw(NullCallerWatch(), until_s):
+                case Ok(received) if received:
+                    return ProbeOutcome.ANSWERED
+                case _:
+                    return ProbeOutcome.UNANSWERED
+        finally:
+            connection.close()
+
     def free_copy(self, holder: Address, handle: CopyHandle) -> None:
         """Release a KV cache copy that is not used."""
         request = BufferedRequest(
--- a/gooseberryquay/platform/tests/relay_builders.py
+++ b/gooseberryquay/platform/tests/relay_builders.py
@@ -18,7 +18,7 @@
 from gooseberryquay.serving.call import Call
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.drain_state import DrainState
-from gooseberryquay.serving.ports import SendOptions
+from gooseberryquay.serving.ports import ProbeOutcome, SendOptions
 from gooseberryquay.serving.reaching_client import ReachingClient
 from gooseberryquay.serving.relay_peers import RelayPeers
 from gooseberryquay.serving.request_counters import RequestCounters
@@ -86,7 +86,7 @@
         self.registry = build_registry([build_record(UPSTREAM, address=self.upstream)])
         self.reach = UpstreamReach(
             upstreams=lambda: [build_record("a"), build_record("b")],
-            probe=lambda _upstream: self.is_reached,
+            probe=self._probe,
             log=log,
             rng=rng,
         )
@@ -112,6 +112,9 @@
         self.server.start()
         self.address = Address("127.0.0.1", self.server.port)
 
+    def _probe(self, _upstream, _timeout_s):
+        return ProbeOutcome.ANSWERED if self.is_reached else ProbeOutcome.UNOPENED
+
     def cut_off(self):
         """Let this peer find that it is cut off, too."""
         self.is_reached = False
@@ -155,7 +158,7 @@
     log, rng = DecisionLog(), random.Random(1)
     reach = UpstreamReach(
         upstreams=lambda: [build_record("a"), build_record("b")],
-        probe=lambda _upstream: False,
+        probe=lambda _upstream, _timeout_s: ProbeOutcome.UNOPENED,
         log=log,
         rng=rng,
     )
--- a/gooseberryquay/platform/tests/test_relayed_requests.py
+++ b/gooseberryquay/platform/tests/test_relayed_requests.py
@@ -9,6 +9,7 @@
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.links.caller_watch import NullCallerWatch
 from gooseberryquay.links.connection_pool import ConnectionPool
+from gooseberryquay.links.tests.scripted_server import ScriptedServer
 from gooseberryquay.links.upstream_connection import BodyEnd, BodyPart
 from gooseberryquay.platform.http_upstream_client import HttpUpstreamClient
 from gooseberryquay.platform.tests.relay_builders import (
@@ -20,7 +21,8 @@
     open_call,
     reset,
 )
-from gooseberryquay.serving.ports import IndeterminateOutcome, NotExecuted
+from gooseberryquay.serving.ports import IndeterminateOutcome, NotExecuted, ProbeOutcome
+from gooseberryquay.serving.tests.builders import build_record
 from gooseberryquay.standins.fault_proxy import FaultProxy
 from gooseberryquay.standins.proxy_messages import CutConnections
 
@@ -220,6 +222,36 @@
     assert len(upstream.requests) == 1
 
 
+@pytest.mark.parametrize(
+    ("script", "outcome"),
+    [
+        (_send(b"HTTP/1.1 421 M"), ProbeOutcome.ANSWERED),
+        (reset, ProbeOutcome.UNANSWERED),
+        (_send(), ProbeOutcome.UNANSWERED),
+        (lambda _connection: time.sleep(TIMEOUT_S), ProbeOutcome.UNANSWERED),
+    ],
+    ids=["answered", "reset", "closed", "silent"],
+)
+def test_link_that_accepts_a_probe_without_an_answer_is_no_reach(script, outcome):
+    requests = []
+
+    def serve(connection, _number):
+        requests.append(connection.recv(65536))
+        script(connection)
+        connection.close()
+
+    server = ScriptedServer(serve)
+    client = HttpUpstreamClient(ConnectionPool(0.5, 4.0))
+    record = build_record(UPSTREAM, address=server.address)
+    assert client.probe(record, 0.3) is outcome
+    server.stop()
+    # An upstream answers this with 421 or its report, and runs nothing.
+    assert requests[0].startswith(b"GET /api/report HTTP/1.1\r\n")
+    assert b"\r\nx-expect-instance: -\r\n" in requests[0].lower()
+    assert b"x-attempt-id" not in requests[0].lower()
+    assert client.probe(record, 0.3) is ProbeOutcome.UNOPENED
+
+
 @pytest.mark.parametrize("text", ["", "x", "-1", "1e3", "\u0661"])
 def test_request_to_carry_without_a_valid_time_limit_is_rejected(scripted, text):
     peer = CarryingPeer("p", scripted(_send(FRAMED)).address)
--- a/gooseberryquay/serving/ports.py
+++ b/gooseberryquay/serving/ports.py
@@ -179,6 +179,14 @@
     SILENT = "silent"
 
 
+class ProbeOutcome(Enum):
+    """Enumerate what a probe on a new connection got from an upstream."""
+
+    UNOPENED = "no connection opened"
+    UNANSWERED = "no byte on an open connection"
+    ANSWERED = "an answer"
+
+
 class UpstreamClient(Protocol):
     """Send requests and control calls to upstreams."""
 
--- a/gooseberryquay/serving/reaching_client.py
+++ b/gooseberryquay/serving/reaching_client.py
@@ -89,7 +89,9 @@
                 if self._reach.is_cut_off:
                     # An entry that reaches no upstream cannot tell whether one is gone.
                     return Err(replace(failure, is_upstream_gone=False))
-            case Err(_):
+            case Err(IndeterminateOutcome()):
+                self._reach.record_failure(upstream.id)
+            case Err(CallerLeft()):
                 pass
         return opened
 
--- a/gooseberryquay/serving/tests/test_upstream_reach.py
+++ b/gooseberryquay/serving/tests/test_upstream_reach.py
@@ -9,10 +9,13 @@
 from gooseberryquay.ids import EntryId, Incarnation, ZoneId
 from gooseberryquay.machines.peer import Peer
 from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.ports import ProbeOutcome
 from gooseberryquay.serving.relay_peers import AVOID_S, RelayPeers
 from gooseberryquay.serving.tests.builders import FakeClock, build_record
-from gooseberryquay.serving.upstream_reach import SILENCE_S, TRUST_S, UpstreamReach
+from gooseberryquay.serving.upstream_reach import LATE_S, SILENCE_S, TRUST_S, UpstreamReach
 
+# "A sound engine may fall silent for a second or so and go on."
+USUAL_SILENCE_S = 1.0
 ENGINES = ("i-1", "i-2", "i-3")
 SERVICES = ("app-1", "app-2")
 
@@ -23,6 +26,10 @@
     def __init__(self):
         self.clock = FakeClock(100.0)
         self.reached = {*ENGINES, *SERVICES}
+        # What the others do: with a delay, upstreams that are silent answer after it.
+        self.unreached = ProbeOutcome.UNOPENED
+        self.answer_delay_s = float("inf")
+        self.probe_lasts_s = 0.0
         self.probed = []
         self.changes = []
         self.records = [build_record(each) for each in ENGINES]
@@ -36,9 +43,12 @@
             clock=self.clock,
         )
 
-    def _probe(self, upstream):
+    def _probe(self, upstream, answer_timeout_s):
         self.probed.append(upstream.id)
-        return upstream.id in self.reached
+        self.clock.now_s += self.probe_lasts_s
+        if upstream.id in self.reached or self.answer_delay_s <= answer_timeout_s:
+            return ProbeOutcome.ANSWERED
+        return self.unreached
 
     def pass_time(self, duration_s):
         self.clock.now_s += duration_s
@@ -134,6 +144,70 @@
     assert fleet.reach.may_use_idle_connections()
 
 
+def _cut_behind_open_links(fleet):
+    fleet.reached.clear()
+    fleet.unreached = ProbeOutcome.UNANSWERED
+    with fleet.reach.waiting():
+        fleet.pass_time(SILENCE_S + 0.1)
+
+
+def test_connections_that_open_without_an_answer_are_no_reach(fleet):
+    _cut_behind_open_links(fleet)
+    assert fleet.reach.is_cut_off
+    fleet.pass_time(10.0)
+    assert fleet.reach.is_cut_off
+    fleet.reached.add("app-1")
+    fleet.pass_time(0.3)
+    assert fleet.changes == [True, False]
+
+
+def test_upstreams_that_reset_all_requests_are_a_cut(fleet):
+    fleet.reached.clear()
+    fleet.unreached = ProbeOutcome.UNANSWERED
+    fleet.reach.record_failure("i-1")
+    fleet.reach.record_failure("app-1")
+    fleet.reach.check()
+    assert fleet.reach.is_cut_off
+
+
+def test_upstreams_that_reset_new_connections_and_answer_on_others_are_no_cut(fleet):
+    """Upstreams with all connections in use look like this."""
+    fleet.reached.clear()
+    fleet.unreached = ProbeOutcome.UNANSWERED
+    for _ in range(20):
+        fleet.reach.record_failure("i-1")
+        fleet.reach.record_failure("app-1")
+        fleet.reach.record_answer()
+        fleet.pass_time(SILENCE_S / 2)
+    assert fleet.probed
+    assert not fleet.changes
+
+
+def test_upstreams_that_are_all_silent_for_a_second_are_no_cut(fleet):
+    fleet.answer_delay_s = USUAL_SILENCE_S
+    _cut_behind_open_links(fleet)
+    assert fleet.probed
+    assert not fleet.changes
+
+
+def test_entry_that_stood_still_during_its_probes_is_not_cut_off(fleet):
+    fleet.probe_lasts_s = LATE_S + USUAL_SILENCE_S
+    _cut_behind_open_links(fleet)
+    assert fleet.probed
+    assert not fleet.changes
+
+
+@pytest.mark.parametrize("unreached", [ProbeOutcome.UNOPENED, ProbeOutcome.UNANSWERED])
+def test_services_that_are_down_next_to_one_that_answers_are_no_cut(fleet, unreached):
+    fleet.reached = {"app-2"}
+    fleet.records = [each for each in fleet.records if each.id != "app-1"]
+    fleet.unreached = unreached
+    with fleet.reach.waiting():
+        fleet.pass_time(SILENCE_S + 0.1)
+    assert fleet.probed
+    assert not fleet.changes
+
+
 def test_cut_of_a_site_with_one_upstream_is_not_guessed(fleet):
     fleet.records = fleet.records[:1]
     fleet.reached.clear()
--- a/gooseberryquay/serving/upstream_reach.py
+++ b/gooseberryquay/serving/upstream_reach.py
@@ -1,5 +1,6 @@
 """Judgement whether this entry, rather than its upstreams, is cut off."""
 
+import queue
 import random
 import threading
 import time
@@ -8,6 +9,7 @@
 
 from gooseberryquay.ids import UpstreamId
 from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.ports import ProbeOutcome
 from gooseberryquay.serving.upstream_record import UpstreamRecord
 
 __all__ = ["UpstreamReach"]
@@ -22,15 +24,23 @@
 PROBES = 3
 # A probe that succeeded is not repeated for this long, whatever looks suspicious.
 TRUST_S = 1.0
+# A sound upstream may fall silent for a second.
+ANSWER_TIMEOUT_S = 1.2
+# The end of a cut shows in the next probe, which waits for one that was lost.
+ANSWER_TIMEOUT_IN_CUT_S = 0.6
+# Probes that end this much later than they may show that this process stood still.
+LATE_S = 1.0
 
-Probe = Callable[[UpstreamRecord], bool]
+# Waits for an answer for the given seconds once the connection is open.
+Probe = Callable[[UpstreamRecord, float], ProbeOutcome]
 
 
 class UpstreamReach:
     """Track whether any upstream is reached directly; thread-safe.
 
     Failures of several upstreams, or silence while requests wait, raise the suspicion; only probes
-    that fail at all of a few upstreams confirm it, and the first one that succeeds ends it.
+    that fail at all of a few upstreams confirm it, and the first one that is answered ends it. A
+    connection that opens is no evidence of reach, as something in between may have accepted it.
     """
 
     def __init__(
@@ -80,7 +90,7 @@
         self._answered_at_s = self._clock()
 
     def record_failure(self, upstream: UpstreamId) -> None:
-        """Record that no direct connection to an upstream could be opened."""
+        """Record that a request got no answer on a direct connection, open or not."""
         with self._lock:
             self._failed_at_s[upstream] = self._clock()
 
@@ -103,8 +113,13 @@
         upstreams = self._sample()
         if len(upstreams) < FAILED_MIN:
             return
-        is_reached = self._reaches_any(upstreams)
+        answer_timeout_s = ANSWER_TIMEOUT_IN_CUT_S if self._is_cut_off else ANSWER_TIMEOUT_S
+        began_at_s = self._clock()
+        outcomes = self._probe_all(upstreams, answer_timeout_s)
         now_s = self._clock()
+        is_reached = self._is_reached(outcomes, now_s)
+        if not is_reached and now_s - began_at_s > answer_timeout_s + LATE_S:
+            return
         if is_reached:
             self._trusted_until_s = now_s + TRUST_S
             with self._lock:
@@ -112,7 +127,12 @@
         if is_reached == self._is_cut_off:
             self._is_cut_off = not is_reached
             self._cut_off_at_s = now_s
-            self._log.dependency("upstreams", "direct connections", is_lost=self._is_cut_off)
+            self._log.dependency(
+                "upstreams",
+                "direct connections",
+                is_lost=self._is_cut_off,
+                probes=sorted(each.value for each in outcomes),
+            )
             self._on_change(self._is_cut_off)
 
     def _run(self) -> None:
@@ -145,19 +165,27 @@
             chosen += [group.pop() for group in groups if group]
         return chosen[: max(PROBES, len(groups))]
 
-    def _reaches_any(self, upstreams: Sequence[UpstreamRecord]) -> bool:
-        reached = threading.Event()
-        ended = threading.Semaphore(0)
+    def _is_reached(self, outcomes: set[ProbeOutcome], now_s: float) -> bool:
+        if ProbeOutcome.ANSWERED in outcomes:
+            return True
+        # Upstreams with too many connections reset new ones, and answer on the others.
+        is_answering = now_s - self._answered_at_s <= SILENCE_S
+        return ProbeOutcome.UNANSWERED in outcomes and is_answering
+
+    def _probe_all(
+        self, upstreams: Sequence[UpstreamRecord], answer_timeout_s: float
+    ) -> set[ProbeOutcome]:
+        """Probe upstreams at the same time until the first one answers; return what they did."""
+        ended: queue.SimpleQueue[ProbeOutcome] = queue.SimpleQueue()
 
         def probe(upstream: UpstreamRecord) -> None:
-            if self._probe(upstream):
-                reached.set()
-            ended.release()
+            ended.put(self._probe(upstream, answer_timeout_s))
 
         for each in upstreams:
             threading.Thread(target=probe, args=(each,), name="reach probe", daemon=True).start()
+        outcomes: set[ProbeOutcome] = set()
         for _ in upstreams:
-            ended.acquire()
-            if reached.is_set():
-                return True
-        return reached.is_set()
+            outcomes.add(ended.get())
+            if ProbeOutcome.ANSWERED in outcomes:
+                break
+        return outcomes
--- a/gooseberryquay/standins/fault_proxy.py
+++ b/gooseberryquay/standins/fault_proxy.py
@@ -21,6 +21,7 @@
     ProxyFault,
     RefuseConnections,
     ResetConnections,
+    ResetRequests,
     SilenceConnections,
     StallBytes,
     parse_proxy_fault,
@@ -117,6 +118,8 @@
                 self._hang()
             case LoseAnswers():
                 self._state.drops_responses = True
+            case ResetRequests():
+                self._state.resets_requests = True
             case HealLink():
                 self._heal()
 
--- a/gooseberryquay/standins/node_platform/cut_faults.py
+++ b/gooseberryquay/standins/node_platform/cut_faults.py
@@ -21,6 +21,8 @@
 # An entry drains and starts anew within this time of a stop.
 DOWN_S = GRACE_S + 2.0
 CUT_RANGE_S = (1.0, 7.0)
+# Manners in which no new connection opens.
+MANNERS = (CutManner.HANG, CutManner.RESET, CutManner.REFUSE_NEW)
 SERVED_SHARE_MIN = 2.0 / 3.0
 FAILED_MAX, FAILED_SHARE_MAX = 10, 1.0 / 50.0
 
@@ -52,7 +54,7 @@
         if any(each.until_s >= now_s for each in self.cuts):
             return None
         chosen = self.rng.sample(self.entries, self.rng.randint(1, len(self.entries) - 1))
-        manner = self.rng.choice(list(CutManner))
+        manner = self.rng.choice(MANNERS)
         lasts_s = self.rng.uniform(*CUT_RANGE_S)
         if manner is not CutManner.REFUSE_NEW:
             for upstream in self.site.upstreams():
--- a/gooseberryquay/standins/node_platform/entry_view.py
+++ b/gooseberryquay/standins/node_platform/entry_view.py
@@ -15,6 +15,7 @@
     ProxyFault,
     RefuseConnections,
     ResetConnections,
+    ResetRequests,
     StallBytes,
 )
 
@@ -32,6 +33,10 @@
     RESET = "reset"
     # Open connections live on, and new ones are refused.
     REFUSE_NEW = "refuse new"
+    # New connections are accepted, and none carries bytes.
+    ACCEPT_SILENT = "accept, stay silent"
+    # New connections are accepted, and each one is reset at the bytes of a request.
+    ACCEPT_RESET = "accept, reset"
 
     @property
     def faults(self) -> tuple[ProxyFault, ...]:
@@ -43,6 +48,10 @@
                 return RefuseConnections(), ResetConnections()
             case CutManner.REFUSE_NEW:
                 return (RefuseConnections(),)
+            case CutManner.ACCEPT_SILENT:
+                return (StallBytes(),)
+            case CutManner.ACCEPT_RESET:
+                return (ResetRequests(),)
 
 
 class EntryView:
--- a/gooseberryquay/standins/proxied_connection.py
+++ b/gooseberryquay/standins/proxied_connection.py
@@ -27,6 +27,7 @@
             Direction.TO_CALLER: threading.Event(),
         }
         self.drops_responses = False
+        self.resets_requests = False
         self.heal()
 
     def delay(self, direction: Direction, delay_s: float) -> None:
@@ -42,8 +43,9 @@
                 flowing.clear()
 
     def heal(self) -> None:
-        """Remove delays, stalls and the loss of responses."""
+        """Remove delays, stalls, resets of requests and the loss of responses."""
         self.drops_responses = False
+        self.resets_requests = False
         for direction, event in self.flowing.items():
             self.delay_s[direction] = 0.0
             event.set()
@@ -143,6 +145,9 @@
         if direction is Direction.TO_CALLER and self._state.drops_responses:
             self.end(is_reset=False)
             return
+        if direction is Direction.TO_TARGET and self._state.resets_requests:
+            self.end(is_reset=True)
+            return
         sink.sendall(buffer)
         self._on_forwarded(direction, buffer)
 
--- a/gooseberryquay/standins/proxy_messages.py
+++ b/gooseberryquay/standins/proxy_messages.py
@@ -16,6 +16,7 @@
     "ProxyFault",
     "RefuseConnections",
     "ResetConnections",
+    "ResetRequests",
     "SilenceConnections",
     "StallBytes",
     "parse_proxy_fault",
@@ -86,8 +87,14 @@
     kind: Literal["lose_answers"] = "lose_answers"
 
 
+class ResetRequests(BaseModel):
+    """Accept connections but reset each one at its next bytes of a request, until healed."""
+
+    kind: Literal["reset_requests"] = "reset_requests"
+
+
 class HealLink(BaseModel):
-    """Remove delays, stalls, refusals and lost responses."""
+    """Remove delays, stalls, refusals, resets of requests and lost responses."""
 
     kind: Literal["heal"] = "heal"
 
@@ -110,6 +117,7 @@
     | RefuseConnections
     | HangConnections
     | LoseAnswers
+    | ResetRequests
     | HealLink,
     Field(discriminator="kind"),
 ]
--- a/gooseberryquay/standins/tests/test_fault_proxy.py
+++ b/gooseberryquay/standins/tests/test_fault_proxy.py
@@ -17,6 +17,7 @@
     LoseAnswers,
     RefuseConnections,
     ResetConnections,
+    ResetRequests,
     SilenceConnections,
     StallBytes,
 )
@@ -167,6 +168,18 @@
     assert echo.received.endswith(b"ran")
 
 
+def test_request_is_reset_unread_on_a_connection_that_was_accepted(proxy, echo):
+    proxy.apply_fault(ResetRequests())
+    with (
+        socket.create_connection(("127.0.0.1", proxy.port)) as connection,
+        pytest.raises(ConnectionResetError),
+    ):
+        _exchange(connection, b"lost")
+    assert not echo.received.endswith(b"lost")
+    proxy.apply_fault(HealLink())
+    assert _exchange(_connect(proxy), b"kept") == b"kept"
+
+
 def test_closed_connections_are_forgotten(proxy):
     _connect(proxy).close()
     wait_until(lambda: proxy.counts().open_connections == 0)
