Let a peer learn of its own cut from the requests that it carries

A peer without requests of its own that was cut off, too, took requests of other cut entries and lost them one after the other: only requests of its own callers told it of failures and silence.

What it carries now counts as well: the wait for the first bytes, failures and answers. The test failed before (the peer did not notice within 2 s) and passes.

--- a/gooseberryquay/platform/tests/test_relayed_requests.py
+++ b/gooseberryquay/platform/tests/test_relayed_requests.py
@@ -189,6 +189,20 @@
     assert len(upstream.requests) == 3
 
 
+def test_idle_peer_learns_of_its_own_cut_from_what_it_carries(scripted):
+    """Requests were lost one after the other through a peer without requests of its own."""
+    upstream = scripted(lambda _connection: time.sleep(TIMEOUT_S))
+    peer = CarryingPeer("p", upstream.address)
+    peer.is_reached = False
+    client = build_cut_off_client([peer])
+    threading.Thread(target=open_call, args=(client, upstream.address), daemon=True).start()
+    until_s = time.monotonic() + 2.0
+    while not peer.reach.is_cut_off and time.monotonic() < until_s:
+        peer.reach.check()
+        time.sleep(0.1)
+    assert peer.reach.is_cut_off
+
+
 def test_request_is_carried_by_one_hop_at_most(scripted):
     upstream = scripted(_send(FRAMED))
     peers = [CarryingPeer(f"p-{number}", upstream.address) for number in range(3)]
--- a/gooseberryquay/serving/upstream_relay.py
+++ b/gooseberryquay/serving/upstream_relay.py
@@ -3,7 +3,7 @@
 import threading
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, nullcontext
 from typing import Protocol
 
 from result import Err, Ok, Result
@@ -12,8 +12,12 @@
 from gooseberryquay.links.http_server import Request, Response, Router
 from gooseberryquay.links.relayed_connection import RELAY_PATH, TIME_LEFT_HEADER, RelayAnswer
 from gooseberryquay.links.streaming_gateway import BodyWriter, CallerDisconnected
-from gooseberryquay.links.transport_failure import ConnectionBroken, TransportFailure
-from gooseberryquay.links.upstream_connection import UpstreamConnection
+from gooseberryquay.links.transport_failure import (
+    ConnectionBroken,
+    TransportFailure,
+    TransportTimeout,
+)
+from gooseberryquay.links.upstream_connection import CallerLeft, UpstreamConnection
 from gooseberryquay.serving.drain_state import DrainState
 from gooseberryquay.serving.ports import OpenResponse
 from gooseberryquay.serving.request_counters import RequestCounters
@@ -106,7 +110,10 @@
                 self._carried -= 1
 
     def _send(self, request: Request, known: KnownUpstream, until_s: float) -> Response:
-        match self._links.open_raw(known.record, request.body, until_s):
+        opened = self._links.open_raw(known.record, request.body, until_s)
+        if isinstance(opened, Err):
+            self._reach.record_failure(known.record.id)
+        match opened:
             case Err(failure) if failure.was_sent:
                 request.abort()
                 return Response.sent()
@@ -132,7 +139,7 @@
         writer: BodyWriter | None = None
         head = b""
         while True:
-            match connection.receive_raw(request.caller, until_s):
+            match self._receive(request, known, connection, until_s, is_first=writer is None):
                 case Err(_):
                     return False
                 case Ok(received):
@@ -147,6 +154,24 @@
                 self._note_head(known, head, connection)
             writer.write(received)
 
+    def _receive(
+        self,
+        request: Request,
+        known: KnownUpstream,
+        connection: UpstreamConnection,
+        until_s: float,
+        is_first: bool,
+    ) -> Result[bytes, TransportFailure | CallerLeft]:
+        """Wait for the next bytes of an upstream, and record what that tells of its reach."""
+        with self._reach.waiting() if is_first else nullcontext():
+            received = connection.receive_raw(request.caller, until_s)
+        match received:
+            case Ok(content) if content:
+                self._reach.record_answer()
+            case Ok(_) | Err(ConnectionBroken() | TransportTimeout()) if is_first:
+                self._reach.record_failure(known.record.id)
+        return received
+
     def _note_head(self, known: KnownUpstream, head: bytes, connection: UpstreamConnection) -> None:
         if HEAD_END not in head:
             return
