Show that engines in trouble as processes bring neither a promise after a run nor a second run

Engines with generations as processes of their own, killed and started again, or frozen while they leave, beside entries that restart in turn; callers try again at other entries after a promise.

--- /dev/null
+++ b/gooseberryquay/daemons/tests/engine_process_builders.py
@@ -0,0 +1,87 @@
+"""Engines as processes of their own, and the troubles that come over them."""
+
+import signal
+import time
+from enum import Enum
+
+from gooseberryquay.daemons.tests.promise_builders import Services
+from gooseberryquay.standins.node_platform.engine_process import EngineOptions, EngineProcess
+
+EVENT_S = 0.06
+# Callers get promises, and try again after them.
+SHED_SHARE = 0.5
+# Long enough for a migration.
+LEAVE_S = 1.2
+
+
+class EngineTrouble(Enum):
+    """Enumerate what happens to engines, one after the other."""
+
+    FROZEN = "frozen"
+    KILLED = "killed"
+    REPLACED_AT_ITS_ADDRESS = "replaced at its address"
+    LEAVES = "leaves, then replaced at its address"
+    LEAVES_FROZEN = "leaves, frozen meanwhile"
+    LEAVES_BESIDE_FROZEN = "leaves, beside one that is frozen"
+
+
+class Engines(Services):
+    """Run engines as processes and list them in the store of a site."""
+
+    def add(self, port):
+        """Start an engine at a port and list it."""
+        self._count += 1
+        name = f"e-{self._count}"
+        path = str(self._folder / f"{name}.runs")
+        is_unframed = self._count % 2 == 0
+        process = EngineProcess(EngineOptions(name, port, path, EVENT_S, is_unframed, SHED_SHARE))
+        process.start()
+        self.processes.append(process)
+        self._list(process, "ready")
+
+    def _list(self, process, state):
+        record = {
+            "service": "model",
+            "address": f"127.0.0.1:{process.options.port}",
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_left_ms": 0,
+            "born": int(time.time() * 1000.0),
+        }
+        self._site.store.put("servers", process.options.id, record)
+
+    def disturb(self, trouble, rng):
+        """Let one thing happen to one engine."""
+        process, other = rng.sample(self.processes, 2)
+        match trouble:
+            case EngineTrouble.FROZEN:
+                _freeze(process, rng)
+            case EngineTrouble.KILLED:
+                process.kill()
+                time.sleep(rng.uniform(0.0, 0.5))
+                process.start()
+                self._list(process, "ready")
+            case EngineTrouble.REPLACED_AT_ITS_ADDRESS:
+                self.replace(process)
+            case EngineTrouble.LEAVES:
+                self._leave(process, lambda: None)
+            case EngineTrouble.LEAVES_FROZEN:
+                self._leave(process, lambda: _freeze(process, rng))
+            case EngineTrouble.LEAVES_BESIDE_FROZEN:
+                self._leave(process, lambda: _freeze(other, rng))
+        time.sleep(rng.uniform(0.1, 0.4))
+
+    def _leave(self, process, meanwhile):
+        self._list(process, "draining")
+        meanwhile()
+        time.sleep(LEAVE_S)
+        self.replace(process)
+
+
+def _freeze(process, rng):
+    time.sleep(rng.uniform(0.0, 0.2))
+    process.send_signal(signal.SIGSTOP)
+    time.sleep(rng.uniform(0.2, 2.5))
+    process.send_signal(signal.SIGCONT)
--- a/gooseberryquay/standins/node_platform/service_process.py
+++ b/gooseberryquay/standins/node_platform/service_process.py
@@ -1,4 +1,4 @@
-"""Plain service as a process of its own, which can be frozen, killed and started again.
+"""Upstreams as processes of their own, which can be frozen, killed and started again.
 
 Run as `python -m gooseberryquay.standins.node_platform.service_process OPTIONS`, with the fields of
 `ServiceOptions` as JSON.
@@ -16,7 +16,7 @@
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
-__all__ = ["ServiceOptions", "ServiceProcess"]
+__all__ = ["ServiceOptions", "ServiceProcess", "UpstreamOptions", "UpstreamProcess"]
 
 # Closing with unread bytes or with this option resets a connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -24,12 +24,18 @@
 
 
 @dataclass(frozen=True)
-class ServiceOptions:
-    """Configure a service; it appends the id of each request that it runs to `runs_path`."""
+class UpstreamOptions:
+    """Configure an upstream; it appends the id of each request that it runs to `runs_path`."""
 
     id: str
     port: int
     runs_path: str
+
+
+@dataclass(frozen=True)
+class ServiceOptions(UpstreamOptions):
+    """Configure a service."""
+
     work_s: float = 0.05
     # Connections beyond this number are reset.
     connections_max: int = 1000
@@ -41,17 +47,17 @@
     refused_each: int = 0
 
 
-class ServiceProcess:
-    """Start, freeze and kill one service at a fixed address."""
+class UpstreamProcess:
+    """Start, freeze and kill one upstream, which a module runs, at a fixed address."""
 
-    def __init__(self, options: ServiceOptions) -> None:
+    def __init__(self, module: str, options: UpstreamOptions) -> None:
         self.options = options
+        self._module = module
         self._process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
         """Start the process and wait until it listens."""
-        module = "gooseberryquay.standins.node_platform.service_process"
-        arguments = [sys.executable, "-m", module, json.dumps(asdict(self.options))]
+        arguments = [sys.executable, "-m", self._module, json.dumps(asdict(self.options))]
         self._process = subprocess.Popen(arguments, stderr=subprocess.DEVNULL)
         until_s = time.monotonic() + STARTED_WITHIN_S
         while time.monotonic() < until_s:
@@ -60,7 +66,7 @@
                 return
             except OSError:
                 time.sleep(0.02)
-        raise RuntimeError(f"service {self.options.id} did not start")
+        raise RuntimeError(f"upstream {self.options.id} did not start")
 
     def send_signal(self, number: int) -> None:
         """Send a signal to the process."""
@@ -79,6 +85,13 @@
         return path.read_text().split() if path.exists() else []
 
 
+class ServiceProcess(UpstreamProcess):
+    """Start, freeze and kill one service at a fixed address."""
+
+    def __init__(self, options: ServiceOptions) -> None:
+        super().__init__("gooseberryquay.standins.node_platform.service_process", options)
+
+
 class _Server(http.server.ThreadingHTTPServer):
     daemon_threads = True
     allow_reuse_address = True
