Order a run to stop on an open connection where new ones are refused

It now falls back to an open connection, where a 404 or 409 proves nothing, as it may be a late copy.

--- a/gooseberryquay/platform/http_upstream_client.py
+++ b/gooseberryquay/platform/http_upstream_client.py
@@ -4,7 +4,7 @@
 import math
 import time
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import h11
 from result import Err, Ok, Result
@@ -219,6 +219,24 @@
         """Copy a running generation's KV cache to another engine; a final copy also stops it."""
         body = json.dumps({"id": id, "target": str(target), "final": is_final}).encode()
         request = BufferedRequest("POST", names.KV_MOVE_PATH, body, REPORT_BYTES_MAX, is_final)
+        moved = self._send_move(source, id, request, until_s)
+        match moved:
+            case Err(MoveFailure(MoveRefusal.NOT_SENT)) if is_final:
+                pass
+            case _:
+                return moved
+        # Open connections may live on where new ones are refused.
+        kept = self._send_move(source, id, replace(request, needs_new_connection=False), until_s)
+        match kept:
+            case Err(MoveFailure(MoveRefusal.UNKNOWN_RUN | MoveRefusal.IN_PROGRESS)):
+                # It may be a late copy of the answer to an earlier call.
+                return Err(MoveFailure(MoveRefusal.FAILED))
+            case _:
+                return kept
+
+    def _send_move(
+        self, source: UpstreamRecord, id: RequestId, request: BufferedRequest, until_s: float
+    ) -> Result[MovedCopy, MoveFailure]:
         match exchange(self._pool, source.address, request, until_s):
             case Err(ConnectionBroken() | TransportTimeout() as failure) if not failure.was_sent:
                 return Err(MoveFailure(MoveRefusal.NOT_SENT))
