Take no answer whose status is none of HTTP's

Cause: h11 takes any three digits from 200 on for a final status, and nothing of ours checked it. 000, 099, 0200, -01 and others were held by h11 alone, without a test.

Fix: `head_of`, through which all these readers go, has one rule (links/status_code.py): 200 to 599 are final, 100 to 199 without 101 interim, as no request asks to switch protocols. Anything else ends the exchange as one that was sent and not answered, so it promises nothing: a request that may run once ends with 502, another one is tried elsewhere, a write's outcome is unknown.

--- a/gooseberryquay/links/upstream_connection.py
+++ b/gooseberryquay/links/upstream_connection.py
@@ -15,6 +15,7 @@
 from gooseberryquay.contracts.fields import Address
 from gooseberryquay.links.caller_watch import CallerWatch, wait_readable
 from gooseberryquay.links.keep_alive import enable_keepalive
+from gooseberryquay.links.status_code import StatusKind, kind_of_status
 from gooseberryquay.links.transport_failure import (
     ConnectionBroken,
     TransportFailure,
@@ -201,9 +202,14 @@
                     return Err(failure)
                 case Ok(h11.Response() as response):
                     head = head_of(response)
+                    if head is None:
+                        reason = f"status {response.status_code} is none of HTTP's"
+                        return Err(ConnectionBroken(reason, was_sent=True))
                     self._is_framed = self._has_framing(head)
                     return Ok(head)
-                case Ok(h11.InformationalResponse()):
+                case Ok(h11.InformationalResponse(status_code=status)) if (
+                    kind_of_status(status) is StatusKind.INTERIM
+                ):
                     continue
                 case Ok(other):
                     return Err(
@@ -307,8 +313,10 @@
             raise ConnectionAbortedError("the upstream connection has no data to read") from None
 
 
-def head_of(response: h11.Response) -> ResponseHead:
-    """Return the head that h11 has parsed."""
+def head_of(response: h11.Response) -> ResponseHead | None:
+    """Return the head that h11 has parsed, or None if its status is none of HTTP's."""
+    if kind_of_status(response.status_code) is not StatusKind.FINAL:
+        return None
     headers = tuple((name.decode(), value.decode("latin-1")) for name, value in response.headers)
     is_chunked = any(
         name == "transfer-encoding" and "chunked" in value.lower() for name, value in headers
--- a/gooseberryquay/platform/http_upstream_client.py
+++ b/gooseberryquay/platform/http_upstream_client.py
@@ -199,7 +199,10 @@
             return None
         if not isinstance(event, h11.Response):
             return None
-        return _response_of(head_of(event), upstream.id, connection, self._pool)
+        parsed = head_of(event)
+        if parsed is None:
+            return None
+        return _response_of(parsed, upstream.id, connection, self._pool)
 
     def move(
         self, source: UpstreamRecord, id: RequestId, target: Address, is_final: bool, until_s: float
