Let upstreams of a soak answer without framing, and engines that leave answer final copies oddly

The soak couldn't see the users' ORDER: its upstreams always framed their answers, and final copies were always answered 200 with a handle.

With `has_unframed`, which the command sets, half of the upstreams answer without chunks or a length, some engines leave while streams run, and six of ten engines answer final copies late, by 503 with and without a handle, not at all, unreadably, or by 404 or 409 without a stop. Draws are of their own. A run that was stopped closes in order. Whatever else breaks off an unframed answer is seen as broken: its upstream resets the connection or ends within an event, and links reset instead of closing (`breaks_by_reset`) and pass resets on.

--- a/gooseberryquay/standins/fault_proxy.py
+++ b/gooseberryquay/standins/fault_proxy.py
@@ -37,7 +37,8 @@
 class FaultProxy:
     """Proxy between callers and one target, with injected faults.
 
-    `on_forwarded` is called with the direction and the bytes after each write.
+    `on_forwarded` is called with the direction and the bytes after each write. With
+    `breaks_by_reset`, a connection ends in an orderly way only if one of its sides closes it so.
     """
 
     def __init__(
@@ -46,8 +47,11 @@
         host: str = "127.0.0.1",
         port: int = 0,
         on_forwarded: Callable[[Direction, bytes], None] | None = None,
+        *,
+        breaks_by_reset: bool = False,
     ) -> None:
         self._target = target
+        self._breaks_by_reset = breaks_by_reset
         self._on_forwarded = on_forwarded
         self._address = (host, port)
         self._state = LinkFaults()
@@ -108,7 +112,7 @@
                 for connection in self._open_connections():
                     connection.silence(direction)
             case CutConnections():
-                self._end_connections(is_reset=False)
+                self._end_connections(is_reset=self._breaks_by_reset)
             case ResetConnections():
                 self._end_connections(is_reset=True)
             case RefuseConnections():
@@ -182,7 +186,12 @@
             return
         target.settimeout(None)
         connection = ProxiedConnection(
-            caller, target, self._state, self._record_forwarded, self._remove
+            caller,
+            target,
+            self._state,
+            self._record_forwarded,
+            self._remove,
+            breaks_by_reset=self._breaks_by_reset,
         )
         with self._lock:
             self._connections.add(connection)
--- a/gooseberryquay/standins/node_platform/entry_view.py
+++ b/gooseberryquay/standins/node_platform/entry_view.py
@@ -115,7 +115,7 @@
         with self._lock:
             link = self._links.get(address)
             if link is None:
-                link = self._links[address] = FaultProxy(address)
+                link = self._links[address] = FaultProxy(address, breaks_by_reset=True)
                 link.start()
                 for fault in self._manner.faults if self._manner is not None else ():
                     link.apply_fault(fault)
--- a/gooseberryquay/standins/node_platform/site.py
+++ b/gooseberryquay/standins/node_platform/site.py
@@ -79,6 +79,8 @@
         self._crashing_part: CrashingPart | None = None
         self._capacity: Capacity | None = None
         self._is_stopped = False
+        # Called with each upstream before it starts.
+        self.on_added: Callable[[ModelEngine | PlainService], None] = lambda _: None
 
     def start(self, engines: int = 3, services: int = 2) -> None:
         """Start the store, write the first configuration and start the upstreams."""
@@ -127,6 +129,7 @@
         engine.crashing_part = self._crashing_part
         engine.version = version
         engine.set_capacity(self._capacity)
+        self.on_added(engine)
         engine.start()
         self._engines_by_port[self._start_proxy(engine)] = engine
         self.engines[engine.id] = engine
@@ -139,6 +142,7 @@
         service = PlainService(self._new_id(), self.record, self._rng)
         service.work_range_s = self.work_range_s
         service.set_capacity(self._capacity)
+        self.on_added(service)
         service.start()
         self._start_proxy(service)
         self.services[service.id] = service
@@ -175,12 +179,12 @@
         """Stop an upstream and remove it from the list."""
         upstream = self.engines.pop(id, None) or self.services.pop(id)
         upstream.stop()
-        self._stop_proxy(id)
+        self._stop_proxy(upstream)
         self.store.delete("servers", id)
 
     def _replace(self, crashed: ModelEngine | PlainService) -> None:
         """Let the list entry of a crashed upstream expire, and start a replacement before that."""
-        self._stop_proxy(crashed.id)
+        self._stop_proxy(crashed)
         _schedule(RESTART_S, self._start_replacement, crashed)
         _schedule(EXPIRY_S, self.store.delete, "servers", crashed.id)
 
@@ -196,14 +200,17 @@
         """Start the proxy of an upstream, if any, and return the port that entries use."""
         if not self._has_proxies:
             return upstream.port
-        proxy = FaultProxy(Address("127.0.0.1", upstream.port))
+        address = Address("127.0.0.1", upstream.port)
+        # An orderly close would look like the end of an unframed answer.
+        proxy = FaultProxy(address, breaks_by_reset=upstream.is_unframed)
         proxy.start()
         self.proxies[upstream.id] = proxy
         return proxy.port
 
-    def _stop_proxy(self, id: str) -> None:
-        proxy = self.proxies.pop(id, None)
+    def _stop_proxy(self, upstream: ModelEngine | PlainService) -> None:
+        proxy = self.proxies.pop(upstream.id, None)
         if proxy is not None:
+            upstream.record_broken_link()
             proxy.stop()
 
     def _new_id(self) -> str:
--- a/gooseberryquay/standins/node_platform/soak.py
+++ b/gooseberryquay/standins/node_platform/soak.py
@@ -20,6 +20,7 @@
     ConfigurationJudge,
 )
 from gooseberryquay.standins.node_platform.cut_faults import CutFaults, find_unserved_cuts
+from gooseberryquay.standins.node_platform.end_faults import EndFaults
 from gooseberryquay.standins.node_platform.entry_history import Disruption, EntryHistory
 from gooseberryquay.standins.node_platform.entry_view import EntryView
 from gooseberryquay.standins.node_platform.lag_meter import LagMeter
@@ -88,6 +89,9 @@
     # Resident memory of all entries at the end.
     memory_mb: float
     longest_lag_s: float
+    # Requests whose run an engine stopped on an order, and those of them with an unframed stream.
+    stopped: int
+    stopped_unframed: int
 
 
 @dataclass
@@ -95,7 +99,8 @@
     """Run the fault schedule of one seed.
 
     A wide soak has `callers` instead of 8, slow operations and the faults of `WideFaults` as well.
-    With `has_cuts`, some entries are at times cut off from all upstreams.
+    With `has_cuts`, some entries are at times cut off from all upstreams. With `has_unframed`,
+    some answers end with their connection, and engines that leave answer final copies oddly.
     """
 
     seed: int
@@ -105,6 +110,7 @@
     is_wide: bool = False
     callers: int = WIDE_CALLERS
     has_cuts: bool = False
+    has_unframed: bool = False
     faults: list[str] = field(default_factory=list)
     violations: list[Violation] = field(default_factory=list)
 
@@ -126,6 +132,10 @@
             random.Random(f"cuts {self.seed}"), self._site, self._entries, self._schedule
         )
 
+        self._end_faults = EndFaults(self.seed, self._site, self._schedule)
+        if self.has_unframed:
+            self._site.on_added = self._end_faults.prepare
+
     def run(self) -> SoakReport:
         """Start the site and entries, inject overlapping faults and check the guarantees."""
         if self.is_wide:
@@ -144,6 +154,8 @@
                     self._inject_wide()
                 if self.has_cuts:
                     self._inject_cut()
+                if self.has_unframed:
+                    self._inject_leave()
                 if self.has_rate_limits and self._rate_rng.random() < RATE_LIMIT_SHARE:
                     self._limit_upstreams()
                 time.sleep(FAULT_GAP_S * self._rng.uniform(0.2, 1.8))
@@ -179,6 +191,8 @@
             [self._trace(each) for each in self.violations],
             self.memory_mb,
             self._lag_meter.longest_s(0.0, math.inf),
+            len(self._site.record.stopped),
+            len(self._site.record.stopped & self._site.record.unframed),
         )
 
     def _start_callers(self) -> list[Callers]:
@@ -270,6 +284,11 @@
         if name is not None:
             self.faults.append(name)
 
+    def _inject_leave(self) -> None:
+        name = self._end_faults.inject()
+        if name is not None:
+            self.faults.append(name)
+
     def _schedule(self, wait_s: float, action: Callable[[], object]) -> None:
         def act() -> None:
             time.sleep(wait_s)
--- a/gooseberryquay/standins/node_platform/soak_command.py
+++ b/gooseberryquay/standins/node_platform/soak_command.py
@@ -27,7 +27,14 @@
     for each in range(seed, seed + seeds):
         with tempfile.TemporaryDirectory() as scratch:
             soak = Soak(
-                each, entries, Path(scratch), True, is_wide=True, callers=callers, has_cuts=cuts
+                each,
+                entries,
+                Path(scratch),
+                has_rate_limits=True,
+                is_wide=True,
+                callers=callers,
+                has_cuts=cuts,
+                has_unframed=True,
             )
             report = soak.run()
             print(_format_report(report), flush=True)
@@ -41,6 +48,7 @@
 def _format_report(report: SoakReport) -> str:
     line = (
         f"seed {report.seed}: {report.requests} requests, {report.served} served, "
+        f"{report.stopped} stopped on an order, {report.stopped_unframed} of them unframed, "
         f"entries {report.memory_mb:.0f} MB, the soak lagged by up to {report.longest_lag_s:.2f} s"
     )
     if not report.violations:
--- a/gooseberryquay/standins/node_platform/tests/test_soak.py
+++ b/gooseberryquay/standins/node_platform/tests/test_soak.py
@@ -46,3 +46,13 @@
     report = Soak(4201, ENTRIES, tmp_path, is_wide=True, has_cuts=True).run()
     assert report.violations == []
     assert report.served > 0
+
+
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize(
+    "seed", [pytest.param(49003, id="seed-49003-close-after-an-order-to-stop-taken-for-the-end")]
+)
+def test_every_promise_holds_while_answers_end_with_their_connections(seed, tmp_path):
+    report = Soak(seed, ENTRIES, tmp_path, is_wide=True, has_unframed=True).run()
+    assert report.violations == []
+    assert report.stopped_unframed > 0
--- a/gooseberryquay/standins/node_platform/tests/test_upstream_faults.py
+++ b/gooseberryquay/standins/node_platform/tests/test_upstream_faults.py
@@ -89,6 +89,18 @@
         site.stop()
 
 
+def test_stream_that_ended_on_the_link_of_an_upstream_that_is_removed_counts_as_broken_off():
+    site = Site(random.Random(1), has_proxies=True)
+    site.start(engines=1, services=0)
+    try:
+        (engine,) = site.upstreams()
+        assert _call(site.proxies[engine.id].port, "before").status == 200
+        site.remove(engine.id)
+        assert site.record.was_broken_off("before")
+    finally:
+        site.stop()
+
+
 def test_proxy_of_an_upstream_that_is_removed_refuses_connections():
     site = Site(random.Random(1), has_proxies=True)
     site.start(engines=1, services=1)
--- a/gooseberryquay/standins/node_platform/upstream_server.py
+++ b/gooseberryquay/standins/node_platform/upstream_server.py
@@ -1,6 +1,5 @@
 """Model engine and plain service, as the users' platform runs them."""
 
-import contextlib
 import http.client
 import json
 import math
@@ -14,6 +13,10 @@
 
 from gooseberryquay.links.streaming_gateway import CallerDisconnected, StreamingGateway
 from gooseberryquay.links.strict_request import BodyIncomplete, read_whole_body
+from gooseberryquay.standins.node_platform.received_request import (
+    ReceivedRequest,
+    reset_connection,
+)
 from gooseberryquay.standins.node_platform.run_record import RunRecord
 from gooseberryquay.standins.node_platform.upstream_crash import (
     CrashingPart,
@@ -47,6 +50,7 @@
 ON_LINK_S = 1.0
 ENDED_MAX = 1000
 ENDLESS_INTERVAL_S = 0.01
+CUT_WITHIN_EVENT_SHARE = 0.5
 JSON_HEADERS = [("Content-Type", "application/json")]
 
 
@@ -91,35 +95,12 @@
     delay_s: float = 0.0
 
 
-@dataclass
-class _ReceivedRequest:
-    gateway: StreamingGateway
-    headers: dict[str, str]
-    body: bytes
-    status_headers: list[tuple[str, str]]
-
-    @property
-    def id(self) -> str:
-        return self.headers.get("x-attempt-id", "")
-
-    def respond(self, status: str, headers: list[tuple[str, str]], body: bytes = b"") -> None:
-        sent = [*headers, *self.status_headers, ("X-Attempt-Id", self.id)]
-        sent.append(("Content-Length", str(len(body))))
-        self.gateway.start(status, sent)
-        self.gateway.write_all(body)
-
-    def cut_head(self, status: str, headers: list[tuple[str, str]], share: float) -> None:
-        """Send a share of the bytes of a head, then close the connection."""
-        lines = [f"HTTP/1.1 {status}", *(f"{name}: {value}" for name, value in headers), ""]
-        head = "\r\n".join(lines).encode()
-        with contextlib.suppress(OSError):
-            self.gateway.connection.sendall(head[: int(share * len(head))])
-        self.gateway.abort()
-
-
 class _Upstream:
     """Apply the checks common to all upstreams, then run the request."""
 
+    # Streams and bodies have neither chunks nor a length and end with their connection.
+    is_unframed = False
+
     def __init__(self, id: str, record: RunRecord, rng: random.Random) -> None:
         self.id = id
         self.record = record
@@ -173,7 +154,7 @@
         self._server.simulate_crash(mode)
         if not self._is_silent:
             for gateway in list(self._open):
-                gateway.abort()
+                self._break_off(gateway)
             threading.Thread(target=self._server.stop, daemon=True).start()
         self.record.add_crash(self.id)
         self.on_crash()
@@ -209,14 +190,21 @@
             name.decode().lower(): value.decode("latin-1")
             for name, value in gateway.req.inheaders.pairs
         }
-        received = _ReceivedRequest(gateway, headers, body, self._status_headers())
+        received = ReceivedRequest(gateway, headers, body, self._status_headers())
         try:
             self._raise_if_crashed()
             self._handle(received)
         except CallerDisconnected:
+            self._break_off(gateway)
+
+    def _break_off(self, gateway: StreamingGateway) -> None:
+        """End a response so that it cannot look complete, whether it is framed or not."""
+        if self.is_unframed:
+            reset_connection(gateway)
+        else:
             gateway.abort()
 
-    def _handle(self, received: _ReceivedRequest) -> None:
+    def _handle(self, received: ReceivedRequest) -> None:
         if self._handle_control(received):
             return
         self.record.add_arrival(self.id, received.id)
@@ -250,7 +238,7 @@
         else:
             self._turn_away(received, room)
 
-    def _turn_away(self, received: _ReceivedRequest, room: WaitingRoom) -> None:
+    def _turn_away(self, received: ReceivedRequest, room: WaitingRoom) -> None:
         self.record.add_turned_away(self.id)
         if room.falls_over():
             self.record.add_fall(self.id)
@@ -258,14 +246,14 @@
             self._raise_if_crashed()
         received.respond("503 Service Unavailable", [("X-Not-Executed", "1")])
 
-    def _shed(self, received: _ReceivedRequest) -> None:
+    def _shed(self, received: ReceivedRequest) -> None:
         headers = [("X-Not-Executed", "1"), *self._retry_after()]
         if self._answer_rng.random() < self.answer_faults.head_cut_share:
             received.cut_head("503 Service Unavailable", headers, self._answer_rng.random())
         else:
             received.respond("503 Service Unavailable", headers)
 
-    def _fails_to_answer(self, received: _ReceivedRequest) -> bool:
+    def _fails_to_answer(self, received: ReceivedRequest) -> bool:
         """Refuse a request that was run, or stop within the head, if the faults say so."""
         faults = self.answer_faults
         if self._answer_rng.random() < faults.unmarked_refusal_share:
@@ -296,21 +284,22 @@
     def _occurs(self, share: float) -> bool:
         return self._rng.random() < share
 
-    def _handle_control(self, received: _ReceivedRequest) -> bool:
+    def _handle_control(self, received: ReceivedRequest) -> bool:
         """Respond to a control call of an entry; return False if the call is a caller's request."""
         return False
 
-    def _crash_midway(self, received: _ReceivedRequest) -> None:
+    def _crash_midway(self, received: ReceivedRequest) -> None:
         if crash_mode_of(received.body) is CrashMode.MIDWAY:
             self.crash(CrashMode.MIDWAY)
 
-    def _respond_failed(self, received: _ReceivedRequest, status_line: str) -> None:
+    def _respond_failed(self, received: ReceivedRequest, status_line: str) -> None:
         """Respond that a request that was run has failed."""
         self.record.add_sealed_status(received.id, int(status_line[:3]))
         seal = ("X-Response-Seal", f"{received.id}.e")
-        received.respond(status_line, [seal], failure_body(received.id).encode())
+        body = failure_body(received.id).encode()
+        received.respond(status_line, [seal], body, is_unframed=self.is_unframed)
 
-    def _run(self, received: _ReceivedRequest) -> None:
+    def _run(self, received: ReceivedRequest) -> None:
         raise NotImplementedError
 
 
@@ -328,21 +317,25 @@
         shortest, longest = map(math.log, self.work_range_s)
         return math.exp(random.Random(request).uniform(shortest, longest))
 
-    def _run(self, received: _ReceivedRequest) -> None:
+    def _run(self, received: ReceivedRequest) -> None:
         self.record.add_run(received.id, self.id)
         time.sleep(self._work_s(received.id))
         self._crash_midway(received)
         self._raise_if_crashed()
         if self._fails_to_answer(received):
             return
+        seal = ("X-Response-Seal", f"{received.id}.s")
+        body = f"done {received.id}".encode()
         if self._occurs(self.faults.lose_answer_share):
-            received.gateway.abort()
+            if self.is_unframed:
+                received.cut_body("200 OK", [seal], body)
+            else:
+                received.gateway.abort()
         elif self._occurs(self.faults.error_share):
             self._respond_failed(received, "500 Internal Server Error")
         else:
             self.record.add_sealed_status(received.id, http.client.OK)
-            body = f"done {received.id}".encode()
-            received.respond("200 OK", [("X-Response-Seal", f"{received.id}.s")], body)
+            received.respond("200 OK", [seal], body, is_unframed=self.is_unframed)
 
 
 @dataclass
@@ -361,8 +354,6 @@
     copy_s = 0.02
     crashing_part: CrashingPart | None = None
     final_copy_answer = FinalCopyAnswer()
-    # Streams have neither chunks nor a length and end with their connection.
-    is_unframed = False
     # Sent again and again in place of events.
     endless_piece: bytes | None = None
 
@@ -397,7 +388,7 @@
         with self._lock:
             self._kv_copies[handle] = event_count
 
-    def _handle_control(self, received: _ReceivedRequest) -> bool:
+    def _handle_control(self, received: ReceivedRequest) -> bool:
         path = received.gateway.req.path.decode()
         if path == "/api/kv-move":
             self._copy_kv_cache(received, json.loads(received.body))
@@ -412,7 +403,7 @@
             return False
         return True
 
-    def _copy_kv_cache(self, received: _ReceivedRequest, message: dict[str, Any]) -> None:
+    def _copy_kv_cache(self, received: ReceivedRequest, message: dict[str, Any]) -> None:
         run = self._running.get(message["id"])
         target = self._engines_by_port.get(int(message["target"].rpartition(":")[2]))
         if run is None:
@@ -432,7 +423,7 @@
         received.respond("200 OK", JSON_HEADERS, body)
 
     def _finish_copy(
-        self, received: _ReceivedRequest, run: _Generation, target: "ModelEngine"
+        self, received: ReceivedRequest, run: _Generation, target: "ModelEngine"
     ) -> None:
         """Stop a run, then copy what is new of its KV cache."""
         answer = self.final_copy_answer
@@ -456,14 +447,14 @@
             body = body[: len(body) // 2]
         received.respond(answer.status_line, JSON_HEADERS, body)
 
-    def _crashing_part_of(self, received: _ReceivedRequest) -> CrashingPart | None:
+    def _crashing_part_of(self, received: ReceivedRequest) -> CrashingPart | None:
         part = self.crashing_part
         if part is None or not part.is_in(received.headers.get("x-prompt-prefix", "")):
             return None
         self.record.add_crash_request(self.id)
         return part
 
-    def _run(self, received: _ReceivedRequest) -> None:
+    def _run(self, received: ReceivedRequest) -> None:
         last = int(received.headers.get("x-token-usage", "1,8").partition(",")[2]) // 4
         event_count = int(received.headers.get("last-event-id", "0"))
         copy_address = received.headers.get("kv-from")
@@ -488,7 +479,7 @@
             self._ended.append((time.monotonic(), received.id))
 
     def _stream(
-        self, received: _ReceivedRequest, run: _Generation, last: int, crash_at: int | None
+        self, received: ReceivedRequest, run: _Generation, last: int, crash_at: int | None
     ) -> None:
         headers = [
             ("Content-Type", "text/event-stream"),
@@ -499,9 +490,7 @@
         cut_at = self._rng.randrange(1, last + 1) if self._occurs(self.faults.cut_share) else None
         self.record.add_sealed_status(received.id, http.client.OK)
         self.record.add_stream(received.id, last, is_unframed=self.is_unframed)
-        received.gateway.start("200 OK", headers)
-        if self.is_unframed:
-            received.gateway.req.response_protocol = "HTTP/1.0"
+        received.start("200 OK", headers, is_unframed=self.is_unframed)
         if self.endless_piece is not None:
             self._send_without_end(received)
             return
@@ -518,25 +507,33 @@
                 if run.is_stopped:
                     self._end_stopped(received)
                     return
+                event = f"id: {run.event_count + 1}\ndata: {received.id} {self.version}\n\n"
                 if run.event_count == cut_at:
-                    received.gateway.abort()
+                    self._cut_stream(received, event.encode())
                     return
                 run.event_count += 1
-                event = f"id: {run.event_count}\ndata: {received.id} {self.version}\n\n"
                 received.gateway.write(event.encode())
         received.gateway.write_all(b"")
 
-    def _end_stopped(self, received: _ReceivedRequest) -> None:
+    def _cut_stream(self, received: ReceivedRequest, event: bytes) -> None:
+        """Break off before an event; without framing, by a reset or within the event."""
+        if self.is_unframed and self._answer_rng.random() < CUT_WITHIN_EVENT_SHARE:
+            received.gateway.write(event[: self._answer_rng.randrange(1, len(event) - 1)])
+            received.gateway.abort()
+        else:
+            self._break_off(received.gateway)
+
+    def _end_stopped(self, received: ReceivedRequest) -> None:
         """Close a stream without its end, which only framing shows."""
         if self.is_unframed:
             received.gateway.write_all(b"")
         else:
             received.gateway.abort()
 
-    def _send_without_end(self, received: _ReceivedRequest) -> None:
+    def _send_without_end(self, received: ReceivedRequest) -> None:
         """Send bytes that are no event until the caller leaves or the fault ends."""
         self.record.add_broken_off(received.id)
         while (piece := self.endless_piece) is not None and not self.is_crashed:
             received.gateway.write(piece)
             time.sleep(ENDLESS_INTERVAL_S)
-        received.gateway.abort()
+        self._break_off(received.gateway)
--- a/gooseberryquay/standins/proxied_connection.py
+++ b/gooseberryquay/standins/proxied_connection.py
@@ -63,12 +63,15 @@
         state: LinkFaults,
         on_forwarded: Callable[[Direction, bytes], None],
         on_closed: Callable[["ProxiedConnection"], None],
+        *,
+        breaks_by_reset: bool = False,
     ) -> None:
         self._caller = caller
         self._target = target
         self._state = state
         self._on_forwarded = on_forwarded
         self._on_closed = on_closed
+        self._breaks_by_reset = breaks_by_reset
         self._silenced: set[Direction] = set()
         self._lock = threading.Lock()
         self._is_ended = False
@@ -115,9 +118,9 @@
         try:
             self._copy(direction)
         except OSError:
-            self._end_unless_silenced()
+            self._end_unless_silenced(self._breaks_by_reset)
         if direction is Direction.TO_CALLER:
-            self._end_unless_silenced()
+            self._end_unless_silenced(is_reset=False)
         with self._lock:
             self._running -= 1
             is_last = self._running == 0
@@ -151,9 +154,9 @@
             if self._is_ended:
                 return
 
-    def _end_unless_silenced(self) -> None:
+    def _end_unless_silenced(self, is_reset: bool) -> None:
         if not self._silenced:
-            self.end(is_reset=False)
+            self.end(is_reset)
 
     def _release(self) -> None:
         self._caller.close()
