--- a/gooseberryquay/standins/node_platform/entry_view.py
+++ b/gooseberryquay/standins/node_platform/entry_view.py
@@ -97,6 +97,10 @@
         for link in links:
             link.apply_fault(HealLink())
 
+    def apply_fault(self, upstream: Address, fault: ProxyFault) -> None:
+        """Inject a fault into the link to one upstream."""
+        self._link_to(upstream).apply_fault(fault)
+
     def connection_count(self) -> int:
         """Return how many connections to upstreams this entry has opened."""
         return sum(each.counts().connections for each in self._links.values())
