--- a/gooseberryquay/standins/node_platform/entry_view.py
+++ b/gooseberryquay/standins/node_platform/entry_view.py
@@ -101,6 +101,10 @@
         """Return the port at which this entry reaches what listens at a port of this machine."""
         return self._link_to(Address("127.0.0.1", port)).port
 
+    def apply_fault(self, upstream: Address, fault: ProxyFault) -> None:
+        """Inject a fault into the link to one upstream."""
+        self._link_to(upstream).apply_fault(fault)
+
     def connection_count(self) -> int:
         """Return how many connections to upstreams this entry has opened."""
         return sum(each.counts().connections for each in self._links.values())
