Don't cut a whole stream because its leaving engine refuses connections

The engine is now asked only if there is a copy from which the stream can go on, so that a wrong guess costs nothing but the move.

--- a/gooseberryquay/serving/active_generation.py
+++ b/gooseberryquay/serving/active_generation.py
@@ -172,6 +172,11 @@
             is_replaced = previous is not None and previous.run is not copy.run
             return previous if is_replaced else None
 
+    def has_copy(self) -> bool:
+        """Return whether there is a copy of the KV cache."""
+        with self.changed:
+            return self.copy is not None
+
     def needs(self, run: Run) -> bool:
         """Return whether the generation uses a run or may still resume there."""
         with self.changed:
--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -338,8 +338,12 @@
             self._versions.record(request.call.id, request.service, version, request.caller)
 
     def _is_engine_up(self, active: ActiveGeneration) -> bool:
-        """Return whether an engine still listens, which matters only if it leaves."""
-        if not (active.known.is_leaving or active.known.is_missing):
+        """Return whether an engine that leaves still listens, if its stream could go on elsewhere.
+
+        A link may refuse connections too, so that alone is no reason to break a stream off.
+        """
+        is_planned = active.known.is_leaving or active.known.is_missing
+        if not (is_planned and active.has_copy()):
             return True
         until_s = time.monotonic() + LISTEN_TIMEOUT_S
         state = self._upstream_client.listening_state(active.known.record, until_s)
--- a/gooseberryquay/serving/tests/test_closed_stream.py
+++ b/gooseberryquay/serving/tests/test_closed_stream.py
@@ -200,3 +200,18 @@
     caller = _serve(path, kind)
     assert (caller.body, caller.is_complete) == (events(1, 4), True)
     assert path.upstream_client.opened[1][1].continuation.copy.name == "ahead"
+
+
+@pytest.mark.parametrize("kind", KINDS, ids=["once", "resumable"])
+def test_whole_stream_is_not_cut_as_its_leaving_engine_refuses_connections(kind):
+    path = build_path(RECORDS, ScriptedCalls())
+    path.upstream_client.listening["engine-0"] = ListeningState.REFUSED
+    path.upstream_client.move = lambda *_: NOT_SENT
+
+    def leave(number):
+        if number == 2:
+            path.registry.apply_record(build_record("engine-0", state=UpstreamState.DRAINING))
+
+    path.upstream_client.responses = [_closed(1, 2, before_part=leave)]
+    caller = _serve(path, kind)
+    assert (caller.body, caller.is_complete, caller.is_aborted) == (events(1, 2), True, False)
