--- a/gooseberryquay/platform/documents.py
+++ b/gooseberryquay/platform/documents.py
@@ -20,6 +20,8 @@
 __all__ = ["UPSTREAM_FIELDS", "read_routing", "read_upstream"]
 
 MS_PER_S = 1000.0
+# Far more than any upstream has; the load is computed with them.
+SLOTS_MAX = 1_000_000
 ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -93,7 +95,7 @@
     service: str
     address: str
     zone: str
-    slots: int = 1
+    slots: int = Field(default=1, le=SLOTS_MAX)
     state: str
     cold_left_ms: float = 0.0
     # Unix time of the start in ms: an upstream that restarts under its id has lost its state.
--- a/gooseberryquay/platform/tests/test_adapter.py
+++ b/gooseberryquay/platform/tests/test_adapter.py
@@ -129,6 +129,8 @@
         {"service": 4},
         {"cold_left_ms": "soon"},
         {"zone": []},
+        {"slots": 10**400},
+        {"slots": 10**9},
     ],
 )
 def test_malformed_upstream_record_is_ignored(change):
