--- a/gooseberryquay/links/status_code.py
+++ b/gooseberryquay/links/status_code.py
@@ -2,9 +2,10 @@
 
 from enum import Enum
 
-__all__ = ["StatusKind", "kind_of_status"]
+__all__ = ["StatusKind", "kind_of_status", "parse_status"]
 
 SWITCHING_PROTOCOLS = 101
+DIGITS = 3
 
 
 class StatusKind(Enum):
@@ -22,3 +23,11 @@
     if 100 <= status <= 199 and status != SWITCHING_PROTOCOLS:
         return StatusKind.INTERIM
     return StatusKind.INVALID
+
+
+def parse_status(text: str) -> int | None:
+    """Return the status that a status line states, or None if it is none of HTTP's."""
+    if len(text) != DIGITS or not (text.isascii() and text.isdigit()):
+        return None
+    status = int(text)
+    return None if kind_of_status(status) is StatusKind.INVALID else status
