Count an order whose answer can't be read as one that may take effect

An upstream that answered an order with 600, 700 or 999 counted as one that refused it for good, so a later holder could order the opposite while the first order might still take effect. One that answered with 000, 2e2 or without a status raised an exception that nothing caught.

Cause: `OrderConnection` reads with http.client, which accepts 100 to 999, and whose `BadStatusLine` is neither an `OSError` nor an error of urllib3.

--- a/gooseberryquay/machines/fenced_order_connection.py
+++ b/gooseberryquay/machines/fenced_order_connection.py
@@ -1,5 +1,6 @@
 """Connection that carries one order with a bounded delivery time."""
 
+import http.client
 import socket
 from types import TracebackType
 from typing import Self
@@ -10,6 +11,7 @@
 
 from gooseberryquay.contracts.upstream import UpstreamDeclaration
 from gooseberryquay.ids import UpstreamId
+from gooseberryquay.links.response_head import CompleteHeadResponse
 from gooseberryquay.machines.fenced_order_messages import (
     FencedOrder,
     OrderNotSent,
@@ -22,6 +24,10 @@
 MILLISECONDS = 1000
 
 
+class _Connection(HTTPConnection):
+    response_class = CompleteHeadResponse
+
+
 class OrderConnection:
     """Connect before the lease check, then send the order, then wait for the response.
 
@@ -34,7 +40,7 @@
         self._upstream: UpstreamId = upstream.id
         self._response_timeout_s = response_timeout_s
         delivery_ms = round(delivery_s * MILLISECONDS)
-        self._connection = HTTPConnection(
+        self._connection = _Connection(
             upstream.address.host,
             upstream.address.port,
             timeout=delivery_s,
@@ -66,7 +72,7 @@
             self._connection.timeout = self._response_timeout_s
             response = self._connection.getresponse()
             response.read()
-        except (HTTPError, OSError) as error:
+        except (HTTPError, http.client.HTTPException, OSError) as error:
             return Err(OrderOutcomeUnknown(self._upstream, str(error)))
         return Ok(response.status)
 
