--- a/gooseberryquay/serving/migration.py
+++ b/gooseberryquay/serving/migration.py
@@ -206,7 +206,7 @@
                     self._record_copy(move, KvCopy(target.known, copy.handle, target.run))
                     took_s = self._clock() - started_at_s
                     is_late = self._clock() - move.began_at_s > STOP_AFTER_S
-                    # Another stop could be refused too, and no request may return a second time.
+                    # Another stop could be refused too, when the run may not return any more.
                     may_stop = move.source.is_leaving and not move.active.is_back_at_source
                     # The run is there, so that an order whose answer left that open was refused.
                     move.active.withdraw_stop(move.number)
