Keep the port of a faulted link from other sockets throughout

The fault is the stand-in's.

Cause: the port was free for a moment between the close of a listener and the next bind, when a link was refused and when a hang ended. A listener that was bound to port 0 loses its port at its shutdown already. Now the holder of the port is bound before a listener is closed, and the first listener is bound by number.

--- a/gooseberryquay/standins/fault_proxy.py
+++ b/gooseberryquay/standins/fault_proxy.py
@@ -70,10 +70,13 @@
         threading.Thread(target=self._accept, args=(listener,), daemon=True).start()
 
     def _bind(self, backlog: int) -> socket.socket:
+        if self._address[1] == 0:
+            # A listener keeps a port beyond its shutdown only if it was bound to it by number.
+            self._port_holder = self._bound_socket()
+            self._address = self._port_holder.getsockname()
         listener = self._bound_socket()
         self._release_port()
         listener.listen(backlog)
-        self._address = listener.getsockname()
         return listener
 
     def _bound_socket(self) -> socket.socket:
@@ -85,8 +88,8 @@
     def stop(self) -> None:
         """Close the listening socket and every connection."""
         self._refuse()
-        self._release_port()
         self._end_hang()
+        self._release_port()
         self._state.heal()
         self.apply_fault(CutConnections())
 
@@ -140,8 +143,11 @@
             self._hanging.append(filler)
 
     def _end_hang(self) -> None:
-        for each in self._hanging:
-            each.close()
+        if self._hanging:
+            listener, *fillers = self._hanging
+            self._close_listener(listener)
+            for each in fillers:
+                each.close()
         self._hanging = []
 
     def _open_connections(self) -> tuple[ProxiedConnection, ...]:
@@ -158,12 +164,15 @@
     def _refuse(self) -> None:
         listener, self._listener = self._listener, None
         if listener is not None:
-            # A blocked accept keeps the port open until a shutdown wakes it.
-            with contextlib.suppress(OSError):
-                listener.shutdown(socket.SHUT_RDWR)
-            listener.close()
-            # Refuses connections, and keeps the port from other sockets until the link is healed.
-            self._port_holder = self._bound_socket()
+            self._close_listener(listener)
+
+    def _close_listener(self, listener: socket.socket) -> None:
+        """Refuse connections, and keep the port from other sockets until the link is healed."""
+        # A blocked accept keeps the port open until a shutdown wakes it.
+        with contextlib.suppress(OSError):
+            listener.shutdown(socket.SHUT_RDWR)
+        self._port_holder = self._bound_socket()
+        listener.close()
 
     def _release_port(self) -> None:
         holder, self._port_holder = self._port_holder, None
--- a/gooseberryquay/standins/tests/test_fault_proxy.py
+++ b/gooseberryquay/standins/tests/test_fault_proxy.py
@@ -13,6 +13,7 @@
     CutConnections,
     DelayBytes,
     Direction,
+    HangConnections,
     HealLink,
     LoseAnswers,
     RefuseConnections,
@@ -186,3 +187,26 @@
             client.close()
             fresh = HttpClient("127.0.0.1", process.port)
             assert not fresh.send("GET", "/load").unwrap_err().was_sent
+
+
+@pytest.mark.parametrize("fault", [RefuseConnections(), HangConnections()])
+def test_port_of_a_link_is_never_free_for_another_socket_while_it_faults_and_heals(proxy, fault):
+    taken = []
+    is_over = threading.Event()
+
+    def take_port():
+        while not is_over.is_set():
+            with socket.socket() as other, contextlib.suppress(OSError):
+                other.bind(("127.0.0.1", proxy.port))
+                taken.append(other)
+
+    taker = threading.Thread(target=take_port)
+    taker.start()
+    try:
+        for _ in range(200):
+            proxy.apply_fault(fault)
+            proxy.apply_fault(HealLink())
+    finally:
+        is_over.set()
+        taker.join()
+    assert taken == []
