Show streams with events of two software versions after a kill

An entry that the store turns away lets streams begin without a record of their software version; once it is killed, other entries assume the previous version for them.

--- a/review/standins_2/engine.py
+++ b/review/standins_2/engine.py
@@ -1,10 +1,14 @@
 """Plain service or model engine of the users' platform, as a process of its own.
 
-It runs each request that names it, echoes the request's id and appends one JSON line for each run to
-a record. It keeps connections open, and answers 421 to requests for another instance.
+It runs each request that names it, echoes the request's id and appends JSON lines on each run to a
+record. It keeps connections open, answers 421 to requests for another instance, and moves runs to
+other engines on order. With `--stubborn` it doesn't notice that a connection has closed, and works
+on. `POST /standin/lose` ends the connections of some runs, which go on.
 """
 
 import argparse
+import contextlib
+import http.client
 import json
 import os
 import socket
@@ -12,6 +16,8 @@
 import threading
 import time
 
+# A stream of which so many events were sent has begun for certain.
+BEGUN_EVENTS = 5
 RECORD_LOCK = threading.Lock()
 
 
@@ -19,13 +25,37 @@
     """Hold the command line's options."""
 
     instance = ""
+    version = "v1"
     record = ""
     work_ms = 0.0
+    is_stubborn = False
+    # Streams have neither chunks nor a length and end with their connection.
+    is_unframed = False
     slots = threading.BoundedSemaphore(6)
     events = 0
     event_ms = 20.0
 
 
+class Run:
+    """One generation in progress."""
+
+    def __init__(self, connection):
+        """Track the connection on which the request came."""
+        self.connection = connection
+        self.created = 0
+        self.is_stopped = False
+        self.is_lost = False
+
+
+class State:
+    """Runs and copies that this engine holds."""
+
+    lock = threading.Lock()
+    runs = {}
+    copies = set()
+    handle_count = 0
+
+
 def record(kind, **fields):
     """Append one line to the record."""
     line = json.dumps({"at": time.time(), "kind": kind, "engine": Options.instance, **fields})
@@ -56,7 +86,7 @@
         while (line := self.rfile.readline(65536)) not in (b"\r\n", b""):
             name, _, value = line.decode("latin-1").partition(":")
             headers[name.strip().lower()] = value.strip()
-        self.rfile.read(int(headers.get("content-length", "0")))
+        body = self.rfile.read(int(headers.get("content-length", "0")))
         identity = [f"X-Instance-Id: {Options.instance}"]
         request = headers.get("x-attempt-id")
         if request is not None:
@@ -66,6 +96,19 @@
         if target in ("/api/report", "/healthz"):
             report = {"phase": "hybrid", "queued": 0, "active": 0, "state": "ready", "runs": []}
             return self.answer("200 OK", identity, json.dumps(report).encode())
+        if target == "/api/kv-move":
+            return self.move(identity, json.loads(body))
+        if target.startswith("/api/kv-handle/"):
+            return self.answer("200 OK", identity, b"{}")
+        if target == "/standin/copy":
+            State.copies.add(json.loads(body)["copy"])
+            return self.answer("200 OK", identity, b"{}")
+        if target == "/standin/lose":
+            return self.lose(json.loads(body)["count"])
+        copy = headers.get("kv-from")
+        if copy is not None and copy not in State.copies:
+            return self.answer("503 Service Unavailable", [*identity, "X-Not-Executed: 1"], b"")
+        State.copies.discard(copy)
         if request is None:
             return self.answer("400 Bad Request", [*identity, "X-Not-Executed: 1"], b"")
         identity.append(f"X-Response-Seal: seal-{Options.instance}")
@@ -80,9 +123,10 @@
             id_bytes=len(request),
             tenant=headers.get("x-tenant"),
             deadline_ms=headers.get("x-deadline-ms"),
+            resumes_after=headers.get("last-event-id"),
         )
         if Options.events and headers.get("x-token-usage"):
-            return self.stream(identity)
+            return self.stream(request, identity, int(headers.get("last-event-id", "0")))
         time.sleep(Options.work_ms / 1000.0)
         return self.answer("200 OK", identity, f"done {request[:32]}".encode())
 
@@ -92,16 +136,75 @@
         self.wfile.write("\r\n".join(lines).encode("latin-1") + body)
         return True
 
-    def stream(self, headers):
-        """Send a stream of events in chunks."""
-        fields = [*headers, "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
-        self.wfile.write("\r\n".join(["HTTP/1.1 200 OK", *fields, "", ""]).encode("latin-1"))
-        for number in range(1, Options.events + 1):
-            time.sleep(Options.event_ms / 1000.0)
-            event = f"id: {number}\ndata: token {number}\n\n".encode()
-            self.wfile.write(b"%x\r\n%b\r\n" % (len(event), event))
-        self.wfile.write(b"0\r\n\r\n")
-        return True
+    def stream(self, request, headers, last):
+        """Send a stream of events in chunks, those after the last one that the caller has."""
+        run = Run(self.connection)
+        with State.lock:
+            State.runs[request] = run
+        try:
+            framing = "Connection: close" if Options.is_unframed else "Transfer-Encoding: chunked"
+            fields = [*headers, "Content-Type: text/event-stream", framing]
+            self.emit(run, "\r\n".join(["HTTP/1.1 200 OK", *fields, "", ""]).encode("latin-1"))
+            for number in range(last + 1, Options.events + 1):
+                time.sleep(Options.event_ms / 1000.0)
+                if run.is_stopped:
+                    break
+                event = f"id: {number}\ndata: {Options.version} token {number}\n\n".encode()
+                self.emit(run, _chunk(event))
+                run.created = number
+            if not run.is_stopped and not Options.is_unframed:
+                self.emit(run, b"0\r\n\r\n")
+        finally:
+            record("run ends", id=request[:32], is_stopped=run.is_stopped, created=run.created)
+            with State.lock:
+                if State.runs.get(request) is run:
+                    del State.runs[request]
+        return not (run.is_stopped or run.is_lost or Options.is_unframed)
+
+    def emit(self, run, content):
+        """Send a part of a stream; a stubborn engine works on if nobody takes it."""
+        try:
+            if not run.is_lost:
+                self.wfile.write(content)
+        except OSError:
+            if not Options.is_stubborn:
+                raise
+            run.is_lost = True
+
+    def move(self, headers, order):
+        """Copy a run to another engine, and stop it if that is ordered."""
+        with State.lock:
+            run = State.runs.get(order["id"])
+            State.handle_count += 1
+            handle = f"h{State.handle_count}-{os.getpid()}"
+        record("move", id=order["id"][:32], final=order["final"], is_known=run is not None)
+        if run is None:
+            return self.answer("404 Not Found", headers, b"{}")
+        run.is_stopped = run.is_stopped or bool(order["final"])
+        copy = f"127.0.0.1:{Options.port}/{handle}"
+        State.copies.add(copy)
+        document = json.dumps({"handle": handle, "created": run.created}).encode()
+        host, _, port = order["target"].rpartition(":")
+        try:
+            other = http.client.HTTPConnection(host, int(port), timeout=1.0)
+            other.request("POST", "/standin/copy", json.dumps({"copy": copy}))
+            other.getresponse().read()
+            other.close()
+        except OSError:
+            return self.answer("503 Service Unavailable", headers, document)
+        return self.answer("200 OK", headers, document)
+
+    def lose(self, count):
+        """End the connections of some runs in the middle of their answers, the latest first."""
+        with State.lock:
+            begun = [each for each in State.runs.items() if each[1].created >= BEGUN_EVENTS]
+            chosen = [each for each in begun if not each[1].is_lost][::-1][:count]
+        for request, run in chosen:
+            run.is_lost = True
+            with contextlib.suppress(OSError):
+                run.connection.shutdown(socket.SHUT_RDWR)
+            record("answer lost", id=request[:32])
+        return self.answer("200 OK", [], json.dumps([each for each, _ in chosen]).encode())
 
 
 class Server(socketserver.ThreadingTCPServer):
@@ -112,6 +215,10 @@
     request_queue_size = 512
 
 
+def _chunk(content):
+    return content if Options.is_unframed else b"%x\r\n%b\r\n" % (len(content), content)
+
+
 def _semaphore(text):
     return threading.BoundedSemaphore(int(text))
 
@@ -121,6 +228,9 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--instance", required=True)
+    parser.add_argument("--unframed", dest="is_unframed", type=int, default=0)
+    parser.add_argument("--stubborn", dest="is_stubborn", type=int, default=0)
+    parser.add_argument("--version", default="v1")
     parser.add_argument("--record", required=True)
     parser.add_argument("--work_ms", type=float, default=0.0)
     parser.add_argument("--slots", type=_semaphore, required=True)
--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -4,6 +4,7 @@
 `engine.py`, entries are started with the command of the deploy file. All addresses are on loopback.
 """
 
+import contextlib
 import json
 import os
 import signal
@@ -115,6 +116,8 @@
         self._entry_count = entries
         self._processes = []
         self.engine_ports = {}
+        # The way of each entry to the store.
+        self.store_gates = {}
 
     def record(self, kind, **fields):
         """Append one line to the record of the case."""
@@ -146,6 +149,12 @@
 
     def start_engine(self, instance, service, slots, **options):
         """Start an engine and list it in the store."""
+        version = options.get("version", "v1")
+        port = self.launch_engine(instance, slots, **options)
+        self.list_engine(instance, port, service, slots, version)
+
+    def launch_engine(self, instance, slots, **options):
+        """Start an engine that is not listed yet, and return its port."""
         (port,) = free_ports(1)
         command = [sys.executable, str(ROOT / "review" / "standins_2" / "engine.py")]
         command += [f"--port={port}", f"--instance={instance}", f"--record={self.runs_path}"]
@@ -154,7 +163,11 @@
         process = subprocess.Popen(command, cwd=ROOT)
         self._processes.append(process)
         wait_for_port(port)
-        self.engine_ports[instance] = port
+        self.engine_ports[instance] = (process, port)
+        return port
+
+    def list_engine(self, instance, port, service, slots, version="v1"):
+        """Write the entry of an engine, as it does itself."""
         self.store.put(
             "servers",
             instance,
@@ -162,7 +175,7 @@
                 "service": service,
                 "address": f"127.0.0.1:{port}",
                 "zone": "sask-a",
-                "version": "v1",
+                "version": version,
                 "slots": slots,
                 "state": "ready",
                 "cold_left_ms": 0,
@@ -186,6 +199,7 @@
         ports = {name: free_ports(4) for name in names}
         seeds = ",".join(f"127.0.0.1:{each[2]}" for each in ports.values())
         for name, (callers, readiness, control, metrics) in ports.items():
+            gate = self.store_gates[name] = StoreGate(self.store.port)
             path = self.scratch / f"{name}.conf"
             path.write_text(
                 SETTINGS.format(
@@ -196,7 +210,7 @@
                     metrics=metrics,
                     seeds=seeds,
                     memory_mb=self.memory_mb,
-                    store=self.store.port,
+                    store=gate.port,
                 ),
                 encoding="utf-8",
             )
@@ -228,6 +242,70 @@
         return (self.scratch / f"{name}.log").read_text(encoding="utf-8", errors="replace")
 
 
+class StoreGate:
+    """Way of one entry to the store, which may answer each call with 503."""
+
+    def __init__(self, store_port):
+        """Accept connections on a free port from now on."""
+        self._store_port = store_port
+        self._is_refusing = False
+        self._open = set()
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.port = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def refuse(self):
+        """Turn the entry away: reset its connections, and answer 503 on new ones."""
+        self._is_refusing = True
+        for each in list(self._open):
+            with contextlib.suppress(OSError):
+                each.shutdown(socket.SHUT_RDWR)
+
+    def serve(self):
+        """Serve the entry again."""
+        self._is_refusing = False
+
+    def _accept(self):
+        while True:
+            opened, _ = self._listener.accept()
+            target = self._answer_busy if self._is_refusing else self._forward
+            threading.Thread(target=target, args=(opened,), daemon=True).start()
+
+    def _answer_busy(self, opened):
+        with contextlib.suppress(OSError), opened:
+            opened.settimeout(2.0)
+            received = b""
+            while b"\r\n\r\n" not in received and (part := opened.recv(65536)):
+                received += part
+            opened.sendall(
+                b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+                b"Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
+            )
+            opened.shutdown(socket.SHUT_WR)
+            while opened.recv(65536):
+                pass
+
+    def _forward(self, opened):
+        try:
+            store = socket.create_connection(("127.0.0.1", self._store_port))
+        except OSError:
+            opened.close()
+            return
+        self._open |= {opened, store}
+        for source, target in ((opened, store), (store, opened)):
+            source.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            threading.Thread(target=self._pump, args=(source, target), daemon=True).start()
+
+    def _pump(self, source, target):
+        with contextlib.suppress(OSError):
+            while part := source.recv(65536):
+                target.sendall(part)
+        for each in (source, target):
+            with contextlib.suppress(OSError):
+                each.shutdown(socket.SHUT_RDWR)
+        self._open -= {source, target}
+
+
 def wait_for_port(port):
     """Wait until a port accepts connections."""
     until_s = time.monotonic() + 15.0
