--- a/review/standins_2/engine.py
+++ b/review/standins_2/engine.py
@@ -31,7 +31,10 @@
     is_stubborn = False
     # Streams have neither chunks nor a length and end with their connection.
     is_unframed = False
+    slot_count = 6
     slots = threading.BoundedSemaphore(6)
+    # The fourth figure of X-Instance-Load, which engines on shared machines state.
+    states_work_time = False
     events = 0
     event_ms = 20.0
 
@@ -88,6 +91,9 @@
             headers[name.strip().lower()] = value.strip()
         body = self.rfile.read(int(headers.get("content-length", "0")))
         identity = [f"X-Instance-Id: {Options.instance}"]
+        if Options.states_work_time:
+            running = len(State.runs)
+            identity.append(f"X-Instance-Load: {running},0,{Options.slot_count},100")
         request = headers.get("x-attempt-id")
         if request is not None:
             identity.append(f"X-Attempt-Id: {request}")
@@ -219,10 +225,6 @@
     return content if Options.is_unframed else b"%x\r\n%b\r\n" % (len(content), content)
 
 
-def _semaphore(text):
-    return threading.BoundedSemaphore(int(text))
-
-
 def main():
     """Serve until the process is ended, by a signal or with the one that started it."""
     parser = argparse.ArgumentParser()
@@ -233,10 +235,12 @@
     parser.add_argument("--version", default="v1")
     parser.add_argument("--record", required=True)
     parser.add_argument("--work_ms", type=float, default=0.0)
-    parser.add_argument("--slots", type=_semaphore, required=True)
+    parser.add_argument("--slots", dest="slot_count", type=int, required=True)
+    parser.add_argument("--states_work_time", type=int, default=0)
     parser.add_argument("--events", type=int, default=0)
     parser.add_argument("--event_ms", type=float, default=20.0)
     parser.parse_args(namespace=Options)
+    Options.slots = threading.BoundedSemaphore(Options.slot_count)
     server = Server(("127.0.0.1", Options.port), Handler)
     server.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     parent = os.getppid()
