--- /dev/null
+++ b/review/seen_2/run.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH=target/deps python3 review/seen_2/case.py
+case $? in
+  0) exit 0 ;;
+  10) exit 1 ;;
+  *) exit 2 ;;
+esac
