--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,11 +1,13 @@
 """Begin streams at an entry that the store turns away during a release, and kill that entry."""
 
+import json
 import os
 import signal
 import socket
 import sys
 import threading
 import time
+import urllib.request
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -20,8 +22,11 @@
 EVENT_MS = 50
 STREAMS = 16
 SETTLE_S = 5.0
-# After the first engines of the new version are listed.
-REFUSED_AT_S = 1.0
+# One engine after the other is replaced: the new one is listed first, then the old one drains.
+RELEASE_GAP_S = 1.0
+DRAIN_AFTER_S = 0.1
+# After the first engine of the new version is listed.
+REFUSED_AT_S = 1.3
 STREAMS_AT_S = 1.5
 KILLED_AT_S = 3.5
 RETRY_S = 0.1
@@ -157,8 +162,9 @@
     trouble = os.environ.get("TROUBLE", "1")
     with Fleet(FOLDER, entries=3) as fleet:
         options = {"events": EVENTS, "event_ms": EVENT_MS}
-        for number in range(2):
-            fleet.start_engine(f"i-7f3a91c{number}", SERVICE, SLOTS, version="v1", **options)
+        old = [f"i-7f3a91c{number}" for number in range(4)]
+        for each in old:
+            fleet.start_engine(each, SERVICE, SLOTS, version="v1", **options)
         new = [f"i-02d9e6b{number}" for number in range(2)]
         ports = [fleet.launch_engine(each, SLOTS, version="v2", **options) for each in new]
         fleet.configure(configuration())
@@ -167,9 +173,12 @@
         first, *others = fleet.entries.values()
         name = next(iter(fleet.entries))
         began_at_s = time.monotonic()
-        for each, port in zip(new, ports, strict=True):
+        for number, (each, port) in enumerate(zip(new, ports, strict=True)):
+            wait_until(began_at_s + number * RELEASE_GAP_S)
             fleet.list_engine(each, port, SERVICE, SLOTS, version="v2")
-        fleet.record("release", listed=new, version="v2")
+            fleet.record("released", new=each, version="v2", old=old[number])
+            time.sleep(DRAIN_AFTER_S)
+            drain(fleet, old[number])
         wait_until(began_at_s + REFUSED_AT_S)
         if trouble in ("1", "store"):
             fleet.store_gates[name].refuse()
@@ -188,6 +197,14 @@
         return judge(fleet, streams)
 
 
+def drain(fleet, instance):
+    """Write that an engine drains, as it does itself; it serves on."""
+    path = f"http://127.0.0.1:{fleet.store.port}/api/objects/servers/{instance}"
+    with urllib.request.urlopen(path, timeout=2.0) as answer:
+        entry = json.load(answer)["spec"]
+    fleet.store.put("servers", instance, entry | {"state": "draining", "sequence": 5})
+
+
 def wait_until(at_s):
     """Sleep until a time on the monotonic clock."""
     time.sleep(max(0.0, at_s - time.monotonic()))
