Log and count where streams are recorded and what take-ups rest on

Cause: the logs could not tell a stream that began without a record from one that did, nor why a version was assumed or a take-up refused.

Change: while several versions serve, "stream begins" says whether its record is stored; "stream is taken up" names its basis; both are counted in metrics. The decision on a missing record moves to a module of its own, unchanged.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -194,7 +194,13 @@
             finished_max=FINISHED_REQUESTS_MAX,
         )
         self._stream_versions = StreamVersions(
-            StreamVersionsOptions(settings.id, self._records_versions, self._is_list_behind),
+            StreamVersionsOptions(
+                settings.id,
+                self._records_versions,
+                self._is_list_behind,
+                on_begun=self._counters.record_begun,
+                on_taken_up=self._counters.record_taken_up,
+            ),
             self._registry,
             store,
             log,
--- a/gooseberryquay/serving/request_counters.py
+++ b/gooseberryquay/serving/request_counters.py
@@ -72,6 +72,18 @@
             ("outcome",),
             registry=self.registry,
         )
+        self._begun = Counter(
+            "streams_begun_while_versions_are_mixed",
+            "Streams by where their software version was recorded before the first event",
+            ("recorded",),
+            registry=self.registry,
+        )
+        self._taken_up = Counter(
+            "streams_taken_up",
+            "Streams that callers take up again, by what is known of where they began",
+            ("basis",),
+            registry=self.registry,
+        )
         self._count = 0
         self._changed = threading.Condition()
 
@@ -127,6 +139,14 @@
         """Record what was planned or done with a run at an engine that leaves."""
         self._moves.labels(outcome).inc()
 
+    def record_begun(self, is_stored: bool) -> None:
+        """Record a stream that begins while several software versions serve."""
+        self._begun.labels("store" if is_stored else "nowhere").inc()
+
+    def record_taken_up(self, basis: str) -> None:
+        """Record a stream that a caller takes up again."""
+        self._taken_up.labels(basis).inc()
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/gooseberryquay/serving/stream_versions.py
+++ b/gooseberryquay/serving/stream_versions.py
@@ -14,6 +14,13 @@
 from gooseberryquay.links.platform_client import NO_VERSION
 from gooseberryquay.machines.suspect_store import SuspectObjects
 from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.missing_record import (
+    CHANGE_SETTLED_S,
+    MissingRecord,
+    OriginBasis,
+    StreamOriginFound,
+    decide_without_record,
+)
 from gooseberryquay.serving.shared_read import SharedRead
 from gooseberryquay.serving.upstream_registry import UpstreamRegistry
 from gooseberryquay.serving.version_history import (
@@ -47,10 +54,6 @@
 # Records of streams that began just before their entry ended may be about to be written.
 READ_AGAIN_S = 0.25
 READ_INTERVAL_S = 0.2
-# Entries that saw only the previous version have learned of another by then.
-CHANGE_SETTLED_S = 5.0
-# Entries that restart together see the list within this time.
-RESTART_SPREAD_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,12 +66,16 @@
     """Configure which entry this is, whether it writes while one version serves, and its list.
 
     `is_list_behind` returns whether other entries know, or may know, a newer list of upstreams.
+    `on_begun` is called with whether the record of a stream is stored as its first event is passed
+    on while several versions serve, `on_taken_up` with what a take-up rests on.
     """
 
     entry: EntryId
     writes_history: Callable[[], bool] = lambda: True
     is_list_behind: Callable[[], bool] = lambda: False
     lifetime_s: float = STREAM_LIFETIME_S
+    on_begun: Callable[[bool], None] = lambda _is_stored: None
+    on_taken_up: Callable[[str], None] = lambda _basis: None
 
 
 class StreamVersions:
@@ -156,9 +163,10 @@
         if needs_record:
             self._has_waiters.set()
             self._changed.set()
-            self._wait_until_stored(number, caller or NullCallerWatch())
+            is_stored = self._wait_until_stored(number, caller or NullCallerWatch())
+            self._report_begun(stream, service, version, is_stored)
 
-    def _wait_until_stored(self, number: int, caller: CallerWatch) -> None:
+    def _wait_until_stored(self, number: int, caller: CallerWatch) -> bool:
         until_s = time.monotonic() + RECORD_TIME_S
         with self._stored:
             # While the store is away, a further wait would delay each stream and store none.
@@ -167,9 +175,24 @@
                 if left_s <= 0.0 or self._stopping.is_set() or caller.is_disconnected():
                     break
                 self._stored.wait(min(left_s, POLL_INTERVAL_S))
-            is_stored = self._stored_count >= number
-        if not is_stored:
-            self._log.belief("stream begins without a record", failures=self._failure_count)
+            return self._stored_count >= number
+
+    def _report_begun(
+        self,
+        stream: RequestId,
+        service: ServiceId,
+        version: SoftwareVersion | None,
+        is_stored: bool,
+    ) -> None:
+        self._options.on_begun(is_stored)
+        self._log.belief(
+            "stream begins",
+            stream=stream,
+            service=service,
+            version=version,
+            is_stored=is_stored,
+            failures=self._failure_count,
+        )
 
     def version_of(
         self,
@@ -183,14 +206,21 @@
         Ends early if the caller disconnects, or at `until_s` on the monotonic clock.
         """
         found = self._look_up(stream, service, caller or NullCallerWatch(), until_s)
-        self._log.belief("stream is taken up", stream=stream, service=service, version=repr(found))
-        if isinstance(found, VersionUnknown):
-            return found
-        return SoftwareVersion(found) if found else None
+        self._options.on_taken_up(found.basis.value)
+        self._log.belief(
+            "stream is taken up",
+            stream=stream,
+            service=service,
+            version=found.version,
+            basis=found.basis.value,
+        )
+        if found.version is None:
+            return VersionUnknown()
+        return SoftwareVersion(found.version) if found.version else None
 
     def _look_up(
         self, stream: RequestId | None, service: ServiceId, caller: CallerWatch, until_s: float
-    ) -> str | VersionUnknown:
+    ) -> StreamOriginFound:
         """Return what is known here, or else what other entries have recorded in the store.
 
         The list of upstreams alone may be behind, and then shows one version where others serve.
@@ -204,47 +234,54 @@
             if delay_s:
                 time.sleep(min(delay_s, max(0.0, until_s - time.monotonic())))
                 self._shared_read.wait(caller, until_s)
-            found = self._recorded(stream) or self._only_version(service)
+            found = self._recorded(stream)
             if found is not None:
                 return found
-        return self._assume(service)
-
-    def _recorded(self, stream: RequestId | None) -> str | None:
+            only = self._only_version(service)
+            if only is not None:
+                return StreamOriginFound(only, OriginBasis.ONLY_VERSION)
+        return self._decide_without_record(service)
+
+    def _recorded(self, stream: RequestId | None) -> StreamOriginFound | None:
+        if stream is None:
+            return None
         with self._lock:
-            origin = self._own.get(stream) or self._read.get(stream) if stream else None
-            return origin.version if origin is not None else None
+            own, read = self._own.get(stream), self._read.get(stream)
+        if own is not None:
+            return StreamOriginFound(own.version, OriginBasis.OWN_RECORD)
+        if read is not None:
+            return StreamOriginFound(read.version, OriginBasis.STORED_RECORD)
+        return None
 
     def _only_version(self, service: ServiceId) -> str | None:
         with self._lock:
             self._observe_list_locked()
             return self._history.only_version(service, self._oldest_s())
 
-    def _without_store(self, service: ServiceId) -> str | VersionUnknown:
+    def _without_store(self, service: ServiceId) -> StreamOriginFound:
         """Trust the list while the store is away, unless other entries know a newer one."""
         only = self._only_version(service) if self._was_read else None
         if only is None or self._options.is_list_behind():
-            return VersionUnknown()
-        return only
+            return StreamOriginFound(None, OriginBasis.STORE_NOT_READ)
+        return StreamOriginFound(only, OriginBasis.ONLY_VERSION_LISTED)
 
-    def _assume(self, service: ServiceId) -> str | VersionUnknown:
-        """Assume the previous version for streams of entries that ended before they saw another."""
+    def _decide_without_record(self, service: ServiceId) -> StreamOriginFound:
         with self._lock:
             change = self._history.latest_change(service, self._oldest_s())
             documents = self._documents
-        now_s = self._clock()
-        if change is None or not self._was_read:
-            return VersionUnknown()
-        if any(
-            each.has_seen(service, change.version) and not each.is_written_ahead
-            for each in documents
-        ):
-            return VersionUnknown()
-        is_new = now_s - change.at_s <= CHANGE_SETTLED_S
-        was_up = self._started_at_s - RESTART_SPREAD_S <= change.at_s
-        if not (is_new and was_up) or change.previous is None:
-            return VersionUnknown()
-        self._log.belief("previous version is assumed", service=service, age_s=now_s - change.at_s)
-        return change.previous
+        return decide_without_record(
+            MissingRecord(
+                now_s=self._clock(),
+                started_at_s=self._started_at_s,
+                change=change,
+                is_store_read=self._was_read,
+                has_late_writers=change is not None
+                and any(
+                    each.has_seen(service, change.version) and not each.is_written_ahead
+                    for each in documents
+                ),
+            )
+        )
 
     def _oldest_s(self) -> float:
         return self._clock() - self._options.lifetime_s
