Keep records of streams at peers while the store can't be written

Cause: the entry that began a stream left its record out at any version when the store failed; the one that took it up read a missing record as the previous version for 5 s, and as nothing later.

Change: a missing record means the earliest version of the last 90 s, and both sides keep to it. Two peers keep what the store does not take, and write it for the entry; if neither is possible, streams begin at the earliest version only. Whoever takes a stream up asks peers too, and assumes nothing if the store has lost writes, if witnesses may have ended, or beside an earlier build. A version that comes back after 90 s is a new one.

Why it works: a stream of a later version can be without a record only if its entry and both witnesses are gone or the store has lost writes, and both are told apart then.

Two cases of test_stream_versions expected that a stream without a record is refused 20 s after the change; that refused streams of entries that could not record them, which callers must get on with. They are replaced: such streams are refused where a record may be lost (six cases), also beside, and a take-up that names no stream always is.

--- a/gooseberryquay/daemons/platform_entry.py
+++ b/gooseberryquay/daemons/platform_entry.py
@@ -69,6 +69,7 @@
 from gooseberryquay.serving.shared_admission import SharedAdmission
 from gooseberryquay.serving.shared_rate import RateTolerance
 from gooseberryquay.serving.stream_versions import StreamVersions, StreamVersionsOptions
+from gooseberryquay.serving.stream_witnesses import StreamWitnesses, add_witness_routes
 from gooseberryquay.serving.upstream_load import LoadTable
 from gooseberryquay.serving.upstream_reach import UpstreamReach
 from gooseberryquay.serving.upstream_registry import LimitNotice, UpstreamRegistry
@@ -204,6 +205,7 @@
             self._registry,
             store,
             log,
+            witnesses=StreamWitnesses(self._membership, self._entry_counter.known),
         )
         self._store_era.on_rise(self._suspects.store_lost_writes)
         self._store_era.on_rise(self._stream_versions.store_lost_writes)
@@ -427,6 +429,7 @@
         self._membership.add_routes(router)
         self._peers.add_routes(router)
         self._suspects.add_routes(router)
+        add_witness_routes(router, self._stream_versions)
         self._upstream_relay.add_routes(router)
         self._watches.add_routes(router)
         return router
--- a/gooseberryquay/daemons/tests/stream_builders.py
+++ b/gooseberryquay/daemons/tests/stream_builders.py
@@ -35,12 +35,13 @@
     # Whether the last response ended as a regular one does, whatever it held.
     has_ended: bool = False
     deadline_ms: int = 6000
+    timeout_s: float = TIMEOUT_S
 
     def read(self, port, until_event=None):
         """Read from one entry up to an event or to the end; then close the connection."""
         self.id = f"s-{next(_NUMBERS)}"
         self.has_ended = False
-        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=TIMEOUT_S)
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=self.timeout_s)
         with contextlib.suppress(OSError, http.client.HTTPException):
             connection.request("POST", self.path, self.body, self._headers())
             response = connection.getresponse()
--- a/gooseberryquay/serving/entry_counter.py
+++ b/gooseberryquay/serving/entry_counter.py
@@ -54,6 +54,11 @@
         with self._lock:
             return max(1, len(self._peers))
 
+    def known(self) -> tuple[Peer, ...]:
+        """Return the entries, each in the incarnation that was live last."""
+        with self._lock:
+            return tuple(self._peers.values())
+
     def is_stable(self) -> bool:
         """Return whether the count has hardly grown recently, so that few entries are unknown."""
         with self._lock:
--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -133,7 +133,8 @@
             if not is_budget_exempt and not self._may_retry(request, attempts):
                 break
             is_budget_exempt = False
-            placed = self._placer.place(request, progress.pinned, attempts.excluded)
+            pinned = progress.pinned or self._version_to_begin(request)
+            placed = self._placer.place(request, pinned, attempts.excluded)
             if isinstance(placed, Err):
                 failure = placed.err_value
                 if isinstance(failure, CallerLeft) or not request.execution.may_have_run:
@@ -155,7 +156,7 @@
                     return CallerLeft()
                 case StreamEnd.TIMED_OUT | StreamEnd.OUT_OF_ORDER:
                     break
-                case StreamEnd.BROKEN:
+                case StreamEnd.BROKEN | StreamEnd.UNRECORDED:
                     is_budget_exempt, attempts.is_paid = attempts.is_paid, False
                 case NotExecuted(reason, has_arrived):
                     attempts.reason = reason
@@ -206,6 +207,10 @@
         try:
             for _ in range(MOVES_MAX):
                 outcome = self._run_once(active, progress, attempts, continuation)
+                if outcome is StreamEnd.UNRECORDED:
+                    attempts.reason = "the software version of the stream could not be recorded"
+                    self._stop_run(active)
+                    return outcome
                 copy = self._resume_point(active, copy, outcome)
                 if copy is None and outcome is StreamEnd.BROKEN:
                     # An order without an answer may still arrive there, and stop a new run.
@@ -243,6 +248,12 @@
             case _:
                 return None
 
+    def _stop_run(self, active: ActiveGeneration) -> None:
+        """Stop a run that is to begin anew elsewhere."""
+        copy = active.take_copy(MOVE_WAIT_S)
+        if copy is not None:
+            self._discard(active, copy)
+
     def _take_backup(self, active: ActiveGeneration) -> KvCopy | None:
         """Return the backup of a run that its engine's end has cut off, or None."""
         if self._migration.backups is None or active.backup is None:
@@ -356,7 +367,7 @@
         relay.on_good_run = functools.partial(self._guard.ran_well, active.request)
         relay.good_run_events = GOOD_RUN_EVENTS
         relay.version = version
-        relay.on_begun = functools.partial(self._record_begun, active.request, version)
+        relay.on_begun = functools.partial(self._may_begin, active.request, version)
         relay.is_engine_up = functools.partial(self._is_engine_up, active)
         relay.on_event = functools.partial(self._placement.record_pace, active.known)
         if not active.run.is_moved and not was_resumed:
@@ -381,9 +392,25 @@
         first_s = time.monotonic() - run.started_at_s
         self._placement.record_first_event(active.known, first_s, run.tokens_ahead)
 
-    def _record_begun(self, request: AcceptedRequest, version: SoftwareVersion | None) -> None:
-        if request.route.is_resumable:
-            self._versions.record(request.call.id, request.service, version, request.caller)
+    def _may_begin(self, request: AcceptedRequest, version: SoftwareVersion | None) -> bool:
+        """Record the version that begins a stream; return False if another one has to."""
+        if not request.route.is_resumable:
+            return True
+        call = request.call
+        if self._versions.record(call.id, request.service, version, request.caller):
+            return True
+        # If no engine of the earliest version takes work, a stream without a record beats none.
+        return self._version_to_begin(request) is None
+
+    def _version_to_begin(self, request: AcceptedRequest) -> PinnedVersion | None:
+        """Return the only version at which a stream may begin now, None if it may at any."""
+        if not request.route.is_resumable:
+            return None
+        only = self._versions.only_version_to_begin(request.service)
+        if only is None:
+            return None
+        others = self._placement.of_other_versions(request.service, only.version)
+        return only if self._placement.has_candidate(request.service, others) else None
 
     def _is_engine_up(self, active: ActiveGeneration) -> bool:
         """Return whether an engine that leaves still listens, if its stream could go on elsewhere.
--- a/gooseberryquay/serving/request_counters.py
+++ b/gooseberryquay/serving/request_counters.py
@@ -139,9 +139,9 @@
         """Record what was planned or done with a run at an engine that leaves."""
         self._moves.labels(outcome).inc()
 
-    def record_begun(self, is_stored: bool) -> None:
+    def record_begun(self, place: str) -> None:
         """Record a stream that begins while several software versions serve."""
-        self._begun.labels("store" if is_stored else "nowhere").inc()
+        self._begun.labels(place).inc()
 
     def record_taken_up(self, basis: str) -> None:
         """Record a stream that a caller takes up again."""
--- a/gooseberryquay/serving/stream_relay.py
+++ b/gooseberryquay/serving/stream_relay.py
@@ -30,6 +30,8 @@
     CALLER_LEFT = "caller left"
     OUT_OF_ORDER = "out of order"
     TIMED_OUT = "timed out"
+    # Not begun, as its software version could be recorded nowhere.
+    UNRECORDED = "unrecorded"
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,7 +94,8 @@
     good_run_events: int = 0
     # Software of the engine as it was when the request was sent.
     version: SoftwareVersion | None = None
-    on_begun: Callable[[], None] = lambda: None
+    # Called before the first event; the stream begins only if it returns True.
+    on_begun: Callable[[], bool] = lambda: True
     # Called with the seconds from one event to the next, and with those to the first event.
     on_event: Callable[[float], None] = lambda _event_s: None
     on_first_event: Callable[[], None] = lambda: None
@@ -179,7 +182,8 @@
         if not self.progress.is_next(event):
             self.reason = f"event {event.id} after {self.progress.last_id}"
             return StreamEnd.OUT_OF_ORDER
-        self._start()
+        if not self._start():
+            return StreamEnd.UNRECORDED
         self._report_resumed()
         forwarded.append(event.raw)
         self.progress.record_event(event)
@@ -215,7 +219,8 @@
             if not self.is_engine_up():
                 self.reason = "stream closed as its engine exited"
                 return StreamEnd.BROKEN
-        self._start()
+        if not self._start():
+            return StreamEnd.UNRECORDED
         self.active.request.response_writer.end_stream()
         return StreamEnd.COMPLETE
 
@@ -223,12 +228,16 @@
         left_s = self.active.request.until_s - time.monotonic()
         return self.active.has_ended_by_itself(min(STOP_ANSWER_TIMEOUT_S, max(0.0, left_s)))
 
-    def _start(self) -> None:
-        if not self.progress.is_started:
-            self.active.request.response_writer.start_stream(
-                self.response.status, self.response.headers
-            )
-            self.progress.is_started = True
-            if self.progress.pinned is None:
-                self.progress.pinned = PinnedVersion(self.version)
-                self.on_begun()
+    def _start(self) -> bool:
+        """Begin the response unless that has been done; return False if it may not begin."""
+        if self.progress.is_started:
+            return True
+        if self.progress.pinned is None:
+            if not self.on_begun():
+                return False
+            self.progress.pinned = PinnedVersion(self.version)
+        self.active.request.response_writer.start_stream(
+            self.response.status, self.response.headers
+        )
+        self.progress.is_started = True
+        return True
--- a/gooseberryquay/serving/stream_versions.py
+++ b/gooseberryquay/serving/stream_versions.py
@@ -4,8 +4,9 @@
 import threading
 import time
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
+from enum import Enum
 
 from result import Err, Ok
 
@@ -15,22 +16,24 @@
 from gooseberryquay.machines.suspect_store import SuspectObjects
 from gooseberryquay.serving.decision_log import DecisionLog
 from gooseberryquay.serving.missing_record import (
-    CHANGE_SETTLED_S,
     MissingRecord,
     OriginBasis,
     StreamOriginFound,
     decide_without_record,
 )
 from gooseberryquay.serving.shared_read import SharedRead
+from gooseberryquay.serving.stream_relay import PinnedVersion
+from gooseberryquay.serving.stream_witnesses import NO_WITNESSES, PeerAnswers, Witnesses
 from gooseberryquay.serving.upstream_registry import UpstreamRegistry
 from gooseberryquay.serving.version_history import (
     StoredStreams,
     StreamOrigin,
     VersionHistory,
+    VersionSpan,
     newest_history,
 )
 
-__all__ = ["StreamVersions", "StreamVersionsOptions", "VersionUnknown"]
+__all__ = ["RecordPlace", "StreamVersions", "StreamVersionsOptions", "VersionUnknown"]
 
 PREFIX = "streams/"
 # Streams of two versions may be taken up for about as long as a caller waits for an answer.
@@ -49,11 +52,27 @@
 # After so many failed calls in a row, the store is considered away.
 FAILURES_MAX = 2
 POLL_INTERVAL_S = 0.1
+# Peers are asked to keep a record that a busy store has not taken by then.
+STORE_ALONE_S = 0.1
+# How long no stream begins at a later version after no place was found for a record.
+CONFINED_S = 2.0
+# What peers let this entry wait for a read of the store.
+FIND_TIME_S = 0.3
 # An entry may become one of those that record the only version of a service.
 HISTORY_CHECK_S = 1.0
 # Records of streams that began just before their entry ended may be about to be written.
 READ_AGAIN_S = 0.25
 READ_INTERVAL_S = 0.2
+# Until then, streams of an earlier process that wrote late may be unrecorded.
+LATE_WRITES_S = 5.0
+
+
+class RecordPlace(Enum):
+    """Name where the version of a stream is recorded before its first event."""
+
+    STORE = "store"
+    PEERS = "peers"
+    NOWHERE = "nowhere"
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,15 +85,15 @@
     """Configure which entry this is, whether it writes while one version serves, and its list.
 
     `is_list_behind` returns whether other entries know, or may know, a newer list of upstreams.
-    `on_begun` is called with whether the record of a stream is stored as its first event is passed
-    on while several versions serve, `on_taken_up` with what a take-up rests on.
+    `on_begun` is called with where a stream is recorded that begins while several versions serve,
+    `on_taken_up` with what a take-up rests on.
     """
 
     entry: EntryId
     writes_history: Callable[[], bool] = lambda: True
     is_list_behind: Callable[[], bool] = lambda: False
     lifetime_s: float = STREAM_LIFETIME_S
-    on_begun: Callable[[bool], None] = lambda _is_stored: None
+    on_begun: Callable[[str], None] = lambda _place: None
     on_taken_up: Callable[[str], None] = lambda _basis: None
 
 
@@ -83,8 +102,9 @@
 
     While one version of a service serves, nothing is written but that version. Once another
     appears, each entry writes its streams to an object of its own, in batches, and passes no event
-    of a stream on before its record is stored. A stream without a record has then begun at an entry
-    that knew only the previous version.
+    of a stream on before its record is stored or, if the store can't be written, kept by two peers.
+    If neither is possible, streams begin at the earliest version only, while that serves. A stream
+    without a record has then begun at the earliest version.
     """
 
     def __init__(
@@ -94,8 +114,11 @@
         platform: SuspectObjects,
         log: DecisionLog,
         clock: Callable[[], float] = time.time,
+        *,
+        witnesses: Witnesses = NO_WITNESSES,
     ) -> None:
         self._options = options
+        self._witnesses = witnesses
         self._registry = registry
         self._platform = platform
         self._log = log
@@ -103,6 +126,8 @@
         self._started_at_s = clock()
         self._own: OrderedDict[RequestId, StreamOrigin] = OrderedDict()
         self._read: dict[RequestId, StreamOrigin] = {}
+        # What peers that could not write have told.
+        self._kept: dict[RequestId, StreamOrigin] = {}
         # What other entries have written, for as long as it is not read again.
         self._documents: list[StoredStreams] = []
         # Records are numbered; those up to the second number are stored.
@@ -110,9 +135,12 @@
         self._stored_count = 0
         self._failure_count = 0
         self._has_waiters = threading.Event()
-        # When streams of an earlier process that did not write ahead no longer matter; None until
-        # its object was read.
+        self._unrecorded_at_s = float("-inf")
+        self._restored_at_s = float("-inf")
+        # When streams of an earlier process that did not write ahead no longer matter, and when
+        # none of its streams does; None until its object was read.
         self._ahead_from_s: float | None = None
+        self._witnessed_from_s = 0.0
         self._history = VersionHistory()
         self._was_read = False
         self._shared_read = SharedRead(self._load, READ_INTERVAL_S)
@@ -143,56 +171,145 @@
         service: ServiceId,
         version: SoftwareVersion | None,
         caller: CallerWatch | None = None,
-    ) -> None:
+    ) -> bool:
         """Record the version that began a stream, before its first event is passed on.
 
-        Once several versions serve, waits until the record is stored, at most for RECORD_TIME_S.
+        Once several versions serve, waits until the store or peers have the record, at most for
+        some RECORD_TIME_S. Returns False if neither has it and it began at a later version.
         """
+        origin = StreamOrigin(service=service, version=version or "", at_s=self._clock())
         with self._lock:
-            self._own.pop(stream, None)
-            self._own[stream] = StreamOrigin(
-                service=service, version=version or "", at_s=self._clock()
-            )
-            if len(self._own) > STREAMS_MAX:
-                self._own.popitem(last=False)
+            self._add_own_locked(stream, origin)
             self._is_dirty = True
             self._record_count += 1
             number = self._record_count
             self._observe_list_locked()
-            needs_record = self._history.is_mixed(service, self._oldest_s())
-        if needs_record:
-            self._has_waiters.set()
-            self._changed.set()
-            is_stored = self._wait_until_stored(number, caller or NullCallerWatch())
-            self._report_begun(stream, service, version, is_stored)
+            oldest_s = self._oldest_s()
+            if not self._history.is_mixed(service, oldest_s):
+                return True
+            earliest = self._history.earliest(service, oldest_s)
+        self._has_waiters.set()
+        self._changed.set()
+        is_earliest = earliest is not None and earliest.version == origin.version
+        if is_earliest and self._is_confined():
+            place = RecordPlace.NOWHERE
+        else:
+            place = self._find_place(stream, origin, number, caller or NullCallerWatch())
+        self._options.on_begun(place.value)
+        self._log.belief(
+            "stream begins",
+            stream=stream,
+            service=service,
+            version=version,
+            earliest=earliest.version if earliest is not None else None,
+            recorded=place.value,
+            failures=self._failure_count,
+        )
+        return is_earliest or place is not RecordPlace.NOWHERE
+
+    def only_version_to_begin(self, service: ServiceId) -> PinnedVersion | None:
+        """Return the version at which alone streams can begin, None if they can at any.
 
-    def _wait_until_stored(self, number: int, caller: CallerWatch) -> bool:
+        While streams can't be recorded, that is the one which a missing record stands for.
+        """
+        if not self._is_confined():
+            return None
+        with self._lock:
+            earliest = self._history.earliest(service, self._oldest_s())
+        if earliest is None:
+            return None
+        return PinnedVersion(SoftwareVersion(earliest.version) if earliest.version else None)
+
+    def _is_confined(self) -> bool:
+        return time.monotonic() - self._unrecorded_at_s <= CONFINED_S
+
+    def _add_own_locked(self, stream: RequestId, origin: StreamOrigin) -> None:
+        self._own.pop(stream, None)
+        self._own[stream] = origin
+        if len(self._own) > STREAMS_MAX:
+            _, dropped = self._own.popitem(last=False)
+            if dropped.at_s >= self._oldest_s():
+                self._witnessed_from_s = dropped.at_s + self._options.lifetime_s
+
+    def _find_place(
+        self, stream: RequestId, origin: StreamOrigin, number: int, caller: CallerWatch
+    ) -> RecordPlace:
+        """Wait for the store, and let peers keep the record if that takes long or fails."""
         until_s = time.monotonic() + RECORD_TIME_S
+        place = RecordPlace.NOWHERE
+        if self._wait_until_stored(number, caller, time.monotonic() + STORE_ALONE_S, 1):
+            place = RecordPlace.STORE
+        elif self._witnesses.keep(stream, origin, until_s):
+            place = RecordPlace.PEERS
+        # While the store is away, a further wait would delay each stream and store none.
+        elif self._wait_until_stored(number, caller, until_s, FAILURES_MAX):
+            place = RecordPlace.STORE
+        is_nowhere = place is RecordPlace.NOWHERE and not caller.is_disconnected()
+        self._unrecorded_at_s = time.monotonic() if is_nowhere else float("-inf")
+        return place
+
+    def _wait_until_stored(
+        self, number: int, caller: CallerWatch, until_s: float, failures_max: int
+    ) -> bool:
         with self._stored:
-            # While the store is away, a further wait would delay each stream and store none.
-            while self._stored_count < number and self._failure_count < FAILURES_MAX:
+            while self._stored_count < number and self._failure_count < failures_max:
                 left_s = until_s - time.monotonic()
                 if left_s <= 0.0 or self._stopping.is_set() or caller.is_disconnected():
                     break
                 self._stored.wait(min(left_s, POLL_INTERVAL_S))
             return self._stored_count >= number
 
-    def _report_begun(
-        self,
-        stream: RequestId,
-        service: ServiceId,
-        version: SoftwareVersion | None,
-        is_stored: bool,
-    ) -> None:
-        self._options.on_begun(is_stored)
-        self._log.belief(
-            "stream begins",
-            stream=stream,
-            service=service,
-            version=version,
-            is_stored=is_stored,
-            failures=self._failure_count,
-        )
+    def keep_for_peer(self, origins: Mapping[RequestId, StreamOrigin]) -> bool:
+        """Keep origins that a peer can't write, and write them; return False if there is no room.
+
+        The peer may know of versions that this entry doesn't.
+        """
+        now_s = self._clock()
+        with self._lock:
+            oldest_s = self._oldest_s()
+            if len(self._kept) + len(origins) > STREAMS_MAX:
+                self._kept = {
+                    name: origin for name, origin in self._kept.items() if origin.at_s >= oldest_s
+                }
+            if len(self._kept) + len(origins) > STREAMS_MAX:
+                return False
+            for name, origin in origins.items():
+                at_s = min(origin.at_s, now_s)
+                self._kept[name] = origin.model_copy(update={"at_s": at_s})
+                seen = VersionSpan(
+                    service=origin.service,
+                    version=origin.version,
+                    first_at_s=now_s,
+                    last_at_s=now_s,
+                )
+                self._history.merge([seen], oldest_s)
+            self._is_dirty = True
+        self._has_waiters.set()
+        self._changed.set()
+        return True
+
+    def find_for_peer(
+        self, streams: Iterable[RequestId], reads_store: bool
+    ) -> dict[RequestId, StreamOrigin]:
+        """Return the origins that are known, those in the store if it is to be read."""
+        wanted = set(streams)
+        found = self._known_origins(wanted)
+        if reads_store and len(found) < len(wanted):
+            self._shared_read.wait(NullCallerWatch(), time.monotonic() + FIND_TIME_S)
+            found = self._known_origins(wanted)
+        return found
+
+    def kept_for_s(self) -> float:
+        """Return for how long origins have been kept here."""
+        return max(0.0, self._clock() - self._started_at_s)
+
+    def _known_origins(self, streams: Iterable[RequestId]) -> dict[RequestId, StreamOrigin]:
+        with self._lock:
+            origins = {
+                each: self._own.get(each) or self._kept.get(each) or self._read.get(each)
+                for each in streams
+            }
+        return {name: origin for name, origin in origins.items() if origin is not None}
 
     def version_of(
         self,
@@ -221,65 +338,89 @@
     def _look_up(
         self, stream: RequestId | None, service: ServiceId, caller: CallerWatch, until_s: float
     ) -> StreamOriginFound:
-        """Return what is known here, or else what other entries have recorded in the store.
+        """Return what is known here, in the store, or else at peers.
 
         The list of upstreams alone may be behind, and then shows one version where others serve.
         """
         known = self._recorded(stream)
         if known is not None:
             return known
-        if not self._shared_read.wait(caller, until_s):
-            return self._without_store(service)
-        for delay_s in (0.0, READ_AGAIN_S):
-            if delay_s:
-                time.sleep(min(delay_s, max(0.0, until_s - time.monotonic())))
-                self._shared_read.wait(caller, until_s)
-            found = self._recorded(stream)
-            if found is not None:
-                return found
-            only = self._only_version(service)
-            if only is not None:
-                return StreamOriginFound(only, OriginBasis.ONLY_VERSION)
-        return self._decide_without_record(service)
+        is_read = self._shared_read.wait(caller, until_s)
+        is_behind = self._options.is_list_behind()
+        found = self._recorded(stream) or self._only_version(service, is_read, is_behind)
+        if found is not None:
+            return found
+        answers = self._ask_peers(stream, reads_store=not is_read)
+        if answers.origin is not None:
+            return StreamOriginFound(answers.origin.version, OriginBasis.KEPT_BY_PEER)
+        if not is_read:
+            return StreamOriginFound(None, OriginBasis.STORE_NOT_READ)
+        if not is_behind:
+            time.sleep(min(READ_AGAIN_S, max(0.0, until_s - time.monotonic())))
+            self._shared_read.wait(caller, until_s)
+        found = self._recorded(stream) or self._only_version(service, is_read, is_behind=False)
+        if stream is None:
+            return found or StreamOriginFound(None, OriginBasis.NO_NAME)
+        return found or self._decide_without_record(service, answers)
 
     def _recorded(self, stream: RequestId | None) -> StreamOriginFound | None:
         if stream is None:
             return None
         with self._lock:
-            own, read = self._own.get(stream), self._read.get(stream)
+            own, kept, read = (each.get(stream) for each in (self._own, self._kept, self._read))
         if own is not None:
             return StreamOriginFound(own.version, OriginBasis.OWN_RECORD)
+        if kept is not None:
+            return StreamOriginFound(kept.version, OriginBasis.KEPT_FOR_PEER)
         if read is not None:
             return StreamOriginFound(read.version, OriginBasis.STORED_RECORD)
         return None
 
-    def _only_version(self, service: ServiceId) -> str | None:
+    def _only_version(
+        self, service: ServiceId, is_read: bool, is_behind: bool
+    ) -> StreamOriginFound | None:
+        """Return the only version, unless other entries may know another one."""
+        if is_behind or not self._was_read:
+            return None
         with self._lock:
             self._observe_list_locked()
-            return self._history.only_version(service, self._oldest_s())
-
-    def _without_store(self, service: ServiceId) -> StreamOriginFound:
-        """Trust the list while the store is away, unless other entries know a newer one."""
-        only = self._only_version(service) if self._was_read else None
-        if only is None or self._options.is_list_behind():
-            return StreamOriginFound(None, OriginBasis.STORE_NOT_READ)
-        return StreamOriginFound(only, OriginBasis.ONLY_VERSION_LISTED)
+            only = self._history.only_version(service, self._oldest_s())
+        if only is None:
+            return None
+        basis = OriginBasis.ONLY_VERSION if is_read else OriginBasis.ONLY_VERSION_LISTED
+        return StreamOriginFound(only, basis)
 
-    def _decide_without_record(self, service: ServiceId) -> StreamOriginFound:
+    def _ask_peers(self, stream: RequestId | None, reads_store: bool) -> PeerAnswers:
+        if stream is None:
+            return PeerAnswers(None, (), are_all_asked=False)
+        answers = self._witnesses.find(stream, reads_store)
+        if answers.origin is not None:
+            with self._lock:
+                self._read[stream] = answers.origin
+        return answers
+
+    def _decide_without_record(self, service: ServiceId, answers: PeerAnswers) -> StreamOriginFound:
+        now_s, oldest_s = self._clock(), self._oldest_s()
         with self._lock:
-            change = self._history.latest_change(service, self._oldest_s())
+            earliest = self._history.earliest(service, oldest_s)
             documents = self._documents
         return decide_without_record(
             MissingRecord(
-                now_s=self._clock(),
-                started_at_s=self._started_at_s,
-                change=change,
-                is_store_read=self._was_read,
-                has_late_writers=change is not None
+                oldest_s=oldest_s,
+                earliest=earliest,
+                restored_at_s=self._restored_at_s,
+                has_unrecorded=earliest is not None
                 and any(
-                    each.has_seen(service, change.version) and not each.is_written_ahead
+                    each.written_at_s >= oldest_s
+                    and each.has_seen_other(service, earliest.version)
+                    and not each.is_witnessed
                     for each in documents
                 ),
+                kept_since_s=(
+                    self._started_at_s,
+                    *(now_s - each for each in answers.kept_for_s),
+                ),
+                are_all_asked=answers.are_all_asked,
             )
         )
 
@@ -293,7 +434,9 @@
             self._changed.set()
 
     def _observe_list_locked(self) -> bool:
-        has_changed = self._history.observe(self._registry.versions(), self._clock())
+        has_changed = self._history.observe(
+            self._registry.versions(), self._clock(), self._oldest_s()
+        )
         self._is_dirty = self._is_dirty or has_changed
         return has_changed
 
@@ -333,13 +476,12 @@
         documents = list(stored)
         oldest_s = self._oldest_s()
         with self._lock:
-            self._read = {
-                RequestId(name): origin
-                for each in documents
-                for name, origin in each.streams.items()
-                if origin.at_s >= oldest_s
-            }
-            self._history.merge(newest_history(documents, self._clock()))
+            # A store that has come back from an older copy may lack what was read before.
+            origins = list(self._read.items())
+            for each in documents:
+                origins += [(RequestId(name), origin) for name, origin in each.streams.items()]
+            self._read = {name: origin for name, origin in origins if origin.at_s >= oldest_s}
+            self._history.merge(newest_history(documents, self._clock()), oldest_s)
             self._documents = documents
             self._was_read = True
 
@@ -355,12 +497,15 @@
             self._is_dirty = False
             count = self._record_count
             streams = {
-                str(name): origin for name, origin in self._own.items() if origin.at_s >= oldest_s
+                str(name): origin
+                for name, origin in (*self._kept.items(), *self._own.items())
+                if origin.at_s >= oldest_s
             }
             history = self._history.kept(oldest_s)
         text = StoredStreams(
             written_at_s=now_s,
             is_written_ahead=now_s >= (self._ahead_from_s or 0.0),
+            is_witnessed=now_s >= self._witnessed_from_s,
             streams=streams,
             history=history,
         ).model_dump_json()
@@ -395,8 +540,11 @@
         self._revision = NO_VERSION if stored is None else stored.version
         earlier = StoredStreams.parse(stored.value if stored is not None else "{}")
         if self._ahead_from_s is None:
+            now_s = self._clock()
             is_behind = bool(earlier.history) and not earlier.is_written_ahead
-            self._ahead_from_s = self._clock() + CHANGE_SETTLED_S if is_behind else 0.0
+            self._ahead_from_s = now_s + LATE_WRITES_S if is_behind else 0.0
+            if earlier.history and not earlier.is_witnessed:
+                self._witnessed_from_s = now_s + self._options.lifetime_s
         with self._lock:
             for name, origin in earlier.streams.items():
                 self._own.setdefault(RequestId(name), origin)
@@ -405,6 +553,7 @@
     def store_lost_writes(self) -> None:
         """Write the own object again after the store has come back from an older copy."""
         with self._lock:
+            self._restored_at_s = self._clock()
             self._is_dirty = True
         self._changed.set()
 
--- a/gooseberryquay/serving/tests/test_stream_versions.py
+++ b/gooseberryquay/serving/tests/test_stream_versions.py
@@ -1,3 +1,4 @@
+import json
 import threading
 import time
 from pathlib import Path
@@ -9,6 +10,7 @@
 from gooseberryquay.links.platform_client import PlatformUnreachable, WriteConflict
 from gooseberryquay.links.platform_messages import StoredObject
 from gooseberryquay.serving.decision_log import DecisionLog
+from gooseberryquay.serving.stream_relay import PinnedVersion
 from gooseberryquay.serving.stream_versions import (
     READ_INTERVAL_S,
     RECORD_TIME_S,
@@ -18,6 +20,7 @@
     VersionUnknown,
 )
 from gooseberryquay.serving.tests.builders import MODEL, FakeClock, build_record, build_registry
+from gooseberryquay.serving.tests.witness_builders import DirectWitnesses
 from gooseberryquay.serving.version_history import StoredStreams
 
 # What 744db1e writes.
@@ -67,20 +70,34 @@
         self.store = _Store()
         self.registry = build_registry([build_record("i-1", version="v1")])
         self.entries = []
+        # None for entries that don't answer.
+        self.by_name = {}
         self.is_list_behind = False
 
-    def start(self, name, registry=None):
+    def start(self, name, registry=None, store=None):
         options = StreamVersionsOptions(EntryId(name), is_list_behind=lambda: self.is_list_behind)
         entry = StreamVersions(
-            options, registry or self.registry, self.store, DecisionLog(), self.clock
+            options,
+            registry or self.registry,
+            store or self.store,
+            DecisionLog(),
+            self.clock,
+            witnesses=DirectWitnesses(name, self.by_name),
         )
         entry.start()
         self.entries.append(entry)
+        self.by_name[name] = entry
         return entry
 
     def end(self, entry):
         entry.stop()
         self.entries.remove(entry)
+        self.lose(entry)
+
+    def lose(self, entry):
+        """Let peers get no answer of an entry from now on."""
+        names = [name for name, each in self.by_name.items() if each is entry]
+        self.by_name.update({name: None for name in names})
 
     def add_newer(self):
         self.clock.now_s += 1.0
@@ -126,14 +143,118 @@
     assert third.version_of("s-2", MODEL) == "v2"
 
 
-def test_unknown_stream_is_not_taken_up_once_versions_have_been_mixed_for_a_while(fleet):
+def test_take_up_that_names_no_stream_is_refused_while_versions_are_mixed(fleet):
     entry = fleet.start("e-1")
     fleet.add_newer()
+    assert entry.version_of(None, MODEL) == VersionUnknown()
     fleet.clock.now_s += 20.0
-    assert entry.version_of("s-9", MODEL) == VersionUnknown()
     assert entry.version_of(None, MODEL) == VersionUnknown()
 
 
+# Guards against an assumption about streams whose records may have been lost.
+@pytest.mark.parametrize("since_newer_s", [0.0, 20.0])
+@pytest.mark.parametrize("loss", ["store restored", "peers silent", "peers restarted"])
+def test_unknown_stream_is_not_taken_up_if_its_record_may_be_lost(fleet, since_newer_s, loss):
+    entry, *others = [fleet.start(f"e-{number}") for number in range(4)]
+    fleet.add_newer()
+    assert entry.version_of("s-9", MODEL) == "v1"
+    fleet.clock.now_s += since_newer_s + 3.0
+    match loss:
+        case "store restored":
+            entry.store_lost_writes()
+        case "peers silent":
+            for each in others:
+                fleet.lose(each)
+        case "peers restarted":
+            for number, each in enumerate(others):
+                fleet.end(each)
+                fleet.start(f"e-{number + 1}")
+    assert entry.version_of("s-9", MODEL) == VersionUnknown()
+
+
+# Guards against streams that are refused because the entry that began them could not record them.
+@pytest.mark.parametrize("since_newer_s", [0.0, 20.0])
+def test_stream_without_a_record_began_at_the_earliest_version(fleet, since_newer_s):
+    entry, killed, _ = (fleet.start(f"e-{number}") for number in range(3))
+    fleet.add_newer()
+    fleet.lose(killed)
+    fleet.clock.now_s += since_newer_s
+    assert entry.version_of("s-9", MODEL) == "v1"
+
+
+# Guards against streams that go on at the earliest version because their entry's store was away.
+@pytest.mark.parametrize("ended_count", [1, 2])
+def test_stream_that_the_store_did_not_take_is_known_to_peers(fleet, ended_count):
+    store = _Store()
+    first, *others = [fleet.start(f"e-{number}", store=store) for number in range(4)]
+    fleet.add_newer()
+    store.is_away = True
+    assert first.record("s-1", MODEL, "v2")
+    for each in [first, *others][:ended_count]:
+        fleet.lose(each)
+    assert others[-1].version_of("s-1", MODEL) == "v2"
+    store.is_away = False
+
+
+# Guards against a record that only peers have, and that ends with them.
+def test_peer_that_reaches_the_store_writes_what_it_keeps(fleet):
+    store = _Store()
+    first = fleet.start("e-0", store=store)
+    others = [fleet.start(f"e-{number}") for number in (1, 2)]
+    fleet.add_newer()
+    store.is_away = True
+    assert first.record("s-1", MODEL, "v2")
+    for each in others:
+        fleet.end(each)
+    fleet.lose(first)
+    assert fleet.start("e-3").version_of("s-1", MODEL) == "v2"
+    store.is_away = False
+
+
+# Guards against streams that begin at a later version and that nobody else knows.
+def test_stream_may_not_begin_at_a_later_version_that_neither_store_nor_peers_record(fleet):
+    store = _Store()
+    first = fleet.start("e-0", store=store)
+    fleet.lose(fleet.start("e-1"))
+    fleet.add_newer()
+    assert first.only_version_to_begin(MODEL) is None
+    store.is_away = True
+    assert not first.record("s-1", MODEL, "v2")
+    assert first.only_version_to_begin(MODEL) == PinnedVersion("v1")
+    assert first.record("s-2", MODEL, "v1")
+    store.is_away = False
+    fleet.start("e-1")
+    assert first.record("s-3", MODEL, "v2")
+    assert first.only_version_to_begin(MODEL) is None
+
+
+# Guards against a version that comes back long after it left and passes for the earliest one.
+def test_version_that_comes_back_after_a_stream_lifetime_is_the_later_one(fleet):
+    entry = fleet.start("e-1")
+    fleet.add_newer()
+    fleet.remove_older()
+    assert entry.version_of("s-9", MODEL) == "v1"
+    fleet.clock.now_s += STREAM_LIFETIME_S + 1.0
+    assert entry.version_of("s-9", MODEL) == "v2"
+    fleet.clock.now_s += 1.0
+    fleet.registry.apply_record(build_record("i-1", version="v1"))
+    assert entry.version_of("s-9", MODEL) == "v2"
+    assert fleet.start("e-2").version_of("s-9", MODEL) == "v2"
+
+
+# Guards against a peer without the latest list that takes a version for the only one.
+def test_peer_that_keeps_a_record_of_a_newer_version_knows_of_that_version(fleet):
+    store = _Store()
+    first = fleet.start("e-0", store=store)
+    behind = fleet.start("e-1", build_registry([build_record("i-1", version="v1")]))
+    fleet.add_newer()
+    store.is_away = True
+    assert first.record("s-1", MODEL, "v2")
+    assert behind.version_of("s-1", MODEL) == "v2"
+    assert behind.version_of(None, MODEL) == VersionUnknown()
+    store.is_away = False
+
+
 def test_many_take_ups_at_the_only_version_share_one_call_of_the_store(fleet):
     entry = fleet.start("e-1")
     assert entry.version_of("s-9", MODEL) == "v1"
@@ -151,7 +272,7 @@
     time.sleep(READ_INTERVAL_S + 0.5)
     assert behind.version_of("s-1", MODEL) == "v2"
     fleet.clock.now_s += 20.0
-    assert behind.version_of("s-9", MODEL) == VersionUnknown()
+    assert behind.version_of(None, MODEL) == VersionUnknown()
 
 
 def test_entry_that_peers_know_to_be_behind_takes_nothing_up_while_the_store_is_away(fleet):
@@ -227,10 +348,17 @@
     assert other.version_of("s-9", MODEL) == "v1"
 
 
-# Entries of 744db1e pass events on before they write, so their silence says nothing.
-def test_stream_without_a_record_is_not_taken_up_beside_an_entry_that_does_not_write_ahead(fleet):
+# Entries of 744db1e pass events on before they write, and those of 7b9f6b6 also without a record
+# while the store is away, so their silence says nothing.
+@pytest.mark.parametrize("is_written_ahead", [False, True])
+def test_stream_without_a_record_is_not_taken_up_beside_an_entry_of_an_earlier_build(
+    fleet, is_written_ahead
+):
     other = fleet.start("e-2")
-    fleet.store.put("streams/e-1", EARLIER_BUILD)
+    stored = json.loads(EARLIER_BUILD)
+    if is_written_ahead:
+        stored["is_written_ahead"] = True
+    fleet.store.put("streams/e-1", json.dumps(stored))
     fleet.add_newer()
     time.sleep(READ_INTERVAL_S)
     assert other.version_of("s-1", MODEL) == "v2"
--- a/gooseberryquay/serving/version_history.py
+++ b/gooseberryquay/serving/version_history.py
@@ -10,7 +10,7 @@
 __all__ = [
     "StoredStreams",
     "StreamOrigin",
-    "VersionChange",
+    "EarliestVersion",
     "VersionHistory",
     "VersionSpan",
     "newest_history",
@@ -46,17 +46,20 @@
     """What one entry has recorded.
 
     `is_written_ahead` is set by entries that pass no event of a stream on before its record is
-    stored, once several versions serve; entries of earlier builds leave it out.
+    stored, once several versions serve and while the store can be written. `is_witnessed` is set
+    if streams without a stored record were kept by peers or began at the earliest version. Entries
+    of earlier builds leave these out.
     """
 
     written_at_s: float = 0.0
     is_written_ahead: bool = False
+    is_witnessed: bool = False
     streams: dict[str, StreamOrigin] = {}
     history: tuple[VersionSpan, ...] = ()
 
-    def has_seen(self, service: ServiceId, version: str) -> bool:
-        """Return whether the entry had seen a version of a service as it wrote this."""
-        return any((each.service, each.version) == (service, version) for each in self.history)
+    def has_seen_other(self, service: ServiceId, version: str) -> bool:
+        """Return whether the entry had seen another version of a service as it wrote this."""
+        return any(each.service == service and each.version != version for each in self.history)
 
     @classmethod
     def parse(cls, text: str) -> "StoredStreams":
@@ -68,12 +71,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class VersionChange:
-    """The latest appearance of another version, and the only version before it, if it was one."""
+class EarliestVersion:
+    """The version that was listed before all others, and when the next one was first listed."""
 
-    at_s: float
     version: str
-    previous: str | None
+    until_s: float
 
 
 class VersionHistory:
@@ -83,13 +85,21 @@
         self._spans: dict[tuple[str, str], VersionSpan] = {}
 
     def observe(
-        self, versions: Mapping[ServiceId, frozenset[SoftwareVersion | None]], now_s: float
+        self,
+        versions: Mapping[ServiceId, frozenset[SoftwareVersion | None]],
+        now_s: float,
+        oldest_s: float = float("-inf"),
     ) -> bool:
-        """Record the versions that are listed now; return whether they have changed."""
+        """Record the versions that are listed now; return whether they have changed.
+
+        A version that was last listed before `oldest_s` counts as new.
+        """
         listed = {(service, each or "") for service, found in versions.items() for each in found}
         has_changed = False
-        for key, span in self._spans.items():
-            if span.is_listed and key not in listed:
+        for key, span in list(self._spans.items()):
+            if not _is_recent(span, oldest_s):
+                del self._spans[key]
+            elif span.is_listed and key not in listed:
                 has_changed = True
                 self._spans[key] = span.model_copy(update={"is_listed": False})
         for key in listed:
@@ -101,9 +111,11 @@
             )
         return has_changed
 
-    def merge(self, spans: Iterable[VersionSpan]) -> None:
-        """Add what other entries have seen."""
+    def merge(self, spans: Iterable[VersionSpan], oldest_s: float = float("-inf")) -> None:
+        """Add what other entries have seen since a time."""
         for span in spans:
+            if span.last_at_s < oldest_s:
+                continue
             key = (span.service, span.version)
             known = self._spans.get(key)
             if known is None:
@@ -137,13 +149,15 @@
         recent = self._recent(service, oldest_s)
         return recent[0].version if len(recent) == 1 else None
 
-    def latest_change(self, service: ServiceId, oldest_s: float) -> VersionChange | None:
-        """Return the latest appearance of another version since a time, or None."""
+    def earliest(self, service: ServiceId, oldest_s: float) -> EarliestVersion | None:
+        """Return the earliest of several versions that were listed since a time.
+
+        Returns None if there is one only, or if two were first listed at the same time.
+        """
         recent = sorted(self._recent(service, oldest_s), key=lambda each: each.first_at_s)
-        if len(recent) < 2:
+        if len(recent) < 2 or recent[0].first_at_s == recent[1].first_at_s:
             return None
-        previous = recent[0].version if len(recent) == 2 else None
-        return VersionChange(recent[-1].first_at_s, recent[-1].version, previous)
+        return EarliestVersion(recent[0].version, recent[1].first_at_s)
 
     def _recent(self, service: ServiceId, oldest_s: float) -> list[VersionSpan]:
         return [
