Log whether a configuration needs API keys, and count requests by key

Cause: no line said how many keys a configuration in force holds, nor whether requests ran with a key, without one on a public route, or because none was needed.

Change: "configuration in force" gives the number of routes and keys and whether keys are needed; requests_by_key counts what was found of each key. No request is decided otherwise.

--- a/gooseberryquay/serving/request_counters.py
+++ b/gooseberryquay/serving/request_counters.py
@@ -8,7 +8,7 @@
 
 from gooseberryquay.ids import ServiceId
 from gooseberryquay.serving.call_choice import LateCause
-from gooseberryquay.serving.route import RouteKind
+from gooseberryquay.serving.route import KeyCheck, RouteKind
 
 __all__ = ["RequestCounters"]
 
@@ -72,6 +72,12 @@
             ("outcome",),
             registry=self.registry,
         )
+        self._keys = Counter(
+            "requests_by_key",
+            "Requests by what was found of their API key",
+            ("key",),
+            registry=self.registry,
+        )
         self._begun = Counter(
             "streams_begun_while_versions_are_mixed",
             "Streams by where their software version was recorded before the first event",
@@ -139,6 +145,10 @@
         """Record what was planned or done with a run at an engine that leaves."""
         self._moves.labels(outcome).inc()
 
+    def record_key(self, found: KeyCheck) -> None:
+        """Record what was found of a request's API key."""
+        self._keys.labels(found.value).inc()
+
     def record_begun(self, place: str) -> None:
         """Record a stream that begins while several software versions serve."""
         self._begun.labels(place).inc()
--- a/gooseberryquay/serving/request_handler.py
+++ b/gooseberryquay/serving/request_handler.py
@@ -19,7 +19,7 @@
 from gooseberryquay.serving.ports import ResponseWriter, RoutingSource
 from gooseberryquay.serving.refusal import Refusal, RefusalReason
 from gooseberryquay.serving.request_counters import RequestCounters
-from gooseberryquay.serving.route import Route, RouteKind, RoutingTable, Workspace
+from gooseberryquay.serving.route import KeyCheck, Route, RouteKind, RoutingTable, Workspace
 from gooseberryquay.serving.whole_answer import WholeAnswer
 
 __all__ = ["RequestHandler"]
@@ -151,12 +151,11 @@
     def _workspace_of(
         self, routing: RoutingTable, route: Route, call: Call
     ) -> Workspace | Refusal | None:
-        if not routing.workspaces:
-            return None
-        workspace = routing.workspace_of(call.key) if call.key is not None else None
-        if workspace is None and not route.is_public:
+        found = routing.check_key(call.key, route)
+        self._counters.record_key(found)
+        if found is KeyCheck.UNKNOWN:
             return Refusal(RefusalReason.UNKNOWN_KEY, f"unknown key in version {routing.version}")
-        return workspace
+        return routing.workspace_of(call.key)
 
     def _serve_accepted(self, request: AcceptedRequest) -> None:
         end: WholeAnswer | Refusal | CallerLeft | None
--- a/gooseberryquay/serving/route.py
+++ b/gooseberryquay/serving/route.py
@@ -11,6 +11,7 @@
     "CallLimits",
     "Destination",
     "EngineTerms",
+    "KeyCheck",
     "Route",
     "RouteKind",
     "RoutingTable",
@@ -27,6 +28,15 @@
     STREAMING = "streaming"
 
 
+class KeyCheck(Enum):
+    """Name what was found of a request's API key."""
+
+    KNOWN = "known"
+    UNKNOWN = "unknown"
+    PUBLIC_ROUTE = "unknown, public route"
+    NOT_NEEDED = "not needed"
+
+
 @dataclass(frozen=True, slots=True)
 class Destination:
     """Assign a service a weight among the destinations of a route."""
@@ -140,6 +150,19 @@
                 return route
         return None
 
-    def workspace_of(self, key: str) -> Workspace | None:
+    @property
+    def needs_key(self) -> bool:
+        """Return whether requests need an API key, except on public routes."""
+        return bool(self.workspaces)
+
+    def workspace_of(self, key: str | None) -> Workspace | None:
         """Return the workspace of an API key, or None."""
-        return self.workspaces.get(key)
+        return self.workspaces.get(key) if key is not None else None
+
+    def check_key(self, key: str | None, route: Route) -> KeyCheck:
+        """Return whether a request with a key may run on a route, and why."""
+        if not self.needs_key:
+            return KeyCheck.NOT_NEEDED
+        if key is not None and key in self.workspaces:
+            return KeyCheck.KNOWN
+        return KeyCheck.PUBLIC_ROUTE if route.is_public else KeyCheck.UNKNOWN
--- a/gooseberryquay/serving/routing_table_reader.py
+++ b/gooseberryquay/serving/routing_table_reader.py
@@ -51,6 +51,13 @@
             if self._current is not None and table.version <= self._current.version:
                 return
             self._current = table
-        self._log.belief("configuration in force", version=table.version, revision=changed.revision)
+        self._log.belief(
+            "configuration in force",
+            version=table.version,
+            revision=changed.revision,
+            routes=len(table.routes),
+            keys=len(table.workspaces),
+            needs_key=table.needs_key,
+        )
         for listener in self._on_change:
             listener(table)
