Require API keys also once the last one is revoked

Cause: a map of keys without entries stood both for a configuration without tenants and for tenants without keys.

Change: the map is None only if the configuration has no `tenants`.

Why it works: whether a key is needed no longer follows from how many there are.

--- a/gooseberryquay/platform/documents.py
+++ b/gooseberryquay/platform/documents.py
@@ -140,11 +140,7 @@
             version=document.version,
             routes=tuple(_route_of(each) for each in document.routes),
             services={ServiceId(each.name): _service_of(each) for each in document.services},
-            workspaces={
-                key: Workspace(WorkspaceId(tenant.name), tenant.priority)
-                for tenant in document.tenants
-                for key in tenant.api_keys
-            },
+            workspaces=_workspaces_of(document),
             limits=_limits_of(document.limits),
         )
     except (ValidationError, KeyError, ValueError, ArithmeticError):
@@ -219,6 +215,20 @@
     )
 
 
+def _workspaces_of(document: _Configuration) -> dict[str, Workspace] | None:
+    """Return the workspace of each API key, or None if the configuration has no tenants.
+
+    Tenants that have lost their keys, or an empty list of tenants, leave no key that is valid.
+    """
+    if "tenants" not in document.model_fields_set:
+        return None
+    return {
+        key: Workspace(WorkspaceId(tenant.name), tenant.priority)
+        for tenant in document.tenants
+        for key in tenant.api_keys
+    }
+
+
 def _gap_target_s(gap_target_ms: float | None) -> float | None:
     if gap_target_ms is None or gap_target_ms <= 0.0:
         return None
--- a/gooseberryquay/platform/tests/test_adapter.py
+++ b/gooseberryquay/platform/tests/test_adapter.py
@@ -1,6 +1,7 @@
 """Decoding of the platform's formats, and confinement of its names to the adapter."""
 
 import ast
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -11,7 +12,7 @@
 from gooseberryquay.platform.documents import read_routing, read_upstream
 from gooseberryquay.platform.settings_file import read_settings
 from gooseberryquay.platform.tests.builders import CONFIGURATION, SERVER, SETTINGS, stored
-from gooseberryquay.serving.route import RouteKind
+from gooseberryquay.serving.route import KeyCheck, RouteKind
 from gooseberryquay.serving.upstream_record import UpstreamState
 
 PACKAGE = Path(gooseberryquay.__file__).parent
@@ -99,6 +100,18 @@
     assert table.services["ledger"].engine is None
 
 
+# Guards against a configuration whose last API keys are revoked and that then needs none.
+@pytest.mark.parametrize("tenants", [[], [{"name": "studio", "api_keys": []}]])
+def test_tenants_without_keys_are_not_absent_tenants(tenants):
+    table = read_routing(stored({**CONFIGURATION, "tenants": tenants}))
+    route = table.routes[0]
+    assert table.check_key("key-a", route) is KeyCheck.UNKNOWN
+    assert table.check_key(None, route) is KeyCheck.UNKNOWN
+    assert table.check_key(None, replace(route, is_public=True)) is KeyCheck.PUBLIC_ROUTE
+    without = {name: part for name, part in CONFIGURATION.items() if name != "tenants"}
+    assert read_routing(stored(without)).check_key(None, route) is KeyCheck.NOT_NEEDED
+
+
 @pytest.mark.parametrize(
     "change",
     [
@@ -107,6 +120,9 @@
         {"routes": [{"name": "r"}]},
         {"routes": [{**CONFIGURATION["routes"][0], "route_kind": "else"}]},
         {"services": [{"name": 3}]},
+        {"tenants": None},
+        {"tenants": [{"name": "studio", "api_keys": None}]},
+        {"tenants": [{"name": "studio"}]},
     ],
 )
 def test_malformed_configuration_is_none(change):
--- a/gooseberryquay/serving/route.py
+++ b/gooseberryquay/serving/route.py
@@ -128,12 +128,15 @@
 
 @dataclass(frozen=True)
 class RoutingTable:
-    """Represent one configuration version; if `workspaces` is empty, no API key is required."""
+    """Represent one configuration version.
+
+    `workspaces` holds the API keys; it is None if requests need no key, and empty if none is valid.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[ServiceId, ServiceTerms]
-    workspaces: Mapping[str, Workspace]
+    workspaces: Mapping[str, Workspace] | None
     limits: CallLimits
     _by_host: dict[str, list[Route]] = field(default_factory=dict, compare=False)
 
@@ -153,16 +156,18 @@
     @property
     def needs_key(self) -> bool:
         """Return whether requests need an API key, except on public routes."""
-        return bool(self.workspaces)
+        return self.workspaces is not None
 
     def workspace_of(self, key: str | None) -> Workspace | None:
         """Return the workspace of an API key, or None."""
-        return self.workspaces.get(key) if key is not None else None
+        if self.workspaces is None or key is None:
+            return None
+        return self.workspaces.get(key)
 
     def check_key(self, key: str | None, route: Route) -> KeyCheck:
         """Return whether a request with a key may run on a route, and why."""
         if not self.needs_key:
             return KeyCheck.NOT_NEEDED
-        if key is not None and key in self.workspaces:
+        if self.workspace_of(key) is not None:
             return KeyCheck.KNOWN
         return KeyCheck.PUBLIC_ROUTE if route.is_public else KeyCheck.UNKNOWN
--- a/gooseberryquay/serving/routing_table_reader.py
+++ b/gooseberryquay/serving/routing_table_reader.py
@@ -56,7 +56,7 @@
             version=table.version,
             revision=changed.revision,
             routes=len(table.routes),
-            keys=len(table.workspaces),
+            keys=len(table.workspaces or ()),
             needs_key=table.needs_key,
         )
         for listener in self._on_change:
--- a/gooseberryquay/standins/node_platform/site.py
+++ b/gooseberryquay/standins/node_platform/site.py
@@ -114,8 +114,13 @@
         for each in list(self.services.values()):
             each.work_range_s = range_s
 
-    def configure(self, *routes: dict[str, Any], keys: tuple[str, ...] = (KEY,)) -> int:
-        """Write a configuration with the default and the given routes, and return its version."""
+    def configure(
+        self, *routes: dict[str, Any], keys: tuple[str, ...] = (KEY,), **parts: Any
+    ) -> int:
+        """Write a configuration with the default and the given routes, and return its version.
+
+        `parts` replace whole parts of it; those that are None are left out.
+        """
         self._version += self._rng.randrange(1, 4)
         document = {
             "version": self._version,
@@ -123,7 +128,9 @@
             "services": [_model_service(), {"name": "ledger", "max_conns": 100}],
             "limits": {},
             "tenants": [{"name": "studio", "api_keys": list(keys), "priority": 1}],
+            **parts,
         }
+        document = {name: part for name, part in document.items() if part is not None}
         self.store.put("config", "main", document)
         return self._version
 
