Refuse only the requests of a route whose split is emptied

What callers saw: a route whose split holds one service of weight 0 went on to send it all requests; one with several such services answered 502; one with an empty split kept the whole configuration from coming into force, so that a key revoked with it went on working.

Change: services without a share are no destinations; requests of a route without any are refused at once (503, not run), all others as the configuration says.

Tests: test_service_without_a_share_gets_no_requests, 3 of 4 cases failed before; test_route_whose_split_is_emptied_is_refused_and_the_revoked_key_too, 2 of 2 failed on (the revoked key got 200, and the route of weight 0); all pass.

--- a/gooseberryquay/daemons/tests/test_platform_api_keys.py
+++ b/gooseberryquay/daemons/tests/test_platform_api_keys.py
@@ -6,7 +6,7 @@
 import pytest
 
 from gooseberryquay.daemons.tests.platform_builders import running_entries, send_request
-from gooseberryquay.standins.node_platform.site import KEY, Site
+from gooseberryquay.standins.node_platform.site import KEY, Site, build_route
 
 OTHER_KEY = "other-key"
 REQUESTS = 5
@@ -14,6 +14,7 @@
 CONFIG_APPLY_S = 2.0
 OK = 200
 UNAUTHORIZED = 401
+UNAVAILABLE = 503
 
 
 @pytest.fixture
@@ -68,3 +69,15 @@
     with running_entries(site, tmp_path, 1) as entries:
         assert _statuses(entries, KEY) == {OK}
         assert _statuses(entries, "") == {OK}
+
+
+# Guards against a route without a service that keeps a configuration from coming into force.
+@pytest.mark.parametrize("split", [[], [{"service": "ledger", "weight": 0}]])
+def test_route_whose_split_is_emptied_is_refused_and_the_revoked_key_too(site, tmp_path, split):
+    site.configure(keys=(KEY, OTHER_KEY))
+    with running_entries(site, tmp_path, 1) as entries:
+        emptied = build_route("/read/", "idempotent", "ledger", 2) | {"service": None}
+        site.configure(keys=(OTHER_KEY,), routes=[emptied | {"split": split}])
+        time.sleep(CONFIG_APPLY_S)
+        assert _statuses(entries, KEY) == {UNAUTHORIZED}
+        assert _statuses(entries, OTHER_KEY) == {UNAVAILABLE}
--- a/gooseberryquay/platform/documents.py
+++ b/gooseberryquay/platform/documents.py
@@ -192,13 +192,6 @@
 
 
 def _route_of(document: _Route) -> Route:
-    destinations = tuple(
-        Destination(ServiceId(each.service), each.weight) for each in document.split
-    )
-    if document.service is not None:
-        destinations = (Destination(ServiceId(document.service), 1.0),)
-    if not destinations:
-        raise ValueError(f"route {document.name} has no service")
     return Route(
         name=document.name,
         host=document.host,
@@ -207,7 +200,7 @@
         timeout_s=document.timeout_ms / MS_PER_S,
         goal_s=document.goal_ms / MS_PER_S,
         priority=document.priority,
-        destinations=destinations,
+        destinations=_destinations_of(document),
         attempts_max=max(1, document.max_attempts),
         is_public=document.public,
         is_resumable=document.resumable,
@@ -215,6 +208,17 @@
     )
 
 
+def _destinations_of(document: _Route) -> tuple[Destination, ...]:
+    """Return the services of a route; one with no share of its requests is none of them."""
+    if document.service is not None:
+        return (Destination(ServiceId(document.service), 1.0),)
+    return tuple(
+        Destination(ServiceId(each.service), each.weight)
+        for each in document.split
+        if each.weight > 0.0
+    )
+
+
 def _workspaces_of(document: _Configuration) -> dict[str, Workspace] | None:
     """Return the workspace of each API key, or None if the configuration has no tenants.
 
--- a/gooseberryquay/platform/tests/test_adapter.py
+++ b/gooseberryquay/platform/tests/test_adapter.py
@@ -1,6 +1,7 @@
 """Decoding of the platform's formats, and confinement of its names to the adapter."""
 
 import ast
+import random
 from dataclasses import replace
 from pathlib import Path
 
@@ -112,6 +113,26 @@
     assert read_routing(stored(without)).check_key(None, route) is KeyCheck.NOT_NEEDED
 
 
+# Guards against a share of 0 that is taken for the whole, and against one route without services
+# that keeps a configuration, and the keys it revokes, from coming into force.
+@pytest.mark.parametrize(
+    ("split", "services"),
+    [
+        ([], set()),
+        ([{"service": "model", "weight": 0}], set()),
+        ([{"service": "model", "weight": 0.0}, {"service": "ledger", "weight": 0}], set()),
+        ([{"service": "model", "weight": 0}, {"service": "ledger", "weight": 1}], {"ledger"}),
+    ],
+)
+def test_service_without_a_share_gets_no_requests(split, services):
+    quick, long = CONFIGURATION["routes"]
+    table = read_routing(stored({**CONFIGURATION, "routes": [quick, {**long, "split": split}]}))
+    route = next(each for each in table.routes if each.name == long["name"])
+    rng = random.Random(1)
+    assert {route.pick_service(rng) for _ in range(50)} - {None} == services
+    assert table.check_key("revoked", route) is KeyCheck.UNKNOWN
+
+
 @pytest.mark.parametrize(
     "change",
     [
--- a/gooseberryquay/serving/request_handler.py
+++ b/gooseberryquay/serving/request_handler.py
@@ -26,6 +26,8 @@
 
 # An entry reads its configuration within this time if the store is healthy.
 NOT_READY_RETRY_AFTER_S = 0.5
+# Only another configuration can help.
+NO_SERVICE_RETRY_AFTER_S = 2.0
 # Another entry can accept the request immediately.
 LEAVING_RETRY_AFTER_S = 0.05
 
@@ -135,10 +137,14 @@
         workspace = self._workspace_of(routing, route, call)
         if isinstance(workspace, Refusal):
             return workspace
+        service = route.pick_service(self._rng)
+        if service is None:
+            message = f"route {route.name} has no service in version {routing.version}"
+            return Refusal(RefusalReason.NO_UPSTREAM, message, NO_SERVICE_RETRY_AFTER_S)
         return AcceptedRequest(
             call,
             route,
-            route.pick_service(self._rng),
+            service,
             workspace,
             routing.version,
             min(call.deadline_at_s, call.arrived_at_s + route.timeout_s),
--- a/gooseberryquay/serving/route.py
+++ b/gooseberryquay/serving/route.py
@@ -74,8 +74,10 @@
             case RouteKind.STREAMING:
                 return self.is_resumable
 
-    def pick_service(self, rng: random.Random) -> ServiceId:
-        """Select a service at random by weight."""
+    def pick_service(self, rng: random.Random) -> ServiceId | None:
+        """Select a service at random by weight; None if the route has none."""
+        if not self.destinations:
+            return None
         if len(self.destinations) == 1:
             return self.destinations[0].service
         weights = [each.weight for each in self.destinations]
