Enforce size limits of 0 bytes

What callers saw: with `max_body_bytes` or `max_header_bytes` of 0 in force, requests of any size passed.

Change: 0 is handed over as less than one byte. Chunked coding of up to a line's length is no excess of a small limit, so an empty chunked body passes.

Tests: test_limit_of_0_bytes_lets_only_requests_without_a_body_pass failed before (200 for a body of one byte) and passes; the tests of `links` pass.

--- a/gooseberryquay/links/forwarding_server.py
+++ b/gooseberryquay/links/forwarding_server.py
@@ -13,6 +13,8 @@
 Forwarder = Callable[[StreamingGateway], None]
 
 MIN_THREADS = 4
+# cheroot takes a limit of 0 for none.
+ALMOST_0_BYTES = 0.5
 
 
 class ForwardingServer(HttpServer):
@@ -50,7 +52,7 @@
         self._forward(gateway)
 
     def set_limits(self, header_bytes_max: int, body_bytes_max: int) -> None:
-        """Set the header and body size limits, in bytes, of new requests."""
+        """Set the header and body size limits, in bytes, of new requests; 0 lets none pass."""
         server: Any = self._server
-        server.max_request_header_size = header_bytes_max
-        server.max_request_body_size = body_bytes_max
+        server.max_request_header_size = max(header_bytes_max, ALMOST_0_BYTES)
+        server.max_request_body_size = max(body_bytes_max, ALMOST_0_BYTES)
--- a/gooseberryquay/links/request_body.py
+++ b/gooseberryquay/links/request_body.py
@@ -183,7 +183,8 @@
                 self._refuse_framing("a line of the chunked coding is too long")
             raise ValueError("a line of the chunked coding does not end with CRLF")
         self._framing_bytes += len(line)
-        if self._framing_bytes > self._server.max_request_body_size > 0:
+        limit = self._server.max_request_body_size
+        if self._framing_bytes > max(limit, CHUNK_LINE_BYTES_MAX) and limit > 0:
             self._refuse_framing("the chunked coding takes more than the largest body")
         return line
 
--- a/gooseberryquay/links/tests/test_strict_request.py
+++ b/gooseberryquay/links/tests/test_strict_request.py
@@ -129,6 +129,26 @@
     assert forwarder.seen == []
 
 
+# Guards against a limit of 0 bytes that counts as none.
+def test_limit_of_0_bytes_lets_only_requests_without_a_body_pass():
+    forwarder = _Forwarder()
+    server = ForwardingServer("127.0.0.1", 0, forwarder, 16384, 100_000)
+    server.start()
+    server.set_limits(16384, 0)
+    chunked = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+    for body in (b"Content-Length: 1\r\n\r\na", b"Content-Length: 9000\r\n\r\n"):
+        assert _send_raw(server.port, HEAD + body).startswith(b"HTTP/1.1 413")
+    # Which status a refused chunked body gets is up to the forwarder.
+    assert b" 200 " not in _send_raw(server.port, chunked + b"1\r\na\r\n0\r\n\r\n")
+    assert forwarder.seen == []
+    for body in (b"\r\n", b"Content-Length: 0\r\n\r\n"):
+        assert _send_raw(server.port, HEAD + body).startswith(b"HTTP/1.1 200")
+    assert _send_raw(server.port, chunked + b"0\r\n\r\n").startswith(b"HTTP/1.1 200")
+    server.set_limits(0, 0)
+    assert _send_raw(server.port, HEAD + b"\r\n").split()[1] in {b"413", b"414", b"431"}
+    server.stop()
+
+
 def test_headers_over_the_limit_are_not_passed_on(served):
     forwarder, port = served
     answer = _send_raw(port, HEAD + b"X-A: " + b"x" * 20000 + b"\r\n\r\n")
