Take a limit of 0 connections for a limit

Change: only an absent value means that there is no limit.

Tests: test_limit_of_no_connections_is_a_limit, 2 of 4 cases failed before, 4 of 4 pass; the tests of placement pass.

--- a/gooseberryquay/platform/documents.py
+++ b/gooseberryquay/platform/documents.py
@@ -244,11 +244,15 @@
     return ServiceTerms(
         id=ServiceId(document.name),
         cold_requests_per_s=document.cold_per_s,
-        connections_max=document.max_conns if document.max_conns > 0 else None,
+        connections_max=_connections_max_of(document),
         engine=_engine_of(engine) if engine is not None else None,
     )
 
 
+def _connections_max_of(document: _Service) -> int | None:
+    return max(0, document.max_conns) if "max_conns" in document.model_fields_set else None
+
+
 def _engine_of(document: _Engine) -> EngineTerms:
     return EngineTerms(
         slots=document.slots,
--- a/gooseberryquay/platform/tests/test_adapter.py
+++ b/gooseberryquay/platform/tests/test_adapter.py
@@ -133,6 +133,14 @@
     assert table.check_key("revoked", route) is KeyCheck.UNKNOWN
 
 
+# Guards against connections that an upstream does not accept and that count as not limited.
+@pytest.mark.parametrize(("stated", "connections"), [(0, 0), (-1, 0), (5, 5), (None, None)])
+def test_limit_of_no_connections_is_a_limit(stated, connections):
+    service = {"name": "ledger"} | ({} if stated is None else {"max_conns": stated})
+    table = read_routing(stored({**CONFIGURATION, "services": [service]}))
+    assert table.services["ledger"].connections_max == connections
+
+
 @pytest.mark.parametrize(
     "change",
     [
