Read a list on past an object without a name, and none past an empty page

Change: the list goes on after the last name of the page; without any it is malformed, and is read again.

--- a/gooseberryquay/platform/store.py
+++ b/gooseberryquay/platform/store.py
@@ -128,12 +128,15 @@
                 at = reply.position(int(document["at"]))
             except (KeyError, TypeError, ValueError):
                 return Err(SourceFailure.MALFORMED)
-            found.extend(each for each in page if each is not None)
+            named = [each for each in page if each is not None]
+            found.extend(named)
             # A watch from the lowest revision also covers changes that later pages lack.
             revision = at if revision is None else min(revision, at)
-            if not document.get("has_more") or not page or page[-1] is None:
+            if not document.get("has_more"):
                 return Ok(Listing(tuple(found), revision, store_revision=revision))
-            after = page[-1].name
+            if not named:
+                break
+            after = named[-1].name
         return Err(SourceFailure.MALFORMED)
 
     def watch(self, revision: int, wait_s: float) -> Result[Changes, SourceFailure]:
