Refuse a take-up with a blank name while versions are mixed

Cause: an emptied value read as a name.

Change: it names no stream, which is refused while several versions serve.

Tests: test_take_up_that_names_no_stream..., failed for the blank name before, passes.

--- a/gooseberryquay/serving/stream_versions.py
+++ b/gooseberryquay/serving/stream_versions.py
@@ -322,7 +322,8 @@
 
         Ends early if the caller disconnects, or at `until_s` on the monotonic clock.
         """
-        found = self._look_up(stream, service, caller or NullCallerWatch(), until_s)
+        # A blank name names no stream.
+        found = self._look_up(stream or None, service, caller or NullCallerWatch(), until_s)
         self._options.on_taken_up(found.basis.value)
         self._log.belief(
             "stream is taken up",
--- a/gooseberryquay/serving/tests/test_stream_versions.py
+++ b/gooseberryquay/serving/tests/test_stream_versions.py
@@ -143,12 +143,13 @@
     assert third.version_of("s-2", MODEL) == "v2"
 
 
-def test_take_up_that_names_no_stream_is_refused_while_versions_are_mixed(fleet):
+@pytest.mark.parametrize("name", [None, ""])
+def test_take_up_that_names_no_stream_is_refused_while_versions_are_mixed(fleet, name):
     entry = fleet.start("e-1")
     fleet.add_newer()
-    assert entry.version_of(None, MODEL) == VersionUnknown()
+    assert entry.version_of(name, MODEL) == VersionUnknown()
     fleet.clock.now_s += 20.0
-    assert entry.version_of(None, MODEL) == VersionUnknown()
+    assert entry.version_of(name, MODEL) == VersionUnknown()
 
 
 # Guards against an assumption about streams whose records may have been lost.
