End a stream whose version could not be recorded instead of moving it

Cause: restarted the run at the earliest version and left the record of its first run where it was.

Change: the run is stopped and the request ends with no event, so that the caller's next attempt has another name. Until a record is kept again, streams begin at the earliest version from the start; one of these tries each second, whose record is true wherever it stays.

Why it works: a name is now begun at one version only.

Tests: test_stream_whose_record_one_peer_alone_keeps_is_not_joined, one of two cases failed before, both pass; all 18 of test_platform_unrecorded_streams and test_stream_versions pass.

--- a/gooseberryquay/daemons/tests/test_platform_unrecorded_streams.py
+++ b/gooseberryquay/daemons/tests/test_platform_unrecorded_streams.py
@@ -193,3 +193,17 @@
         callers, reading = _begin(entries[:1], entries[1:])
         _end(entries[:1], reading)
     _check(callers)
+
+
+# Guards against a stream that begins at one version while a peer keeps another one for it: the
+# record of its first run, which too few peers took.
+@pytest.mark.parametrize("mode", [GateMode.REFUSING, GateMode.LOSING_ANSWERS])
+def test_stream_whose_record_one_peer_alone_keeps_is_not_joined(site, tmp_path, mode):
+    with _gated_entries(site, tmp_path) as (entries, gates):
+        _release(site)
+        entries[2].process.send_signal(signal.SIGSTOP)
+        _close(gates[:1], mode)
+        callers, reading = _begin(entries[:1], entries[1:2])
+        _end(entries[:1], reading)
+        entries[2].process.send_signal(signal.SIGCONT)
+    _check(callers)
--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -154,9 +154,11 @@
                     return None
                 case StreamEnd.CALLER_LEFT | CallerLeft():
                     return CallerLeft()
-                case StreamEnd.TIMED_OUT | StreamEnd.OUT_OF_ORDER:
+                case StreamEnd.TIMED_OUT | StreamEnd.OUT_OF_ORDER | StreamEnd.UNRECORDED:
+                    # A record that was refused or lost may name this version for the stream, so it
+                    # can't begin at another one.
                     break
-                case StreamEnd.BROKEN | StreamEnd.UNRECORDED:
+                case StreamEnd.BROKEN:
                     is_budget_exempt, attempts.is_paid = attempts.is_paid, False
                 case NotExecuted(reason, has_arrived):
                     attempts.reason = reason
@@ -249,7 +251,7 @@
                 return None
 
     def _stop_run(self, active: ActiveGeneration) -> None:
-        """Stop a run that is to begin anew elsewhere."""
+        """Stop a run whose events nobody gets."""
         copy = active.take_copy(MOVE_WAIT_S)
         if copy is not None:
             self._discard(active, copy)
--- a/gooseberryquay/serving/stream_versions.py
+++ b/gooseberryquay/serving/stream_versions.py
@@ -54,8 +54,8 @@
 POLL_INTERVAL_S = 0.1
 # Peers are asked to keep a record that a busy store has not taken by then.
 STORE_ALONE_S = 0.1
-# How long no stream begins at a later version after no place was found for a record.
-CONFINED_S = 2.0
+# How often a stream of the earliest version tries whether records can be kept again.
+PROBE_INTERVAL_S = 1.0
 # What peers let this entry wait for a read of the store.
 FIND_TIME_S = 0.3
 # An entry may become one of those that record the only version of a service.
@@ -135,7 +135,9 @@
         self._stored_count = 0
         self._failure_count = 0
         self._has_waiters = threading.Event()
-        self._unrecorded_at_s = float("-inf")
+        # Whether the last record was kept nowhere, so that streams begin at one version only.
+        self._is_confined = False
+        self._probed_at_s = float("-inf")
         self._restored_at_s = float("-inf")
         # When streams of an earlier process that did not write ahead no longer matter, and when
         # none of its streams does; None until its object was read.
@@ -191,7 +193,7 @@
         self._has_waiters.set()
         self._changed.set()
         is_earliest = earliest is not None and earliest.version == origin.version
-        if is_earliest and self._is_confined():
+        if is_earliest and not self._may_probe():
             place = RecordPlace.NOWHERE
         else:
             place = self._find_place(stream, origin, number, caller or NullCallerWatch())
@@ -212,7 +214,7 @@
 
         While streams can't be recorded, that is the one which a missing record stands for.
         """
-        if not self._is_confined():
+        if not self._is_confined:
             return None
         with self._lock:
             earliest = self._history.earliest(service, self._oldest_s())
@@ -220,8 +222,14 @@
             return None
         return PinnedVersion(SoftwareVersion(earliest.version) if earliest.version else None)
 
-    def _is_confined(self) -> bool:
-        return time.monotonic() - self._unrecorded_at_s <= CONFINED_S
+    def _may_probe(self) -> bool:
+        """Return whether a record that need not be kept is to be tried."""
+        now_s = time.monotonic()
+        with self._lock:
+            if self._is_confined and now_s - self._probed_at_s < PROBE_INTERVAL_S:
+                return False
+            self._probed_at_s = now_s
+            return True
 
     def _add_own_locked(self, stream: RequestId, origin: StreamOrigin) -> None:
         self._own.pop(stream, None)
@@ -244,8 +252,10 @@
         # While the store is away, a further wait would delay each stream and store none.
         elif self._wait_until_stored(number, caller, until_s, FAILURES_MAX):
             place = RecordPlace.STORE
-        is_nowhere = place is RecordPlace.NOWHERE and not caller.is_disconnected()
-        self._unrecorded_at_s = time.monotonic() if is_nowhere else float("-inf")
+        if place is not RecordPlace.NOWHERE:
+            self._is_confined = False
+        elif not caller.is_disconnected():
+            self._is_confined = True
         return place
 
     def _wait_until_stored(
@@ -520,6 +530,7 @@
                 return self._record_failure()
         with self._stored:
             self._failure_count = 0
+            self._is_confined = False
             self._stored_count = count
             self._stored.notify_all()
         return max(WRITE_INTERVAL_S, len(text) / WRITE_BYTES_PER_S)
