Ask no peers where the store shows one version only

Cause: since a take-up asked five peers for up to 0.4 s while other entries were missing, for a minute after each end of one, though the store had been read and named one version. What a peer keeps is in the store by then if either witness reaches it.

Records kept for peers are bounded at 2,048, so that the own object stays below the size that the store takes.

--- a/gooseberryquay/serving/stream_versions.py
+++ b/gooseberryquay/serving/stream_versions.py
@@ -39,6 +39,8 @@
 # Streams of two versions may be taken up for about as long as a caller waits for an answer.
 STREAM_LIFETIME_S = 90.0
 STREAMS_MAX = 4096
+# With these, the own object stays below the 1 MB that the store takes.
+KEPT_MAX = 2048
 # The first event of a stream waits for the write of its record.
 WRITE_INTERVAL_S = 0.05
 # An entry with many streams writes less often.
@@ -277,11 +279,11 @@
         now_s = self._clock()
         with self._lock:
             oldest_s = self._oldest_s()
-            if len(self._kept) + len(origins) > STREAMS_MAX:
+            if len(self._kept) + len(origins) > KEPT_MAX:
                 self._kept = {
                     name: origin for name, origin in self._kept.items() if origin.at_s >= oldest_s
                 }
-            if len(self._kept) + len(origins) > STREAMS_MAX:
+            if len(self._kept) + len(origins) > KEPT_MAX:
                 return False
             for name, origin in origins.items():
                 at_s = min(origin.at_s, now_s)
@@ -357,8 +359,7 @@
         if known is not None:
             return known
         is_read = self._shared_read.wait(caller, until_s)
-        is_behind = self._options.is_list_behind()
-        found = self._recorded(stream) or self._only_version(service, is_read, is_behind)
+        found = self._recorded(stream) or self._only_version(service, is_read)
         if found is not None:
             return found
         answers = self._ask_peers(stream, reads_store=not is_read)
@@ -366,10 +367,9 @@
             return StreamOriginFound(answers.origin.version, OriginBasis.KEPT_BY_PEER)
         if not is_read:
             return StreamOriginFound(None, OriginBasis.STORE_NOT_READ)
-        if not is_behind:
-            time.sleep(min(READ_AGAIN_S, max(0.0, until_s - time.monotonic())))
-            self._shared_read.wait(caller, until_s)
-        found = self._recorded(stream) or self._only_version(service, is_read, is_behind=False)
+        time.sleep(min(READ_AGAIN_S, max(0.0, until_s - time.monotonic())))
+        self._shared_read.wait(caller, until_s)
+        found = self._recorded(stream) or self._only_version(service, is_read)
         if stream is None:
             return found or StreamOriginFound(None, OriginBasis.NO_NAME)
         return found or self._decide_without_record(service, answers)
@@ -387,11 +387,9 @@
             return StreamOriginFound(read.version, OriginBasis.STORED_RECORD)
         return None
 
-    def _only_version(
-        self, service: ServiceId, is_read: bool, is_behind: bool
-    ) -> StreamOriginFound | None:
-        """Return the only version, unless other entries may know another one."""
-        if is_behind or not self._was_read:
+    def _only_version(self, service: ServiceId, is_read: bool) -> StreamOriginFound | None:
+        """Return the only version; without the store, trust the list unless others know more."""
+        if not is_read and (not self._was_read or self._options.is_list_behind()):
             return None
         with self._lock:
             self._observe_list_locked()
