--- a/gooseberryquay/serving/generation_handler.py
+++ b/gooseberryquay/serving/generation_handler.py
@@ -395,7 +395,7 @@
         self._placement.record_first_event(active.known, first_s, run.tokens_ahead)
 
     def _may_begin(self, request: AcceptedRequest, version: SoftwareVersion | None) -> bool:
-        """Record the version that begins a stream; return False if another one has to."""
+        """Record the version that begins a stream; return False if it may not begin there."""
         if not request.route.is_resumable:
             return True
         call = request.call
