--- a/review/12/case.py
+++ b/review/12/case.py
@@ -9,6 +9,7 @@
 
 from review.standins_3.deployment import (  # noqa: E402
     BOUNDS,
+    BROKEN,
     Deployment,
     call,
     configuration,
@@ -37,7 +38,7 @@
 
 
 def main() -> int:
-    """Return 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    """Return BROKEN if the rule was broken, 0 if it held, 2 if the case could not run."""
     deployment = Deployment(Path(__file__).parent)
     record = deployment.record
     store = Store()
@@ -110,7 +111,7 @@
         f"CONFIG {verdict}: routes added later were served in {added_share:.3f} of {added_sent}"
         f" requests, the first routes in {first_share:.3f} of {first_sent}"
     )
-    return 1 if is_broken else 0
+    return BROKEN if is_broken else 0
 
 
 if __name__ == "__main__":
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -10,6 +10,7 @@
 
 from review.standins_3.deployment import (  # noqa: E402
     BOUNDS,
+    BROKEN,
     Deployment,
     call,
     configuration,
@@ -31,7 +32,7 @@
 
 
 def main() -> int:
-    """Return 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    """Return BROKEN if the rule was broken, 0 if it held, 2 if the case could not run."""
     deployment = Deployment(Path(__file__).parent)
     record = deployment.record
     # FOREIGN=0 leaves out the record, to compare.
@@ -128,7 +129,7 @@
         f" of {len(near)} at the machine that is cut off and in {other_share:.3f} of {len(others)}"
         f" at the others; {failed} failed, {10 + len(judged) / 50:.1f} may"
     )
-    return 1 if is_broken else 0
+    return BROKEN if is_broken else 0
 
 
 if __name__ == "__main__":
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -9,6 +9,7 @@
 
 from review.standins_3.deployment import (  # noqa: E402
     BOUNDS,
+    BROKEN,
     Deployment,
     configuration,
     request_headers,
@@ -30,7 +31,7 @@
 
 
 def main() -> int:
-    """Return 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    """Return BROKEN if the rule was broken, 0 if it held, 2 if the case could not run."""
     deployment = Deployment(Path(__file__).parent)
     record = deployment.record
     store = Store()
@@ -138,7 +139,7 @@
         f"EVAC {'broken' if late else 'held'}: {len(late)} requests reached {far.id} in {far.zone}"
         f" later than {BOUNDS['evacuation_ms']} ms after its evacuation was acknowledged"
     )
-    return 1 if late else 0
+    return BROKEN if late else 0
 
 
 if __name__ == "__main__":
--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -18,6 +18,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "site.example"
 KEY = "key-of-the-tenant"
+# Exit status of a case whose rule was broken; Python itself exits with 1 after an error.
+BROKEN = 10
 READY_WITHIN_S = 15.0
 BOUNDS = {
     "stable_window_ms": 3000,
