Review case 13: a cut within the dose of the site

The cut of one machine of three lasts 12 s, the largest dose of node_cut in the site file; it was 18 s.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -22,7 +22,7 @@
 from review.standins_3.upstreams import Link, PlainServer  # noqa: E402
 
 MACHINES = 3
-CUT_S = 18.0
+CUT_S = 12.0
 PAUSE_S = 0.05
 # A record of another writer: a service that is not named here, and bytes that can't be read.
 FOREIGN = (
