--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -163,9 +163,9 @@
 class Deployment:
     """Keep the machines of a case and end all of them."""
 
-    def __init__(self, case: Path) -> None:
+    def __init__(self, case: Path, has_trouble: bool) -> None:
         self.case = case
-        self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.has_trouble = has_trouble
         self.record = Record(case)
         self.machines: list[Machine] = []
         self._folder = tempfile.TemporaryDirectory()
