--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,5 +1,6 @@
 """A record of another writer, whose address cannot be read, takes the calls of a service."""
 
+import os
 import sys
 import threading
 import time
@@ -20,6 +21,8 @@
 from review.standins_3.platform import Store  # noqa: E402
 from review.standins_3.upstreams import PlainServer  # noqa: E402
 
+# With TROUBLE=0 the case does the same without the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MACHINES = 2
 REQUESTS_PER_ROUTE = 400
 PAUSE_S = 0.05
@@ -39,7 +42,7 @@
 
 def main() -> int:
     """Return BROKEN if the rule was broken, 0 if it held, 2 if the case could not run."""
-    deployment = Deployment(Path(__file__).parent)
+    deployment = Deployment(Path(__file__).parent, HAS_TROUBLE)
     record = deployment.record
     store = Store()
     servers = [PlainServer(f"i-lookup-{n}", "lookup") for n in (1, 2)]
