--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,5 +1,6 @@
 """Streams go on from their backups at engines whose zone was evacuated long before."""
 
+import os
 import sys
 import threading
 import time
@@ -22,6 +23,8 @@
 
 import socket  # noqa: E402
 
+# With TROUBLE=0 the case does the same without the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MACHINES = 2
 ENGINES_PER_ZONE = 3
 STREAMS = 24
@@ -33,7 +36,7 @@
 
 def main() -> int:
     """Return BROKEN if the rule was broken, 0 if it held, 2 if the case could not run."""
-    deployment = Deployment(Path(__file__).parent)
+    deployment = Deployment(Path(__file__).parent, HAS_TROUBLE)
     record = deployment.record
     store = Store()
     peers: dict[str, Engine] = {}
